--- /dev/null
+++ b/crates/contract/src/lib.rs
@@ -0,0 +1,1 @@
+//! Change tickets and what they promise: checks, acceptance and results.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/fake-backend/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-in for a backend server, with fault switches.
+
+fn main() {}
--- /dev/null
+++ b/crates/fake-platform/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-in for the platform's object API, with fault switches.
+
+fn main() {}
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Link decisions: connection health, snapshot deltas and the region link budget.
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Open-loop load program with latency histograms.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node daemon.
--- /dev/null
+++ b/crates/observe/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metrics and logs.
--- /dev/null
+++ b/crates/platform-http/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP client of the platform's object API.
--- /dev/null
+++ b/crates/replay/src/main.rs
@@ -0,0 +1,3 @@
+//! Replays recorded traces and compares their outcomes.
+
+fn main() {}
--- /dev/null
+++ b/crates/report/src/main.rs
@@ -0,0 +1,3 @@
+//! Service-level burn report.
+
+fn main() {}
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rollout decisions: plan, guard, judge and merge.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! INI settings with a checked schema.
--- /dev/null
+++ b/crates/timer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The timer service that parts subscribe to.
--- /dev/null
+++ b/crates/trace/src/lib.rs
@@ -0,0 +1,1 @@
+//! Recorded traces of decisions and their replay.
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! QUIC endpoints with mutual TLS between nodes.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between nodes and their encoding.
--- /dev/null
+++ b/crates/world/src/lib.rs
@@ -0,0 +1,32 @@
+//! The objects of the mesh, held in arenas with typed keys, and the immutable
+//! snapshot of them that the request path reads.
+//!
+//! This crate does no I/O and reads no clock.
+
+pub mod backend_server;
+pub mod cell;
+pub mod config;
+pub mod host;
+pub mod keys;
+pub mod link;
+pub mod name;
+pub mod region;
+pub mod route;
+pub mod service;
+pub mod snapshot;
+pub mod time;
+pub mod zone;
+
+pub use backend_server::{BackendServer, ServerLoad, ServerState};
+pub use cell::SnapshotCell;
+pub use config::{Config, ConfigVersion, TicketNumber};
+pub use host::Host;
+pub use keys::{BackendServerKey, HostKey, LinkKey, RegionKey, RouteKey, ServiceKey, ZoneKey};
+pub use link::Link;
+pub use name::Name;
+pub use region::Region;
+pub use route::Route;
+pub use service::{Service, Share};
+pub use snapshot::Snapshot;
+pub use time::{Time, UnixMillis};
+pub use zone::Zone;
--- /dev/null
+++ b/crates/world/src/service.rs
@@ -0,0 +1,82 @@
+//! Services, their versions and traffic shares.
+
+use crate::{BackendServerKey, Name};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// A share of traffic in basis points: 10,000 is all of it.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Share(pub u16);
+
+impl Share {
+    /// All traffic.
+    pub const ALL: Self = Self(10_000);
+    /// No traffic.
+    pub const NONE: Self = Self(0);
+
+    /// A share of whole percent, at most 100.
+    pub fn from_percent(percent: u8) -> Self {
+        Self(u16::from(percent.min(100)) * 100)
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:02}%", self.0 / 100, self.0 % 100)
+    }
+}
+
+/// A backend server version that takes part in serving a service.
+#[derive(Clone, Debug)]
+pub struct ServedVersion {
+    /// The version.
+    pub version: Name,
+    /// Its share of the service's traffic now.
+    pub share: Share,
+    /// Ready backend servers, by distance from the local host:
+    /// same availability zone, same region, other region.
+    pub servers: [Vec<BackendServerKey>; 3],
+}
+
+impl ServedVersion {
+    /// Whether any backend server of this version is ready.
+    pub fn has_servers(&self) -> bool {
+        self.servers.iter().any(|s| !s.is_empty())
+    }
+}
+
+/// A service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Name of the service.
+    pub name: Name,
+    /// Its versions with their shares.
+    pub versions: Vec<ServedVersion>,
+}
+
+impl Service {
+    /// The version that serves a request with the draw `draw` in `0..10_000`.
+    ///
+    /// Versions without a ready backend server are passed over; their share
+    /// goes to the others in proportion. Returns `None` when no version with a
+    /// share has a ready backend server.
+    pub fn version_for(&self, draw: u16) -> Option<&ServedVersion> {
+        let usable = || {
+            self.versions
+                .iter()
+                .filter(|v| v.share > Share::NONE && v.has_servers())
+        };
+        let total: u32 = usable().map(|v| u32::from(v.share.0)).sum();
+        let mut rest = u32::from(draw) * total / u32::from(Share::ALL.0);
+        for v in usable() {
+            let share = u32::from(v.share.0);
+            if rest < share {
+                return Some(v);
+            }
+            rest -= share;
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/world/tests/snapshot.rs
@@ -0,0 +1,129 @@
+//! Snapshots resolve every reference and are replaced whole.
+
+mod common;
+
+use assert_matches::assert_matches;
+use common::{config, hosts, name};
+use knapweed_world::snapshot::{Builder, Error};
+use knapweed_world::{Snapshot, SnapshotCell, cell};
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+fn build(version: u64) -> Snapshot {
+    Builder::new(name("a1"), &config(version))
+        .hosts(hosts())
+        .build()
+        .expect("a whole mesh")
+}
+
+fn describe(snapshot: &Snapshot) -> String {
+    let mut out = String::new();
+    for (key, host) in snapshot.hosts() {
+        let zone = snapshot.zone(host.zone);
+        let region = &snapshot.region(zone.region).name;
+        let distance = snapshot.distance(key);
+        writeln!(out, "{} {} {} {:?}", host.name, zone.name, region, distance).expect("a string");
+    }
+    for (_, service) in snapshot.services() {
+        for v in &service.versions {
+            let counts = v.servers.each_ref().map(Vec::len);
+            writeln!(out, "{} {} {} {counts:?}", service.name, v.version, v.share)
+                .expect("a string");
+        }
+    }
+    for route in snapshot.routes() {
+        writeln!(out, "{} {:?}", route.name, route.path_prefix).expect("a string");
+    }
+    out
+}
+
+#[test]
+fn a_snapshot_places_servers_by_distance() {
+    insta::assert_snapshot!(describe(&build(1)));
+}
+
+/// Guards against routes that point at a service the proxy lacks (H2).
+#[test]
+fn a_route_without_its_service_refuses_the_whole_snapshot() {
+    let mut config = config(1);
+    config.services.clear();
+    let result = Builder::new(name("a1"), &config).hosts(hosts()).build();
+    assert_matches!(result, Err(Error::MissingService { .. }));
+}
+
+#[test]
+fn the_longest_prefix_wins_and_ends_at_a_segment() {
+    let snapshot = build(1);
+    let found = |path: &str| {
+        let key = snapshot
+            .find_route(path.as_bytes())
+            .expect("the route for all paths");
+        snapshot.route(key).name.to_string()
+    };
+    assert_eq!(found("/calendar/today"), "calendar");
+    assert_eq!(found("/calendars"), "all");
+}
+
+/// Guards against an older configuration replacing a newer one (H1).
+#[test]
+fn an_older_version_is_refused() {
+    let cell = SnapshotCell::new(build(2));
+    assert_matches!(cell.replace(build(1)), Err(cell::Error::Older { .. }));
+    assert_eq!(cell.load().version().0, 2);
+}
+
+/// Guards against load counters that start again at zero with each snapshot.
+#[test]
+fn load_counters_survive_a_new_snapshot() {
+    let first = build(1);
+    let (_, server) = first.backend_servers().next().expect("a backend server");
+    server.load.start();
+    let config = config(2);
+    let builder = Builder::new(name("a1"), &config).hosts(hosts());
+    let second = builder.previous(&first).build().expect("a whole mesh");
+    let total: u32 = second
+        .backend_servers()
+        .map(|(_, s)| s.load.in_flight())
+        .sum();
+    assert_eq!(total, 1);
+}
+
+/// Guards against readers that see parts of two versions, or a version going
+/// back, while the control thread swaps snapshots (H1, H3).
+#[test]
+fn readers_on_many_threads_see_whole_snapshots_in_order() {
+    const SWAPS: u64 = 3_000;
+    let cell = Arc::new(SnapshotCell::new(build(1)));
+    let done = Arc::new(AtomicBool::new(false));
+    let reads = Arc::new(AtomicU64::new(0));
+    let readers: Vec<_> = (0..8)
+        .map(|_| {
+            let (cell, done, reads) = (cell.clone(), done.clone(), reads.clone());
+            std::thread::spawn(move || read_until(&cell, &done, &reads))
+        })
+        .collect();
+    for version in 2..SWAPS {
+        cell.replace(build(version)).expect("a newer version");
+    }
+    done.store(true, Ordering::Release);
+    for reader in readers {
+        reader.join().expect("a reader without a failed check");
+    }
+    assert!(reads.load(Ordering::Relaxed) > 0);
+}
+
+fn read_until(cell: &SnapshotCell, done: &AtomicBool, reads: &AtomicU64) {
+    let mut last = 0;
+    while !done.load(Ordering::Acquire) {
+        let snapshot = cell.load();
+        let version = snapshot.version().0;
+        assert!(version >= last, "version {version} after {last}");
+        for route in snapshot.routes() {
+            let service = snapshot.service(route.service);
+            assert_eq!(service.versions.len(), 2);
+        }
+        last = version;
+        reads.fetch_add(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/zone/src/lib.rs
@@ -0,0 +1,1 @@
+//! Availability zone decisions: membership, version floor, dissemination and duties.
