--- /dev/null
+++ b/crates/link/tests/delta.rs
@@ -0,0 +1,47 @@
+//! Deltas hold only what the receiver lacks and refuse anything malformed.
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use knapweed_link::delta::Error;
+use knapweed_link::{Budget, Delta, PartTag};
+use knapweed_world::Time;
+use proptest::prelude::*;
+
+#[test]
+fn a_delta_leaves_out_what_the_receiver_has() {
+    let parts = ["calendar", "switching", "surveys"].map(Bytes::from);
+    let have = [PartTag::of(b"calendar"), PartTag::of(b"old")];
+    let delta = Delta::between(Bytes::from("head"), parts, have);
+    insta::assert_debug_snapshot!(delta);
+    let packed = delta.compress().expect("a short delta");
+    assert_eq!(Delta::decompress(&packed), Ok(delta));
+}
+
+/// Guards against a small message that fills the memory when it is unpacked.
+#[test]
+fn a_delta_that_unpacks_beyond_the_limit_is_refused() {
+    let zeros = vec![0; 64 * 1024 * 1024];
+    let packed = zstd::encode_all(&zeros[..], 1).expect("compressed zeros");
+    assert!(packed.len() < 100_000);
+    assert_matches!(Delta::decompress(&packed), Err(Error::TooLong));
+}
+
+#[test]
+fn a_budget_keeps_its_rate() {
+    let budget = Budget::new(1_000_000);
+    let mut taken = 0;
+    for ms in 0..2_000 {
+        while budget.take(1_000, Time::from_millis(1_000 + ms)) {
+            taken += 1_000;
+        }
+    }
+    // 2 s of rate and the burst of 200 ms.
+    assert!((2_150_000..=2_200_000).contains(&taken), "took {taken}");
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_refused_or_a_delta(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = Delta::decompress(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/transport/src/certificates.rs
@@ -0,0 +1,91 @@
+//! Development certificates: one authority and a certificate per host.
+
+use rcgen::{
+    BasicConstraints, CertificateParams, CertifiedIssuer, DnType, ExtendedKeyUsagePurpose, IsCa,
+    KeyPair, KeyUsagePurpose, SanType,
+};
+use std::net::IpAddr;
+
+/// The reason why a certificate could not be made.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The library refused the parameters.
+    #[error("could not make a certificate for {subject}: {source}")]
+    Generate {
+        /// Common name of the certificate.
+        subject: String,
+        /// Cause.
+        source: rcgen::Error,
+    },
+}
+
+/// A certificate and its private key, as PEM text.
+#[derive(Clone, Debug)]
+pub struct Pair {
+    /// The certificate.
+    pub certificate: String,
+    /// The private key.
+    pub key: String,
+}
+
+/// A certificate authority for development and tests.
+pub struct Authority {
+    issuer: CertifiedIssuer<'static, KeyPair>,
+}
+
+impl Authority {
+    /// Makes a new authority.
+    ///
+    /// # Errors
+    ///
+    /// The library refused the parameters.
+    pub fn new() -> Result<Self, Error> {
+        let subject = "knapweedreach development authority";
+        let make = || -> Result<_, rcgen::Error> {
+            let mut params = CertificateParams::default();
+            params.distinguished_name.push(DnType::CommonName, subject);
+            params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+            params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+            CertifiedIssuer::self_signed(params, KeyPair::generate()?)
+        };
+        let issuer = make().map_err(|source| Error::Generate {
+            subject: subject.into(),
+            source,
+        })?;
+        Ok(Self { issuer })
+    }
+
+    /// The certificate of the authority, as PEM text.
+    pub fn certificate(&self) -> String {
+        self.issuer.pem()
+    }
+
+    /// Makes a certificate for the node of `host` at `addresses`.
+    ///
+    /// # Errors
+    ///
+    /// The library refused the parameters.
+    pub fn issue(&self, host: &str, addresses: &[IpAddr]) -> Result<Pair, Error> {
+        let make = || -> Result<_, rcgen::Error> {
+            let mut params = CertificateParams::new(vec![host.to_owned()])?;
+            params.distinguished_name.push(DnType::CommonName, host);
+            params
+                .subject_alt_names
+                .extend(addresses.iter().map(|a| SanType::IpAddress(*a)));
+            params.extended_key_usages = vec![
+                ExtendedKeyUsagePurpose::ServerAuth,
+                ExtendedKeyUsagePurpose::ClientAuth,
+            ];
+            let key = KeyPair::generate()?;
+            let certificate = params.signed_by(&key, &self.issuer)?;
+            Ok(Pair {
+                certificate: certificate.pem(),
+                key: key.serialize_pem(),
+            })
+        };
+        make().map_err(|source| Error::Generate {
+            subject: host.into(),
+            source,
+        })
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,15 @@
-//! QUIC endpoints with mutual TLS between nodes.
+//! QUIC links between nodes: endpoint, mutual TLS, streams and datagrams.
+//!
+//! This crate moves bytes. What the bytes mean is defined in `knapweed-wire`.
+
+pub mod arrivals;
+pub mod certificates;
+pub mod endpoint;
+pub mod peers;
+pub mod stream;
+pub mod tls;
+
+pub use arrivals::{Arrivals, Incoming};
+pub use endpoint::Endpoint;
+pub use peers::{Peers, Traffic};
+pub use stream::{Receiver, Sender};
--- /dev/null
+++ b/crates/transport/tests/endpoint.rs
@@ -0,0 +1,126 @@
+//! Links between nodes: streams, datagrams, refused peers and cut streams.
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use knapweed_transport::certificates::Authority;
+use knapweed_transport::stream::Error;
+use knapweed_transport::tls::{Files, Identity};
+use knapweed_transport::{Arrivals, Endpoint, Incoming};
+use std::net::{IpAddr, Ipv4Addr};
+
+fn identity(authority: &Authority) -> Identity {
+    let dir = tempfile::tempdir().expect("a temporary folder");
+    let pair = authority
+        .issue("host", &[IpAddr::V4(Ipv4Addr::LOCALHOST)])
+        .expect("a pair");
+    let files = Files {
+        certificate: dir.path().join("node.pem"),
+        key: dir.path().join("node.key"),
+        authority: dir.path().join("authority.pem"),
+    };
+    std::fs::write(&files.certificate, pair.certificate).expect("a file");
+    std::fs::write(&files.key, pair.key).expect("a file");
+    std::fs::write(&files.authority, authority.certificate()).expect("a file");
+    Identity::load(&files).expect("an identity")
+}
+
+fn open(authority: &Authority) -> (Endpoint, Arrivals) {
+    let any_port = (Ipv4Addr::LOCALHOST, 0).into();
+    Endpoint::open(any_port, &identity(authority)).expect("an endpoint")
+}
+
+async fn next(arrivals: &mut Arrivals) -> Incoming {
+    arrivals.streams.recv().await.expect("a stream")
+}
+
+#[tokio::test]
+async fn a_stream_carries_head_and_body_both_ways() {
+    let authority = Authority::new().expect("an authority");
+    let (a, _arrivals) = open(&authority);
+    let (b, mut arrivals) = open(&authority);
+    let address = b.local_address().expect("an address");
+    let (mut tx, mut rx) = a.peers().open(address).await.expect("a stream");
+    tx.head(b"question").await.expect("sent");
+    tx.body(Bytes::from("body")).await.expect("sent");
+    tx.finish();
+    let mut incoming = next(&mut arrivals).await;
+    assert_eq!(incoming.receiver.head().await, Ok(Bytes::from("question")));
+    assert_eq!(incoming.receiver.rest(100).await, Ok(Bytes::from("body")));
+    incoming.sender.head(b"answer").await.expect("sent");
+    incoming.sender.finish();
+    assert_eq!(rx.head().await, Ok(Bytes::from("answer")));
+    assert_eq!(rx.body().await, Ok(None));
+}
+
+/// Guards against a second connection for the other direction: at 1,400 nodes
+/// connections are the largest part of a node's memory.
+#[tokio::test]
+async fn both_ends_use_one_connection() {
+    let authority = Authority::new().expect("an authority");
+    let (a, mut a_arrivals) = open(&authority);
+    let (b, mut b_arrivals) = open(&authority);
+    let (a_address, b_address) = (a.local_address().expect("a"), b.local_address().expect("b"));
+    a.peers()
+        .send(b_address, Bytes::from("ping"))
+        .await
+        .expect("sent");
+    assert_eq!(
+        b_arrivals.datagrams.recv().await,
+        Some((a_address, Bytes::from("ping")))
+    );
+    b.peers()
+        .send(a_address, Bytes::from("pong"))
+        .await
+        .expect("sent");
+    assert_eq!(
+        a_arrivals.datagrams.recv().await,
+        Some((b_address, Bytes::from("pong")))
+    );
+    assert_eq!(a.peers().traffic().connections, 1);
+    assert_eq!(b.peers().traffic().connections, 1);
+}
+
+/// Guards against a body that was cut short being taken for whole (H5).
+#[tokio::test]
+async fn a_sender_dropped_before_its_end_resets_the_stream() {
+    let authority = Authority::new().expect("an authority");
+    let (a, _arrivals) = open(&authority);
+    let (b, mut arrivals) = open(&authority);
+    let address = b.local_address().expect("an address");
+    let (mut tx, _rx) = a.peers().open(address).await.expect("a stream");
+    tx.head(b"head").await.expect("sent");
+    tx.body(Bytes::from("half")).await.expect("sent");
+    let mut incoming = next(&mut arrivals).await;
+    assert_eq!(incoming.receiver.head().await, Ok(Bytes::from("head")));
+    drop(tx);
+    assert_matches!(incoming.receiver.rest(100).await, Err(Error::Cancelled));
+}
+
+/// Guards against a node that joins without a certificate of the authority.
+#[tokio::test]
+async fn a_peer_of_another_authority_is_refused() {
+    let (a, _a) = open(&Authority::new().expect("an authority"));
+    let (b, mut arrivals) = open(&Authority::new().expect("an authority"));
+    let address = b.local_address().expect("an address");
+    let result = a.peers().send(address, Bytes::from("ping")).await;
+    assert_matches!(result, Err(knapweed_transport::peers::Error::Dial { .. }));
+    assert!(arrivals.datagrams.try_recv().is_err());
+}
+
+/// Guards against a connection that stays retired instead of being opened again.
+#[tokio::test]
+async fn a_retired_connection_is_replaced() {
+    let authority = Authority::new().expect("an authority");
+    let (a, _arrivals) = open(&authority);
+    let (b, mut arrivals) = open(&authority);
+    let address = b.local_address().expect("an address");
+    for text in ["one", "two"] {
+        a.peers()
+            .send(address, Bytes::from(text))
+            .await
+            .expect("sent");
+        let (_, datagram) = arrivals.datagrams.recv().await.expect("a datagram");
+        assert_eq!(datagram, Bytes::from(text));
+        a.peers().retire(address);
+    }
+}
