feat(observe): logs with a prefix per part and a metrics registry

Cause: programs need short log lines with a fixed prefix per component, whose level can change at run time, and metrics that the request path updates without a lock.

--- /dev/null
+++ b/crates/observe/src/logs.rs
@@ -0,0 +1,128 @@
+//! Start of the logger and its level at run time.
+
+use crate::format;
+use flexi_logger::{FlexiLoggerError, FormatFunction, LogSpecification, Logger, LoggerHandle};
+use log::LevelFilter;
+use std::str::FromStr;
+
+/// Libraries that log too much at levels below `warn`.
+const QUIET_LIBRARIES: [&str; 6] = [
+    "gotham",
+    "hyper",
+    "hyper_util",
+    "quinn",
+    "quinn_proto",
+    "rustls",
+];
+
+/// The reason why logs could not be set up.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The level is not understood.
+    #[error("expected a log level such as \"info\" or \"info, ingress=debug\", found {found:?}")]
+    BadLevel {
+        /// The text given.
+        found: String,
+    },
+    /// The form of lines is not understood.
+    #[error("expected \"text\" or \"json\", found {found:?}")]
+    BadForm {
+        /// The text given.
+        found: String,
+    },
+    /// The logger cannot start.
+    #[error("cannot start the logger: {0}")]
+    Start(#[from] FlexiLoggerError),
+}
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Form {
+    /// A JSON object per line.
+    Json,
+    /// Text for people.
+    #[default]
+    Text,
+}
+
+impl Form {
+    fn function(self) -> FormatFunction {
+        match self {
+            Self::Json => format::json,
+            Self::Text => format::text,
+        }
+    }
+}
+
+impl FromStr for Form {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        match text {
+            "json" => Ok(Self::Json),
+            "text" => Ok(Self::Text),
+            _ => Err(Error::BadForm { found: text.into() }),
+        }
+    }
+}
+
+/// The logger of this process, which writes to standard error until this is dropped.
+pub struct Logs {
+    handle: LoggerHandle,
+}
+
+impl Logs {
+    /// Starts the logger with a level such as `info` or `info, ingress=debug`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::BadLevel`], or [`Error::Start`] when a logger is running.
+    pub fn start(form: Form, level: &str) -> Result<Self, Error> {
+        let handle = Logger::with(parse_level(level)?)
+            .format(form.function())
+            .log_to_stderr()
+            .start()?;
+        Ok(Self { handle })
+    }
+
+    /// Changes the level from now on.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::BadLevel`]; the level stays as it was.
+    pub fn set_level(&self, level: &str) -> Result<(), Error> {
+        self.handle.set_new_spec(parse_level(level)?);
+        Ok(())
+    }
+}
+
+/// Parses a level such as `info` or `info, ingress=debug`; libraries that log
+/// too much stay at `warn` unless they are named.
+///
+/// # Errors
+///
+/// [`Error::BadLevel`].
+pub fn parse_level(level: &str) -> Result<LogSpecification, Error> {
+    let bad = || Error::BadLevel {
+        found: level.into(),
+    };
+    let mut default = LevelFilter::Info;
+    let mut parts = Vec::new();
+    for item in level.split(',').map(str::trim) {
+        match item.split_once('=') {
+            Some((part, filter)) => {
+                parts.push((part.trim(), filter.trim().parse().map_err(|_| bad())?));
+            }
+            None => default = item.parse().map_err(|_| bad())?,
+        }
+    }
+    let mut builder = LogSpecification::builder();
+    builder.default(default);
+    for library in QUIET_LIBRARIES {
+        builder.module(library, default.min(LevelFilter::Warn));
+    }
+    for (part, filter) in parts {
+        builder.module(part, filter);
+    }
+    Ok(builder.finalize())
+}
--- /dev/null
+++ b/crates/observe/src/metrics.rs
@@ -0,0 +1,64 @@
+//! Registry of metrics and its text form.
+//!
+//! Counters, gauges and histograms are `prometheus-client`'s own types: cheap
+//! handles to atomics that the request path updates without the registry.
+
+use parking_lot::Mutex;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Metric, Registry};
+use std::sync::Arc;
+
+/// Content type of [`Metrics::to_text`].
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Prefix of all names.
+const PREFIX: &str = "knapweed";
+/// Upper bound of the first latency bucket, in seconds.
+const FIRST_LATENCY_BUCKET: f64 = 0.000_05;
+/// Number of latency buckets, each twice as wide as the one before; the last
+/// one ends at 6.6 s.
+const LATENCY_BUCKETS: u16 = 18;
+
+/// Handle to the metrics of this process; clones share them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Arc<Mutex<Registry>>,
+}
+
+impl Metrics {
+    /// An empty registry.
+    pub fn new() -> Self {
+        let registry = Registry::with_prefix(PREFIX);
+        Self {
+            registry: Arc::new(Mutex::new(registry)),
+        }
+    }
+
+    /// Registers a metric and returns the handle to update it.
+    ///
+    /// The name gets the prefix `knapweed_`, and a counter the suffix `_total`.
+    pub fn register<M: Clone + Metric>(&self, name: &str, help: &str, metric: M) -> M {
+        self.registry.lock().register(name, help, metric.clone());
+        metric
+    }
+
+    /// All metrics in the OpenMetrics text format, for `GET /metrics`.
+    pub fn to_text(&self) -> String {
+        let mut out = String::new();
+        encode(&mut out, &self.registry.lock()).expect("writing to a string cannot fail");
+        out
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// A histogram of latencies in seconds, from 50 µs to 6.6 s.
+pub fn latency_histogram() -> Histogram {
+    let buckets = exponential_buckets(FIRST_LATENCY_BUCKET, 2.0, LATENCY_BUCKETS);
+    Histogram::new(buckets)
+}
--- /dev/null
+++ b/crates/observe/src/settings.rs
@@ -0,0 +1,47 @@
+//! The section `[log]`, which every program has.
+
+use crate::logs::{Form, Logs, parse_level};
+use knapweed_settings::{Errors, Key, Schema, Settings};
+
+const SECTION: &str = "log";
+
+/// Level of logs.
+pub const LEVEL: Key<String> = Key::text(SECTION, "level")
+    .default("info")
+    .doc("Level of logs: off, error, warn, info, debug or trace; `info, ingress=debug` sets one part apart.");
+
+/// Form of log lines.
+pub const FORM: Key<String> = Key::choice(SECTION, "form", &["text", "json"])
+    .default("text")
+    .doc("Form of log lines.");
+
+/// Adds the section to a schema.
+pub fn add_section(schema: Schema) -> Schema {
+    schema.section(
+        SECTION,
+        "Logs, written to standard error.",
+        &[LEVEL.spec, FORM.spec],
+    )
+}
+
+/// Checks what the schema cannot express.
+///
+/// # Errors
+///
+/// When the level is not understood.
+pub fn check(settings: &Settings) -> Result<(), Errors> {
+    match parse_level(&settings.get(&LEVEL)) {
+        Ok(_) => Ok(()),
+        Err(e) => Err(settings.reject(&LEVEL, e.to_string())),
+    }
+}
+
+/// Starts the logger.
+///
+/// # Errors
+///
+/// Those of [`Logs::start`].
+pub fn start(settings: &Settings) -> Result<Logs, crate::Error> {
+    let form: Form = settings.get(&FORM).parse()?;
+    Logs::start(form, &settings.get(&LEVEL))
+}
