--- /dev/null
+++ b/crates/host/src/outcome.rs
@@ -0,0 +1,201 @@
+//! Outcomes of requests, as they are reported to callers.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// What is known about one send of a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// A backend server answered.
+    Answered(Answer),
+    /// This send did not run, which is proven.
+    NotRun(NotRun),
+    /// This send may have run.
+    Unknown(Unknown),
+}
+
+/// What is left of the answer of a backend server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Answer {
+    /// The response is complete and goes to the caller.
+    Complete,
+    /// An earlier send of the same key was answered, and its response is no longer stored.
+    NotStored,
+}
+
+/// Why a send did not run.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NotRun {
+    /// No route matches the path.
+    NoRoute,
+    /// A header of the request is malformed.
+    InvalidHeader,
+    /// The chain of calls is too deep.
+    TooDeep,
+    /// No backend server can take the request.
+    NoServer,
+    /// The deadline passed before the request was sent.
+    DeadlinePassed,
+    /// The egress shed the request: its queue is full or waited too long.
+    Overloaded,
+    /// The backend server refused before running.
+    ShedByServer,
+    /// The backend server is leaving.
+    Draining,
+    /// The guard of a rollout refused the version.
+    Guarded,
+    /// The node takes no requests: it is starting or stopping.
+    NotServing,
+    /// No connection could be opened, so nothing was sent.
+    ConnectFailed,
+    /// The egress answered an inquiry with proof that it never ran the request.
+    NeverRan,
+    /// The request crashed two backend servers.
+    CrashesServers,
+    /// Another request with the same crash fingerprint is being tried alone.
+    CrashSuspect,
+    /// No host could decide on the key: owner or deputy cannot be reached.
+    KeyUndecided,
+    /// The key is not provably newer than the loss of the slot's history.
+    KeyTooOld,
+    /// The key was used before for a different request.
+    KeyReused,
+    /// The owner of the key has no room for further keys.
+    KeysFull,
+}
+
+/// Why it is not known whether a send ran.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Unknown {
+    /// The deadline passed while the request was with a backend server.
+    DeadlinePassed,
+    /// The connection to the egress was lost and an inquiry did not help.
+    ConnectionLost,
+    /// The backend server closed the connection while it ran the request.
+    ServerCrashed,
+    /// The response ended early.
+    Truncated,
+    /// The caller disconnected.
+    CallerLeft,
+    /// An earlier send of the same key is still running.
+    KeyRunning,
+    /// An earlier send of the same key has an unknown outcome.
+    KeyUnresolved,
+}
+
+/// How an outcome is reported to the caller.
+impl Outcome {
+    /// Value of the header [`OUTCOME`](crate::request::OUTCOME).
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(_) => "not-run",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+
+    /// Status of the response, or `None` when the backend server's own status applies.
+    pub const fn status(self) -> Option<u16> {
+        match self {
+            Self::Answered(Answer::Complete) => None,
+            Self::Answered(Answer::NotStored) => Some(409),
+            Self::NotRun(reason) => Some(reason.status()),
+            Self::Unknown(_) => Some(504),
+        }
+    }
+
+    /// Value of the header [`REASON`](crate::request::REASON): one sentence without a period.
+    pub const fn reason(self) -> &'static str {
+        match self {
+            Self::Answered(Answer::Complete) => "the backend server answered",
+            Self::Answered(Answer::NotStored) => {
+                "the key was answered before and its response is no longer stored"
+            }
+            Self::NotRun(reason) => reason.text(),
+            Self::Unknown(reason) => reason.text(),
+        }
+    }
+}
+
+impl NotRun {
+    /// Status of the response.
+    ///
+    /// Faults of the request itself get a 4xx status, so that callers do not
+    /// send it again unchanged.
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::InvalidHeader => 400,
+            Self::NoRoute => 404,
+            Self::KeyTooOld | Self::KeyReused => 409,
+            _ => 503,
+        }
+    }
+
+    /// Whether another backend server may well run the request.
+    pub const fn is_retryable(self) -> bool {
+        matches!(
+            self,
+            Self::Overloaded
+                | Self::ShedByServer
+                | Self::Draining
+                | Self::Guarded
+                | Self::NotServing
+                | Self::ConnectFailed
+                | Self::NeverRan
+        )
+    }
+
+    /// Whether the reason is a lack of capacity, which retries would make worse.
+    pub const fn is_overload(self) -> bool {
+        matches!(self, Self::Overloaded | Self::ShedByServer)
+    }
+
+    /// The reason as a sentence without a period.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no route matches the path",
+            Self::InvalidHeader => "a request header is malformed",
+            Self::TooDeep => "the chain of calls is too deep",
+            Self::NoServer => "no backend server can take the request",
+            Self::DeadlinePassed => "the deadline passed before the request was sent",
+            Self::Overloaded => "the backend server is overloaded",
+            Self::ShedByServer => "the backend server refused before running",
+            Self::Draining => "the backend server is leaving",
+            Self::Guarded => "the new version is refused by the guard of its rollout",
+            Self::NotServing => "the node is not serving",
+            Self::ConnectFailed => "no connection to the backend server",
+            Self::NeverRan => "the connection was lost before the request arrived",
+            Self::CrashesServers => "the request crashed two backend servers",
+            Self::CrashSuspect => "a request that crashed a backend server is being tried alone",
+            Self::KeyUndecided => "the hosts that decide on the key cannot be reached",
+            Self::KeyTooOld => "the key is not provably newer than the loss of its history",
+            Self::KeyReused => "the key was used before for a different request",
+            Self::KeysFull => "too many keys are kept",
+        }
+    }
+}
+
+impl Unknown {
+    /// The reason as a sentence without a period.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::DeadlinePassed => "the deadline passed while the request was running",
+            Self::ConnectionLost => "the connection was lost while the request was running",
+            Self::ServerCrashed => "the backend server closed the connection",
+            Self::Truncated => "the response ended early",
+            Self::CallerLeft => "the caller disconnected",
+            Self::KeyRunning => "an earlier send of the key is still running",
+            Self::KeyUnresolved => "the outcome of an earlier send of the key is unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.label(), self.reason())
+    }
+}
--- /dev/null
+++ b/crates/host/tests/common/mod.rs
@@ -0,0 +1,94 @@
+//! A mesh of any size for the tests.
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+use knapweed_world::backend_server::{Announcement, ServerState};
+use knapweed_world::config::{Config, RouteConfig, ServiceConfig, VersionShare};
+use knapweed_world::snapshot::{Builder, HostEntry};
+use knapweed_world::{
+    BackendServerKey, ConfigVersion, Name, ServiceKey, Share, Snapshot, TicketNumber,
+};
+
+pub fn name(text: &str) -> Name {
+    text.parse().expect("a valid name")
+}
+
+/// One host with one backend server of the service `calendar`.
+pub fn host(host: &str, zone: &str, region: &str, version: &str) -> HostEntry {
+    HostEntry {
+        name: name(host),
+        zone: name(zone),
+        region: name(region),
+        address: ([127, 0, 0, 1], 1).into(),
+        announcements: vec![Announcement {
+            service: name("calendar"),
+            version: name(version),
+            address: ([127, 0, 0, 1], 2).into(),
+            slots: 12,
+            max_connections: 110,
+            state: ServerState::Ready,
+        }],
+    }
+}
+
+/// The service `calendar` with the route `/calendar`.
+pub fn config(shares: &[(&str, u8)]) -> Config {
+    let versions = shares.iter().map(|(version, percent)| VersionShare {
+        version: name(version),
+        share: Share::from_percent(*percent),
+    });
+    let service = ServiceConfig {
+        versions: versions.collect(),
+        rollout: None,
+        ticket: TicketNumber(1),
+        changed_at: ConfigVersion(1),
+    };
+    let route = RouteConfig {
+        path_prefix: "/calendar".into(),
+        service: name("calendar"),
+        timeout_ms: 2_000,
+        idempotent_methods: vec!["GET".into(), "HEAD".into()],
+        ticket: TicketNumber(1),
+        changed_at: ConfigVersion(1),
+    };
+    Config {
+        version: ConfigVersion(1),
+        services: [(name("calendar"), service)].into(),
+        routes: [(name("calendar"), route)].into(),
+    }
+}
+
+/// Two servers in the own zone, two in the other zone, one in the other region.
+pub fn mesh(shares: &[(&str, u8)]) -> Snapshot {
+    let mut hosts = Vec::new();
+    for (version, _) in shares {
+        for (host_name, zone, region) in [
+            ("a1", "labasa-a", "labasa"),
+            ("a2", "labasa-a", "labasa"),
+            ("b1", "labasa-b", "labasa"),
+            ("b2", "labasa-b", "labasa"),
+            ("s1", "savusavu-a", "savusavu"),
+        ] {
+            hosts.push(host(
+                &format!("{host_name}-{version}"),
+                zone,
+                region,
+                version,
+            ));
+        }
+    }
+    let local = hosts[0].name.clone();
+    let config = config(shares);
+    let builder = Builder::new(local, &config).hosts(hosts);
+    builder.build().expect("a whole mesh")
+}
+
+pub fn calendar(snapshot: &Snapshot) -> ServiceKey {
+    snapshot.services().next().expect("one service").0
+}
+
+pub fn server(snapshot: &Snapshot, host: &str) -> BackendServerKey {
+    let found = snapshot
+        .backend_servers()
+        .find(|(_, s)| snapshot.host(s.host).name == name(host));
+    found.expect("a backend server on the host").0
+}
--- /dev/null
+++ b/crates/host/tests/outcome.rs
@@ -0,0 +1,45 @@
+//! Every outcome has a status, a header value and a sentence.
+
+use knapweed_host::{Answer, NotRun, Outcome, Unknown};
+use std::fmt::Write;
+
+/// Guards against a status that lets a caller mistake one outcome for another (H6).
+#[test]
+fn outcomes_as_reported_to_callers() {
+    use Outcome::{Answered, NotRun as N, Unknown as U};
+    let all = [
+        Answered(Answer::Complete),
+        Answered(Answer::NotStored),
+        N(NotRun::NoRoute),
+        N(NotRun::InvalidHeader),
+        N(NotRun::TooDeep),
+        N(NotRun::NoServer),
+        N(NotRun::DeadlinePassed),
+        N(NotRun::Overloaded),
+        N(NotRun::ShedByServer),
+        N(NotRun::Draining),
+        N(NotRun::Guarded),
+        N(NotRun::NotServing),
+        N(NotRun::ConnectFailed),
+        N(NotRun::NeverRan),
+        N(NotRun::CrashesServers),
+        N(NotRun::CrashSuspect),
+        N(NotRun::KeyUndecided),
+        N(NotRun::KeyTooOld),
+        N(NotRun::KeyReused),
+        N(NotRun::KeysFull),
+        U(Unknown::DeadlinePassed),
+        U(Unknown::ConnectionLost),
+        U(Unknown::ServerCrashed),
+        U(Unknown::Truncated),
+        U(Unknown::CallerLeft),
+        U(Unknown::KeyRunning),
+        U(Unknown::KeyUnresolved),
+    ];
+    let mut out = String::new();
+    for outcome in all {
+        let status = outcome.status().map_or("-".into(), |s| s.to_string());
+        writeln!(out, "{status:>3} {outcome}").expect("a string");
+    }
+    insta::assert_snapshot!(out);
+}
