feat(node): request path from ingress through QUIC to the backend server

Cause: a call needs an ingress, a carrier between hosts and an egress that keeps the slots and connections of its backend server. Change: gotham handler for callers, attempts with server choice and retries, local and QUIC carriers as trait objects, a lane per backend server with admission, a pool that follows the connection decisions, bodies that are streamed in both directions and whose truncation is an error.

--- a/crates/host/src/connections.rs
+++ b/crates/host/src/connections.rs
@@ -43,6 +43,8 @@
     pub hand_over: Option<(ClaimKey, ConnectionKey)>,
     /// A request that cannot be sent because no connection could be opened.
     pub fail: Option<ClaimKey>,
+    /// A connection that is idle now; its handle is kept for a later request.
+    pub keep: Option<ConnectionKey>,
     /// A connection to close; it counts until [`Connections::closed`].
     pub close: Option<ConnectionKey>,
     /// Whether to start opening a connection now.
@@ -168,6 +170,7 @@
         }
         Action {
             hand_over: claim.map(|claim| (claim, key)),
+            keep: claim.is_none().then_some(key),
             open: self.start_opening(),
             ..Action::default()
         }
--- /dev/null
+++ b/crates/node/src/ingress/attempt.rs
@@ -0,0 +1,151 @@
+//! The attempts to run one request: choice, send, and retries where allowed.
+
+use super::Ingress;
+use crate::body::RequestBody;
+use crate::carrier::{Carrier, Response};
+use bytes::Bytes;
+use knapweed_host::choice::{Exclusions, Query, Scope};
+use knapweed_host::request::Request;
+use knapweed_host::retry::{Body, Decision, Failure};
+use knapweed_host::{NotRun, Outcome, SendId};
+use knapweed_wire::{Header, RequestHead};
+use knapweed_world::{BackendServer, BackendServerKey, Share, Snapshot};
+
+/// One request with everything that its attempts have in common.
+pub(super) struct Attempts<'a> {
+    pub(super) ingress: &'a Ingress,
+    pub(super) snapshot: &'a Snapshot,
+    pub(super) request: Request,
+    pub(super) method: Bytes,
+    pub(super) path: Bytes,
+    pub(super) headers: Vec<Header>,
+}
+
+impl Attempts<'_> {
+    /// Sends the request until it has an outcome that is not retried.
+    pub(super) async fn run(self, mut body: RequestBody) -> Result<Response, Outcome> {
+        let mut excluded = Exclusions::default();
+        let version_draw = rand::random_range(0..Share::ALL.0);
+        let mut last = None;
+        for retries in 0..=u8::MAX {
+            let query = Query {
+                service: self.snapshot.route(self.request.route).service,
+                version_draw,
+                server_draw: rand::random(),
+                excluded: &excluded,
+            };
+            let choice = self.ingress.parts.choice.choose(self.snapshot, &query);
+            let server = match choice {
+                Ok(choice) => choice.server,
+                // With every backend server tried, the last refusal says more.
+                Err(reason) => return Err(last.unwrap_or(Outcome::NotRun(reason))),
+            };
+            let response = self.send(server, &mut body).await;
+            let outcome = response.head.outcome;
+            if matches!(outcome, Outcome::Answered(_)) {
+                self.ingress.retries.succeeded(self.request.depth);
+                return Ok(response);
+            }
+            if self.decide(outcome, retries, &body) != Decision::Retry {
+                return Ok(response);
+            }
+            excluded.add(server, scope(outcome));
+            last = Some(outcome);
+        }
+        Err(Outcome::NotRun(NotRun::NoServer))
+    }
+
+    fn decide(&self, outcome: Outcome, retries: u8, body: &RequestBody) -> Decision {
+        let failure = Failure {
+            depth: self.request.depth,
+            retries,
+            outcome,
+            idempotent: self.request.idempotent,
+            body: match body {
+                RequestBody::Kept(bytes) if bytes.is_empty() => Body::Empty,
+                RequestBody::Kept(_) | RequestBody::Passing(_) => Body::Unread,
+                RequestBody::Gone => Body::Consumed,
+            },
+            deadline: self.request.deadline,
+        };
+        self.ingress
+            .retries
+            .decide(&failure, self.ingress.parts.timer.now())
+    }
+
+    async fn send(&self, key: BackendServerKey, body: &mut RequestBody) -> Response {
+        let server = self.snapshot.backend_server(key);
+        let host = self.snapshot.host(server.host);
+        let carrier = self.carrier(server);
+        let head = self.head(server, body);
+        let load = InFlight::start(server);
+        let start = self.ingress.parts.timer.now();
+        let response = carrier.carry(host.address, head, body).await;
+        let took = self.ingress.parts.timer.now().since(start);
+        load.finish(response.head.outcome, took.as_micros() as u32);
+        response
+    }
+
+    fn carrier(&self, server: &BackendServer) -> &dyn Carrier {
+        let parts = &self.ingress.parts;
+        match server.host == self.snapshot.local() {
+            true => &*parts.local,
+            false => &*parts.link,
+        }
+    }
+
+    fn head(&self, server: &BackendServer, body: &RequestBody) -> RequestHead {
+        let now = self.ingress.parts.timer.now();
+        let route = self.snapshot.route(self.request.route);
+        RequestHead {
+            id: SendId {
+                request: self.request.identity.id(),
+                attempt: rand::random(),
+            },
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            route: route.name.clone(),
+            service: self.snapshot.service(server.service).name.clone(),
+            version: server.version.clone(),
+            address: server.address,
+            time_left_us: self.request.deadline.since(now).as_micros() as u64,
+            depth: self.request.depth,
+            has_body: !body.is_empty(),
+        }
+    }
+}
+
+/// What a retry avoids after this outcome.
+fn scope(outcome: Outcome) -> Scope {
+    match outcome {
+        Outcome::NotRun(NotRun::Guarded) => Scope::Version,
+        _ => Scope::Server,
+    }
+}
+
+/// Counts a request as running on a backend server until its head has arrived.
+struct InFlight<'a>(&'a BackendServer);
+
+impl<'a> InFlight<'a> {
+    fn start(server: &'a BackendServer) -> Self {
+        server.load.start();
+        Self(server)
+    }
+
+    fn finish(self, outcome: Outcome, took_us: u32) {
+        match outcome {
+            Outcome::Answered(_) => self.0.load.succeeded(took_us),
+            Outcome::NotRun(NotRun::ConnectFailed | NotRun::NoServer) | Outcome::Unknown(_) => {
+                self.0.load.failed();
+            }
+            Outcome::NotRun(_) => {}
+        }
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.load.finish();
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress/handler.rs
@@ -0,0 +1,120 @@
+//! The gotham handler for callers, and its server.
+
+use super::{CallerRequest, Ingress, outcome_headers};
+use crate::body::Body;
+use crate::carrier::Response;
+use crate::guarded::{Guard, Guarded};
+use crate::headers;
+use gotham::handler::{Handler, HandlerFuture, NewHandler};
+use gotham::state::{FromState, State};
+use http::header::{CONNECTION, HeaderMap, HeaderValue};
+use http::{Method, StatusCode, Uri};
+use knapweed_host::{Drain, NotRun, Outcome};
+use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Handles the requests of callers.
+pub struct CallerHandler {
+    ingress: AssertUnwindSafe<Arc<Ingress>>,
+}
+
+impl Clone for CallerHandler {
+    fn clone(&self) -> Self {
+        Self::new(Arc::clone(&self.ingress))
+    }
+}
+
+impl CallerHandler {
+    /// A handler that runs requests through `ingress`.
+    pub fn new(ingress: Arc<Ingress>) -> Self {
+        Self {
+            ingress: AssertUnwindSafe(ingress),
+        }
+    }
+}
+
+impl NewHandler for CallerHandler {
+    type Instance = Self;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl Handler for CallerHandler {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        Box::pin(async move {
+            let request = CallerRequest {
+                method: Method::take_from(&mut state),
+                uri: Uri::take_from(&mut state),
+                headers: HeaderMap::take_from(&mut state),
+                body: Body::take_from(&mut state),
+            };
+            let response = serve(&self.ingress, request).await;
+            Ok((state, response))
+        })
+    }
+}
+
+async fn serve(ingress: &Ingress, request: CallerRequest) -> http::Response<Body> {
+    let drain = ingress.drain();
+    let running = match Running::start(drain, ingress) {
+        Ok(running) => running,
+        Err(reason) => return to_http(Response::without_answer(Outcome::NotRun(reason)), true),
+    };
+    let response = ingress.run(request).await;
+    let mut response = to_http(response, drain.closes_connections());
+    // The request runs until its caller has the whole response.
+    let body = std::mem::take(response.body_mut());
+    *response.body_mut() = Guarded::new(body, running).boxed();
+    response
+}
+
+fn to_http(response: Response, close: bool) -> http::Response<Body> {
+    let outcome = response.head.outcome;
+    let mut http = http::Response::new(response.body);
+    let status = outcome.status().unwrap_or(response.head.status);
+    *http.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let fields = http.headers_mut();
+    headers::add_from_wire(fields, &response.head.headers);
+    for (name, value) in outcome_headers(outcome) {
+        fields.insert(name, HeaderValue::from_static(value));
+    }
+    if close {
+        fields.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    http
+}
+
+/// A request that the node has taken and not finished.
+struct Running(Arc<Drain>);
+
+impl Running {
+    fn start(drain: &Arc<Drain>, ingress: &Ingress) -> Result<Self, NotRun> {
+        drain.arrive(ingress.parts.timer.now())?;
+        Ok(Self(Arc::clone(drain)))
+    }
+}
+
+impl Guard for Running {
+    fn complete(&mut self) {}
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+/// Serves callers until the future is dropped; connections go on until they end.
+pub async fn listen(listener: TcpListener, ingress: Arc<Ingress>) {
+    let handler = CallerHandler::new(ingress);
+    gotham::bind_server(listener, handler, |stream: TcpStream| {
+        // Small responses must not wait for the acknowledgement of the one before.
+        let ready = stream.set_nodelay(true).map(|()| stream).map_err(drop);
+        std::future::ready(ready)
+    })
+    .await;
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,9 @@
-//! The node daemon.
+//! The node: proxy for callers, egress for the backend servers of its host,
+//! member of its availability zone and holder of duties.
+
+pub mod body;
+pub mod carrier;
+pub mod egress;
+pub mod guarded;
+pub mod headers;
+pub mod ingress;
--- a/crates/transport/src/stream.rs
+++ b/crates/transport/src/stream.rs
@@ -83,8 +83,11 @@
     }
 
     /// Waits until the other end gives the stream up or the connection ends.
-    pub async fn cancelled(&self) {
-        let _ = self.inner.stopped().await;
+    pub fn cancelled(&self) -> impl Future<Output = ()> + Send + use<> {
+        let stopped = self.inner.stopped();
+        async move {
+            let _ = stopped.await;
+        }
     }
 }
 
--- /dev/null
+++ b/crates/wire/src/request.rs
@@ -0,0 +1,65 @@
+//! A request and its response between ingress and egress.
+
+use bytes::Bytes;
+use knapweed_host::{Outcome, SendId};
+use knapweed_world::Name;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// One header.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Header {
+    /// Its name, in lower case.
+    pub name: Bytes,
+    /// Its value.
+    pub value: Bytes,
+}
+
+/// What the ingress sends in front of a request's body.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestHead {
+    /// Identity of this send.
+    pub id: SendId,
+    /// The method.
+    pub method: Bytes,
+    /// Path and query.
+    pub path: Bytes,
+    /// Headers, without those of one connection.
+    pub headers: Vec<Header>,
+    /// Name of the route.
+    pub route: Name,
+    /// The service.
+    pub service: Name,
+    /// The version that was chosen.
+    pub version: Name,
+    /// Address of the chosen backend server on the receiver's host.
+    pub address: SocketAddr,
+    /// Time left until the deadline, in microseconds.
+    pub time_left_us: u64,
+    /// Depth of the call.
+    pub depth: u8,
+    /// Whether a body follows.
+    pub has_body: bool,
+}
+
+/// What the egress sends in front of a response's body.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ResponseHead {
+    /// What happened.
+    pub outcome: Outcome,
+    /// Status of the backend server, or 0 without an answer.
+    pub status: u16,
+    /// Headers, without those of one connection.
+    pub headers: Vec<Header>,
+}
+
+impl ResponseHead {
+    /// The head of a response without an answer of a backend server.
+    pub fn without_answer(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            status: 0,
+            headers: Vec::new(),
+        }
+    }
+}
