feat(contract): tickets, their check, acceptance and result

Cause: operators' changes had no document, no check and no way to be accepted by any node without a coordinator. Change: the ticket document, its check against a whole configuration, parts addressed by content, the head object, the record of a ticket, the acceptance state machine without I/O, the deletion of unused parts, a driver with bounded attempts and full jitter, and the bodies of the operators' HTTP interface. Beyond the design: the record names the head and the time that a decision belongs to, so that an acceptance and a refusal of the same ticket by two processes exclude each other; the head lists removed objects, so that a ticket with an old base does not bring them back; unused parts are deleted only when their revision is below the head's, so that a paused filing process never commits a head whose parts are gone. chrono, already in the lock file through flexi_logger, reads RFC 3339 times.

--- /dev/null
+++ b/crates/contract/src/accept/decide.rs
@@ -0,0 +1,102 @@
+//! The decision about a ticket for one attempt.
+
+use super::conflict::{Conflict, conflict};
+use crate::check::{Context, Defaults, TargetReached, Traffic, check};
+use crate::head::{Accepted, Removed};
+use crate::parts::{self, Parts};
+use crate::result::{Ending, Record};
+use crate::{Head, Item, PartCache, Problem, Reason, Ticket};
+use knapweed_world::Config;
+use std::sync::Arc;
+
+/// What a node brings to the decision.
+///
+/// Nothing in it changes whether a ticket is accepted, so that all nodes decide
+/// alike; it only fills in the terms of rollouts.
+#[derive(Clone)]
+pub struct Policy {
+    /// Terms that tickets leave open.
+    pub defaults: Defaults,
+    /// Where the traffic goes now.
+    pub traffic: Arc<dyn Traffic>,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            defaults: Defaults::default(),
+            traffic: Arc::new(TargetReached),
+        }
+    }
+}
+
+/// What an acceptance writes.
+pub(super) struct Next {
+    pub(super) accepted: Accepted,
+    pub(super) head: Head,
+    pub(super) parts: Parts,
+}
+
+pub(super) enum Verdict {
+    Accept(Next),
+    Refuse(Ending),
+}
+
+pub(super) fn decide(
+    record: &Record,
+    head: &Head,
+    cache: &PartCache,
+    policy: &Policy,
+) -> Result<Verdict, parts::Error> {
+    let config = parts::join(head, cache)?;
+    let ticket = &record.document;
+    let cx = Context {
+        config: &config,
+        now: record.attempt.at,
+        defaults: &policy.defaults,
+        traffic: policy.traffic.as_ref(),
+    };
+    let checked = check(ticket, cx);
+    let conflict = conflict(ticket, record.base, &config, head);
+    let ending = match (checked, conflict) {
+        (Ok(next), None) => return Ok(Verdict::Accept(accept(record, head, &next))),
+        (Err(reasons), None) => Ending::Refused { reasons },
+        (Err(reasons), Some(_)) if !only_removed_since(&reasons) => Ending::Refused { reasons },
+        (_, Some(Conflict::Superseded(by))) => Ending::Superseded { by },
+        (_, Some(Conflict::Refused(reasons))) => Ending::Refused { reasons },
+    };
+    Ok(Verdict::Refuse(ending))
+}
+
+/// Whether the only problems are objects to remove that another ticket removed.
+fn only_removed_since(problems: &[Problem]) -> bool {
+    problems.iter().all(|p| p.reason == Reason::Unknown)
+}
+
+fn accept(record: &Record, head: &Head, config: &Config) -> Next {
+    let ticket = &record.document;
+    let accepted = Accepted {
+        ticket: ticket.ticket,
+        version: config.version,
+        at: record.attempt.at,
+    };
+    let parts = parts::split(config);
+    let mut head = head.successor(&parts, accepted);
+    head.record_removals(&ticket.items().collect(), removed(ticket, accepted));
+    Next {
+        accepted,
+        head,
+        parts,
+    }
+}
+
+fn removed(ticket: &Ticket, accepted: Accepted) -> Vec<Removed> {
+    let services = ticket.remove.services.iter().cloned().map(Item::Service);
+    let routes = ticket.remove.routes.iter().cloned().map(Item::Route);
+    let removed = |item| Removed {
+        item,
+        ticket: accepted.ticket,
+        version: accepted.version,
+    };
+    services.chain(routes).map(removed).collect()
+}
--- /dev/null
+++ b/crates/contract/src/accept/writes.rs
@@ -0,0 +1,105 @@
+//! The decision about a ticket and the writes that follow it.
+
+use super::decide::{self, Next, Verdict};
+use super::{Acceptance, Action, Delay, Step};
+use crate::head::{self, Accepted};
+use crate::result::{self, FinalResult};
+use crate::{Digest, parts};
+use knapweed_platform::Condition;
+
+/// The decision and its writes.
+impl Acceptance<'_> {
+    pub(super) fn decide(&mut self) -> Action {
+        let missing = self.cache.missing(&self.head.1);
+        if let Some(digest) = missing.first().copied() {
+            return self.read(parts::key(&digest), Step::ReadPart(digest));
+        }
+        let Some(stored) = &self.record else {
+            return Action::Wait(Delay::Contention);
+        };
+        let at = stored.record.attempt.at;
+        match decide::decide(&stored.record, &self.head.1, self.cache, self.policy) {
+            Ok(Verdict::Accept(next)) => self.write_parts(next),
+            Ok(Verdict::Refuse(ending)) => self.write_result(FinalResult::new(ending, at)),
+            Err(e) => Action::Wait(Delay::Fault(e.to_string())),
+        }
+    }
+
+    fn write_parts(&mut self, next: Next) -> Action {
+        let present: Vec<_> = self.head.1.digests().collect();
+        let absent = next.parts.contents.keys().filter(|d| !present.contains(d));
+        self.unwritten = absent.copied().collect();
+        self.next = Some(next);
+        self.write_next_part()
+    }
+
+    pub(super) fn write_next_part(&mut self) -> Action {
+        match self.unwritten.pop_front() {
+            Some(digest) => self.write_part(digest, Condition::Absent),
+            None => match self.head.1.to_drop() {
+                Some(oldest) => self.read(result::key(oldest.ticket), Step::ReadOldest(oldest)),
+                None => self.write_head(),
+            },
+        }
+    }
+
+    /// Writes a part, also over an unused one of the same content: the new
+    /// revision keeps it from being deleted before the head refers to it.
+    pub(super) fn write_part(&mut self, digest: Digest, condition: Condition) -> Action {
+        let content = self
+            .next
+            .as_ref()
+            .and_then(|n| n.parts.contents.get(&digest));
+        let Some(value) = content.cloned() else {
+            return Action::Wait(Delay::Contention);
+        };
+        self.step = Step::WritePart(digest);
+        Action::Write {
+            key: parts::key(&digest),
+            value,
+            condition,
+        }
+    }
+
+    pub(super) fn write_head(&mut self) -> Action {
+        let Some(next) = &self.next else {
+            return Action::Wait(Delay::Contention);
+        };
+        let value = next.head.encode();
+        self.step = Step::WriteHead(next.accepted);
+        Action::Write {
+            key: head::key(),
+            value,
+            condition: self.head_condition(),
+        }
+    }
+
+    pub(super) fn write_progress(&mut self, accepted: Accepted) -> Action {
+        self.accepted = Some(accepted);
+        let write = self.record.as_ref();
+        let write = write.and_then(|s| Some((s.record.with_progress(accepted)?, s.condition())));
+        let Some((record, condition)) = write else {
+            return Action::Finish(accepted.into());
+        };
+        self.step = Step::WriteProgress(accepted);
+        Action::Write {
+            key: result::key(self.number()),
+            value: record.encode(),
+            condition,
+        }
+    }
+
+    fn write_result(&mut self, result: FinalResult) -> Action {
+        let Some(stored) = &self.record else {
+            return Action::Wait(Delay::Contention);
+        };
+        let (condition, mut record) = (stored.condition(), stored.record.clone());
+        record.result = Some(result.clone());
+        self.step = Step::WriteResult(Box::new(result));
+        Action::Write {
+            key: result::key(self.number()),
+            value: record.encode(),
+            condition,
+        }
+    }
+}
--- /dev/null
+++ b/crates/contract/src/check.rs
@@ -0,0 +1,284 @@
+//! Check of a whole ticket against the accepted configuration.
+
+mod item;
+
+use crate::{Item, Problem, Reason, Ticket};
+use item::ItemCheck;
+use knapweed_world::config::{Caution, RouteConfig, ServiceConfig, VersionShare};
+use knapweed_world::{Config, Name, Share, UnixMillis};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Shortest time from acceptance to the deadline of a rollout.
+pub const MIN_DEADLINE: Duration = Duration::from_secs(10);
+/// Longest time from acceptance to the deadline of a rollout.
+pub const MAX_DEADLINE: Duration = Duration::from_secs(30 * 24 * 3_600);
+/// Longest timeout of a route, in milliseconds.
+pub const MAX_TIMEOUT_MS: u32 = 600_000;
+/// Longest path prefix, in bytes.
+pub const MAX_PREFIX_LEN: usize = 1_024;
+/// Most idempotent methods of a route.
+pub const MAX_METHODS: usize = 16;
+/// Longest method, in bytes.
+pub const MAX_METHOD_LEN: usize = 32;
+/// Most versions of a service.
+pub const MAX_VERSIONS: usize = 32;
+/// Most services in a configuration, which bounds the head object.
+pub const MAX_SERVICES: usize = 4_000;
+/// Most problems that are listed; they are stored together with the ticket.
+pub const MAX_PROBLEMS: usize = 200;
+
+/// Terms of rollouts that a ticket leaves open.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Defaults {
+    /// Time from acceptance to the deadline.
+    pub deadline: Duration,
+    /// Least capacity of the old versions to keep until completion, in percent.
+    pub min_old_capacity: u8,
+    /// Weight of caution against speed.
+    pub caution: Caution,
+}
+
+impl Default for Defaults {
+    fn default() -> Self {
+        Self {
+            deadline: Duration::from_secs(600),
+            min_old_capacity: 25,
+            caution: Caution::Careful,
+        }
+    }
+}
+
+/// Tells which versions serve a service now.
+pub trait Traffic: Send + Sync {
+    /// The shares that the versions of a service have now.
+    ///
+    /// They differ from `config.versions` while the rollout of `config.ticket`
+    /// runs, and after it was pulled back.
+    fn shares(&self, service: &Name, config: &ServiceConfig) -> Vec<VersionShare>;
+}
+
+/// Takes every rollout as completed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TargetReached;
+
+impl Traffic for TargetReached {
+    fn shares(&self, _service: &Name, config: &ServiceConfig) -> Vec<VersionShare> {
+        config.versions.clone()
+    }
+}
+
+/// What a ticket is checked against.
+#[derive(Clone, Copy)]
+pub struct Context<'a> {
+    /// The accepted configuration.
+    pub config: &'a Config,
+    /// Time of acceptance.
+    pub now: UnixMillis,
+    /// Terms that the ticket leaves open.
+    pub defaults: &'a Defaults,
+    /// Where the traffic goes now.
+    pub traffic: &'a dyn Traffic,
+}
+
+/// Checks a whole ticket, and returns the configuration that it makes.
+///
+/// The base version does not matter here; see [`crate::accept::conflict`].
+pub fn check(ticket: &Ticket, cx: Context<'_>) -> Result<Config, Vec<Problem>> {
+    let mut checker = Checker::new(ticket, cx);
+    checker.names();
+    checker.removals();
+    checker.services();
+    checker.routes();
+    checker.references();
+    checker.prefixes();
+    checker.size();
+    checker.finish()
+}
+
+struct Checker<'a> {
+    ticket: &'a Ticket,
+    cx: Context<'a>,
+    next: Config,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Checker<'a> {
+    fn new(ticket: &'a Ticket, cx: Context<'a>) -> Self {
+        let mut next = cx.config.clone();
+        next.version = cx.config.version.next();
+        Self {
+            ticket,
+            cx,
+            next,
+            problems: Vec::new(),
+        }
+    }
+
+    fn report(&mut self, item: Item, reason: Reason) {
+        self.problems.push(Problem { item, reason });
+    }
+
+    fn finish(mut self) -> Result<Config, Vec<Problem>> {
+        if self.problems.is_empty() {
+            return Ok(self.next);
+        }
+        let hidden = self.problems.len().saturating_sub(MAX_PROBLEMS);
+        if hidden > 0 {
+            self.problems.truncate(MAX_PROBLEMS);
+            self.report(Item::Ticket, Reason::More { count: hidden });
+        }
+        Err(self.problems)
+    }
+}
+
+/// Checks of the whole ticket.
+impl Checker<'_> {
+    fn names(&mut self) {
+        let ticket = self.ticket;
+        let mut seen = BTreeSet::new();
+        let mut repeated = BTreeSet::new();
+        for item in ticket.items() {
+            if !seen.insert(item.clone()) {
+                repeated.insert(item);
+            }
+        }
+        for item in repeated {
+            self.report(item, Reason::Duplicate);
+        }
+    }
+
+    fn removals(&mut self) {
+        let ticket = self.ticket;
+        for name in &ticket.remove.services {
+            self.next.services.remove(name);
+            if !self.cx.config.services.contains_key(name) {
+                self.report(Item::Service(name.clone()), Reason::Unknown);
+            }
+        }
+        for name in &ticket.remove.routes {
+            self.next.routes.remove(name);
+            if !self.cx.config.routes.contains_key(name) {
+                self.report(Item::Route(name.clone()), Reason::Unknown);
+            }
+        }
+    }
+
+    fn services(&mut self) {
+        let ticket = self.ticket;
+        for change in &ticket.services {
+            let item = Item::Service(change.name.clone());
+            let mut check = ItemCheck::new(item, &mut self.problems);
+            check.versions(&change.versions);
+            let terms = check.terms(change.rollout.as_ref(), &self.cx);
+            let versions = targets(change);
+            let old = self.cx.config.services.get(&change.name);
+            let from = old.map(|old| self.cx.traffic.shares(&change.name, old));
+            let moves = from.filter(|from| serving(from) != serving(&versions));
+            let rollout = moves.map(|from| terms.starting_from(from));
+            let service = ServiceConfig {
+                versions,
+                rollout,
+                ticket: ticket.ticket,
+                changed_at: self.next.version,
+            };
+            self.next.services.insert(change.name.clone(), service);
+        }
+    }
+
+    fn routes(&mut self) {
+        let ticket = self.ticket;
+        for change in &ticket.routes {
+            let item = Item::Route(change.name.clone());
+            ItemCheck::new(item, &mut self.problems).route(change);
+            let route = RouteConfig {
+                path_prefix: change.path_prefix.clone(),
+                service: change.service.clone(),
+                timeout_ms: change.timeout_ms,
+                idempotent_methods: change.idempotent_methods.clone(),
+                ticket: ticket.ticket,
+                changed_at: self.next.version,
+            };
+            self.next.routes.insert(change.name.clone(), route);
+        }
+    }
+
+    fn references(&mut self) {
+        let ticket = self.ticket;
+        let changed: BTreeSet<_> = ticket.routes.iter().map(|r| &r.name).collect();
+        let removed: BTreeSet<_> = ticket.remove.services.iter().collect();
+        let mut needed = BTreeSet::new();
+        let mut found = Vec::new();
+        for (name, route) in &self.next.routes {
+            let service = &route.service;
+            if self.next.services.contains_key(service) {
+                continue;
+            }
+            if changed.contains(name) {
+                let service = service.clone();
+                found.push((
+                    Item::Route(name.clone()),
+                    Reason::MissingService { service },
+                ));
+            } else if removed.contains(service) && needed.insert(service) {
+                let route = name.clone();
+                found.push((
+                    Item::Service(service.clone()),
+                    Reason::StillNeeded { route },
+                ));
+            }
+        }
+        for (item, reason) in found {
+            self.report(item, reason);
+        }
+    }
+
+    fn prefixes(&mut self) {
+        let ticket = self.ticket;
+        let changed: BTreeSet<_> = ticket.routes.iter().map(|r| &r.name).collect();
+        let mut owners: BTreeMap<&str, &Name> = BTreeMap::new();
+        let mut found = Vec::new();
+        for (name, route) in &self.next.routes {
+            let Some(other) = owners.insert(&route.path_prefix, name) else {
+                continue;
+            };
+            let (item, route) = match changed.contains(name) {
+                true => (name, other),
+                false => (other, name),
+            };
+            let route = route.clone();
+            found.push((Item::Route(item.clone()), Reason::PrefixTaken { route }));
+        }
+        for (item, reason) in found {
+            self.report(item, reason);
+        }
+    }
+
+    fn size(&mut self) {
+        let len = self.next.services.len();
+        if len > MAX_SERVICES {
+            let unit = "services".to_owned();
+            let max = MAX_SERVICES;
+            self.report(Item::Ticket, Reason::TooLarge { len, unit, max });
+        }
+        if let Some(len) = crate::parts::too_large(&self.next) {
+            let unit = "bytes in one part".to_owned();
+            let max = crate::parts::MAX_PART_LEN;
+            self.report(Item::Ticket, Reason::TooLarge { len, unit, max });
+        }
+    }
+}
+
+fn targets(change: &crate::ticket::ServiceChange) -> Vec<VersionShare> {
+    let target = |v: &crate::ticket::VersionTarget| VersionShare {
+        version: v.version.clone(),
+        share: Share::from_percent(v.share),
+    };
+    change.versions.iter().map(target).collect()
+}
+
+/// The versions with any traffic and their shares.
+fn serving(shares: &[VersionShare]) -> BTreeMap<&Name, Share> {
+    let some = shares.iter().filter(|v| v.share > Share::NONE);
+    some.map(|v| (&v.version, v.share)).collect()
+}
