feat(platform): HTTP client of the object API and its fake

Cause: nodes reach the platform over HTTP, and tests need a stand-in whose outages, delays, lost answers and rate limits can be switched. Change: a client on hyper-util's legacy client that maps every failure to what is known about its effect; a fake on gotham around the in-memory platform, with PUT /faults and GET /calls; token buckets of 2,000 reads and 400 writes a second in the in-memory platform (Limits::NONE switches them off); an outage now ends the watches that wait.

--- /dev/null
+++ b/crates/fake-platform/src/respond.rs
@@ -0,0 +1,53 @@
+//! Answers to calls.
+
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::{create_empty_response, create_response};
+use gotham::state::State;
+use http::{HeaderValue, Response, StatusCode, header};
+use knapweed_platform::{Error, Revision};
+use knapweed_platform_http::protocol;
+use serde::Serialize;
+
+/// An answer without a body.
+pub(crate) fn empty(state: &State, status: StatusCode) -> Response<Body> {
+    create_empty_response(state, status)
+}
+
+/// An answer with a line of text.
+pub(crate) fn text(state: &State, status: StatusCode, text: String) -> Response<Body> {
+    create_response(state, status, mime::TEXT_PLAIN_UTF_8, text)
+}
+
+/// A document.
+pub(crate) fn json(state: &State, doc: &impl Serialize) -> Response<Body> {
+    match serde_json::to_vec(doc) {
+        Ok(body) => create_response(state, StatusCode::OK, mime::APPLICATION_JSON, body),
+        Err(e) => text(state, StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+    }
+}
+
+/// Adds the entity tag of a revision.
+pub(crate) fn with_etag(mut response: Response<Body>, revision: Revision) -> Response<Body> {
+    let tag = HeaderValue::try_from(protocol::etag(revision)).expect("digits are a header value");
+    response.headers_mut().insert(header::ETAG, tag);
+    response
+}
+
+/// The answer to a call that failed.
+pub(crate) fn failure(state: &State, error: &Error) -> Response<Body> {
+    let status = match error {
+        Error::Conflict { .. } => StatusCode::PRECONDITION_FAILED,
+        Error::Throttled => StatusCode::TOO_MANY_REQUESTS,
+        Error::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
+        Error::AnswerLost(_) | Error::Malformed(_) => StatusCode::INTERNAL_SERVER_ERROR,
+        Error::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+    };
+    let response = text(state, status, error.to_string());
+    match error {
+        Error::Conflict {
+            current: Some(revision),
+            ..
+        } => with_etag(response, *revision),
+        _ => response,
+    }
+}
--- /dev/null
+++ b/crates/fake-platform/tests/api.rs
@@ -0,0 +1,218 @@
+//! The HTTP client and the fake platform agree on the object API.
+
+use assert_matches::assert_matches;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use knapweed_fake_platform::{server, settings};
+use knapweed_platform::memory::{Faults, Limits, MemoryPlatform};
+use knapweed_platform::object::MAX_VALUE_LEN;
+use knapweed_platform::{Condition, Error, ObjectKey, Platform, Revision};
+use knapweed_platform_http::HttpPlatform;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+
+struct Fake {
+    address: SocketAddr,
+    memory: Arc<MemoryPlatform>,
+    client: HttpPlatform,
+}
+
+async fn fake(limits: Limits) -> Fake {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let memory = Arc::new(MemoryPlatform::with_limits(limits));
+    tokio::spawn(server::serve(listener, Arc::clone(&memory)));
+    let client = HttpPlatform::builder(address).build();
+    Fake {
+        address,
+        memory,
+        client,
+    }
+}
+
+fn head() -> ObjectKey {
+    ObjectKey::new("config/head")
+}
+
+/// Sends one HTTP request and returns status and body.
+async fn http(fake: &Fake, method: Method, path: &str, body: &str) -> (StatusCode, String) {
+    let client: Client<_, Full<bytes::Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{}{path}", fake.address))
+        .body(Full::from(body.to_owned()))
+        .expect("a request");
+    let response = client.request(request).await.expect("an answer");
+    let status = response.status();
+    let body = response.into_body().collect().await.expect("a body");
+    let body = String::from_utf8(body.to_bytes().to_vec()).expect("text");
+    (status, body)
+}
+
+#[tokio::test]
+async fn objects_are_written_read_listed_and_deleted_on_condition() {
+    let fake = fake(Limits::default()).await;
+    let client = &fake.client;
+    let key = head();
+    let mut log = String::new();
+    let mut note = |text: String| writeln!(log, "{text}").expect("a string");
+    note(format!("{:?}", client.read(&key).await));
+    note(format!(
+        "{:?}",
+        client.write(&key, "a".into(), Condition::Absent).await
+    ));
+    note(format!(
+        "{:?}",
+        client.write(&key, "b".into(), Condition::Absent).await
+    ));
+    let condition = Condition::Revision(Revision(1));
+    note(format!(
+        "{:?}",
+        client.write(&key, "c".into(), condition).await
+    ));
+    note(format!("{:?}", client.read(&key).await));
+    let missing = ObjectKey::new("ticket/1");
+    note(format!(
+        "{:?}",
+        client.write(&missing, "d".into(), condition).await
+    ));
+    note(format!(
+        "{:?}",
+        client.write(&missing, "d".into(), Condition::Absent).await
+    ));
+    note(format!("{:?}", client.list("ticket/").await));
+    note(format!("{:?}", client.list("").await));
+    note(format!("{:?}", client.delete(&key, Revision(1)).await));
+    note(format!("{:?}", client.delete(&key, Revision(2)).await));
+    note(format!("{:?}", client.read(&key).await));
+    note(http(&fake, Method::GET, "/calls", "").await.1);
+    insta::assert_snapshot!(log);
+}
+
+#[tokio::test]
+async fn a_watch_ends_with_a_change_or_after_its_wait() {
+    let fake = fake(Limits::default()).await;
+    let key = head();
+    let wait = Duration::from_millis(50);
+    assert_matches!(fake.client.watch(&key, Revision(0), wait).await, Ok(None));
+    let watch = async {
+        let long = Duration::from_secs(10);
+        fake.client.watch(&key, Revision(0), long).await
+    };
+    let write = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        fake.memory.write(&key, "v".into(), Condition::Absent).await
+    };
+    let (seen, written) = tokio::join!(watch, write);
+    let seen = seen.expect("an answer").expect("a change");
+    assert_eq!(Ok(seen.revision), written);
+}
+
+/// Guards against a lost answer that is taken for a write without effect.
+#[tokio::test]
+async fn faults_are_switched_over_http_and_mapped_to_errors() {
+    let fake = fake(Limits::default()).await;
+    let key = head();
+    let put = |doc| http(&fake, Method::PUT, "/faults", doc);
+    assert_eq!(put(r#"{"lost_answers":1}"#).await.0, StatusCode::OK);
+    let lost = fake.client.write(&key, "v".into(), Condition::Absent).await;
+    assert_matches!(lost, Err(Error::AnswerLost(_)));
+    let read = fake.client.read(&key).await.expect("an answer");
+    assert_eq!(read.expect("written").value, "v");
+
+    put(r#"{"outage":true}"#).await;
+    assert_matches!(fake.client.read(&key).await, Err(Error::Unavailable(_)));
+    let write = fake.client.write(&key, "w".into(), Condition::Absent).await;
+    assert_matches!(write, Err(Error::Unavailable(_)));
+
+    put(r#"{"delay_ms":80}"#).await;
+    let start = Instant::now();
+    assert_matches!(fake.client.read(&key).await, Ok(Some(_)));
+    assert!(start.elapsed() >= Duration::from_millis(80));
+    let slow = HttpPlatform::builder(fake.address);
+    let slow = slow.request_timeout(Duration::from_millis(20)).build();
+    let write = slow.write(&key, "w".into(), Condition::Absent).await;
+    assert_matches!(write, Err(Error::AnswerLost(_)));
+
+    let (status, message) = put(r#"{"outages":true}"#).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    assert!(message.contains("unknown field `outages`"));
+    let (_, faults) = http(&fake, Method::GET, "/faults", "").await;
+    insta::assert_snapshot!(faults, @r#"{"outage":false,"delay_ms":80,"lost_answers":0}"#);
+}
+
+/// Guards against watches that outlive the start of an outage.
+#[tokio::test]
+async fn an_outage_ends_waiting_watches() {
+    let fake = fake(Limits::default()).await;
+    let key = head();
+    let wait = Duration::from_secs(10);
+    let watch = fake.client.watch(&key, Revision(0), wait);
+    let outage = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        fake.memory.set_faults(Faults {
+            outage: true,
+            ..Faults::default()
+        });
+    };
+    let (seen, ()) = tokio::join!(watch, outage);
+    assert_matches!(seen, Err(Error::Unavailable(_)));
+}
+
+#[tokio::test]
+async fn calls_over_the_rate_limit_are_throttled() {
+    let fake = fake(Limits {
+        reads_per_s: 5,
+        writes_per_s: 2,
+    })
+    .await;
+    let start = Instant::now();
+    let mut served = 0;
+    for _ in 0..20 {
+        match fake.client.read(&head()).await {
+            Ok(_) => served += 1,
+            Err(e) => assert_eq!(e, Error::Throttled),
+        }
+    }
+    let refilled = start.elapsed().as_secs_f64() * 5.0;
+    assert!(served >= 5, "{served} reads served");
+    assert!(f64::from(served) <= 5.0 + refilled, "{served} reads served");
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_matches!(fake.client.read(&head()).await, Ok(None));
+}
+
+#[tokio::test]
+async fn values_over_the_limit_are_refused_by_client_and_server() {
+    let fake = fake(Limits::default()).await;
+    let key = head();
+    let value = "x".repeat(MAX_VALUE_LEN + 1);
+    let write = fake
+        .client
+        .write(&key, value.clone().into(), Condition::Absent);
+    assert_matches!(write.await, Err(Error::TooLarge { len, .. }) if len == MAX_VALUE_LEN + 1);
+    let request = Request::put(format!("http://{}/objects/config/head", fake.address))
+        .header("if-none-match", "*")
+        .body(Full::<bytes::Bytes>::from(value))
+        .expect("a request");
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let response = client.request(request).await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    let value = "x".repeat(MAX_VALUE_LEN);
+    let write = fake.client.write(&key, value.into(), Condition::Absent);
+    assert_matches!(write.await, Ok(_));
+    let (status, _) = http(&fake, Method::PUT, "/objects/config/head", "v").await;
+    assert_eq!(status, StatusCode::BAD_REQUEST, "a write without condition");
+}
+
+#[test]
+fn the_example_settings_are_valid() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../etc/fake-platform.ini");
+    let options = settings::load(&file).expect("valid settings");
+    assert_eq!(options.limits, Limits::default());
+}
--- /dev/null
+++ b/crates/platform-http/tests/failures.rs
@@ -0,0 +1,81 @@
+//! Failures of the transport are mapped to what they say about the effect.
+
+use knapweed_platform::{Condition, ObjectKey, Platform};
+use knapweed_platform_http::HttpPlatform;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Answers every connection with `bytes` and closes it, or keeps it open
+/// silently when there are none.
+async fn server(bytes: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buf = [0; 4_096];
+                let _ = socket.read(&mut buf).await;
+                match bytes {
+                    "" => tokio::time::sleep(Duration::from_secs(5)).await,
+                    _ => drop(socket.write_all(bytes.as_bytes()).await),
+                }
+            });
+        }
+    });
+    address
+}
+
+fn client(address: SocketAddr) -> HttpPlatform {
+    HttpPlatform::builder(address)
+        .request_timeout(Duration::from_millis(200))
+        .build()
+}
+
+/// The errors of a read and of a write, without details of the system.
+async fn outcomes(address: SocketAddr) -> String {
+    let client = client(address);
+    let key = ObjectKey::new("config/head");
+    let read = client.read(&key).await.expect_err("a failure");
+    let write = client.write(&key, "v".into(), Condition::Absent);
+    let write = write.await.expect_err("a failure");
+    format!("read: {read}\nwrite: {write}")
+}
+
+#[tokio::test]
+async fn a_refused_connection_has_no_effect() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("bound");
+    drop(listener);
+    insta::assert_snapshot!(outcomes(address).await);
+}
+
+/// Guards against a write that is taken as failed although it may have run.
+#[tokio::test]
+async fn a_timeout_or_a_closed_connection_loses_the_answer_of_a_write() {
+    insta::assert_snapshot!("timeout", outcomes(server("").await).await);
+    let cut = "HTTP/1.1 200 OK\r\netag: \"7\"\r\ncontent-length: 9\r\n\r\nab";
+    insta::assert_snapshot!("cut", outcomes(server(cut).await).await);
+}
+
+#[tokio::test]
+async fn answers_that_make_no_sense_are_malformed() {
+    insta::assert_snapshot!(
+        "not_http",
+        outcomes(server("hello there\r\n\r\n").await).await
+    );
+    let no_etag = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    insta::assert_snapshot!("no_etag", outcomes(server(no_etag).await).await);
+    let teapot = "HTTP/1.1 418 I'm a teapot\r\ncontent-length: 5\r\n\r\nshort";
+    insta::assert_snapshot!("teapot", outcomes(server(teapot).await).await);
+}
+
+/// Guards against a key that changes the meaning of the request.
+#[tokio::test]
+async fn a_key_that_cannot_be_in_a_uri_is_refused() {
+    let client = client("127.0.0.1:1".parse().expect("an address"));
+    let key = ObjectKey::new("a?after=1");
+    let error = client.read(&key).await.expect_err("a bad key");
+    insta::assert_snapshot!(error, @r#"the platform is unavailable: "a?after=1" cannot be in a URI"#);
+}
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Faults that the fake shows from now on.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -19,6 +20,63 @@
     pub lost_answers: u32,
 }
 
+/// Calls that are served; each kind may save up the calls of one second.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Reads, lists and watches per second.
+    pub reads_per_s: u32,
+    /// Writes and deletions per second.
+    pub writes_per_s: u32,
+}
+
+impl Limits {
+    /// No limits.
+    pub const NONE: Self = Self {
+        reads_per_s: u32::MAX,
+        writes_per_s: u32::MAX,
+    };
+}
+
+impl Default for Limits {
+    /// The rates of the platform of the current deployments.
+    fn default() -> Self {
+        Self {
+            reads_per_s: 2_000,
+            writes_per_s: 400,
+        }
+    }
+}
+
+/// A token bucket that holds the tokens of one second.
+struct Bucket {
+    per_s: f64,
+    tokens: f64,
+    filled_at: Instant,
+}
+
+impl Bucket {
+    fn new(per_s: u32) -> Self {
+        Self {
+            per_s: per_s.into(),
+            tokens: per_s.into(),
+            filled_at: Instant::now(),
+        }
+    }
+
+    /// Takes a token if there is one.
+    fn take(&mut self) -> bool {
+        let now = Instant::now();
+        let passed = now.duration_since(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        self.tokens = (self.tokens + passed * self.per_s).min(self.per_s);
+        let taken = self.tokens >= 1.0;
+        if taken {
+            self.tokens -= 1.0;
+        }
+        taken
+    }
+}
+
 /// Calls counted since the start; a waiting watch counts as one.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Calls {
@@ -28,12 +86,39 @@
     pub writes: u64,
 }
 
-#[derive(Default)]
 struct Store {
     objects: BTreeMap<ObjectKey, Object>,
     last: Revision,
     faults: Faults,
     calls: Calls,
+    reads: Bucket,
+    writes: Bucket,
+}
+
+impl Store {
+    fn new(limits: Limits) -> Self {
+        Self {
+            objects: BTreeMap::new(),
+            last: Revision(0),
+            faults: Faults::default(),
+            calls: Calls::default(),
+            reads: Bucket::new(limits.reads_per_s),
+            writes: Bucket::new(limits.writes_per_s),
+        }
+    }
+
+    /// Counts a call and applies the limits.
+    fn count(&mut self, write: bool) -> Result<(), Error> {
+        let (calls, bucket) = match write {
+            true => (&mut self.calls.writes, &mut self.writes),
+            false => (&mut self.calls.reads, &mut self.reads),
+        };
+        *calls += 1;
+        match bucket.take() {
+            true => Ok(()),
+            false => Err(Error::Throttled),
+        }
+    }
 }
 
 /// An object store in the memory of this process.
@@ -44,11 +129,16 @@
 
 /// Construction.
 impl MemoryPlatform {
-    /// An empty store without faults.
+    /// An empty store without faults and with the default limits.
     pub fn new() -> Self {
+        Self::with_limits(Limits::default())
+    }
+
+    /// An empty store without faults and with the given limits.
+    pub fn with_limits(limits: Limits) -> Self {
         let (changed, _) = watch::channel(Revision(0));
         Self {
-            store: Mutex::default(),
+            store: Mutex::new(Store::new(limits)),
             changed,
         }
     }
@@ -62,9 +152,10 @@
 
 /// Fault switches and counters.
 impl MemoryPlatform {
-    /// Sets the faults.
+    /// Sets the faults; an outage also ends the watches that wait.
     pub fn set_faults(&self, faults: Faults) {
         self.store.lock().faults = faults;
+        self.changed.send_modify(|_| ());
     }
 
     /// The faults in force.
@@ -83,19 +174,20 @@
     async fn admit(&self, write: bool) -> Result<(), Error> {
         let faults = {
             let mut store = self.store.lock();
-            match write {
-                true => store.calls.writes += 1,
-                false => store.calls.reads += 1,
-            }
+            store.count(write)?;
             store.faults
         };
         if !faults.delay.is_zero() {
             tokio::time::sleep(faults.delay).await;
         }
-        if faults.outage {
-            return Err(Error::Unavailable("outage".into()));
+        self.check_outage()
+    }
+
+    fn check_outage(&self) -> Result<(), Error> {
+        match self.faults().outage {
+            true => Err(Error::Unavailable("outage".into())),
+            false => Ok(()),
         }
-        Ok(())
     }
 
     fn get(&self, key: &ObjectKey) -> Option<Object> {
@@ -166,13 +258,17 @@
             self.admit(false).await?;
             let newer = async {
                 loop {
+                    self.check_outage()?;
                     if let Some(object) = self.get(key).filter(|o| o.revision > after) {
-                        return Some(object);
+                        return Ok(Some(object));
+                    }
+                    if changed.changed().await.is_err() {
+                        return Ok(None);
                     }
-                    changed.changed().await.ok()?;
                 }
             };
-            Ok(tokio::time::timeout(wait, newer).await.unwrap_or(None))
+            let timed = tokio::time::timeout(wait, newer);
+            timed.await.unwrap_or(Ok(None))
         })
     }
 
