feat: rollout state, counters, guard, judge, planner and control

Cause: a move of traffic to a new version needs one owner that survives its holder, and decisions that hold while zones or the platform are cut off. Change: crates/rollout with the rollout state and its monotone join, mergeable counters, the guard of an egress, three judges and two planners behind traits, and rollout control as a state machine without I/O, clocks or locks. Tests run it against a simulated service and a stand-in for the platform.

--- /dev/null
+++ b/crates/rollout/src/control/traffic.rs
@@ -0,0 +1,136 @@
+//! What the reports and the announced capacity say about a move.
+
+use crate::control::event::ZoneCapacity;
+use crate::counters::Counters;
+use crate::report::{Inbox, ZoneReport};
+use crate::state::RolloutState;
+use knapweed_world::{Name, Share, Time};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Routes with less than this part of the service's requests, in percent, do
+/// not hold up the evidence: all there are is enough.
+const MINOR_ROUTE_PERCENT: u64 = 2;
+/// The rate of requests is known after this much observation.
+const RATE_TIME: Duration = Duration::from_secs(3);
+/// New servers with this part of the old capacity, in percent, carry all of the
+/// traffic: a fleet keeps at least this headroom for the loss of servers.
+const ENOUGH_CAPACITY_PERCENT: u64 = 75;
+
+/// Requests on one route.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteCount {
+    all: u64,
+    new_in_step: u64,
+}
+
+/// Reports and capacity of one service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Traffic {
+    inbox: Inbox,
+    capacity: Vec<ZoneCapacity>,
+    most_old_slots: u64,
+    routes: BTreeMap<Name, RouteCount>,
+    first_report: Option<Time>,
+}
+
+/// Input.
+impl Traffic {
+    /// Whether the report is new.
+    pub(super) fn accept(&mut self, report: &ZoneReport, now: Time) -> bool {
+        self.inbox.accept(report, now)
+    }
+
+    /// Counts the requests of a window.
+    pub(super) fn count(&mut self, counters: &Counters, new: &[Name], now: Time) {
+        self.first_report.get_or_insert(now);
+        for (id, series) in counters.iter() {
+            let count = self.routes.entry(id.route.clone()).or_default();
+            count.all += series.requests;
+            if new.contains(&id.version) {
+                count.new_in_step += series.requests;
+            }
+        }
+    }
+
+    /// Takes the ready servers.
+    pub(super) fn set_capacity(&mut self, capacity: Vec<ZoneCapacity>) {
+        self.capacity = capacity;
+    }
+
+    /// Starts to count for the next share.
+    pub(super) fn next_step(&mut self) {
+        for count in self.routes.values_mut() {
+            count.new_in_step = 0;
+        }
+    }
+
+    /// Starts to count for the next ticket; reachability stays known.
+    pub(super) fn next_ticket(&mut self) {
+        self.routes.clear();
+        self.first_report = None;
+        self.most_old_slots = 0;
+    }
+}
+
+/// Access.
+impl Traffic {
+    /// Whether each zone with ready servers sends reports.
+    pub(super) fn hears_all_zones(&self, now: Time) -> bool {
+        let mut zones = self.capacity.iter().map(|c| &c.zone);
+        zones.all(|zone| self.inbox.is_reachable(zone, now))
+    }
+
+    /// Whether the ready servers were announced.
+    pub(super) fn knows_capacity(&self) -> bool {
+        !self.capacity.is_empty()
+    }
+
+    /// Number of availability zones with ready servers.
+    pub(super) fn zones(&self) -> u64 {
+        let zones: BTreeSet<&Name> = self.capacity.iter().map(|c| &c.zone).collect();
+        zones.len() as u64
+    }
+
+    /// Ready slots of `versions`.
+    pub(super) fn slots(&self, versions: &[Name]) -> u64 {
+        let ready = self.capacity.iter();
+        let ready = ready.filter(|c| versions.contains(&c.version));
+        ready.map(|c| u64::from(c.slots)).sum()
+    }
+
+    /// The share that the ready new servers can carry, measured by the most
+    /// old slots that were ready in this move.
+    pub(super) fn capacity_share(&mut self, state: &RolloutState) -> Share {
+        let new = self.slots(&state.new_versions());
+        let old = self.slots(&state.old_versions());
+        self.most_old_slots = self.most_old_slots.max(old);
+        if new * 100 >= self.most_old_slots * ENOUGH_CAPACITY_PERCENT && new > 0 {
+            return Share::ALL;
+        }
+        let share = new * u64::from(Share::ALL.0) / self.most_old_slots.max(1);
+        Share(share as u16)
+    }
+
+    /// Requests of the new versions at this share, on the route with fewest.
+    pub(super) fn step_requests(&self) -> u64 {
+        let counts = self.major_routes().map(|c| c.new_in_step);
+        counts.min().unwrap_or(0)
+    }
+
+    /// Requests a minute on the route with fewest, once it is known.
+    pub(super) fn requests_per_minute(&self, now: Time) -> Option<u64> {
+        let time = now.since(self.first_report?);
+        if time < RATE_TIME {
+            return None;
+        }
+        let fewest = self.major_routes().map(|c| c.all).min()?;
+        Some((u128::from(fewest) * 60_000 / time.as_millis()) as u64)
+    }
+
+    fn major_routes(&self) -> impl Iterator<Item = &RouteCount> {
+        let all: u64 = self.routes.values().map(|c| c.all).sum();
+        let is_major = move |c: &&RouteCount| c.all * 100 >= all * MINOR_ROUTE_PERCENT;
+        self.routes.values().filter(is_major)
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/evidence.rs
@@ -0,0 +1,78 @@
+//! The counts that support the result of a rollout.
+
+use crate::Counters;
+use knapweed_world::{Name, UnixMillis};
+use serde::{Deserialize, Serialize};
+
+/// Most rows kept, which bounds the stored state.
+pub const MAX_ROWS: usize = 64;
+
+/// Counts of one version on one route.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Row {
+    /// The version.
+    pub version: Name,
+    /// The route.
+    pub route: Name,
+    /// Requests that ended.
+    pub requests: u64,
+    /// Those that failed.
+    pub failures: u64,
+}
+
+/// Counts per version and route, and the times of a rollout.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Evidence {
+    /// Counts, ordered by version and route; at most [`MAX_ROWS`].
+    pub rows: Vec<Row>,
+    /// When the first counts arrived.
+    pub first: Option<UnixMillis>,
+    /// When the last counts arrived.
+    pub last: Option<UnixMillis>,
+}
+
+impl Evidence {
+    /// Adds the counts of a window.
+    pub fn add(&mut self, counters: &Counters, now: UnixMillis) {
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+        for (id, series) in counters.iter() {
+            if let Some(row) = self.row(&id.version, &id.route) {
+                row.requests = row.requests.saturating_add(series.requests);
+                row.failures = row.failures.saturating_add(series.failures);
+            }
+        }
+    }
+
+    fn row(&mut self, version: &Name, route: &Name) -> Option<&mut Row> {
+        let found = self
+            .rows
+            .binary_search_by(|r| (&r.version, &r.route).cmp(&(version, route)));
+        let index = match found {
+            Ok(index) => index,
+            Err(_) if self.rows.len() >= MAX_ROWS => return None,
+            Err(index) => {
+                self.rows.insert(index, Row::empty(version, route));
+                index
+            }
+        };
+        self.rows.get_mut(index)
+    }
+
+    /// Requests that any of `versions` ran.
+    pub fn requests(&self, versions: &[Name]) -> u64 {
+        let rows = self.rows.iter().filter(|r| versions.contains(&r.version));
+        rows.map(|r| r.requests).sum()
+    }
+}
+
+impl Row {
+    fn empty(version: &Name, route: &Name) -> Self {
+        Self {
+            version: version.clone(),
+            route: route.clone(),
+            requests: 0,
+            failures: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/judge/clock.rs
@@ -0,0 +1,20 @@
+//! A judge that trusts every version, for comparison.
+
+use crate::Counters;
+use crate::judge::{Judge, Trial, Verdict};
+
+/// Finds no fault ever; the clock alone decides when a rollout is complete.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClockJudge;
+
+impl Judge for ClockJudge {
+    fn begin(&mut self, _trial: &Trial) {}
+
+    fn observe(&mut self, _window: &Counters) {}
+
+    fn verdict(&self) -> Verdict {
+        Verdict::NoFault
+    }
+
+    fn acquit(&mut self) {}
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,1 +1,28 @@
-//! Rollout decisions: plan, guard, judge and merge.
+//! Rollout decisions: the state of a move of traffic to new versions, the
+//! counters it is judged by, guard, judge, planner and rollout control.
+//!
+//! This crate does no I/O, reads no clock and holds no locks.
+
+pub mod control;
+pub mod counters;
+pub mod evidence;
+pub mod guard;
+pub mod histogram;
+pub mod judge;
+mod likelihood;
+pub mod planner;
+pub mod report;
+pub mod result;
+pub mod shares;
+pub mod state;
+
+pub use control::{Action, Control, Event, Revision};
+pub use counters::Counters;
+pub use evidence::Evidence;
+pub use guard::Guard;
+pub use histogram::Histogram;
+pub use judge::{Judge, Verdict};
+pub use planner::{Plan, Planner};
+pub use report::ZoneReport;
+pub use result::{Outcome, TicketResult};
+pub use state::{Epoch, Phase, RolloutState};
--- /dev/null
+++ b/crates/rollout/src/planner/ramp.rs
@@ -0,0 +1,36 @@
+//! A planner that ramps by the clock alone, for comparison.
+
+use crate::planner::{Plan, PlanView, Planner};
+use knapweed_world::Share;
+
+/// Steps of the ramp, equally long, the last of which ends at the bake time.
+const STEPS: [Share; 5] = [
+    Share(500),
+    Share(1_000),
+    Share(2_500),
+    Share(5_000),
+    Share::ALL,
+];
+
+/// Takes each step at its fixed time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RampPlanner;
+
+impl Planner for RampPlanner {
+    fn next(&self, view: &PlanView) -> Plan {
+        if view.share == Share::ALL {
+            let baked = view.dwell() >= view.bake();
+            return if baked { Plan::Complete } else { Plan::Wait };
+        }
+        let steps = STEPS.len() as u32;
+        let elapsed = view.now.since(view.start);
+        let due = (0..steps).filter(|i| elapsed >= view.ramp_time() * *i / steps);
+        let share = due.map(|i| STEPS[i as usize]).max().unwrap_or(Share::NONE);
+        let share = share.min(view.capacity);
+        if share > view.share {
+            Plan::Step(share)
+        } else {
+            Plan::Wait
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/common/mod.rs
@@ -0,0 +1,69 @@
+//! Helpers of the tests: a stand-in for the platform and a simulated service.
+#![allow(dead_code, missing_docs, unreachable_pub, clippy::unwrap_used)]
+
+pub mod platform;
+pub mod replay;
+pub mod scenario;
+pub mod service;
+
+use knapweed_rollout::control::ZoneCapacity;
+use knapweed_rollout::{Epoch, Evidence, Phase, RolloutState};
+use knapweed_world::config::{Caution, RolloutTerms, ServiceConfig, VersionShare};
+use knapweed_world::{ConfigVersion, Name, Share, TicketNumber, UnixMillis};
+
+pub const START: UnixMillis = UnixMillis(1_000_000);
+
+pub fn name(text: &str) -> Name {
+    text.parse().unwrap()
+}
+
+pub fn share(version: &str, percent: u8) -> VersionShare {
+    VersionShare {
+        version: name(version),
+        share: Share::from_percent(percent),
+    }
+}
+
+pub fn terms(deadline_s: u64) -> RolloutTerms {
+    RolloutTerms {
+        start: START,
+        deadline: UnixMillis(START.0 + deadline_s * 1_000),
+        min_old_capacity: 25,
+        caution: Caution::Careful,
+        from: vec![share("v1", 100)],
+    }
+}
+
+/// The configuration that moves all traffic to `target` by the given ticket.
+pub fn config(ticket: u64, target: &str, deadline_s: u64) -> ServiceConfig {
+    ServiceConfig {
+        versions: vec![share(target, 100)],
+        rollout: Some(terms(deadline_s)),
+        ticket: TicketNumber(ticket),
+        changed_at: ConfigVersion(ticket),
+    }
+}
+
+pub fn state(ticket: u64, epoch: u64, phase: Phase) -> RolloutState {
+    RolloutState {
+        service: name("calendar"),
+        ticket: TicketNumber(ticket),
+        epoch: Epoch(epoch),
+        phase,
+        changed: START,
+        terms: terms(100),
+        target: vec![share("v2", 100)],
+        proven: Vec::new(),
+        has_result: true,
+        evidence: Evidence::default(),
+        owed: Vec::new(),
+    }
+}
+
+pub fn capacity(zone: &str, version: &str, slots: u32) -> ZoneCapacity {
+    ZoneCapacity {
+        zone: name(zone),
+        version: name(version),
+        slots,
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/common/replay.rs
@@ -0,0 +1,264 @@
+//! Runs rollout control against a simulated service.
+
+use super::platform::FakePlatform;
+use super::scenario::Scenario;
+use super::service::{Service, Tallies};
+use super::{START, config, name};
+use knapweed_rollout::control::Control;
+use knapweed_rollout::judge::Judge;
+use knapweed_rollout::planner::{FIRST_SHARE_LIMIT, MIN_EVIDENCE, Planner};
+use knapweed_rollout::{Action, Event, Outcome, RolloutState, ZoneReport};
+use knapweed_world::{Name, Share, TicketNumber, Time, UnixMillis};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::collections::VecDeque;
+
+pub const TICKET: TicketNumber = TicketNumber(1);
+const STEP_MS: u64 = 100;
+/// Steps from a report or an answer to rollout control.
+const DELAY_STEPS: u64 = 2;
+/// The replay ends this long after the deadline.
+const OVERTIME_MS: u64 = 120_000;
+
+/// Which judge and planner run.
+#[derive(Clone, Copy)]
+pub struct Variant {
+    pub title: &'static str,
+    pub judge: fn() -> Box<dyn Judge>,
+    pub planner: fn() -> Box<dyn Planner>,
+    pub has_guard: bool,
+}
+
+/// What came of a replay. Times are seconds after the start.
+#[derive(Clone, Debug)]
+pub struct Outcomes {
+    pub outcome: Option<Outcome>,
+    pub tallies: Tallies,
+    /// When the judge decided against the version.
+    pub decided: Option<f64>,
+    /// Requests of the service and of the new version before 200 requests on
+    /// each route, or the decision.
+    pub early: (u64, u64),
+    /// Largest share in that time.
+    pub early_share: Share,
+    pub platform: FakePlatform,
+    pub holders: u32,
+}
+
+impl Outcomes {
+    pub fn in_time(&self) -> bool {
+        matches!(self.outcome, Some(Outcome::Completed { late: false, .. }))
+    }
+
+    pub fn pulled_back(&self) -> bool {
+        matches!(self.outcome, Some(Outcome::PulledBack { .. }))
+    }
+
+    /// Seconds from the first faulty request to the last one of the new version.
+    pub fn exposure_s(&self) -> Option<f64> {
+        let first = self.tallies.first_fault?;
+        Some(self.tallies.last_to_new? - first)
+    }
+}
+
+pub struct Replay {
+    pub service: Service,
+    pub platform: FakePlatform,
+    pub control: Control,
+    pub now_ms: u64,
+    variant: Variant,
+    rng: SmallRng,
+    inbox: VecDeque<(u64, Event)>,
+    node_state: Option<RolloutState>,
+    next_state: Option<RolloutState>,
+    sequence: u64,
+    holders: u32,
+    decided: Option<f64>,
+    early: (u64, u64),
+    early_share: Share,
+}
+
+impl Replay {
+    pub fn new(scenario: Scenario, variant: Variant) -> Self {
+        let mut rng = SmallRng::seed_from_u64(scenario.seed ^ 0x5eed);
+        let service = Service::new(scenario, variant.has_guard, &mut rng);
+        let mut replay = Self {
+            service,
+            platform: FakePlatform::default(),
+            control: control(&variant),
+            now_ms: 0,
+            variant,
+            rng,
+            inbox: VecDeque::new(),
+            node_state: None,
+            next_state: None,
+            sequence: 0,
+            holders: 1,
+            decided: None,
+            early: (0, 0),
+            early_share: Share::NONE,
+        };
+        replay.send_config();
+        replay
+    }
+
+    /// Runs to the end.
+    pub fn run(mut self) -> Outcomes {
+        while !self.is_over() {
+            self.step();
+        }
+        self.outcomes()
+    }
+
+    pub fn is_over(&self) -> bool {
+        let limit = self.service.scenario.deadline_s * 1_000 + OVERTIME_MS;
+        self.platform.results.contains_key(&TICKET) || self.now_ms >= limit
+    }
+
+    pub fn outcomes(self) -> Outcomes {
+        let result = self.platform.results.get(&TICKET);
+        Outcomes {
+            outcome: result.map(|r| r.outcome.clone()),
+            tallies: self.service.tallies,
+            decided: self.decided,
+            early: self.early,
+            early_share: self.early_share,
+            platform: self.platform,
+            holders: self.holders,
+        }
+    }
+
+    /// Replaces the holder by one that knows nothing. Answers to the old holder
+    /// do not reach the new one.
+    pub fn change_holder(&mut self) {
+        self.control = control(&self.variant);
+        self.inbox.clear();
+        self.holders += 1;
+        self.send_config();
+        if let Some(state) = self.node_state.clone() {
+            self.send(Event::Seen(state), DELAY_STEPS);
+        }
+    }
+
+    /// Runs one step of 100 ms.
+    pub fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        let t = self.now_ms as f64 / 1e3;
+        self.platform.down = self.service.scenario.outage.contains(t);
+        if let Some(next) = self.next_state.take() {
+            self.node_state = Some(next);
+        }
+        self.run_traffic(t);
+        if self.now_ms.is_multiple_of(1_000) {
+            self.send_reports(t);
+        }
+        self.deliver();
+    }
+
+    fn run_traffic(&mut self, t: f64) {
+        let share = self.share();
+        let before = (self.service.tallies.requests, self.service.tallies.to_new);
+        let dt = STEP_MS as f64 / 1e3;
+        self.service.run(t, dt, share, &mut self.rng);
+        let is_early = self.decided.is_none() && !self.has_evidence();
+        if is_early && share <= FIRST_SHARE_LIMIT {
+            self.early.0 += self.service.tallies.requests - before.0;
+            self.early.1 += self.service.tallies.to_new - before.1;
+        }
+        if is_early {
+            self.early_share = self.early_share.max(share);
+        }
+    }
+
+    /// The new version's share on the nodes.
+    pub fn share(&self) -> Share {
+        let progress = |s: &RolloutState| s.phase.progress();
+        self.node_state.as_ref().map_or(Share::NONE, progress)
+    }
+
+    /// The minimum evidence, or half of the time: then there is no more to wait
+    /// for.
+    fn has_evidence(&self) -> bool {
+        let rows = &self.control.evidence().rows;
+        let counts = rows.iter().filter(|r| r.version == name("v2"));
+        let enough = counts.filter(|r| r.requests >= MIN_EVIDENCE).count() == 3;
+        enough || self.now_ms >= self.service.scenario.deadline_s * 500
+    }
+
+    fn send_config(&mut self) {
+        let mut config = config(TICKET.0, "v2", self.service.scenario.deadline_s);
+        if let Some(terms) = &mut config.rollout {
+            terms.caution = self.service.scenario.deployment.caution;
+        }
+        self.send(Event::Config(config), 0);
+    }
+
+    fn send_reports(&mut self, t: f64) {
+        self.sequence += 1;
+        for zone in 0..4 {
+            let counters = self.service.take_window(zone);
+            let cut = self.service.scenario.cut;
+            if cut.is_some_and(|(z, span)| z == zone && span.contains(t)) {
+                continue;
+            }
+            let report = ZoneReport {
+                zone: self.service.zone(zone).clone(),
+                relay: Name::clone(self.service.zone(zone)),
+                incarnation: 1,
+                sequence: self.sequence,
+                counters,
+            };
+            self.send(Event::Report(report), DELAY_STEPS);
+        }
+        let capacity = self.service.capacity(t);
+        self.send(Event::Capacity(capacity), 0);
+    }
+
+    fn send(&mut self, event: Event, delay: u64) {
+        let at = self.now_ms + delay * STEP_MS;
+        self.inbox.push_back((at, event));
+    }
+
+    fn deliver(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later) = self.inbox.drain(..).partition(|(at, _)| *at <= now_ms);
+        self.inbox = later;
+        let mut due: VecDeque<(u64, Event)> = due;
+        due.push_back((now_ms, Event::Tick));
+        for (_, event) in due {
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let (now, wall) = (
+            Time::from_millis(self.now_ms),
+            UnixMillis(START.0 + self.now_ms),
+        );
+        let mut actions = Vec::new();
+        self.control.handle(event, now, wall, &mut actions);
+        for action in actions {
+            if let Some(answer) = self.platform.answer(&action) {
+                self.send(answer, DELAY_STEPS);
+            }
+            if let Action::Publish(state) = action {
+                self.publish(*state);
+            }
+        }
+    }
+
+    fn publish(&mut self, state: RolloutState) {
+        if state.phase.is_final() && state.phase.progress() == Share::NONE {
+            self.decided.get_or_insert(self.now_ms as f64 / 1e3);
+        }
+        let known = self.next_state.take().or_else(|| self.node_state.clone());
+        self.next_state = Some(match known {
+            Some(known) => known.join(state),
+            None => state,
+        });
+    }
+}
+
+fn control(variant: &Variant) -> Control {
+    Control::new(name("calendar"), (variant.judge)(), (variant.planner)())
+}
--- /dev/null
+++ b/crates/rollout/tests/moves.rs
@@ -0,0 +1,42 @@
+//! Whole rollouts against a simulated service.
+
+mod common;
+
+use common::replay::{Replay, Variant};
+use common::scenario::{Bad, Good, POWER_AUTHORITY, Scenario, Size, Version};
+use insta::assert_snapshot;
+use knapweed_rollout::judge::SequentialJudge;
+use knapweed_rollout::planner::DeadlinePlanner;
+
+const VARIANT: Variant = Variant {
+    title: "sequential",
+    judge: || Box::new(SequentialJudge::default()),
+    planner: || Box::new(DeadlinePlanner),
+    has_guard: false,
+};
+
+fn story(version: Version) -> String {
+    let scenario = Scenario::draw(POWER_AUTHORITY, version, 7);
+    let outcomes = Replay::new(scenario, VARIANT).run();
+    let mut out = String::new();
+    for state in &outcomes.platform.history {
+        let at = (state.changed.0 - common::START.0) as f64 / 1e3;
+        out += &format!("{at:>6.1} s epoch {} {:?}\n", state.epoch.0, state.phase);
+    }
+    out + &format!("{:#?}\n", outcomes.outcome)
+}
+
+#[test]
+fn a_good_version_takes_every_step() {
+    assert_snapshot!(story(Version::Good(Good::Plain)));
+}
+
+#[test]
+fn a_failing_version_is_pulled_back() {
+    assert_snapshot!(story(Version::Bad(Bad::AtOnce, Size::Fails(0.3))));
+}
+
+#[test]
+fn a_slow_version_is_pulled_back() {
+    assert_snapshot!(story(Version::Bad(Bad::AtOnce, Size::Slows(4.0))));
+}
