feat(fake-backend): stand-in for a backend server

Cause: the node must be tested against backend servers with slots, connection limits, cold starts, faults and crashes, and tests must know which requests ran. Change: a server on gotham that runs requests within its slots, sheds beyond its queue, streams bodies, counts connections, notices cancelled requests, keeps a ledger, announces itself each second and drains on SIGTERM; fault switches over PUT /faults, among them silence of all open connections; a crash with exit code 70 on request.

--- /dev/null
+++ b/crates/fake-backend/tests/faults.rs
@@ -0,0 +1,108 @@
+//! Switched faults concern the requests and connections they name.
+
+mod common;
+
+use common::{get, options, put_faults, start, until};
+use http::StatusCode;
+use knapweed_fake_backend::faults::{Faults, Switches};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
+
+#[test]
+fn conditions_select_the_requests_that_fail() {
+    let mut switches = Switches::new(1);
+    switches.set(Faults {
+        fail_percent: 100,
+        route_prefix: "/calendar".into(),
+        after_requests: 2,
+        above_running: 3,
+        ..Faults::default()
+    });
+    let requests = [("/calendar", 9), ("/calendar", 9), ("/calendar", 4)];
+    let more = [("/surveys", 9), ("/calendar/x", 3), ("/calendar/x", 4)];
+    let fails = |(path, running)| switches.verdict(path, running).fails;
+    let failed: Vec<_> = requests.into_iter().chain(more).map(fails).collect();
+    assert_eq!(failed, [false, false, true, false, false, true]);
+}
+
+#[test]
+fn the_share_of_failures_is_kept() {
+    let mut switches = Switches::new(7);
+    switches.set(Faults {
+        fail_percent: 30,
+        ..Faults::default()
+    });
+    let failed = (0..10_000).filter(|_| switches.verdict("/", 1).fails);
+    let failed = failed.count();
+    assert!((2_800..=3_200).contains(&failed), "{failed} of 10,000");
+}
+
+#[tokio::test]
+async fn faults_are_switched_over_http() {
+    let fake = start(options()).await;
+    let doc = r#"{"fail_percent":100,"route_prefix":"/calendar"}"#;
+    assert_eq!(put_faults(fake.address, doc).await, StatusCode::OK);
+    let status = get(fake.address, "/calendar/day").await.status;
+    assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(get(fake.address, "/surveys").await.status, StatusCode::OK);
+    assert_eq!(fake.backend.stats().failed, 1);
+    let bad = put_faults(fake.address, r#"{"fail":1}"#).await;
+    assert_eq!(bad, StatusCode::BAD_REQUEST);
+    assert_eq!(put_faults(fake.address, "{}").await, StatusCode::OK);
+    assert_eq!(get(fake.address, "/calendar").await.status, StatusCode::OK);
+}
+
+/// Reads what comes within a short time.
+async fn answer(socket: &mut TcpStream) -> Option<usize> {
+    let mut buf = [0; 4_096];
+    let read = tokio::time::timeout(Duration::from_millis(300), socket.read(&mut buf));
+    read.await.ok()?.ok()
+}
+
+/// Guards against a silence that the peer could see as a closed connection.
+#[tokio::test]
+async fn open_connections_go_silent_and_new_ones_work() {
+    let fake = start(options()).await;
+    let mut old = TcpStream::connect(fake.address).await.expect("connected");
+    old.write_all(REQUEST).await.expect("sent");
+    assert!(answer(&mut old).await.is_some_and(|len| len > 0));
+    put_faults(fake.address, r#"{"silence_connections":true}"#).await;
+    old.write_all(REQUEST).await.expect("sent");
+    assert_eq!(answer(&mut old).await, None, "neither bytes nor an end");
+    assert_eq!(get(fake.address, "/x").await.status, StatusCode::OK);
+    drop(old);
+    until(|| fake.backend.stats().connections.current == 0).await;
+}
+
+#[tokio::test]
+async fn connections_over_the_limit_are_closed_at_once() {
+    let fake = start(options()).await;
+    let mut sockets = Vec::new();
+    for _ in 0..20 {
+        sockets.push(TcpStream::connect(fake.address).await.expect("connected"));
+    }
+    until(|| fake.backend.stats().connections.current == 20).await;
+    let mut extra = TcpStream::connect(fake.address).await.expect("connected");
+    assert_eq!(answer(&mut extra).await, Some(0), "closed");
+    drop(sockets);
+    until(|| fake.backend.stats().connections.current == 0).await;
+    assert_eq!(get(fake.address, "/x").await.status, StatusCode::OK);
+    let counts = fake.backend.stats().connections;
+    assert_eq!((counts.peak, counts.opened, counts.refused), (20, 21, 1));
+}
+
+/// Guards against set-ups that run at the same time, which would hide the cost
+/// of many connections.
+#[tokio::test]
+async fn connections_are_set_up_one_after_the_other() {
+    let mut options = options();
+    options.connection_cost = Duration::from_millis(30);
+    let fake = start(options).await;
+    let start = std::time::Instant::now();
+    let gets = (0..5).map(|_| get(fake.address, "/bytes/0"));
+    futures_util::future::join_all(gets).await;
+    assert!(start.elapsed() >= Duration::from_millis(150));
+}
--- /dev/null
+++ b/crates/fake-backend/tests/program.rs
@@ -0,0 +1,136 @@
+//! The program announces itself, drains on SIGTERM and crashes on request.
+
+mod common;
+
+use common::{get, until};
+use knapweed_fake_backend::announce::Announcement;
+use knapweed_fake_backend::backend::Lifecycle;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+type Announcements = Arc<Mutex<Vec<Announcement>>>;
+
+/// Answers announcements and keeps them.
+async fn node() -> (SocketAddr, Announcements) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let seen = Announcements::default();
+    let kept = Arc::clone(&seen);
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            tokio::spawn(answer(socket, Arc::clone(&kept)));
+        }
+    });
+    (address, seen)
+}
+
+async fn answer(mut socket: TcpStream, kept: Announcements) {
+    let mut request = Vec::new();
+    while socket.read_buf(&mut request).await.is_ok_and(|n| n > 0) {
+        let Some(start) = request.windows(4).position(|w| w == b"\r\n\r\n") else {
+            continue;
+        };
+        if let Ok(doc) = serde_json::from_slice(&request[start + 4..]) {
+            kept.lock().expect("no panic").push(doc);
+            request.clear();
+            let ok = b"HTTP/1.1 204 No Content\r\n\r\n";
+            socket.write_all(ok).await.expect("sent");
+        }
+    }
+}
+
+/// A running program, ended with its test.
+struct Program(Child);
+
+impl Program {
+    fn start(file: &Path) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_knapweed-fake-backend"))
+            .arg("--settings")
+            .arg(file)
+            .stderr(Stdio::null())
+            .spawn();
+        Self(child.expect("the program runs"))
+    }
+
+    /// Waits for its exit code.
+    async fn exit(mut self) -> Option<i32> {
+        let wait = tokio::task::spawn_blocking(move || self.0.wait());
+        wait.await.expect("waited").expect("exited").code()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+    }
+}
+
+fn settings(folder: &Path, node: SocketAddr) -> std::path::PathBuf {
+    let file = folder.join("backend.ini");
+    let text = format!(
+        "[backend]\nlisten = 127.0.0.1:0\nhost = a-1\nzone = labasa-a\nservice = calendar\n\
+         version = v1\ncold_start_ms = 200\nannounce = {node}\n[log]\nlevel = error\n"
+    );
+    std::fs::write(&file, text).expect("written");
+    file
+}
+
+fn states(seen: &Announcements) -> Vec<Lifecycle> {
+    let mut states: Vec<_> = seen
+        .lock()
+        .expect("no panic")
+        .iter()
+        .map(|a| a.state)
+        .collect();
+    states.dedup();
+    states
+}
+
+/// Guards against a planned stop that interrupts a request (H9).
+#[tokio::test]
+async fn a_stop_is_announced_and_interrupts_no_request() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (node, seen) = node().await;
+    let program = Program::start(&settings(folder.path(), node));
+    until(|| states(&seen).contains(&Lifecycle::Ready)).await;
+    let address = seen.lock().expect("no panic")[0].address;
+    let slow = |r: http::request::Builder| r.header("x-work-ms", "1500");
+    let running = tokio::spawn(async move { common::send(address, "/x", slow, "").await.status });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let signal = Command::new("kill")
+        .arg(program.0.id().to_string())
+        .status();
+    assert!(signal.expect("kill runs").success());
+    until(|| states(&seen).contains(&Lifecycle::Draining)).await;
+    assert_eq!(get(address, "/late").await.status, 200);
+    assert_eq!(running.await.expect("an answer"), 200);
+    assert_eq!(program.exit().await, Some(0));
+    use Lifecycle::{Draining, Gone, Ready, Warming};
+    assert_eq!(states(&seen), [Warming, Ready, Draining, Gone]);
+}
+
+#[tokio::test]
+async fn a_crash_request_ends_the_process_with_70() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (node, seen) = node().await;
+    let program = Program::start(&settings(folder.path(), node));
+    until(|| !states(&seen).is_empty()).await;
+    let address = seen.lock().expect("no panic")[0].address;
+    let mut socket = TcpStream::connect(address).await.expect("connected");
+    let request = b"GET /crash HTTP/1.1\r\nhost: a\r\n\r\n";
+    socket.write_all(request).await.expect("sent");
+    assert_eq!(program.exit().await, Some(70));
+}
+
+#[tokio::test]
+async fn bad_settings_end_with_2() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("bad.ini");
+    std::fs::write(&file, "[backend]\nslots = 0\n").expect("written");
+    assert_eq!(Program::start(&file).exit().await, Some(2));
+}
