test: seeded evaluation of judges and planners

Cause: the judge and the planner are to be improved by figures. Change: the example `evaluate` runs 1,200 seeded replays per deployment and variant over 9 kinds of good and 8 kinds of bad versions with 7 sizes of fault.

--- /dev/null
+++ b/crates/rollout/examples/evaluate.rs
@@ -0,0 +1,221 @@
+//! Seeded evaluation of judges and planners on simulated rollouts.
+//!
+//! Usage: `cargo run --release -p knapweed-rollout --example evaluate [REPLAYS] [FIRST_SEED]`
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::replay::{Outcomes, Replay, Variant};
+use common::scenario::{BAD, Deployment, GOOD, POWER_AUTHORITY, POYRAZ, SIZES, Scenario, Version};
+use knapweed_rollout::judge::{ClockJudge, SequentialJudge, ThresholdJudge};
+use knapweed_rollout::planner::{DeadlinePlanner, RampPlanner};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Instant;
+
+/// Replays per deployment and variant.
+const REPLAYS: usize = 1_200;
+const THREADS: usize = 5;
+/// Confidence of the bound on false alarms.
+const CONFIDENCE: f64 = 0.95;
+
+const VARIANTS: [Variant; 6] = [
+    Variant {
+        title: "sequential, deadline, guard",
+        judge: || Box::new(SequentialJudge::default()),
+        planner: || Box::new(DeadlinePlanner),
+        has_guard: true,
+    },
+    Variant {
+        title: "sequential, deadline",
+        judge: || Box::new(SequentialJudge::default()),
+        planner: || Box::new(DeadlinePlanner),
+        has_guard: false,
+    },
+    Variant {
+        title: "threshold, deadline",
+        judge: || Box::new(ThresholdJudge::new(Default::default())),
+        planner: || Box::new(DeadlinePlanner),
+        has_guard: false,
+    },
+    Variant {
+        title: "clock, deadline",
+        judge: || Box::new(ClockJudge),
+        planner: || Box::new(DeadlinePlanner),
+        has_guard: false,
+    },
+    Variant {
+        title: "sequential, ramp",
+        judge: || Box::new(SequentialJudge::default()),
+        planner: || Box::new(RampPlanner),
+        has_guard: false,
+    },
+    Variant {
+        title: "threshold, ramp",
+        judge: || Box::new(ThresholdJudge::new(Default::default())),
+        planner: || Box::new(RampPlanner),
+        has_guard: false,
+    },
+];
+
+/// Two in five replays are of good versions.
+fn version(i: usize) -> Version {
+    let nth = i / 5;
+    match i % 5 {
+        0 => Version::Good(GOOD[(2 * nth) % GOOD.len()]),
+        1 => Version::Good(GOOD[(2 * nth + 1) % GOOD.len()]),
+        rest => {
+            let k = 3 * nth + rest - 2;
+            let size = SIZES[(k / BAD.len()) % SIZES.len()];
+            Version::Bad(BAD[k % BAD.len()], size)
+        }
+    }
+}
+
+fn run_all(deployment: Deployment, variant: Variant, replays: usize, seed: u64) -> Vec<Replayed> {
+    let next = AtomicUsize::new(0);
+    let work = || {
+        let mut done = Vec::new();
+        loop {
+            let i = next.fetch_add(1, Ordering::Relaxed);
+            if i >= replays {
+                return done;
+            }
+            let scenario = Scenario::draw(deployment, version(i), seed + i as u64);
+            let outcomes = Replay::new(scenario, variant).run();
+            done.push(Replayed { i, outcomes });
+        }
+    };
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(work)).collect();
+        let mut all: Vec<_> = threads
+            .into_iter()
+            .flat_map(|t| t.join().expect("a thread without a panic"))
+            .collect();
+        all.sort_by_key(|r| r.i);
+        all
+    })
+}
+
+struct Replayed {
+    i: usize,
+    outcomes: Outcomes,
+}
+
+/// Counts of one group of replays.
+#[derive(Default)]
+struct Group {
+    replays: u64,
+    right: u64,
+    requests: Vec<f64>,
+    seconds: Vec<f64>,
+}
+
+impl Group {
+    fn add(&mut self, right: bool, outcomes: &Outcomes) {
+        self.replays += 1;
+        self.right += u64::from(right);
+        self.requests.push(outcomes.tallies.to_bad as f64);
+        self.seconds.extend(outcomes.exposure_s());
+    }
+
+    fn line(&mut self) -> String {
+        let (requests, most) = median_and_worst(&mut self.requests);
+        let (seconds, longest) = median_and_worst(&mut self.seconds);
+        format!(
+            "{:>4}/{:<4} requests {requests:>6.0} {most:>7.0}  seconds {seconds:>6.1} {longest:>6.1}",
+            self.right, self.replays
+        )
+    }
+}
+
+fn median_and_worst(values: &mut [f64]) -> (f64, f64) {
+    values.sort_by(f64::total_cmp);
+    let middle = values.get(values.len() / 2).copied();
+    let last = values.last().copied();
+    (middle.unwrap_or(0.0), last.unwrap_or(0.0))
+}
+
+/// Upper confidence bound on the rate of `events` in `runs` (Clopper-Pearson).
+fn upper_bound(events: u64, runs: u64) -> f64 {
+    let below = |p: f64| {
+        let mut term = (1.0 - p).powf(runs as f64);
+        let mut sum = term;
+        for k in 0..events {
+            term *= (runs - k) as f64 / (k + 1) as f64 * p / (1.0 - p);
+            sum += term;
+        }
+        sum
+    };
+    let (mut low, mut high) = (0.0, 1.0);
+    for _ in 0..60 {
+        let middle = (low + high) / 2.0;
+        if below(middle) > 1.0 - CONFIDENCE {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    high
+}
+
+fn report(variant: Variant, replayed: &[Replayed], details: bool) {
+    let mut all = Group::default();
+    let mut groups: BTreeMap<String, Group> = BTreeMap::new();
+    let mut sizes: BTreeMap<String, Group> = BTreeMap::new();
+    let (mut good, mut in_time, mut alarms, mut trips) = (0, 0, 0, 0);
+    for Replayed { i, outcomes } in replayed {
+        match version(*i) {
+            Version::Good(kind) => {
+                good += 1;
+                in_time += u64::from(outcomes.in_time());
+                alarms += u64::from(outcomes.pulled_back());
+                trips += outcomes.tallies.guard_trips;
+                let group = groups.entry(format!("good {kind:?}")).or_default();
+                group.add(outcomes.in_time(), outcomes);
+            }
+            Version::Bad(kind, size) => {
+                all.add(outcomes.pulled_back(), outcomes);
+                let group = groups.entry(format!("bad {kind:?}")).or_default();
+                group.add(outcomes.pulled_back(), outcomes);
+                let group = sizes.entry(format!("bad {size:?}")).or_default();
+                group.add(outcomes.pulled_back(), outcomes);
+            }
+        }
+    }
+    let bound = 100.0 * upper_bound(alarms, good);
+    println!("{}", variant.title);
+    println!(
+        "  good in time {in_time}/{good}, false alarms {alarms} (rate at most {bound:.2}%), guard trips {trips}"
+    );
+    println!("  bad pulled back {}", all.line());
+    if details {
+        for (title, group) in groups.iter_mut().chain(sizes.iter_mut()) {
+            println!("    {title:<22} {}", group.line());
+        }
+    }
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let replays = args
+        .next()
+        .map_or(REPLAYS, |a| a.parse().expect("a number"));
+    let seed = args.next().map_or(1, |a| a.parse().expect("a number"));
+    let start = Instant::now();
+    println!(
+        "median and worst of requests to a bad version, and of seconds from first fault to zero share"
+    );
+    for deployment in [POWER_AUTHORITY, POYRAZ] {
+        println!(
+            "\n{}: {replays} replays, seeds from {seed}",
+            deployment.title
+        );
+        for (i, variant) in VARIANTS.into_iter().enumerate() {
+            let replayed = run_all(deployment, variant, replays, seed);
+            report(variant, &replayed, i < 3);
+        }
+    }
+    println!("\n{:.0} s", start.elapsed().as_secs_f64());
+}
