--- /dev/null
+++ b/crates/demo/src/client.rs
@@ -0,0 +1,107 @@
+//! An HTTP client for callers and operators.
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client as HttpClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest wait for a whole response.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A whole response.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Value of a header, or an empty text.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+    }
+
+    /// The body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// The body is not JSON.
+    pub fn json(&self) -> anyhow::Result<serde_json::Value> {
+        serde_json::from_slice(&self.body)
+            .with_context(|| format!("not JSON: {}", String::from_utf8_lossy(&self.body)))
+    }
+}
+
+/// An HTTP client.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: HttpClient<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            inner: HttpClient::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+}
+
+impl Client {
+    /// Sends a request and reads the whole response.
+    ///
+    /// # Errors
+    ///
+    /// The response is not whole.
+    pub async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> anyhow::Result<Reply> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"));
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req.body(Full::new(body.into()))?;
+        let exchange = async {
+            let (parts, body) = self.inner.request(req).await?.into_parts();
+            let body = body.collect().await?.to_bytes();
+            Ok::<_, anyhow::Error>(Reply {
+                status: parts.status,
+                headers: parts.headers,
+                body,
+            })
+        };
+        tokio::time::timeout(TIMEOUT, exchange)
+            .await
+            .context("no response in time")?
+    }
+
+    /// Sends a GET request.
+    ///
+    /// # Errors
+    ///
+    /// The response is not whole.
+    pub async fn get(&self, address: SocketAddr, path: &str) -> anyhow::Result<Reply> {
+        self.send(Method::GET, address, path, &[], Bytes::new())
+            .await
+    }
+}
--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,15 @@
+//! A small mesh of real processes on loopback: the platform's stand-in, nodes
+//! and backend servers, each a process of its own.
+//!
+//! Used by the demonstration and by the tests of whole programs. Every process
+//! is stopped when its handle is dropped.
+
+pub mod client;
+pub mod mesh;
+pub mod ports;
+pub mod process;
+pub mod settings;
+
+pub use client::{Client, Reply};
+pub use mesh::{Mesh, NodePlace};
+pub use process::Process;
--- /dev/null
+++ b/crates/demo/src/mesh.rs
@@ -0,0 +1,349 @@
+//! The mesh: its processes, addresses and folders.
+
+use crate::client::{Client, Reply};
+use crate::ports::free_address;
+use crate::process::Process;
+use crate::settings::{Ini, addresses};
+use anyhow::Context;
+use http::Method;
+use knapweed_transport::certificates::Authority;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// Time between looks at something that should become true.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Where a node stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NodePlace {
+    /// Name of the host.
+    pub host: &'static str,
+    /// Its availability zone.
+    pub zone: &'static str,
+    /// Its region.
+    pub region: &'static str,
+}
+
+/// Addresses of one node.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other nodes.
+    pub nodes: SocketAddr,
+}
+
+/// A backend server to start.
+#[derive(Clone, Copy, Debug)]
+pub struct BackendPlace {
+    /// Its host.
+    pub host: &'static str,
+    /// The service.
+    pub service: &'static str,
+    /// The version.
+    pub version: &'static str,
+    /// Time of one request, in milliseconds.
+    pub work_ms: u64,
+}
+
+/// A mesh on loopback.
+pub struct Mesh {
+    folder: TempDir,
+    platform: SocketAddr,
+    places: Vec<(NodePlace, NodeAddresses)>,
+    processes: BTreeMap<String, Process>,
+    backends: BTreeMap<String, SocketAddr>,
+    /// For requests to the mesh.
+    pub client: Client,
+}
+
+/// Construction.
+impl Mesh {
+    /// Starts the platform's stand-in and prepares nodes at `places`.
+    ///
+    /// # Errors
+    ///
+    /// A program cannot be started or a file not written.
+    pub fn new(places: &[NodePlace]) -> anyhow::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let authority = Authority::new()?;
+        std::fs::write(folder.path().join("authority.pem"), authority.certificate())?;
+        let mut nodes = Vec::new();
+        for place in places {
+            let found = NodeAddresses {
+                callers: free_address()?,
+                operators: free_address()?,
+                nodes: free_address()?,
+            };
+            let pair = authority.issue(place.host, &[found.nodes.ip()])?;
+            let file = |end: &str| folder.path().join(format!("{}.{end}", place.host));
+            std::fs::write(file("pem"), pair.certificate)?;
+            std::fs::write(file("key"), pair.key)?;
+            nodes.push((*place, found));
+        }
+        let mut mesh = Self {
+            folder,
+            platform: free_address()?,
+            places: nodes,
+            processes: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            client: Client::default(),
+        };
+        mesh.start_platform()?;
+        Ok(mesh)
+    }
+}
+
+/// Access.
+impl Mesh {
+    /// Address of the platform's stand-in.
+    pub fn platform(&self) -> SocketAddr {
+        self.platform
+    }
+
+    /// Addresses of the node on `host`.
+    pub fn node(&self, host: &str) -> NodeAddresses {
+        let found = self.places.iter().find(|(place, _)| place.host == host);
+        found.expect("the host is part of the mesh").1
+    }
+
+    /// Names of all hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = &'static str> + '_ {
+        self.places.iter().map(|(place, _)| place.host)
+    }
+
+    /// A running process by name: `platform`, a host, or `HOST-SERVICE-VERSION`.
+    pub fn process(&mut self, name: &str) -> &mut Process {
+        self.processes
+            .get_mut(name)
+            .expect("the process was started")
+    }
+
+    /// Address of a backend server by the name of its process.
+    pub fn backend(&self, name: &str) -> SocketAddr {
+        self.backends[name]
+    }
+
+    /// Folder of settings, logs and certificates.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+}
+
+/// Processes.
+impl Mesh {
+    /// Starts the platform's stand-in.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started.
+    pub fn start_platform(&mut self) -> anyhow::Result<()> {
+        let ini = Ini::default()
+            .section("platform")
+            .key("listen", self.platform);
+        self.start("platform", "knapweed-fake-platform", &ini)
+    }
+
+    /// Starts the nodes of all hosts.
+    ///
+    /// # Errors
+    ///
+    /// A program cannot be started.
+    pub fn start_nodes(&mut self) -> anyhow::Result<()> {
+        let hosts: Vec<_> = self.hosts().collect();
+        hosts.into_iter().try_for_each(|host| self.start_node(host))
+    }
+
+    /// Starts the node of `host`, again if it has ended.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started.
+    pub fn start_node(&mut self, host: &str) -> anyhow::Result<()> {
+        let ini = self.node_settings(host);
+        self.start(host, "knapweed-node", &ini)
+    }
+
+    fn node_settings(&self, host: &str) -> Ini {
+        let found = self.places.iter().find(|(place, _)| place.host == host);
+        let (place, node) = found.expect("the host is part of the mesh");
+        let others = self.places.iter().filter(|(p, _)| p.host != host);
+        let seeds: Vec<_> = others.map(|(_, a)| a.nodes).collect();
+        Ini::default()
+            .section("node")
+            .key("host", place.host)
+            .key("zone", place.zone)
+            .key("region", place.region)
+            .key("seeds", addresses(&seeds))
+            .section("listen")
+            .key("callers", node.callers)
+            .key("operators", node.operators)
+            .key("nodes", node.nodes)
+            .section("tls")
+            .key("certificate", self.path(host, "pem").display())
+            .key("key", self.path(host, "key").display())
+            .key("authority", self.path("authority", "pem").display())
+            .section("platform")
+            .key("address", self.platform)
+    }
+
+    /// Starts a backend server.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started.
+    pub fn start_backend(&mut self, place: &BackendPlace) -> anyhow::Result<String> {
+        let name = format!("{}-{}-{}", place.host, place.service, place.version);
+        let address = free_address()?;
+        let found = self.places.iter().find(|(p, _)| p.host == place.host);
+        let zone = found.map_or("none", |(p, _)| p.zone);
+        let ini = Ini::default()
+            .section("backend")
+            .key("listen", address)
+            .key("host", place.host)
+            .key("zone", zone)
+            .key("service", place.service)
+            .key("version", place.version)
+            .key("work_ms", place.work_ms)
+            .key("announce", self.node(place.host).operators);
+        self.start(&name, "knapweed-fake-backend", &ini)?;
+        self.backends.insert(name.clone(), address);
+        Ok(name)
+    }
+
+    fn start(&mut self, name: &str, program: &str, ini: &Ini) -> anyhow::Result<()> {
+        let path = self.path(name, "ini");
+        ini.write(&path)?;
+        // An earlier process of the name must have left its addresses first.
+        drop(self.processes.remove(name));
+        self.processes
+            .insert(name.to_owned(), Process::start(program, &path)?);
+        Ok(())
+    }
+
+    fn path(&self, name: &str, end: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.{end}"))
+    }
+}
+
+/// Requests and waits.
+impl Mesh {
+    /// Files a ticket through the node of `host`.
+    ///
+    /// # Errors
+    ///
+    /// The node does not answer.
+    pub async fn file(&self, host: &str, ticket: &serde_json::Value) -> anyhow::Result<Reply> {
+        let address = self.node(host).operators;
+        let headers = [("content-type", "application/json")];
+        let body = serde_json::to_vec(ticket)?;
+        self.client
+            .send(Method::POST, address, "/v1/tickets", &headers, body)
+            .await
+    }
+
+    /// Waits until `probe` gives a value, at most `wait`, and returns it with the time it took.
+    ///
+    /// # Errors
+    ///
+    /// The time is over.
+    pub async fn until<T, F, P>(
+        &self,
+        what: &str,
+        wait: Duration,
+        mut probe: P,
+    ) -> anyhow::Result<(T, Duration)>
+    where
+        P: FnMut() -> F,
+        F: Future<Output = Option<T>>,
+    {
+        let start = Instant::now();
+        loop {
+            if let Some(value) = probe().await {
+                return Ok((value, start.elapsed()));
+            }
+            anyhow::ensure!(start.elapsed() < wait, "{what}: not after {wait:?}");
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Waits until every node of `hosts` answers, and knows `nodes` nodes that are alive.
+    ///
+    /// # Errors
+    ///
+    /// The time is over.
+    pub async fn until_joined(
+        &self,
+        hosts: &[&str],
+        nodes: usize,
+        wait: Duration,
+    ) -> anyhow::Result<Duration> {
+        let start = Instant::now();
+        for host in hosts {
+            let what = format!("host {host} knows {nodes} nodes");
+            self.until(&what, wait, || async move {
+                let known = self.nodes_of(host).await.ok()?;
+                let alive = known.iter().filter(|n| n["state"] == "alive").count();
+                (alive == nodes).then_some(())
+            })
+            .await?;
+        }
+        Ok(start.elapsed())
+    }
+
+    /// The nodes that the node of `host` knows.
+    ///
+    /// # Errors
+    ///
+    /// The node does not answer.
+    pub async fn nodes_of(&self, host: &str) -> anyhow::Result<Vec<serde_json::Value>> {
+        let reply = self
+            .client
+            .get(self.node(host).operators, "/v1/nodes")
+            .await?;
+        let nodes = reply.json()?["nodes"].as_array().cloned();
+        nodes.context("the answer has a list of nodes")
+    }
+
+    /// The configuration version in force on the node of `host`.
+    ///
+    /// # Errors
+    ///
+    /// The node does not answer.
+    pub async fn version_of(&self, host: &str) -> anyhow::Result<u64> {
+        let reply = self
+            .client
+            .get(self.node(host).operators, "/v1/config")
+            .await?;
+        reply.json()?["config"]["version"]
+            .as_u64()
+            .context("the answer has a version")
+    }
+
+    /// Waits until all nodes of `hosts` have version `version` in force.
+    ///
+    /// # Errors
+    ///
+    /// The time is over.
+    pub async fn until_in_force(
+        &self,
+        hosts: &[&str],
+        version: u64,
+        wait: Duration,
+    ) -> anyhow::Result<Duration> {
+        let start = Instant::now();
+        for host in hosts {
+            let what = format!("host {host} has version {version}");
+            self.until(&what, wait, || async move {
+                (self.version_of(host).await.ok()? >= version).then_some(())
+            })
+            .await?;
+        }
+        Ok(start.elapsed())
+    }
+}
--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -83,7 +83,7 @@
     ) -> Result<Response, Outcome> {
         let time_left = Duration::from_micros(head.time_left_us);
         let exchange = async {
-            let buf = encode(&StreamHead::Request(head))
+            let buf = encode(&StreamHead::Request(Box::new(head)))
                 .map_err(|_| Outcome::NotRun(NotRun::InvalidHeader))?;
             let (mut tx, rx) = self
                 .peers
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,139 @@
+//! The control thread: the one owner of membership, configuration and rollouts
+//! on this node, and the only writer of snapshots.
+
+pub mod config;
+pub mod event;
+mod members;
+pub mod query;
+mod streams;
+mod view;
+
+use crate::egress::Egress;
+use arc_swap::ArcSwap;
+use config::ConfigStore;
+pub use event::{ControlHandle, Event};
+use knapweed_observe::part;
+use knapweed_platform::Platform;
+use knapweed_timer::TimerService;
+use knapweed_transport::Peers;
+use knapweed_world::{Name, SnapshotCell, Time};
+use knapweed_zone::{Membership, membership};
+use std::sync::Arc;
+use tokio::sync::mpsc;
+pub use view::View;
+
+/// What the control thread uses.
+pub struct Parts {
+    /// Name of the host.
+    pub host: Name,
+    /// Where snapshots go.
+    pub snapshots: Arc<SnapshotCell>,
+    /// The egress of the host.
+    pub egress: Arc<Egress>,
+    /// Connections to other nodes.
+    pub peers: Arc<Peers>,
+    /// The platform.
+    pub platform: Arc<dyn Platform>,
+    /// The time.
+    pub timer: TimerService,
+    /// What operators see.
+    pub view: Arc<ArcSwap<View>>,
+}
+
+/// State of the control thread.
+pub struct Control {
+    parts: Parts,
+    handle: ControlHandle,
+    membership: Membership,
+    configs: ConfigStore,
+    /// Whether the snapshot no longer fits the members or the configuration.
+    stale: bool,
+}
+
+/// Construction.
+impl Control {
+    /// The control thread's state, with `membership` of this node.
+    pub fn new(parts: Parts, handle: ControlHandle, membership: Membership) -> Self {
+        Self {
+            parts,
+            handle,
+            membership,
+            configs: ConfigStore::default(),
+            stale: true,
+        }
+    }
+}
+
+/// The loop.
+impl Control {
+    /// Takes events until the channel closes.
+    pub async fn run(mut self, mut events: mpsc::Receiver<Event>) {
+        let mut ticks = self.parts.timer.subscribe(membership::TICK);
+        loop {
+            tokio::select! {
+                now = ticks.tick() => self.tick(now),
+                event = events.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => return,
+                },
+            }
+            self.refresh();
+        }
+    }
+
+    fn now(&self) -> Time {
+        self.parts.timer.now()
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.member_event(now, membership::Event::Tick);
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::Datagram { from, bytes } => self.datagram(now, from, &bytes),
+            Event::Stream { head, incoming } => self.stream(now, *head, incoming),
+            Event::Announced(announcement) => self.announced(now, announcement),
+            Event::Delta { from, delta } => self.delta(from, delta),
+            Event::Members(records) => {
+                self.member_event(now, membership::Event::Members(records));
+            }
+            Event::Loaded { head, cache } => self.loaded(&head, cache),
+            Event::Query(query) => self.answer(query),
+            Event::Leave => self.member_event(now, membership::Event::Leave),
+            Event::Stop(done) => {
+                self.member_event(now, membership::Event::Stop);
+                let _ = done.send(());
+            }
+        }
+    }
+
+    /// Builds a new snapshot when anything it depends on has changed.
+    fn refresh(&mut self) {
+        if !std::mem::take(&mut self.stale) {
+            return;
+        }
+        match self.build_snapshot() {
+            Ok(snapshot) => self.swap(snapshot),
+            // The old snapshot stays in force as a whole.
+            Err(err) => log::error!(target: part::CONFIG, "kept the old snapshot: {err}"),
+        }
+    }
+
+    fn swap(&mut self, snapshot: knapweed_world::Snapshot) {
+        let version = snapshot.version();
+        let before = self.parts.snapshots.load().version();
+        if let Err(err) = self.parts.snapshots.replace(snapshot) {
+            log::error!(target: part::CONFIG, "kept the old snapshot: {err}");
+            return;
+        }
+        self.publish_view();
+        if version > before {
+            log::info!(target: part::CONFIG, "version {version} is in force on this node");
+            let now = self.now();
+            self.member_event(now, membership::Event::ConfigApplied(version));
+            self.send_notices();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/config.rs
@@ -0,0 +1,124 @@
+//! The configuration that this node holds, in parts.
+
+use bytes::Bytes;
+use knapweed_contract::{Head, PartCache, head, parts};
+use knapweed_link::{Delta, PartTag, delta};
+use knapweed_platform::{Object, Revision};
+use knapweed_world::Config;
+use std::sync::Arc;
+
+/// The reason why a configuration was not taken.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The head cannot be read.
+    #[error(transparent)]
+    Head(#[from] head::Error),
+    /// A part is missing or does not fit the head.
+    #[error(transparent)]
+    Part(#[from] parts::Error),
+}
+
+/// A delta that was made for one set of parts, kept for the next node that asks.
+#[derive(Debug)]
+struct Made {
+    have: Vec<PartTag>,
+    packed: Bytes,
+}
+
+/// The newest configuration that this node holds.
+#[derive(Debug, Default)]
+pub struct ConfigStore {
+    head: Head,
+    cache: PartCache,
+    config: Arc<Config>,
+    /// After a change, most nodes ask for the same delta.
+    made: Option<Made>,
+}
+
+/// Access.
+impl ConfigStore {
+    /// The configuration.
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// The head.
+    pub fn head(&self) -> &Head {
+        &self.head
+    }
+
+    /// The parts at hand.
+    pub fn cache(&self) -> &PartCache {
+        &self.cache
+    }
+
+    /// Tags of the parts at hand, in order.
+    pub fn tags(&self) -> Vec<PartTag> {
+        let mut tags: Vec<_> = self.contents().map(|c| PartTag::of(&c)).collect();
+        tags.sort_unstable();
+        tags
+    }
+
+    /// The compressed delta for a node that has the parts `have`.
+    ///
+    /// # Errors
+    ///
+    /// The delta is too long.
+    pub fn delta_for(&mut self, have: Vec<PartTag>) -> Result<Bytes, delta::Error> {
+        if let Some(made) = self.made.as_ref().filter(|m| m.have == have) {
+            return Ok(made.packed.clone());
+        }
+        let head = self.head.encode();
+        let packed = Delta::between(head, self.contents(), have.iter().copied()).compress()?;
+        self.made = Some(Made {
+            have,
+            packed: packed.clone(),
+        });
+        Ok(packed)
+    }
+
+    fn contents(&self) -> impl Iterator<Item = Bytes> + '_ {
+        self.head
+            .digests()
+            .filter_map(|d| self.cache.get(d).cloned())
+    }
+}
+
+/// Mutation.
+impl ConfigStore {
+    /// Takes over a delta; returns whether the configuration is newer now.
+    ///
+    /// # Errors
+    ///
+    /// The head or a part cannot be used; the old configuration stays whole.
+    pub fn absorb(&mut self, delta: Delta) -> Result<bool, Error> {
+        let object = Object {
+            revision: Revision(0),
+            value: delta.head,
+        };
+        let (_, head) = Head::decode(Some(&object))?;
+        let mut cache = self.cache.clone();
+        for content in delta.parts {
+            cache.insert(content);
+        }
+        self.replace(&head, cache)
+    }
+
+    /// Takes over a head with its parts; returns whether the configuration is newer now.
+    ///
+    /// # Errors
+    ///
+    /// A part cannot be used; the old configuration stays whole.
+    pub fn replace(&mut self, head: &Head, mut cache: PartCache) -> Result<bool, Error> {
+        if head.version <= self.head.version {
+            return Ok(false);
+        }
+        let config = parts::join(head, &cache)?;
+        cache.retain(head);
+        self.head = head.clone();
+        self.cache = cache;
+        self.config = Arc::new(config);
+        self.made = None;
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/event.rs
@@ -0,0 +1,78 @@
+//! What the control thread is told.
+
+use super::query::Query;
+use bytes::Bytes;
+use knapweed_contract::{Head, PartCache};
+use knapweed_link::Delta;
+use knapweed_transport::Incoming;
+use knapweed_wire::StreamHead;
+use knapweed_world::backend_server::Announcement;
+use knapweed_zone::directory::SharedRecord;
+use std::net::SocketAddr;
+use tokio::sync::{mpsc, oneshot};
+
+/// Events that may wait for the control thread.
+const QUEUE_LEN: usize = 1_024;
+
+/// What the control thread is told.
+#[derive(Debug)]
+pub enum Event {
+    /// A datagram of another node.
+    Datagram {
+        /// Address of that node.
+        from: SocketAddr,
+        /// The encoded message.
+        bytes: Bytes,
+    },
+    /// A stream that another node opened, other than a request.
+    Stream {
+        /// Its first message.
+        head: Box<StreamHead>,
+        /// The stream.
+        incoming: Incoming,
+    },
+    /// A backend server of this host announced itself.
+    Announced(Announcement),
+    /// A configuration delta arrived; `None` when the fetch failed.
+    Delta {
+        /// Address of the node asked.
+        from: SocketAddr,
+        /// The delta.
+        delta: Option<Delta>,
+    },
+    /// Records that another node shared.
+    Members(Vec<SharedRecord>),
+    /// The configuration was loaded from the platform.
+    Loaded {
+        /// The head.
+        head: Head,
+        /// Its parts.
+        cache: PartCache,
+    },
+    /// A question of an operator.
+    Query(Query),
+    /// The node will stop soon.
+    Leave,
+    /// The node stops now; told when the members have been told.
+    Stop(oneshot::Sender<()>),
+}
+
+/// Sends events to the control thread.
+#[derive(Clone, Debug)]
+pub struct ControlHandle {
+    tx: mpsc::Sender<Event>,
+}
+
+impl ControlHandle {
+    /// A handle and the receiver for [`super::Control::run`].
+    pub fn new() -> (Self, mpsc::Receiver<Event>) {
+        let (tx, rx) = mpsc::channel(QUEUE_LEN);
+        (Self { tx }, rx)
+    }
+
+    /// Sends an event, waiting while the queue is full.
+    pub async fn send(&self, event: Event) {
+        // The control thread ends only with the process.
+        let _ = self.tx.send(event).await;
+    }
+}
--- a/crates/node/src/egress/lane.rs
+++ b/crates/node/src/egress/lane.rs
@@ -79,7 +79,11 @@
     }
 
     async fn admit(self: &Arc<Self>, flow: Flow, deadline: Time) -> Result<Slot, NotRun> {
-        match self.arrive(Arrival { flow, deadline }) {
+        match self.arrive(Arrival {
+            flow,
+            deadline,
+            alone: false,
+        }) {
             Decision::Admitted => {}
             Decision::Shed(reason) => return Err(reason),
             Decision::Queued(waiter, woken) => {
@@ -114,7 +118,10 @@
                 let (tx, rx) = oneshot::channel();
                 queue.waiting.insert(waiter, tx);
                 let shed = displaced.into_iter().collect();
-                queue.tell(Released { run: None, shed });
+                queue.tell(Released {
+                    run: Vec::new(),
+                    shed,
+                });
                 if queue.admission.queued() == 1 {
                     tokio::spawn(expire(Arc::clone(self)));
                 }
@@ -133,13 +140,16 @@
     pub(super) fn drain(&self) {
         let mut queue = self.queue.lock();
         let shed = queue.admission.drain();
-        queue.tell(Released { run: None, shed });
+        queue.tell(Released {
+            run: Vec::new(),
+            shed,
+        });
     }
 
     fn shed_expired(&self) -> Option<Time> {
         let mut queue = self.queue.lock();
-        let shed = queue.admission.expire(self.timer.now());
-        queue.tell(Released { run: None, shed });
+        let released = queue.admission.expire(self.timer.now());
+        queue.tell(released);
         queue.admission.next_expiry()
     }
 }
@@ -151,9 +161,11 @@
                 let _ = tx.send(Err(shed.reason));
             }
         }
-        if let Some(tx) = released.run.and_then(|waiter| self.waiting.remove(waiter)) {
-            // A waiter that left returns the slot by its [`Place`].
-            let _ = tx.send(Ok(()));
+        for waiter in released.run {
+            if let Some(tx) = self.waiting.remove(waiter) {
+                // A waiter that left returns the slot by its [`Place`].
+                let _ = tx.send(Ok(()));
+            }
         }
     }
 }
@@ -196,7 +208,10 @@
         }
         let mut queue = self.lane.queue.lock();
         if queue.waiting.remove(self.waiter).is_some() {
-            queue.admission.cancel(self.waiter);
+            let now = self.lane.timer.now();
+            if let Some(released) = queue.admission.cancel(self.waiter, now) {
+                queue.tell(released);
+            }
             return;
         }
         drop(queue);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,11 @@
 
 pub mod body;
 pub mod carrier;
+pub mod control;
 pub mod egress;
 pub mod guarded;
 pub mod headers;
 pub mod ingress;
+pub mod operators;
+pub mod run;
+pub mod settings;
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,150 @@
+//! The operators' HTTP interface: tickets, configuration, nodes, health,
+//! metrics, and announcements of the backend servers of this host.
+
+mod respond;
+mod tickets;
+
+use crate::control::{ControlHandle, Event, View};
+use arc_swap::ArcSwap;
+use gotham::handler::HandlerFuture;
+use gotham::pipeline::{new_pipeline, single_pipeline};
+use gotham::prelude::*;
+use gotham::router::Router;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_router};
+use gotham::state::State;
+use http::StatusCode;
+use knapweed_contract::accept::Policy;
+use knapweed_contract::api::{self, ConfigResponse, NodesResponse};
+use knapweed_host::Drain;
+use knapweed_observe::{Logs, Metrics};
+use knapweed_platform::Platform;
+use knapweed_world::backend_server::Announcement;
+use respond::{body, error, json, text};
+use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Longest announcement of a backend server, in bytes.
+const MAX_ANNOUNCEMENT_LEN: usize = 4 * 1024;
+/// Longest log level, in bytes.
+const MAX_LEVEL_LEN: usize = 1024;
+
+/// What the handlers use.
+pub struct Parts {
+    /// The platform.
+    pub platform: Arc<dyn Platform>,
+    /// Defaults of tickets.
+    pub policy: Policy,
+    /// The control thread.
+    pub control: ControlHandle,
+    /// What the control thread publishes.
+    pub view: Arc<ArcSwap<View>>,
+    /// The life cycle of the node.
+    pub drain: Arc<Drain>,
+    /// Whether the node has a configuration that it may serve.
+    pub ready: Arc<AtomicBool>,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The logs.
+    pub logs: Logs,
+}
+
+/// The parts in gotham's state; gotham clones it for each request.
+#[derive(Clone, StateData)]
+struct Shared(Arc<AssertUnwindSafe<Parts>>);
+
+/// The router of the interface.
+pub fn router(parts: Parts) -> Router {
+    let shared =
+        gotham::middleware::state::StateMiddleware::new(Shared(Arc::new(AssertUnwindSafe(parts))));
+    let (chain, pipelines) = single_pipeline(new_pipeline().add(shared).build());
+    build_router(chain, pipelines, |route| {
+        route.post(api::TICKETS).to(tickets::file);
+        route.get(api::TICKETS).to(tickets::list);
+        route
+            .get(&format!("{}/:ticket", api::TICKETS))
+            .with_path_extractor::<tickets::TicketPath>()
+            .to(tickets::show);
+        route.get(api::CONFIG).to(config);
+        route.get(api::NODES).to(nodes);
+        route.get("/health/live").to(live);
+        route.get("/health/ready").to(ready);
+        route.get("/metrics").to(metrics);
+        route.post("/v1/announce").to(announce);
+        route.put("/v1/log-level").to(log_level);
+    })
+}
+
+fn parts(state: &State) -> Arc<AssertUnwindSafe<Parts>> {
+    Arc::clone(&Shared::borrow_from(state).0)
+}
+
+fn config(state: State) -> (State, http::Response<crate::body::Body>) {
+    let config = parts(&state).view.load().config.as_ref().clone();
+    (state, json(StatusCode::OK, &ConfigResponse { config }))
+}
+
+fn nodes(state: State) -> (State, http::Response<crate::body::Body>) {
+    let nodes = parts(&state).view.load().nodes.clone();
+    (state, json(StatusCode::OK, &NodesResponse { nodes }))
+}
+
+fn live(state: State) -> (State, http::Response<crate::body::Body>) {
+    (state, text(StatusCode::OK, "live\n"))
+}
+
+fn ready(state: State) -> (State, http::Response<crate::body::Body>) {
+    let parts = parts(&state);
+    let response = match parts.drain.is_ready() && parts.ready.load(Ordering::Relaxed) {
+        true => text(StatusCode::OK, "ready\n"),
+        false => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    };
+    (state, response)
+}
+
+fn metrics(state: State) -> (State, http::Response<crate::body::Body>) {
+    let mut response = text(StatusCode::OK, &parts(&state).metrics.to_text());
+    let kind = http::HeaderValue::from_static(knapweed_observe::metrics::CONTENT_TYPE);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
+    (state, response)
+}
+
+fn announce(mut state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let response = match body(&mut state, MAX_ANNOUNCEMENT_LEN).await {
+            Ok(bytes) => match serde_json::from_slice::<Announcement>(&bytes) {
+                Ok(announcement) => {
+                    parts(&state)
+                        .control
+                        .send(Event::Announced(announcement))
+                        .await;
+                    text(StatusCode::NO_CONTENT, "")
+                }
+                Err(err) => error(StatusCode::BAD_REQUEST, &format!("bad announcement: {err}")),
+            },
+            Err(response) => response,
+        };
+        Ok((state, response))
+    })
+}
+
+fn log_level(mut state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let response = match body(&mut state, MAX_LEVEL_LEN).await {
+            Ok(bytes) => set_level(&parts(&state), &bytes),
+            Err(response) => response,
+        };
+        Ok((state, response))
+    })
+}
+
+fn set_level(parts: &Parts, bytes: &[u8]) -> http::Response<crate::body::Body> {
+    let level = String::from_utf8_lossy(bytes);
+    match parts.logs.set_level(level.trim()) {
+        Ok(()) => text(StatusCode::NO_CONTENT, ""),
+        Err(err) => error(StatusCode::BAD_REQUEST, &err.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/operators/tickets.rs
@@ -0,0 +1,129 @@
+//! Tickets: filing, showing and listing.
+
+use super::respond::{body, error, json};
+use super::{Parts, parts};
+use crate::body::Body;
+use crate::control::event::Event;
+use crate::control::query::Query;
+use gotham::handler::HandlerFuture;
+use gotham::prelude::*;
+use gotham::state::State;
+use http::{Response, StatusCode};
+use knapweed_contract::api::{FileResponse, TicketResponse, TicketSummary, TicketsResponse};
+use knapweed_contract::drive::SystemClock;
+use knapweed_contract::{Driver, Outcome, PartCache, Ticket};
+use knapweed_observe::part;
+use knapweed_world::TicketNumber;
+use serde::Deserialize;
+use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Longest ticket, in bytes.
+const MAX_TICKET_LEN: usize = 200_000;
+
+/// The ticket number in a path.
+#[derive(Deserialize, StateData, StaticResponseExtender)]
+pub(super) struct TicketPath {
+    ticket: u64,
+}
+
+pub(super) fn file(mut state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let parts = parts(&state);
+        let response = match body(&mut state, MAX_TICKET_LEN).await {
+            Ok(document) => file_document(parts, document.to_vec()).await,
+            Err(response) => response,
+        };
+        Ok((state, response))
+    })
+}
+
+async fn file_document(parts: Arc<AssertUnwindSafe<Parts>>, document: Vec<u8>) -> Response<Body> {
+    // The acceptance goes on when the operator's connection is cut.
+    let task = tokio::spawn(async move { accept(&parts, &document).await });
+    match task.await {
+        Ok(response) => {
+            let status = StatusCode::from_u16(response.status()).unwrap_or_default();
+            json(status, &response)
+        }
+        Err(err) => error(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()),
+    }
+}
+
+async fn accept(parts: &Parts, document: &[u8]) -> FileResponse {
+    let ticket = Ticket::parse(document).ok().map(|t| t.ticket);
+    let mut cache = known_parts(parts).await;
+    let driver = Driver::new(&*parts.platform, &SystemClock).policy(parts.policy.clone());
+    let outcome = driver.file(document, &mut cache).await;
+    let accepted = matches!(outcome, Outcome::Accepted { .. });
+    let response = FileResponse::new(ticket, outcome);
+    log::info!(target: part::TICKET, "{}", response.sentence);
+    if accepted {
+        load(parts, &driver, cache).await;
+    }
+    response
+}
+
+async fn known_parts(parts: &Parts) -> PartCache {
+    let (tx, rx) = oneshot::channel();
+    parts.control.send(Event::Query(Query::Parts(tx))).await;
+    rx.await.unwrap_or_default()
+}
+
+/// Puts the new configuration in force here at once; the others learn from this node.
+async fn load(parts: &Parts, driver: &Driver<'_>, mut cache: PartCache) {
+    let loaded = async {
+        let (_, head) = driver.head().await?;
+        driver.load_config(&head, &mut cache).await?;
+        Ok::<_, knapweed_contract::drive::Error>(head)
+    };
+    match loaded.await {
+        Ok(head) => parts.control.send(Event::Loaded { head, cache }).await,
+        // The watch of a gateway brings it too.
+        Err(err) => log::warn!(target: part::CONFIG, "could not load the configuration: {err}"),
+    }
+}
+
+pub(super) fn show(mut state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let parts = parts(&state);
+        let ticket = TicketNumber(TicketPath::take_from(&mut state).ticket);
+        let driver = Driver::new(&*parts.platform, &SystemClock);
+        let response = match driver.record(ticket).await {
+            Ok(Some(record)) => json(StatusCode::OK, &TicketResponse::new(record)),
+            Ok(None) => error(
+                StatusCode::NOT_FOUND,
+                &format!("ticket {ticket} was never filed"),
+            ),
+            Err(err) => error(StatusCode::SERVICE_UNAVAILABLE, &err.to_string()),
+        };
+        Ok((state, response))
+    })
+}
+
+pub(super) fn list(state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let parts = parts(&state);
+        let driver = Driver::new(&*parts.platform, &SystemClock);
+        let response = match driver.tickets().await {
+            Ok(numbers) => {
+                let tickets = numbers.into_iter().map(summary).collect();
+                json(StatusCode::OK, &TicketsResponse { tickets })
+            }
+            Err(err) => error(StatusCode::SERVICE_UNAVAILABLE, &err.to_string()),
+        };
+        Ok((state, response))
+    })
+}
+
+/// A ticket in a list. Its state is left out, since it would cost a read of the
+/// platform for each ticket.
+fn summary(ticket: TicketNumber) -> TicketSummary {
+    TicketSummary {
+        ticket,
+        state: None,
+        version: None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,148 @@
+//! Settings of the node.
+
+use knapweed_observe::settings as log_settings;
+use knapweed_settings::{Errors, Key, Schema, Settings};
+use knapweed_transport::tls::Files;
+use knapweed_world::Name;
+use knapweed_world::config::Caution;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+const NODE: &str = "node";
+const LISTEN: &str = "listen";
+const TLS: &str = "tls";
+const PLATFORM: &str = "platform";
+const TICKETS: &str = "tickets";
+const LIMITS: &str = "limits";
+
+const HOST: Key<String> = Key::name(NODE, "host").doc("Name of the host, unique in the mesh.");
+const ZONE: Key<String> = Key::name(NODE, "zone").doc("Availability zone of the host.");
+const REGION: Key<String> = Key::name(NODE, "region").doc("Region of the availability zone.");
+const SEEDS: Key<Vec<SocketAddr>> = Key::addresses(NODE, "seeds")
+    .default("")
+    .doc("Nodes to ask at the start, besides those that the platform names.");
+const THREADS: Key<u64> = Key::integer(NODE, "threads", 1, 64)
+    .default("2")
+    .unit("threads")
+    .doc("Threads for requests.");
+
+const CALLERS: Key<SocketAddr> = Key::address(LISTEN, "callers").doc("For callers (HTTP).");
+const OPERATORS: Key<SocketAddr> = Key::address(LISTEN, "operators")
+    .doc("For operators, metrics and backend servers of this host (HTTP); keep it on loopback.");
+const NODES: Key<SocketAddr> =
+    Key::address(LISTEN, "nodes").doc("For other nodes (QUIC over UDP); they connect to it by IP.");
+
+const CERTIFICATE: Key<PathBuf> =
+    Key::existing_file(TLS, "certificate").doc("Certificate of the node, PEM.");
+const KEY: Key<PathBuf> = Key::existing_file(TLS, "key").doc("Private key of the node, PEM.");
+const AUTHORITY: Key<PathBuf> =
+    Key::existing_file(TLS, "authority").doc("Certificate of the authority of all nodes, PEM.");
+
+const ADDRESS: Key<SocketAddr> =
+    Key::address(PLATFORM, "address").doc("The platform's object API (HTTP).");
+const TIMEOUT: Key<Duration> = Key::milliseconds(PLATFORM, "timeout_ms", 10, 60_000)
+    .default("2000")
+    .doc("Longest wait for an answer of the platform.");
+
+const CAUTION: Key<String> = Key::choice(TICKETS, "caution", &["careful", "swift"])
+    .default("careful")
+    .doc("Weight of caution against speed for rollouts that do not say it.");
+const DEADLINE: Key<Duration> = Key::milliseconds(TICKETS, "deadline_ms", 10_000, 86_400_000)
+    .default("600000")
+    .doc("Deadline of rollouts that do not say it, from acceptance.");
+
+const REGION_BYTES: Key<u64> =
+    Key::integer(LIMITS, "region_link_bytes_per_s", 1_000, 1_000_000_000)
+        .default("50000")
+        .unit("bytes/s")
+        .doc("Bytes of calls that this node may send to another region.");
+
+/// The schema of the settings file.
+pub fn schema() -> Schema {
+    let node = [HOST.spec, ZONE.spec, REGION.spec, SEEDS.spec, THREADS.spec];
+    let listen = [CALLERS.spec, OPERATORS.spec, NODES.spec];
+    let tls = [CERTIFICATE.spec, KEY.spec, AUTHORITY.spec];
+    let schema = Schema::new()
+        .section(NODE, "The node and its place.", &node)
+        .section(LISTEN, "Addresses that the node listens on.", &listen)
+        .section(TLS, "Mutual TLS between nodes.", &tls)
+        .section(PLATFORM, "The platform.", &[ADDRESS.spec, TIMEOUT.spec])
+        .section(
+            TICKETS,
+            "Defaults of tickets.",
+            &[CAUTION.spec, DEADLINE.spec],
+        )
+        .section(LIMITS, "Limits.", &[REGION_BYTES.spec]);
+    log_settings::add_section(schema)
+}
+
+/// Options of the node.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Name of the host.
+    pub host: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Its region.
+    pub region: Name,
+    /// Nodes to ask at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Threads for requests.
+    pub threads: usize,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Address for other nodes.
+    pub nodes: SocketAddr,
+    /// Identity of the node.
+    pub tls: Files,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Longest wait for the platform.
+    pub platform_timeout: Duration,
+    /// Default caution of rollouts.
+    pub caution: Caution,
+    /// Default deadline of rollouts.
+    pub deadline: Duration,
+    /// Bytes per second of calls to another region.
+    pub region_bytes_per_s: u64,
+    /// All settings, for the logs.
+    pub settings: Settings,
+}
+
+/// Loads and checks a settings file.
+///
+/// # Errors
+///
+/// Every error of the file.
+pub fn load(file: &Path) -> Result<Options, Errors> {
+    let settings = schema().load(file)?;
+    log_settings::check(&settings)?;
+    let name = |key: &Key<String>| settings.get(key).parse().expect("the kind is a name");
+    Ok(Options {
+        host: name(&HOST),
+        zone: name(&ZONE),
+        region: name(&REGION),
+        seeds: settings.get(&SEEDS),
+        threads: settings.get(&THREADS) as usize,
+        callers: settings.get(&CALLERS),
+        operators: settings.get(&OPERATORS),
+        nodes: settings.get(&NODES),
+        tls: Files {
+            certificate: settings.get(&CERTIFICATE),
+            key: settings.get(&KEY),
+            authority: settings.get(&AUTHORITY),
+        },
+        platform: settings.get(&ADDRESS),
+        platform_timeout: settings.get(&TIMEOUT),
+        caution: match settings.get(&CAUTION).as_str() {
+            "swift" => Caution::Swift,
+            _ => Caution::Careful,
+        },
+        deadline: settings.get(&DEADLINE),
+        region_bytes_per_s: settings.get(&REGION_BYTES),
+        settings,
+    })
+}
