fix(fake-backend): no timer tick for work of zero length

Cause: a sleep of zero waits for the next tick of the runtime's timer, so a server with work_ms = 0 answered in about 1 ms and would hide an added latency of 0.56 ms. Change: times of zero return at once. Result: release build, 1,000 requests/s over loopback for 4 s on a machine shared with other builds: p50 1,112 µs before, 175 µs after; p99 3,333 and 2,763 µs, with the load average at 12 on 10 cores, so no statement about p99.

--- a/crates/fake-backend/src/backend.rs
+++ b/crates/fake-backend/src/backend.rs
@@ -71,6 +71,13 @@
     counter.fetch_add(1, Ordering::Relaxed);
 }
 
+/// Sleeps; a time of zero does not wait for the next tick of the timer (1 ms).
+pub(crate) async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
 /// A backend server.
 pub struct Backend {
     pub(crate) options: Options,
--- a/crates/fake-backend/src/connections.rs
+++ b/crates/fake-backend/src/connections.rs
@@ -1,5 +1,6 @@
 //! Connections: their number, their cost and their silence.
 
+use crate::backend::pause;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
@@ -92,7 +93,7 @@
         Box::pin(async move {
             let connection = opened.ok_or(())?;
             let _turn = connections.setup.lock().await;
-            tokio::time::sleep(connections.cost).await;
+            pause(connections.cost).await;
             Ok(connection)
         })
     }
--- a/crates/fake-backend/src/control.rs
+++ b/crates/fake-backend/src/control.rs
@@ -1,6 +1,6 @@
 //! Answers to probes, switches and questions of tests.
 
-use crate::backend::{Backend, Lifecycle, count};
+use crate::backend::{Backend, Lifecycle, count, pause};
 use crate::faults::Faults;
 use gotham::helpers::http::Body;
 use gotham::helpers::http::response::{create_empty_response, create_response};
@@ -29,7 +29,7 @@
     let Ok(_slot) = backend.slots.take(MAX_PROBE_WAIT).await else {
         return create_empty_response(state, StatusCode::SERVICE_UNAVAILABLE);
     };
-    tokio::time::sleep(backend.options.probe_cost).await;
+    pause(backend.options.probe_cost).await;
     let health = Health {
         state: *backend.state().borrow(),
         running: backend.slots.running(),
--- a/crates/fake-backend/src/handler.rs
+++ b/crates/fake-backend/src/handler.rs
@@ -1,6 +1,6 @@
 //! Answers to callers' requests.
 
-use crate::backend::Backend;
+use crate::backend::{Backend, pause};
 use crate::body::{Pattern, Tracked};
 use crate::ledger::{Entry, Progress};
 use crate::run::Run;
@@ -61,7 +61,7 @@
         log::error!(target: "program", "crash on request {:?}", entry.request_id);
         std::process::exit(EXIT_CRASH);
     }
-    tokio::time::sleep(backend.work(work) + verdict.delay).await;
+    pause(backend.work(work) + verdict.delay).await;
     if verdict.fails {
         run.fail();
         let response = create_empty_response(state, StatusCode::INTERNAL_SERVER_ERROR);
