--- /dev/null
+++ b/crates/demo/src/bin/knapweed-measure.rs
@@ -0,0 +1,209 @@
+//! Measures real processes on loopback. Each measurement ends within two minutes.
+
+use anyhow::{Context, ensure};
+use clap::{Parser, Subcommand};
+use knapweed_demo::mesh::BackendPlace;
+use knapweed_demo::{Mesh, NodePlace};
+use serde_json::json;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+/// Bound on joining and on convergence while a measurement is prepared.
+const PREPARE: Duration = Duration::from_secs(20);
+
+/// Measurements of a small mesh.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Debug, Subcommand)]
+enum What {
+    /// Time that two nodes add to a request, against the same request sent directly.
+    Latency {
+        /// Requests per second, over both targets.
+        #[arg(long, default_value_t = 400)]
+        rate: u32,
+        /// Length of the run, in seconds.
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+    },
+    /// Memory, processor time and control bytes of nodes without calls.
+    Idle {
+        /// Number of nodes.
+        #[arg(long, default_value_t = 8)]
+        nodes: usize,
+        /// Length of the run, in seconds.
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+    },
+    /// Time from the acceptance of a ticket until it is in force on all nodes.
+    Convergence {
+        /// Number of nodes.
+        #[arg(long, default_value_t = 8)]
+        nodes: usize,
+        /// Number of tickets.
+        #[arg(long, default_value_t = 200)]
+        tickets: u64,
+    },
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    match Args::parse().what {
+        What::Latency { rate, seconds } => latency(rate, seconds).await,
+        What::Idle { nodes, seconds } => idle(nodes, seconds).await,
+        What::Convergence { nodes, tickets } => convergence(nodes, tickets).await,
+    }
+}
+
+/// Starts `count` nodes, spread over two availability zones, with one backend server.
+async fn mesh(count: usize) -> anyhow::Result<Mesh> {
+    let places: Vec<_> = (0..count).map(place).collect();
+    let mut mesh = Mesh::new(&places)?;
+    mesh.start_nodes()?;
+    let hosts: Vec<_> = mesh.hosts().collect();
+    let backend = BackendPlace {
+        host: "h0",
+        service: "calendar",
+        version: "v1",
+        work_ms: 0,
+    };
+    mesh.start_backend(&backend)?;
+    mesh.until_joined(&hosts, count, PREPARE).await?;
+    let reply = mesh.file("h0", &ticket(1)).await?;
+    ensure!(reply.status == 200, "the first ticket was not accepted");
+    mesh.until_in_force(&hosts, 1, PREPARE).await?;
+    Ok(mesh)
+}
+
+fn place(index: usize) -> NodePlace {
+    // Hosts live as long as the program.
+    let host = Box::leak(format!("h{index}").into_boxed_str());
+    let zone = if index % 2 == 0 {
+        "labasa-a"
+    } else {
+        "labasa-b"
+    };
+    NodePlace {
+        host,
+        zone,
+        region: "labasa",
+    }
+}
+
+fn ticket(number: u64) -> serde_json::Value {
+    json!({
+        "ticket": number,
+        "services": [{ "name": "calendar", "versions": [{ "version": "v1", "share": 100 }] }],
+        "routes": [{ "name": "calendar", "path_prefix": "/", "service": "calendar",
+                     "timeout_ms": 2000 + number, "idempotent_methods": ["GET"] }],
+    })
+}
+
+async fn latency(rate: u32, seconds: u64) -> anyhow::Result<()> {
+    let mesh = mesh(2).await?;
+    let direct = format!("http://{}/calendar", mesh.backend("h0-calendar-v1"));
+    let through = format!("http://{}/calendar", mesh.node("h1").callers);
+    let program = std::env::current_exe()?.with_file_name("knapweed-load");
+    let status = Command::new(program)
+        .args(["--compare", "--target", &direct, "--target", &through])
+        .args(["--rate", &rate.to_string()])
+        .args([
+            "--duration-ms",
+            &(seconds * 1_000).to_string(),
+            "--warm-up-ms",
+            "2000",
+        ])
+        .status()?;
+    ensure!(status.success(), "the load program failed: {status}");
+    Ok(())
+}
+
+async fn idle(nodes: usize, seconds: u64) -> anyhow::Result<()> {
+    let mut mesh = mesh(nodes).await?;
+    let hosts: Vec<_> = mesh.hosts().collect();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let before = hosts.iter().map(|host| cpu_ticks(mesh.process(host).id()));
+    let before: Vec<_> = before.collect::<Result<_, _>>()?;
+    let calls_before = platform_calls(&mesh).await?;
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    let calls_after = platform_calls(&mesh).await?;
+    println!("host  cpu % of a core  memory KB");
+    for (host, before) in hosts.iter().zip(before) {
+        let id = mesh.process(host).id();
+        // The kernel counts 100 ticks a second on all supported machines.
+        let percent = (cpu_ticks(id)? - before) as f64 / seconds as f64;
+        println!("{host:5} {percent:15.2} {:10}", resident_kb(id)?);
+    }
+    println!(
+        "calls to the platform: {:.2} per second",
+        (calls_after - calls_before) / seconds as f64
+    );
+    Ok(())
+}
+
+async fn convergence(nodes: usize, tickets: u64) -> anyhow::Result<()> {
+    let mesh = mesh(nodes).await?;
+    let hosts: Vec<_> = mesh.hosts().collect();
+    let calls_before = platform_calls(&mesh).await?;
+    let mut times = Vec::new();
+    for number in 2..tickets + 2 {
+        let host = hosts[number as usize % hosts.len()];
+        let reply = mesh.file(host, &ticket(number)).await?;
+        let accepted = Instant::now();
+        ensure!(reply.status == 200, "ticket {number} was not accepted");
+        mesh.until_in_force(&hosts, number, PREPARE).await?;
+        times.push(accepted.elapsed());
+    }
+    let calls = platform_calls(&mesh).await? - calls_before;
+    times.sort();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+    println!("in force on {nodes} nodes after acceptance, {tickets} tickets:");
+    println!(
+        "median {:?}, p99 {:?}, worst {:?}",
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+    println!(
+        "calls to the platform: {:.1} per ticket",
+        calls / tickets as f64
+    );
+    Ok(())
+}
+
+/// Calls that the platform's stand-in has counted.
+async fn platform_calls(mesh: &Mesh) -> anyhow::Result<f64> {
+    let calls = mesh.client.get(mesh.platform(), "/calls").await?.json()?;
+    let count = |key: &str| calls[key].as_f64().unwrap_or_default();
+    Ok(count("reads") + count("writes"))
+}
+
+/// Processor time that a process has used, in ticks of the kernel.
+fn cpu_ticks(id: u32) -> anyhow::Result<u64> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
+    let fields = stat.rsplit_once(')').context("the name ends with ')'")?.1;
+    let field = |index: usize| {
+        fields
+            .split_whitespace()
+            .nth(index)
+            .and_then(|f| f.parse().ok())
+    };
+    let user: u64 = field(11).context("user time")?;
+    let system: u64 = field(12).context("system time")?;
+    Ok(user + system)
+}
+
+/// Resident memory of a process, in KB.
+fn resident_kb(id: u32) -> anyhow::Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+    let line = status
+        .lines()
+        .find(|l| l.starts_with("VmRSS:"))
+        .context("a resident size")?;
+    let value = line.split_whitespace().nth(1).context("a value")?;
+    Ok(value.parse()?)
+}
