--- /dev/null
+++ b/crates/trace/src/run/control.rs
@@ -0,0 +1,130 @@
+//! A run of rollout control.
+
+use crate::header::{ControlSettings, PlatformSettings};
+use crate::record::{Record, TraceEvent};
+use crate::run::stand_in::StandIn;
+use crate::run::{PublishedShare, Run, Seen};
+use knapweed_rollout::{Action, Control, Event, RolloutState};
+use knapweed_world::{Share, Time, UnixMillis};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Rollout control that is fed recorded events, with ticks in between.
+#[derive(Debug)]
+pub struct ControlRun {
+    settings: ControlSettings,
+    start: UnixMillis,
+    control: Control,
+    platform: StandIn,
+    published: Option<RolloutState>,
+    next_tick: Time,
+    seen: Seen,
+}
+
+/// Construction.
+impl ControlRun {
+    /// A run that starts at time 0, when the wall clock shows `start`.
+    pub fn new(settings: ControlSettings, start: UnixMillis) -> Self {
+        Self {
+            control: control(&settings),
+            settings,
+            start,
+            platform: StandIn::default(),
+            published: None,
+            next_tick: Time(0),
+            seen: Seen::default(),
+        }
+    }
+}
+
+/// Access.
+impl ControlRun {
+    /// The part of the move that is done, as published.
+    pub fn share(&self) -> Share {
+        let progress = |s: &RolloutState| s.phase.progress();
+        self.published.as_ref().map_or(Share::NONE, progress)
+    }
+}
+
+/// Events.
+impl ControlRun {
+    fn tick_until(&mut self, at: Time) {
+        while self.next_tick <= at {
+            let now = self.next_tick;
+            self.handle(Event::Tick, now);
+            self.next_tick = now.after(Duration::from_micros(self.settings.tick_us));
+        }
+    }
+
+    fn handle(&mut self, event: Event, now: Time) {
+        let wall = self.start.after(Duration::from_micros(now.0));
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut actions = Vec::new();
+            self.control.handle(event, now, wall, &mut actions);
+            for action in actions {
+                events.extend(self.answer(&action));
+                self.note(action, now);
+            }
+        }
+    }
+
+    fn answer(&mut self, action: &Action) -> Option<Event> {
+        match self.settings.platform {
+            PlatformSettings::Recorded => None,
+            PlatformSettings::StandIn => self.platform.answer(action),
+        }
+    }
+
+    fn note(&mut self, action: Action, now: Time) {
+        match action {
+            Action::Publish(state) => self.publish(*state, now),
+            Action::Finish(result) => self.seen.add_result(now, *result),
+            Action::Read | Action::Write { .. } => {}
+        }
+    }
+
+    fn publish(&mut self, state: RolloutState, now: Time) {
+        let state = match self.published.take() {
+            Some(known) => known.join(state),
+            None => state,
+        };
+        if state.phase.is_final() && state.phase.progress() == Share::NONE {
+            self.seen.pulled_back.entry(state.ticket).or_insert(now);
+        }
+        self.seen.shares.push(PublishedShare {
+            at: now,
+            share: state.phase.progress(),
+        });
+        self.published = Some(state);
+    }
+
+    /// A new holder learns the state that nodes hold.
+    fn new_holder(&mut self, now: Time) {
+        self.control = control(&self.settings);
+        if let Some(state) = self.published.clone() {
+            self.handle(Event::Seen(state), now);
+        }
+    }
+}
+
+impl Run for ControlRun {
+    fn feed(&mut self, record: &Record) {
+        self.tick_until(record.at);
+        match &record.event {
+            TraceEvent::Control(event) => self.handle((**event).clone(), record.at),
+            TraceEvent::NewHolder => self.new_holder(record.at),
+            TraceEvent::PlatformDown(is_down) => self.platform.is_down = *is_down,
+            TraceEvent::Guard(_) | TraceEvent::End => {}
+        }
+    }
+
+    fn seen(&self) -> &Seen {
+        &self.seen
+    }
+}
+
+fn control(settings: &ControlSettings) -> Control {
+    let (judge, planner) = (settings.judge.judge(), settings.planner.planner());
+    Control::new(settings.service.clone(), judge, planner)
+}
--- /dev/null
+++ b/crates/trace/src/run/guard.rs
@@ -0,0 +1,71 @@
+//! A run of the guard.
+
+use crate::header::GuardSettings;
+use crate::record::{GuardEvent, GuardRequests, Record, TraceEvent};
+use crate::run::{Run, Seen};
+use knapweed_rollout::Guard;
+use knapweed_rollout::guard::Options;
+use knapweed_world::{TicketNumber, Time};
+
+/// A guard that is fed recorded outcomes.
+#[derive(Debug)]
+pub struct GuardRun {
+    guard: Guard,
+    failures: u64,
+    seen: Seen,
+}
+
+impl GuardRun {
+    /// A run with the given settings.
+    pub fn new(settings: &GuardSettings) -> Self {
+        let options = Options {
+            alpha: settings.alpha,
+        };
+        Self {
+            guard: Guard::new(TicketNumber(0), options),
+            failures: 0,
+            seen: Seen::default(),
+        }
+    }
+
+    fn old(&mut self, requests: &GuardRequests) {
+        let route = self.guard.route(&requests.route);
+        for failed in &requests.failed {
+            self.guard.old(route, *failed);
+        }
+    }
+
+    fn new_version(&mut self, requests: &GuardRequests, at: Time) {
+        let route = self.guard.route(&requests.route);
+        for failed in &requests.failed {
+            if !self.guard.admits() {
+                return;
+            }
+            self.failures += u64::from(*failed);
+            self.guard.new_version(route, *failed, at);
+            if !self.guard.admits() {
+                self.seen.tripped_after = Some(self.failures);
+            }
+        }
+    }
+}
+
+impl Run for GuardRun {
+    fn feed(&mut self, record: &Record) {
+        let TraceEvent::Guard(event) = &record.event else {
+            return;
+        };
+        match event {
+            GuardEvent::Old(requests) => self.old(requests),
+            GuardEvent::New(requests) => self.new_version(requests, record.at),
+            GuardEvent::Baseline { route, old } => {
+                let key = self.guard.route(route);
+                self.guard.baseline(key, *old, record.at);
+            }
+        }
+    }
+
+    fn seen(&self) -> &Seen {
+        &self.seen
+    }
+}
--- /dev/null
+++ b/crates/trace/src/run/stand_in.rs
@@ -0,0 +1,41 @@
+//! A stand-in for the platform that answers at once.
+
+use knapweed_rollout::control::WriteAnswer;
+use knapweed_rollout::{Action, Event, Revision, RolloutState};
+
+/// The stored state, and whether the platform is down.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StandIn {
+    pub(super) is_down: bool,
+    state: Option<RolloutState>,
+    revision: Revision,
+}
+
+impl StandIn {
+    /// Carries out an action and returns the answer to it.
+    pub(super) fn answer(&mut self, action: &Action) -> Option<Event> {
+        match action {
+            Action::Read if self.is_down => Some(Event::ReadFailed),
+            Action::Read => Some(Event::Read {
+                state: self.state.clone(),
+                revision: self.revision,
+            }),
+            Action::Write { state, condition } => Some(Event::Write(self.write(state, *condition))),
+            Action::Finish(_) if self.is_down => None,
+            Action::Finish(result) => Some(Event::ResultWritten(result.ticket)),
+            Action::Publish(_) => None,
+        }
+    }
+
+    fn write(&mut self, state: &RolloutState, condition: Revision) -> WriteAnswer {
+        if self.is_down {
+            return WriteAnswer::Unknown;
+        }
+        if condition != self.revision {
+            return WriteAnswer::Conflict;
+        }
+        self.revision = Revision(self.revision.0 + 1);
+        self.state = Some(state.clone());
+        WriteAnswer::Written(self.revision)
+    }
+}
