feat(rollout): look for faults per availability zone and load level

Cause: counts of sound zones and load levels diluted a fault in one of them. Change: the judge tests each route everywhere, per zone and per load level, and adds the evidence with prior weights that sum to at most 1, so that the bound on false alarms holds.

--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -2,7 +2,9 @@
 
 mod clock;
 mod history;
+mod kind_test;
 mod sequential;
+mod strata;
 mod threshold;
 
 pub use clock::ClockJudge;
--- a/crates/rollout/src/judge/history.rs
+++ b/crates/rollout/src/judge/history.rs
@@ -3,7 +3,7 @@
 
 use crate::counters::Series;
 use crate::histogram::BUCKETS;
-use crate::judge::sequential::Stratum;
+use crate::judge::strata::Stratum;
 use crate::judge::{Fault, FaultKind, Tally};
 use crate::likelihood::{Detector, Pair, rate_ratio};
 use knapweed_world::Name;
--- /dev/null
+++ b/crates/rollout/src/judge/kind_test.rs
@@ -0,0 +1,134 @@
+//! The sequential test of one route for one kind of fault.
+
+use crate::counters::LoadLevel;
+use crate::judge::Tally;
+use crate::judge::strata::{Comparison, Stratum};
+use crate::likelihood::{Detector, Pair, log_add, split_ratio};
+use knapweed_world::Name;
+use std::collections::BTreeMap;
+
+/// Odds ratio that is no fault when the new servers carry more load than the old.
+const UNEVEN_MARGIN: f64 = 4.0;
+/// Part of the prior weight for a fault of the version everywhere.
+const EVERYWHERE_WEIGHT: f64 = 0.5;
+/// Part of the prior weight for a fault in one availability zone.
+const ZONE_WEIGHT: f64 = 0.25;
+/// Part of the prior weight for a fault at one load level, for each of them.
+const LOAD_WEIGHT: f64 = 0.0625;
+
+/// Where a fault is looked for. Counts from elsewhere would dilute it.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Scope {
+    Everywhere,
+    Zone(Name),
+    Load(LoadLevel),
+}
+
+/// Odds ratios that are no fault and that are looked for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Odds {
+    pub(super) margin: f64,
+    pub(super) faults: [f64; 4],
+}
+
+/// The test of one route for one kind of fault.
+#[derive(Debug)]
+pub(super) struct KindTest {
+    odds: Odds,
+    windows: u64,
+    scopes: BTreeMap<Scope, ScopeTest>,
+    zones: u32,
+    pub(super) new: Tally,
+    pub(super) old: Tally,
+}
+
+#[derive(Debug)]
+struct ScopeTest {
+    weight: f64,
+    detector: Detector<4>,
+}
+
+impl KindTest {
+    pub(super) fn new(windows: u64, odds: Odds) -> Self {
+        Self {
+            odds,
+            windows,
+            scopes: BTreeMap::new(),
+            zones: 0,
+            new: Tally::default(),
+            old: Tally::default(),
+        }
+    }
+
+    /// Takes the strata of a window, with the counts that `compare` picks.
+    pub(super) fn update(&mut self, strata: &[Stratum], compare: fn(&Stratum) -> Comparison) {
+        let mut ratios: BTreeMap<Scope, [f64; 4]> = BTreeMap::new();
+        for stratum in strata.iter().filter(|s| s.is_paired()) {
+            let counts = compare(stratum);
+            self.old.add(tally(counts.old));
+            self.new.add(tally(counts.new));
+            let parts = self.ratios(counts, stratum.is_uneven);
+            for scope in scopes_of(stratum) {
+                let sums = ratios.entry(scope).or_default();
+                sums.iter_mut()
+                    .zip(parts)
+                    .for_each(|(sum, part)| *sum += part);
+            }
+        }
+        for (scope, ratios) in ratios {
+            self.scope(scope).detector.update(ratios);
+        }
+    }
+
+    /// The weighted sum of the evidence of all scopes, as its log.
+    pub(super) fn log_evidence(&self) -> f64 {
+        let scopes = self.scopes.values();
+        let parts = scopes.map(|s| s.weight.ln() + s.detector.log_evidence());
+        parts.fold(f64::NEG_INFINITY, log_add)
+    }
+
+    fn ratios(&self, counts: Comparison, is_uneven: bool) -> [f64; 4] {
+        let factor = if is_uneven { UNEVEN_MARGIN } else { 1.0 };
+        let margin = self.odds.margin * factor;
+        let faults = self.odds.faults.map(|odds| odds * factor);
+        faults.map(|odds| split_ratio(counts.old, counts.new, margin, odds))
+    }
+
+    fn scope(&mut self, scope: Scope) -> &mut ScopeTest {
+        let windows = self.windows;
+        let zones = &mut self.zones;
+        self.scopes
+            .entry(scope)
+            .or_insert_with_key(|scope| ScopeTest {
+                weight: weight(scope, zones),
+                detector: Detector::new(windows),
+            })
+    }
+}
+
+/// The weights of all scopes sum to at most 1, for any number of zones.
+fn weight(scope: &Scope, zones: &mut u32) -> f64 {
+    match scope {
+        Scope::Everywhere => EVERYWHERE_WEIGHT,
+        Scope::Load(_) => LOAD_WEIGHT,
+        Scope::Zone(_) => {
+            *zones += 1;
+            ZONE_WEIGHT / (f64::from(*zones) * f64::from(*zones + 1))
+        }
+    }
+}
+
+fn scopes_of(stratum: &Stratum) -> [Scope; 3] {
+    [
+        Scope::Everywhere,
+        Scope::Zone(stratum.zone.clone()),
+        Scope::Load(stratum.load),
+    ]
+}
+
+fn tally(pair: Pair) -> Tally {
+    Tally {
+        requests: pair.requests as u64,
+        affected: pair.affected as u64,
+    }
+}
--- a/crates/rollout/src/likelihood.rs
+++ b/crates/rollout/src/likelihood.rs
@@ -93,7 +93,8 @@
     }
 }
 
-fn log_add(a: f64, b: f64) -> f64 {
+/// The log of the sum of two numbers that are given by their logs.
+pub(crate) fn log_add(a: f64, b: f64) -> f64 {
     let (high, low) = if a > b { (a, b) } else { (b, a) };
     if high == f64::NEG_INFINITY {
         return high;
