feat(rollout): tell a slow version's own load from crowded servers

Cause: a slow version raises the load of its own servers; the wide margin for servers with more load than the old ones then hid the fault. Change: the judge gets the ready slots per zone; the margin applies only when new slots get at least 1.25 times the requests of old ones.

--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -18,9 +18,9 @@
 mod store;
 mod traffic;
 
-pub use event::{Action, Event, Revision, WriteAnswer, ZoneCapacity};
+pub use event::{Action, Event, Revision, WriteAnswer};
 
-use crate::judge::{Judge, Trial};
+use crate::judge::{Judge, Trial, Window};
 use crate::planner::Planner;
 use crate::{Evidence, Phase, RolloutState, ZoneReport};
 use knapweed_world::config::{RolloutTerms, ServiceConfig};
@@ -121,7 +121,10 @@
         self.traffic
             .count(&report.counters, &state.new_versions(), now);
         self.evidence.add(&report.counters, wall);
-        self.judge.observe(&report.counters);
+        self.judge.observe(&Window {
+            counters: &report.counters,
+            capacity: self.traffic.capacity(),
+        });
     }
 
     fn read(
--- a/crates/rollout/src/control/event.rs
+++ b/crates/rollout/src/control/event.rs
@@ -1,8 +1,8 @@
 //! What rollout control is told and what it asks for.
 
-use crate::{RolloutState, TicketResult, ZoneReport};
+use crate::{RolloutState, TicketResult, ZoneCapacity, ZoneReport};
+use knapweed_world::TicketNumber;
 use knapweed_world::config::ServiceConfig;
-use knapweed_world::{Name, TicketNumber};
 use serde::{Deserialize, Serialize};
 
 /// Revision of the stored state; 0 when it does not exist.
@@ -16,17 +16,6 @@
     pub const ABSENT: Self = Self(0);
 }
 
-/// Ready slots of one version in one availability zone.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ZoneCapacity {
-    /// The availability zone.
-    pub zone: Name,
-    /// The version.
-    pub version: Name,
-    /// Sum of the slots of its ready backend servers.
-    pub slots: u32,
-}
-
 /// The answer to a write of the state.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/rollout/src/control/traffic.rs
+++ b/crates/rollout/src/control/traffic.rs
@@ -1,6 +1,6 @@
 //! What the reports and the announced capacity say about a move.
 
-use crate::control::event::ZoneCapacity;
+use crate::capacity::{self, ZoneCapacity};
 use crate::counters::Counters;
 use crate::report::{Inbox, ZoneReport};
 use crate::state::RolloutState;
@@ -81,6 +81,11 @@
         zones.all(|zone| self.inbox.is_reachable(zone, now))
     }
 
+    /// The ready servers.
+    pub(super) fn capacity(&self) -> &[ZoneCapacity] {
+        &self.capacity
+    }
+
     /// Whether the ready servers were announced.
     pub(super) fn knows_capacity(&self) -> bool {
         !self.capacity.is_empty()
@@ -94,9 +99,7 @@
 
     /// Ready slots of `versions`.
     pub(super) fn slots(&self, versions: &[Name]) -> u64 {
-        let ready = self.capacity.iter();
-        let ready = ready.filter(|c| versions.contains(&c.version));
-        ready.map(|c| u64::from(c.slots)).sum()
+        capacity::slots(&self.capacity, versions, None)
     }
 
     /// The share that the ready new servers can carry, measured by the most
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -11,7 +11,7 @@
 pub use sequential::{SequentialJudge, SequentialOptions};
 pub use threshold::{ThresholdJudge, ThresholdOptions};
 
-use crate::Counters;
+use crate::{Counters, ZoneCapacity};
 use knapweed_world::{Name, Share};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -27,6 +27,15 @@
     pub windows: u64,
 }
 
+/// What happened in a window of about a second.
+#[derive(Clone, Copy, Debug)]
+pub struct Window<'a> {
+    /// Counts, usually of one availability zone.
+    pub counters: &'a Counters,
+    /// Ready servers of all availability zones.
+    pub capacity: &'a [ZoneCapacity],
+}
+
 /// What is wrong with a version.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -112,8 +121,8 @@
     /// Starts a trial and forgets the one before.
     fn begin(&mut self, trial: &Trial);
 
-    /// Takes the counters of one availability zone and window.
-    fn observe(&mut self, window: &Counters);
+    /// Takes what happened in a window.
+    fn observe(&mut self, window: &Window<'_>);
 
     /// The decision so far. A bad version stays bad until the next trial.
     fn verdict(&self) -> Verdict;
--- a/crates/rollout/src/judge/sequential.rs
+++ b/crates/rollout/src/judge/sequential.rs
@@ -1,11 +1,10 @@
 //! The sequential test of a new version against the old one in the same
 //! availability zone and window.
 
-use crate::Counters;
 use crate::judge::history::History;
 use crate::judge::kind_test::{KindTest, Odds};
 use crate::judge::strata::{Stratum, by_route};
-use crate::judge::{Fault, FaultKind, Judge, Trial, Verdict};
+use crate::judge::{Fault, FaultKind, Judge, Trial, Verdict, Window};
 use knapweed_world::Name;
 use slotmap::{SlotMap, new_key_type};
 use std::collections::BTreeMap;
@@ -82,7 +81,7 @@
         self.trial = Some(trial.clone());
     }
 
-    fn observe(&mut self, window: &Counters) {
+    fn observe(&mut self, window: &Window<'_>) {
         let Some(trial) = self.trial.clone() else {
             return;
         };
--- a/crates/rollout/src/judge/strata.rs
+++ b/crates/rollout/src/judge/strata.rs
@@ -1,9 +1,9 @@
 //! Counts of a window, paired so that like is compared with like.
 
-use crate::Counters;
+use crate::capacity::slots;
 use crate::counters::{LoadLevel, Series, Warmth};
 use crate::histogram::Histogram;
-use crate::judge::Trial;
+use crate::judge::{Trial, Window};
 use crate::likelihood::Pair;
 use knapweed_world::Name;
 use std::collections::BTreeMap;
@@ -11,6 +11,9 @@
 /// The part of the requests of a window that counts as slow.
 const SLOW_TAIL: f64 = 0.1;
 
+/// New slots are crowded when they get this much of the requests of old ones.
+const CROWDED_PERCENT: u64 = 125;
+
 /// Old and new counts of one availability zone, route and load level.
 #[derive(Clone, Debug)]
 pub(super) struct Stratum {
@@ -18,27 +21,67 @@
     pub(super) load: LoadLevel,
     pub(super) old: Series,
     pub(super) new: Series,
-    /// Whether some of the new counts are of a higher load than the old ones.
+    /// Whether new counts of crowded servers have a higher load than the old ones.
     pub(super) is_uneven: bool,
 }
 
 /// The strata of each route that has requests in the window.
-pub(super) fn by_route(window: &Counters, trial: &Trial) -> BTreeMap<Name, Vec<Stratum>> {
+pub(super) fn by_route(window: &Window<'_>, trial: &Trial) -> BTreeMap<Name, Vec<Stratum>> {
     let mut routes: BTreeMap<Name, BTreeMap<Name, Vec<Stratum>>> = BTreeMap::new();
-    for (id, series) in window.iter().filter(|(id, _)| id.warmth == Warmth::Warm) {
+    let mut totals: BTreeMap<Name, Requests> = BTreeMap::new();
+    for (id, series) in window.counters.iter() {
+        let is_new = trial.new.contains(&id.version);
+        if !is_new && !trial.old.contains(&id.version) {
+            continue;
+        }
+        let total = totals.entry(id.zone.clone()).or_default();
+        total.add(is_new, series.requests);
+        if id.warmth == Warmth::Cold {
+            continue;
+        }
         let zones = routes.entry(id.route.clone()).or_default();
         let levels = zones.entry(id.zone.clone()).or_default();
         let stratum = of_level(levels, &id.zone, id.load);
-        if trial.new.contains(&id.version) {
-            stratum.new.merge(series);
-        } else if trial.old.contains(&id.version) {
-            stratum.old.merge(series);
-        }
+        stratum.side(is_new).merge(series);
     }
+    let is_crowded = |zone: &Name| {
+        totals
+            .get(zone)
+            .is_none_or(|t| t.is_crowded(zone, window, trial))
+    };
+    let matched = |zones: BTreeMap<Name, Vec<Stratum>>| -> Vec<Stratum> {
+        let zones = zones.into_iter();
+        zones
+            .flat_map(|(zone, levels)| pair_up(levels, is_crowded(&zone)))
+            .collect()
+    };
     let routes = routes.into_iter();
-    routes
-        .map(|(name, zones)| (name, all_matched(zones)))
-        .collect()
+    routes.map(|(name, zones)| (name, matched(zones))).collect()
+}
+
+/// All requests of one availability zone.
+#[derive(Clone, Copy, Debug, Default)]
+struct Requests {
+    old: u64,
+    new: u64,
+}
+
+impl Requests {
+    fn add(&mut self, is_new: bool, requests: u64) {
+        if is_new {
+            self.new += requests;
+        } else {
+            self.old += requests;
+        }
+    }
+
+    /// Whether each slot of the new version got more requests than one of the
+    /// old version. Otherwise a higher load is the new version's own doing.
+    fn is_crowded(&self, zone: &Name, window: &Window<'_>, trial: &Trial) -> bool {
+        let old_slots = slots(window.capacity, &trial.old, Some(zone));
+        let new_slots = slots(window.capacity, &trial.new, Some(zone));
+        self.new * old_slots * 100 > self.old * new_slots * CROWDED_PERCENT
+    }
 }
 
 fn of_level<'a>(levels: &'a mut Vec<Stratum>, zone: &Name, load: LoadLevel) -> &'a mut Stratum {
@@ -50,14 +93,11 @@
     &mut levels[index]
 }
 
-fn all_matched(zones: BTreeMap<Name, Vec<Stratum>>) -> Vec<Stratum> {
-    zones.into_values().flat_map(matched).collect()
-}
-
 /// Pairs new counts with old counts of the same load level; new counts without
 /// such a pair go to the nearest higher level with old counts, otherwise to the
-/// nearest lower one, which the test then treats with a wide margin.
-fn matched(mut strata: Vec<Stratum>) -> Vec<Stratum> {
+/// nearest lower one. The test treats the latter with a wide margin when the new
+/// servers are crowded.
+fn pair_up(mut strata: Vec<Stratum>, is_crowded: bool) -> Vec<Stratum> {
     for i in 0..strata.len() {
         if strata[i].new.requests == 0 || strata[i].old.requests > 0 {
             continue;
@@ -70,7 +110,7 @@
         };
         let moved = std::mem::take(&mut strata[i].new);
         strata[to].new.merge(&moved);
-        strata[to].is_uneven |= to < i;
+        strata[to].is_uneven |= is_crowded && to < i;
     }
     strata
 }
@@ -86,6 +126,10 @@
         }
     }
 
+    fn side(&mut self, is_new: bool) -> &mut Series {
+        if is_new { &mut self.new } else { &mut self.old }
+    }
+
     /// Whether there are counts of both versions.
     pub(super) fn is_paired(&self) -> bool {
         self.old.requests > 0 && self.new.requests > 0
--- a/crates/rollout/src/judge/threshold.rs
+++ b/crates/rollout/src/judge/threshold.rs
@@ -1,7 +1,6 @@
 //! A judge with a fixed threshold on the error share, for comparison.
 
-use crate::Counters;
-use crate::judge::{Fault, FaultKind, Judge, Tally, Trial, Verdict};
+use crate::judge::{Fault, FaultKind, Judge, Tally, Trial, Verdict, Window};
 use knapweed_world::{Name, Share};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -70,9 +69,10 @@
         self.new.clone_from(&trial.new);
     }
 
-    fn observe(&mut self, window: &Counters) {
+    fn observe(&mut self, window: &Window<'_>) {
         let mut tallies: BTreeMap<Name, Tally> = BTreeMap::new();
         for (id, series) in window
+            .counters
             .iter()
             .filter(|(id, _)| self.new.contains(&id.version))
         {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! This crate does no I/O, reads no clock and holds no locks.
 
+pub mod capacity;
 pub mod control;
 pub mod counters;
 pub mod evidence;
@@ -16,6 +17,7 @@
 pub mod shares;
 pub mod state;
 
+pub use capacity::ZoneCapacity;
 pub use control::{Action, Control, Event, Revision};
 pub use counters::Counters;
 pub use evidence::Evidence;
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -6,8 +6,7 @@
 pub mod scenario;
 pub mod service;
 
-use knapweed_rollout::control::ZoneCapacity;
-use knapweed_rollout::{Epoch, Evidence, Phase, RolloutState};
+use knapweed_rollout::{Epoch, Evidence, Phase, RolloutState, ZoneCapacity};
 use knapweed_world::config::{Caution, RolloutTerms, ServiceConfig, VersionShare};
 use knapweed_world::{ConfigVersion, Name, Share, TicketNumber, UnixMillis};
 
--- a/crates/rollout/tests/common/service.rs
+++ b/crates/rollout/tests/common/service.rs
@@ -2,7 +2,7 @@
 
 use super::name;
 use super::scenario::{Bad, Scenario, Size, Version};
-use knapweed_rollout::control::ZoneCapacity;
+use knapweed_rollout::ZoneCapacity;
 use knapweed_rollout::counters::{Counters, LoadLevel, Sample, SeriesId, SeriesKey, Warmth};
 use knapweed_rollout::guard::{Guard, Options};
 use knapweed_world::{Name, Share, TicketNumber, Time};
--- a/crates/trace/examples/generate/model.rs
+++ b/crates/trace/examples/generate/model.rs
@@ -1,8 +1,7 @@
 //! A small service in two availability zones, whose traffic follows the shares.
 
-use knapweed_rollout::control::ZoneCapacity;
 use knapweed_rollout::counters::{Counters, LoadLevel, Sample, SeriesId, Warmth};
-use knapweed_rollout::{Event, ZoneReport};
+use knapweed_rollout::{Event, ZoneCapacity, ZoneReport};
 use knapweed_trace::header::{
     ControlSettings, FORMAT, JudgeSettings, PlannerSettings, PlatformSettings,
 };
