--- /dev/null
+++ b/crates/rollout/src/judge/strata.rs
@@ -0,0 +1,166 @@
+//! Counts of a window, paired so that like is compared with like.
+
+use crate::capacity::slots;
+use crate::counters::{LoadLevel, Series, Warmth};
+use crate::histogram::Histogram;
+use crate::judge::{Trial, Window};
+use crate::likelihood::Pair;
+use knapweed_world::Name;
+use std::collections::BTreeMap;
+
+/// The part of the requests of a window that counts as slow.
+const SLOW_TAIL: f64 = 0.1;
+
+/// New slots are crowded when they get this much of the requests of old ones.
+const CROWDED_PERCENT: u64 = 125;
+
+/// Old and new counts of one availability zone, route and load level.
+#[derive(Clone, Debug)]
+pub(super) struct Stratum {
+    pub(super) zone: Name,
+    pub(super) load: LoadLevel,
+    pub(super) old: Series,
+    pub(super) new: Series,
+    /// Whether new counts of crowded servers have a higher load than the old ones.
+    pub(super) is_uneven: bool,
+}
+
+/// The strata of each route that has requests in the window.
+pub(super) fn by_route(window: &Window<'_>, trial: &Trial) -> BTreeMap<Name, Vec<Stratum>> {
+    let mut routes: BTreeMap<Name, BTreeMap<Name, Vec<Stratum>>> = BTreeMap::new();
+    let mut totals: BTreeMap<Name, Requests> = BTreeMap::new();
+    for (id, series) in window.counters.iter() {
+        let is_new = trial.new.contains(&id.version);
+        if !is_new && !trial.old.contains(&id.version) {
+            continue;
+        }
+        let total = totals.entry(id.zone.clone()).or_default();
+        total.add(is_new, series.requests);
+        if id.warmth == Warmth::Cold {
+            continue;
+        }
+        let zones = routes.entry(id.route.clone()).or_default();
+        let levels = zones.entry(id.zone.clone()).or_default();
+        let stratum = of_level(levels, &id.zone, id.load);
+        stratum.side(is_new).merge(series);
+    }
+    let is_crowded = |zone: &Name| {
+        totals
+            .get(zone)
+            .is_none_or(|t| t.is_crowded(zone, window, trial))
+    };
+    let matched = |zones: BTreeMap<Name, Vec<Stratum>>| -> Vec<Stratum> {
+        let zones = zones.into_iter();
+        zones
+            .flat_map(|(zone, levels)| pair_up(levels, is_crowded(&zone)))
+            .collect()
+    };
+    let routes = routes.into_iter();
+    routes.map(|(name, zones)| (name, matched(zones))).collect()
+}
+
+/// All requests of one availability zone.
+#[derive(Clone, Copy, Debug, Default)]
+struct Requests {
+    old: u64,
+    new: u64,
+}
+
+impl Requests {
+    fn add(&mut self, is_new: bool, requests: u64) {
+        if is_new {
+            self.new += requests;
+        } else {
+            self.old += requests;
+        }
+    }
+
+    /// Whether each slot of the new version got more requests than one of the
+    /// old version. Otherwise a higher load is the new version's own doing.
+    fn is_crowded(&self, zone: &Name, window: &Window<'_>, trial: &Trial) -> bool {
+        let old_slots = slots(window.capacity, &trial.old, Some(zone));
+        let new_slots = slots(window.capacity, &trial.new, Some(zone));
+        self.new * old_slots * 100 > self.old * new_slots * CROWDED_PERCENT
+    }
+}
+
+fn of_level<'a>(levels: &'a mut Vec<Stratum>, zone: &Name, load: LoadLevel) -> &'a mut Stratum {
+    let found = levels.binary_search_by_key(&load, |s| s.load);
+    let index = found.unwrap_or_else(|index| {
+        levels.insert(index, Stratum::empty(zone.clone(), load));
+        index
+    });
+    &mut levels[index]
+}
+
+/// Pairs new counts with old counts of the same load level; new counts without
+/// such a pair go to the nearest higher level with old counts, otherwise to the
+/// nearest lower one. The test treats the latter with a wide margin when the new
+/// servers are crowded.
+fn pair_up(mut strata: Vec<Stratum>, is_crowded: bool) -> Vec<Stratum> {
+    for i in 0..strata.len() {
+        if strata[i].new.requests == 0 || strata[i].old.requests > 0 {
+            continue;
+        }
+        let has_old = |j: &usize| strata[*j].old.requests > 0;
+        let higher = (i + 1..strata.len()).find(has_old);
+        let lower = (0..i).rev().find(has_old);
+        let Some(to) = higher.or(lower) else {
+            continue;
+        };
+        let moved = std::mem::take(&mut strata[i].new);
+        strata[to].new.merge(&moved);
+        strata[to].is_uneven |= is_crowded && to < i;
+    }
+    strata
+}
+
+impl Stratum {
+    fn empty(zone: Name, load: LoadLevel) -> Self {
+        Self {
+            zone,
+            load,
+            old: Series::default(),
+            new: Series::default(),
+            is_uneven: false,
+        }
+    }
+
+    fn side(&mut self, is_new: bool) -> &mut Series {
+        if is_new { &mut self.new } else { &mut self.old }
+    }
+
+    /// Whether there are counts of both versions.
+    pub(super) fn is_paired(&self) -> bool {
+        self.old.requests > 0 && self.new.requests > 0
+    }
+
+    /// Failed requests of the old and the new version.
+    pub(super) fn failures(&self) -> Comparison {
+        let pair = |s: &Series| Pair::new(s.requests, s.failures);
+        Comparison {
+            old: pair(&self.old),
+            new: pair(&self.new),
+        }
+    }
+
+    /// Slow requests of the old and the new version. Slow is what lies in the
+    /// tail of both together, so that the limit favours neither of them.
+    pub(super) fn slow(&self) -> Comparison {
+        let mut both: Histogram = self.old.latency.clone();
+        both.merge(&self.new.latency);
+        let first = both.tail_bucket(SLOW_TAIL);
+        let pair = |s: &Series| Pair::new(s.latency.count(), s.latency.count_from(first));
+        Comparison {
+            old: pair(&self.old),
+            new: pair(&self.new),
+        }
+    }
+}
+
+/// Counts of the old and the new version that are compared.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Comparison {
+    pub(super) old: Pair,
+    pub(super) new: Pair,
+}
