feat(zone): member records, directory, messages and failure detection

Cause: nodes have no list of hosts and backend servers, and nobody notices when one dies.

Where the design was silent or did not reach its bounds: - A pair is neighbours when one of the two has chosen the other.

--- /dev/null
+++ b/crates/zone/src/membership/detect.rs
@@ -0,0 +1,234 @@
+//! Periodic steps: pings, suspicions, and the search for dead members that are back.
+
+use super::gossip::retransmit_limit;
+use super::probe::{INDIRECT_TIMEOUT, Purpose};
+use super::{
+    Action, COMPARE_INTERVAL, FAST_COMPARE_INTERVAL, FAST_COMPARISONS, INDIRECT_PINGS, Membership,
+    PAUSE_THRESHOLD, PING_INTERVAL, PUSHES_PER_TICK, REJOIN_INTERVAL, SWEEP_INTERVAL,
+};
+use crate::directory::MemberKey;
+use crate::membership::probe::{ACK_TIMEOUT, Probe};
+use crate::message::{Body, Notice, Ping, PingReq, PingSequence, Room};
+use crate::record::{MemberState, Sequence};
+use knapweed_world::Time;
+use rand::Rng;
+use rand::seq::{IndexedRandom, IteratorRandom};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A pause after which other members may suspect this node.
+const SUSPECTED_AFTER: Duration = ACK_TIMEOUT.saturating_add(INDIRECT_TIMEOUT);
+/// Sequence of pings whose ack nobody waits for.
+const UNTRACKED: PingSequence = PingSequence(0);
+
+impl Membership {
+    /// Puts the first periodic steps at random times, so that nodes that start
+    /// together do not send together.
+    pub(super) fn spread_timers(&mut self, now: Time) {
+        self.timers.ping = now.after(self.random_part(PING_INTERVAL));
+        self.timers.rejoin = now.after(self.random_part(REJOIN_INTERVAL));
+    }
+
+    pub(super) fn tick(&mut self, now: Time) {
+        self.account_for_pause(now);
+        for probe in self.probes.expire(now) {
+            self.miss(now, probe);
+        }
+        for member in self.suspicions.expire(now) {
+            self.raise_state(now, member, MemberState::Dead);
+        }
+        if is_due(&mut self.timers.sweep, now, SWEEP_INTERVAL) {
+            self.directory.expire(now);
+        }
+        self.refresh_neighbours(now);
+        if is_due(&mut self.timers.ping, now, PING_INTERVAL) {
+            self.ping_next(now);
+        }
+        if is_due(&mut self.timers.rejoin, now, REJOIN_INTERVAL) {
+            self.ping_dead_member();
+        }
+        if now >= self.timers.compare {
+            self.compare(now);
+        }
+        self.push_new(now);
+    }
+
+    /// Raises no suspicion for answers that this node could not receive, and
+    /// refutes those that others may have raised.
+    fn account_for_pause(&mut self, now: Time) {
+        let gap = now.since(self.timers.last_tick);
+        self.timers.last_tick = now;
+        if gap <= PAUSE_THRESHOLD {
+            return;
+        }
+        self.probes.extend(gap);
+        self.suspicions.extend(gap);
+        if gap > SUSPECTED_AFTER && self.own().is_present() {
+            self.edit_own(now, |own| own.sequence = Sequence(own.sequence.0 + 1));
+            self.publish_own();
+        }
+    }
+
+    fn miss(&mut self, now: Time, probe: Probe) {
+        match probe.purpose {
+            Purpose::Check(member) => self.ask_others(now, member),
+            Purpose::CheckIndirect(member) => self.suspect(now, member),
+            Purpose::Relay { .. } => {}
+        }
+    }
+
+    fn ask_others(&mut self, now: Time, member: MemberKey) {
+        let Some(target) = self.directory.get(member).map(|r| r.address) else {
+            return;
+        };
+        let sequence = self.probes.start(now, Purpose::CheckIndirect(member));
+        let others = self.neighbours.iter().filter(|n| n.member != member);
+        let others: Vec<SocketAddr> = others.map(|n| n.address).collect();
+        let chosen: Vec<_> = others
+            .choose_multiple(&mut self.rng, INDIRECT_PINGS)
+            .copied()
+            .collect();
+        for other in chosen {
+            self.send(other, Body::PingReq(PingReq { sequence, target }));
+        }
+    }
+
+    /// Suspects a member that did not answer.
+    fn suspect(&mut self, now: Time, member: MemberKey) {
+        let Some(record) = self.directory.get(member) else {
+            return;
+        };
+        self.suspicions.start(now, member, record);
+        if record.state == MemberState::Alive {
+            self.raise_state(now, member, MemberState::Suspect);
+        }
+    }
+
+    /// Raises the state of another member and gossips it.
+    pub(super) fn raise_state(&mut self, now: Time, member: MemberKey, state: MemberState) {
+        if !self.directory.raise_state(now, member, state) {
+            return;
+        }
+        self.gossip.add(member);
+        if let Some(record) = self.directory.get(member) {
+            self.actions.push(Action::RecordChanged(record.clone()));
+        }
+        if state == MemberState::Dead {
+            self.members_changed();
+        }
+    }
+
+    pub(super) fn members_changed(&mut self) {
+        self.neighbours.invalidate();
+        self.members_changed = true;
+    }
+
+    fn refresh_neighbours(&mut self, now: Time) {
+        if !self.neighbours.refresh(now, &self.directory, self.own) {
+            return;
+        }
+        let zone = &self.own().zone;
+        let members = self.directory.present().filter(|(_, r)| r.zone == *zone);
+        self.retransmit_limit = retransmit_limit(members.count());
+        if self.fast_comparisons > 0 {
+            // The former neighbours may not have been connected to the others.
+            self.gossip.add(self.own);
+        }
+    }
+
+    fn ping_next(&mut self, now: Time) {
+        let Some(neighbour) = self.neighbours.next(now) else {
+            return;
+        };
+        // A running check already has a later ping on its way.
+        if self.probes.checks(neighbour.member) {
+            return;
+        }
+        let purpose = Purpose::Check(neighbour.member);
+        let sequence = self.probes.start(now, purpose);
+        self.send(neighbour.address, Body::Ping(Ping { sequence }));
+    }
+
+    /// Pings a dead member of the availability zone, which refutes its death if
+    /// a partition or a pause was the cause.
+    fn ping_dead_member(&mut self) {
+        let zone = self.own().zone.clone();
+        let dead = self.directory.iter();
+        let dead = dead.filter(|(_, r)| !r.is_present() && r.zone == zone);
+        let target = dead.map(|(_, r)| r.address).choose(&mut self.rng);
+        if let Some(address) = target {
+            let sequence = UNTRACKED;
+            self.send(address, Body::Ping(Ping { sequence }));
+        }
+    }
+
+    /// Compares the directory with that of a random member, which repairs what
+    /// gossip has missed.
+    fn compare(&mut self, now: Time) {
+        let is_fast = self.fast_comparisons > 0 || self.neighbours.len() == 0;
+        self.fast_comparisons = self.fast_comparisons.saturating_sub(1);
+        let interval = match is_fast {
+            true => FAST_COMPARE_INTERVAL,
+            false => COMPARE_INTERVAL,
+        };
+        let jitter = self.random_part(interval / 2);
+        self.timers.compare = now.after(interval - jitter);
+        let zone = &self.own().zone;
+        let members = self.directory.present();
+        let members = members.filter(|(k, r)| *k != self.own && r.zone == *zone);
+        let mut candidates: Vec<_> = members.map(|(_, r)| r.address).collect();
+        if is_fast {
+            candidates.extend(&self.seeds);
+        }
+        if let Some(from) = candidates.choose(&mut self.rng).copied() {
+            self.actions.push(Action::FetchMembers { from });
+        }
+    }
+
+    /// Compares at the short interval for some time.
+    pub(super) fn compare_soon(&mut self, now: Time) {
+        if self.fast_comparisons == 0 {
+            let wait = self.random_part(FAST_COMPARE_INTERVAL);
+            self.timers.compare = now.after(wait);
+        }
+        self.fast_comparisons = FAST_COMPARISONS;
+    }
+
+    /// Sends the records that are new here to all neighbours.
+    pub(super) fn push_new(&mut self, now: Time) {
+        self.refresh_neighbours(now);
+        let receivers: Vec<_> = self.neighbours.iter().map(|n| n.address).collect();
+        if receivers.is_empty() {
+            return;
+        }
+        for _ in 0..PUSHES_PER_TICK {
+            let mut room = Room::new();
+            let copies = receivers.len() as u32;
+            let records = self.gossip.take_new(&self.directory, &mut room, copies);
+            if records.is_empty() {
+                return;
+            }
+            for to in &receivers {
+                self.send_records(*to, Body::Notice(Notice {}), records.clone());
+            }
+        }
+    }
+
+    fn random_part(&mut self, interval: Duration) -> Duration {
+        interval.mul_f64(self.rng.random_range(0.0..1.0))
+    }
+}
+
+/// Whether a periodic step is due; then moves it to its next time.
+fn is_due(next: &mut Time, now: Time, interval: Duration) -> bool {
+    if now < *next {
+        return false;
+    }
+    let regular = next.after(interval);
+    *next = if regular > now {
+        regular
+    } else {
+        now.after(interval)
+    };
+    true
+}
--- /dev/null
+++ b/crates/zone/src/membership/exchange.rs
@@ -0,0 +1,176 @@
+//! Messages of other members and the records in them.
+
+use super::probe::{Probe, Purpose};
+use super::{Action, Membership};
+use crate::directory::{MemberKey, SharedRecord};
+use crate::message::{Ack, Body, Message, Ping, PingReq, Sender};
+use crate::record::{Incarnation, MemberRecord, MemberState, Merge, Sequence};
+use knapweed_world::Time;
+use std::cmp::Ordering;
+use std::net::SocketAddr;
+
+impl Membership {
+    pub(super) fn receive(&mut self, now: Time, from: SocketAddr, message: Message) {
+        self.neighbours.heard(now, from);
+        self.learn_version(now, from, message.sender);
+        for record in &message.records {
+            let shared = SharedRecord {
+                record: record.clone(),
+                dead_for_ms: 0,
+            };
+            if let Some(member) = self.absorb(now, &shared) {
+                self.gossip.add(member);
+            }
+        }
+        if let Some(member) = self.directory.find_address(from) {
+            self.probes.finish_checks(member);
+            if message.sender.is_neighbour {
+                self.neighbours.chosen_by(now, member, from);
+            }
+        }
+        match message.body {
+            Body::Ping(Ping { sequence }) => self.send(from, Body::Ack(Ack { sequence })),
+            Body::Ack(ack) => self.acknowledged(ack),
+            Body::PingReq(request) => self.ping_for(now, from, request),
+            Body::Notice(_) => {}
+        }
+    }
+
+    fn learn_version(&mut self, now: Time, from: SocketAddr, sender: Sender) {
+        let member = self.directory.find_address(from);
+        if let Some(member) = member.filter(|m| *m != self.own) {
+            let learn = |r: &mut MemberRecord| r.learn_version(sender.incarnation, sender.version);
+            self.directory.change(now, member, learn);
+        }
+        if sender.version > self.own().applied {
+            self.actions.push(Action::FetchConfig { from });
+        }
+    }
+
+    fn acknowledged(&mut self, ack: Ack) {
+        let Some(probe) = self.probes.finish(ack.sequence) else {
+            return;
+        };
+        let Probe { purpose, .. } = probe;
+        match purpose {
+            Purpose::Check(member) | Purpose::CheckIndirect(member) => {
+                self.probes.finish_checks(member);
+            }
+            Purpose::Relay {
+                requester,
+                sequence,
+            } => self.send(requester, Body::Ack(Ack { sequence })),
+        }
+    }
+
+    fn ping_for(&mut self, now: Time, requester: SocketAddr, request: PingReq) {
+        let purpose = Purpose::Relay {
+            requester,
+            sequence: request.sequence,
+        };
+        let sequence = self.probes.start(now, purpose);
+        self.send(request.target, Body::Ping(Ping { sequence }));
+    }
+}
+
+/// Records.
+impl Membership {
+    /// Merges records that a peer shared as an answer to the digest.
+    ///
+    /// They are not gossiped, because other members know them already.
+    pub(super) fn absorb_shared(&mut self, now: Time, records: &[SharedRecord]) {
+        for shared in records {
+            self.absorb(now, shared);
+        }
+    }
+
+    /// Merges a record; returns its member when the content has changed.
+    fn absorb(&mut self, now: Time, shared: &SharedRecord) -> Option<MemberKey> {
+        let record = &shared.record;
+        if record.host == self.own().host {
+            self.refute(now, record);
+            return None;
+        }
+        let known = self.directory.find(&record.host);
+        let current = known.and_then(|key| self.directory.get(key));
+        let was_present = current.is_some_and(MemberRecord::is_present);
+        let returns =
+            current.is_some_and(|c| !c.is_present() && c.incarnation == record.incarnation);
+        let claim = match current {
+            Some(current) => claim(current, record),
+            None => Claim::Accept,
+        };
+        let accepted = match claim {
+            Claim::Accept => shared.clone(),
+            Claim::Suspect(state) => as_present(shared, state),
+        };
+        let (member, merge) = self.directory.merge_shared(now, &accepted);
+        let merged = self.directory.get(member)?;
+        self.suspicions.refute(member, merged);
+        let is_suspected = matches!(claim, Claim::Suspect(_));
+        if is_suspected || merged.state == MemberState::Suspect {
+            self.suspicions.start(now, member, merged);
+        }
+        if merge != Merge::Content {
+            return None;
+        }
+        let is_present = merged.is_present();
+        self.actions.push(Action::RecordChanged(merged.clone()));
+        if was_present != is_present {
+            self.members_changed();
+        }
+        if returns && is_present {
+            self.compare_soon(now);
+        }
+        Some(member)
+    }
+
+    /// Answers a copy of the own record that another node has raised or that is
+    /// left from an earlier incarnation.
+    fn refute(&mut self, now: Time, copy: &MemberRecord) {
+        let is_refuted = self.edit_own(now, |own| {
+            own.served = own.served.max(copy.served);
+            if own.state == MemberState::Dead || copy.precedence() <= own.precedence() {
+                return false;
+            }
+            match copy.incarnation.cmp(&own.incarnation) {
+                Ordering::Greater => own.incarnation = Incarnation(copy.incarnation.0 + 1),
+                _ => own.sequence = Sequence(copy.sequence.0 + 1),
+            }
+            true
+        });
+        if is_refuted {
+            self.publish_own();
+        }
+    }
+}
+
+/// How a copy of a known record is taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Claim {
+    /// As it is.
+    Accept,
+    /// With this state, and a new suspicion.
+    Suspect(MemberState),
+}
+
+/// A death that others report is first a suspicion, so that a member on this
+/// side of a partition can refute it. Only a leaving member ends its own record.
+fn claim(current: &MemberRecord, copy: &MemberRecord) -> Claim {
+    let is_older = copy.precedence() < current.precedence();
+    if is_older || copy.state != MemberState::Dead || !current.is_present() {
+        return Claim::Accept;
+    }
+    match (current.state, current.is_same_change(copy)) {
+        (MemberState::Leaving, false) => Claim::Accept,
+        (MemberState::Leaving, true) => Claim::Suspect(MemberState::Leaving),
+        _ => Claim::Suspect(MemberState::Suspect),
+    }
+}
+
+fn as_present(shared: &SharedRecord, state: MemberState) -> SharedRecord {
+    let mut shared = shared.clone();
+    shared.record.state = state;
+    shared.dead_for_ms = 0;
+    shared
+}
--- /dev/null
+++ b/crates/zone/src/membership/suspicion.rs
@@ -0,0 +1,61 @@
+//! Members that will be declared dead unless they refute.
+
+use crate::directory::MemberKey;
+use crate::record::{Incarnation, MemberRecord, Sequence};
+use knapweed_world::Time;
+use slotmap::SecondaryMap;
+use std::time::Duration;
+
+/// Time in which a member must refute a suspicion.
+pub const SUSPICION_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    deadline: Time,
+    change: (Incarnation, Sequence),
+}
+
+/// Suspicions that this node knows of, raised here or elsewhere.
+///
+/// Every node runs the timeout itself, so a death needs no second round of
+/// gossip.
+#[derive(Debug, Default)]
+pub(crate) struct Suspicions(SecondaryMap<MemberKey, Suspicion>);
+
+/// Mutation.
+impl Suspicions {
+    /// Starts the timeout, unless it runs already for the same change.
+    pub(crate) fn start(&mut self, now: Time, member: MemberKey, record: &MemberRecord) {
+        let change = (record.incarnation, record.sequence);
+        if self.0.get(member).is_some_and(|s| s.change == change) {
+            return;
+        }
+        let deadline = now.after(SUSPICION_TIMEOUT);
+        self.0.insert(member, Suspicion { deadline, change });
+    }
+
+    /// Drops the suspicion when `record` is newer.
+    pub(crate) fn refute(&mut self, member: MemberKey, record: &MemberRecord) {
+        let change = (record.incarnation, record.sequence);
+        if self.0.get(member).is_some_and(|s| s.change < change) {
+            self.0.remove(member);
+        }
+    }
+
+    /// Ends the suspicions whose time is over and returns their members.
+    pub(crate) fn expire(&mut self, now: Time) -> Vec<MemberKey> {
+        let over = self.0.iter().filter(|(_, s)| s.deadline <= now);
+        let members: Vec<_> = over.map(|(k, _)| k).collect();
+        for member in &members {
+            self.0.remove(*member);
+        }
+        members
+    }
+
+    /// Extends all deadlines by a pause of this node.
+    pub(crate) fn extend(&mut self, pause: Duration) {
+        for suspicion in self.0.values_mut() {
+            suspicion.deadline = suspicion.deadline.after(pause);
+        }
+    }
+}
--- /dev/null
+++ b/crates/zone/src/score.rs
@@ -0,0 +1,21 @@
+//! Hash scores that every node computes alike, without exchanging messages.
+
+use knapweed_world::Name;
+
+/// Score of a list of texts; the same on every host and in every release.
+pub fn score(parts: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+/// Score of a pair of hosts, which does not depend on their order.
+pub fn pair_score(a: &Name, b: &Name) -> u64 {
+    let (first, second) = if a < b { (a, b) } else { (b, a) };
+    score(&[first.as_bytes(), second.as_bytes()])
+}
--- /dev/null
+++ b/crates/zone/tests/membership.rs
@@ -0,0 +1,202 @@
+//! Failure detection, gossip and merges with hundreds of members.
+
+mod sim;
+
+use knapweed_world::backend_server::ServerState;
+use knapweed_zone::MemberState;
+use knapweed_zone::membership::Event;
+use knapweed_zone::membership::neighbours::NEIGHBOURS;
+use rand::Rng;
+use rand::seq::index::sample;
+use sim::results::{median, worst};
+use sim::{Sim, announcement, ms};
+use std::time::Duration;
+
+/// Members of one availability zone at the target size.
+const MEMBERS: usize = 280;
+/// Bound B3 of the design.
+const DETECTION_BOUND: Duration = Duration::from_secs(5);
+/// Bound B2 of the design.
+const LEAVE_BOUND: Duration = Duration::from_secs(3);
+const SEEDS: u64 = 20;
+/// Longest time from a ping that was lost to the death of its target.
+const OPEN_SUSPICIONS: Duration = ms(3_100);
+
+/// Guards against members whose death nobody would notice.
+#[test]
+fn each_member_is_pinged_by_several_others() {
+    let sim = settled(MEMBERS, 1);
+    let mut watchers = vec![0; MEMBERS];
+    for node in &sim.nodes {
+        let membership = node.membership.as_ref().expect("a running node");
+        for address in membership.neighbours() {
+            watchers[sim.node_at(address)] += 1;
+        }
+    }
+    let fewest = watchers.iter().copied().min();
+    assert!(fewest >= Some(NEIGHBOURS), "{watchers:?}");
+}
+
+fn settled(members: usize, seed: u64) -> Sim {
+    let mut sim = Sim::new(&[members], seed);
+    sim.run(ms(4_000));
+    sim
+}
+
+/// Guards against dead members that keep receiving traffic (B3).
+#[test]
+fn a_death_is_known_to_all_within_the_bound() {
+    let mut times = Vec::new();
+    for seed in 0..SEEDS {
+        let mut sim = settled(MEMBERS, seed);
+        let victim = sim.rng.random_range(0..MEMBERS);
+        sim.kill(victim);
+        let dead = |s: &Sim| s.all_see(victim, MemberState::Dead);
+        let time = sim.run_until(ms(10_000), dead).expect("a known death");
+        assert!(sim.false_deaths().is_empty(), "seed {seed}");
+        times.push(time);
+    }
+    let (median, worst) = (median(&times), worst(&times));
+    println!("median {median:?}, worst {worst:?}");
+    assert!(worst <= DETECTION_BOUND, "worst {worst:?} of {times:?}");
+}
+
+/// Guards against a short pause, such as a stop for a debugger or a swap-in,
+/// that removes a healthy member (B3).
+#[test]
+fn a_pause_of_two_seconds_is_not_a_death() {
+    for seed in 0..SEEDS {
+        let mut sim = settled(MEMBERS, seed);
+        for victim in sample(&mut sim.rng, MEMBERS, 5) {
+            sim.pause(victim, ms(2_000));
+        }
+        sim.run(ms(8_000));
+        let deaths = sim.false_deaths();
+        assert!(deaths.is_empty(), "seed {seed}: {deaths:?}");
+        let alive = |s: &Sim| (0..MEMBERS).all(|n| s.all_see(n, MemberState::Alive));
+        assert!(alive(&sim), "seed {seed}: a suspicion was not refuted");
+    }
+}
+
+/// Guards against a node that blames others for answers that it could not
+/// receive while it was paused itself.
+#[test]
+fn a_long_pause_raises_no_suspicion_of_others() {
+    let mut sim = settled(70, 1);
+    sim.pause(7, ms(20_000));
+    sim.run(ms(30_000));
+    let blamed = |s: &&sim::Seen| s.host != 7 && s.state != MemberState::Alive;
+    let blamed: Vec<_> = sim.seen.iter().filter(blamed).collect();
+    assert!(blamed.is_empty(), "{blamed:?}");
+    assert!(sim.all_see(7, MemberState::Alive));
+}
+
+/// Guards against lost datagrams that are taken for failures.
+#[test]
+fn lost_messages_kill_nobody() {
+    let mut sim = settled(MEMBERS, 3);
+    sim.network.loss = 0.05;
+    sim.run(ms(30_000));
+    let deaths = sim.false_deaths();
+    assert!(deaths.is_empty(), "{deaths:?}");
+}
+
+/// Guards against a restart of many members at a time (F1) that removes the
+/// others or loses the new incarnations.
+#[test]
+fn a_third_of_the_members_restarts_at_once() {
+    let mut sim = settled(MEMBERS, 4);
+    let victims: Vec<_> = (0..MEMBERS).step_by(3).collect();
+    for victim in &victims {
+        sim.kill(*victim);
+    }
+    sim.run(ms(1_000));
+    for victim in &victims {
+        sim.start(*victim);
+    }
+    let known = |s: &Sim| (0..MEMBERS).all(|n| is_current(s, n));
+    let time = sim.run_until(DETECTION_BOUND, known);
+    assert!(time.is_some(), "restarted members are not known to all");
+    sim.run(ms(5_000));
+    let deaths = sim.false_deaths();
+    assert!(deaths.is_empty(), "{} false deaths", deaths.len());
+}
+
+fn is_current(sim: &Sim, host: usize) -> bool {
+    let Some(membership) = &sim.nodes[host].membership else {
+        return true;
+    };
+    let incarnation = membership.own().incarnation;
+    let knows = |n: usize| {
+        let record = sim.record(n, host);
+        record.is_some_and(|r| r.incarnation == incarnation && r.state == MemberState::Alive)
+    };
+    (0..sim.nodes.len()).all(knows)
+}
+
+/// Guards against two sides of a partition that keep each other dead, or that
+/// declare members dead again after the merge (F9).
+#[test]
+fn a_partition_merges_without_flapping() {
+    let mut sim = settled(MEMBERS, 5);
+    sim.network.sides = (0..MEMBERS).map(|n| (n % 4 == 0) as u8).collect();
+    sim.run(ms(10_000));
+    assert_eq!(sim.record(1, 0).map(|r| r.state), Some(MemberState::Dead));
+    sim.network.sides.clear();
+    sim.seen.clear();
+    let merge = sim.now;
+    let whole = |s: &Sim| (0..MEMBERS).all(|n| s.all_see(n, MemberState::Alive));
+    let time = sim.run_until(ms(20_000), whole);
+    assert!(time.is_some(), "the sides did not merge");
+    sim.run(ms(10_000));
+    let relapses = sim.relapses();
+    assert!(relapses.is_empty(), "{} relapses", relapses.len());
+    // Suspicions raised before the merge may still end in a death.
+    let since_merge = |s: &sim::Seen| s.at.since(merge);
+    let late: Vec<_> = sim.false_deaths();
+    let last = late.iter().map(since_merge).max().unwrap_or_default();
+    assert!(last <= OPEN_SUSPICIONS, "a death {last:?} after the merge");
+    assert!(whole(&sim), "suspicions after the merge");
+}
+
+/// Guards against new work for a backend server that leaves (H8, B2).
+#[test]
+fn a_leaving_server_is_known_to_all_within_the_bound() {
+    let mut times = Vec::new();
+    for seed in 0..SEEDS {
+        let mut sim = settled(MEMBERS, seed);
+        sim.network.loss = 0.01;
+        let leaver = sim.rng.random_range(0..MEMBERS);
+        let address = sim.nodes[leaver].entry.address;
+        let draining = announcement(address, ServerState::Draining);
+        sim.handle(leaver, Event::LocalAnnouncement(draining));
+        let known = |s: &Sim| (0..MEMBERS).all(|n| is_draining(s, n, leaver));
+        let time = sim.run_until(ms(10_000), known).expect("a known drain");
+        times.push(time);
+    }
+    let (median, worst) = (median(&times), worst(&times));
+    println!("median {median:?}, worst {worst:?}");
+    assert!(worst <= LEAVE_BOUND, "worst {worst:?} of {times:?}");
+}
+
+fn is_draining(sim: &Sim, observer: usize, host: usize) -> bool {
+    let record = sim.record(observer, host).expect("a known record");
+    let mut servers = record.announcements.iter();
+    servers.all(|a| a.state == ServerState::Draining)
+}
+
+/// Guards against a leaving host that is used until it stops (B2).
+#[test]
+fn a_leaving_host_is_known_and_stays_gone() {
+    let mut sim = settled(MEMBERS, 6);
+    sim.handle(9, Event::Leave);
+    let leaving = |s: &Sim| s.all_see(9, MemberState::Leaving);
+    let time = sim.run_until(LEAVE_BOUND, leaving);
+    assert!(time.is_some(), "the leaving host is not known to all");
+    sim.handle(9, Event::Stop);
+    sim.kill(9);
+    let gone = |s: &Sim| s.all_see(9, MemberState::Dead);
+    assert!(sim.run_until(DETECTION_BOUND, gone).is_some());
+    sim.run(ms(10_000));
+    assert!(gone(&sim), "the host came back");
+}
--- /dev/null
+++ b/crates/zone/tests/sim/mod.rs
@@ -0,0 +1,373 @@
+//! A driver that runs many members over a fake network in simulated time.
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+pub mod network;
+pub mod results;
+
+use knapweed_world::backend_server::{Announcement, ServerState};
+use knapweed_world::snapshot::HostEntry;
+use knapweed_world::{ConfigVersion, Name, Time, UnixMillis};
+use knapweed_zone::directory::{Digest, SharedRecord};
+use knapweed_zone::membership::{Action, Event, TICK};
+use knapweed_zone::{Incarnation, MemberRecord, MemberState, Membership, Message};
+use network::Network;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Wall clock at simulated time 0.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+/// Time of a node to apply a fetched configuration.
+const APPLY_TIME: Duration = Duration::from_millis(20);
+
+pub fn name(text: &str) -> Name {
+    text.parse().expect("a valid name")
+}
+
+pub const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Something that reaches a node.
+#[derive(Clone, Debug)]
+enum Item {
+    Tick {
+        life: u32,
+    },
+    Message {
+        from: usize,
+        message: Message,
+    },
+    FetchConfig {
+        from: usize,
+    },
+    Config {
+        from: usize,
+        version: ConfigVersion,
+    },
+    Applied {
+        life: u32,
+        version: ConfigVersion,
+    },
+    FetchMembers {
+        from: usize,
+        digest: Digest,
+    },
+    Members {
+        from: usize,
+        records: Vec<SharedRecord>,
+    },
+}
+
+/// A state that one node saw another host enter.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    pub at: Time,
+    pub observer: usize,
+    pub host: usize,
+    pub state: MemberState,
+    pub incarnation: Incarnation,
+}
+
+pub struct Node {
+    pub entry: HostEntry,
+    /// `None` while the process is down.
+    pub membership: Option<Membership>,
+    /// When each configuration version was applied in the current life.
+    pub applied: BTreeMap<ConfigVersion, Time>,
+    life: u32,
+    paused_until: Time,
+    held: Vec<Item>,
+}
+
+pub struct Sim {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub network: Network,
+    pub seen: Vec<Seen>,
+    pub rng: SmallRng,
+    queue: BTreeMap<(Time, u64), (usize, Item)>,
+    order: u64,
+    by_address: HashMap<SocketAddr, usize>,
+    by_host: HashMap<Name, usize>,
+}
+
+/// Construction.
+impl Sim {
+    /// Availability zones with these numbers of members, all known to all.
+    pub fn new(zones: &[usize], seed: u64) -> Self {
+        let mut sim = Self {
+            now: Time(0),
+            nodes: Vec::new(),
+            network: Network::new(seed),
+            seen: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            order: 0,
+            by_address: HashMap::new(),
+            by_host: HashMap::new(),
+        };
+        for (zone, members) in zones.iter().enumerate() {
+            for member in 0..*members {
+                sim.add(zone, member);
+            }
+        }
+        for node in 0..sim.nodes.len() {
+            sim.start(node);
+        }
+        let records = sim.records();
+        for node in 0..sim.nodes.len() {
+            sim.handle(node, Event::Members(records.clone()));
+        }
+        sim.seen.clear();
+        sim
+    }
+
+    fn add(&mut self, zone: usize, member: usize) {
+        let index = self.nodes.len();
+        let address = SocketAddr::from(([127, 1, zone as u8, 0], 1_000 + member as u16));
+        let host = format!("host-{zone}-{member:03}");
+        let entry = HostEntry {
+            name: name(&host),
+            zone: name(&format!("zone-{zone}")),
+            region: name(if zone < 3 { "west" } else { "east" }),
+            address,
+            announcements: vec![announcement(address, ServerState::Ready)],
+        };
+        self.by_address.insert(address, index);
+        self.by_host.insert(entry.name.clone(), index);
+        self.network.zones.push(zone);
+        self.nodes.push(Node {
+            entry,
+            membership: None,
+            applied: BTreeMap::new(),
+            life: 0,
+            paused_until: Time(0),
+            held: Vec::new(),
+        });
+    }
+
+    fn records(&self) -> Vec<SharedRecord> {
+        let running = self.nodes.iter().filter_map(|n| n.membership.as_ref());
+        let records = running.map(|m| SharedRecord {
+            record: m.own().clone(),
+            dead_for_ms: 0,
+        });
+        records.collect()
+    }
+}
+
+pub fn announcement(node: SocketAddr, state: ServerState) -> Announcement {
+    Announcement {
+        service: name("calendar"),
+        version: name("v1"),
+        address: SocketAddr::new(node.ip(), node.port() + 10_000),
+        slots: 12,
+        max_connections: 110,
+        state,
+    }
+}
+
+/// Faults.
+impl Sim {
+    /// Starts the process of a node.
+    pub fn start(&mut self, node: usize) {
+        let wall = UnixMillis(EPOCH_MS + self.now.0 / 1_000);
+        let incarnation = Incarnation::choose(None, wall);
+        let record = MemberRecord::new(self.nodes[node].entry.clone(), incarnation);
+        let zone = self.network.zones[node];
+        let in_zone =
+            (0..self.nodes.len()).filter(|n| *n != node && self.network.zones[*n] == zone);
+        let seeds = in_zone.map(|n| self.nodes[n].entry.address).collect();
+        let rng = SmallRng::seed_from_u64(self.rng.random());
+        let state = &mut self.nodes[node];
+        state.life += 1;
+        state.applied.clear();
+        state.held.clear();
+        state.membership = Some(Membership::new(self.now, record, seeds, rng));
+        let life = state.life;
+        let phase = TICK.mul_f64(self.rng.random_range(0.0..1.0));
+        self.schedule(self.now.after(phase), node, Item::Tick { life });
+    }
+
+    /// Kills the process of a node.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].membership = None;
+    }
+
+    /// Stops the process of a node from running for a while.
+    pub fn pause(&mut self, node: usize, length: Duration) {
+        self.nodes[node].paused_until = self.now.after(length);
+    }
+}
+
+/// Running.
+impl Sim {
+    /// Runs for a length of simulated time.
+    pub fn run(&mut self, length: Duration) {
+        let end = self.now.after(length);
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), (node, item)) = entry.remove_entry();
+            self.now = at;
+            self.deliver(node, item);
+        }
+        self.now = end;
+    }
+
+    /// Runs until `done`, at most for `limit`; returns the time it took.
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        const STEP: Duration = Duration::from_millis(20);
+        let start = self.now;
+        while self.now.since(start) <= limit {
+            if done(self) {
+                return Some(self.now.since(start));
+            }
+            self.run(STEP);
+        }
+        None
+    }
+
+    /// Passes an event to a node and carries out its actions.
+    pub fn handle(&mut self, node: usize, event: Event) {
+        let now = self.now;
+        let Some(membership) = &mut self.nodes[node].membership else {
+            return;
+        };
+        for action in membership.handle(now, event) {
+            self.act(node, action);
+        }
+    }
+
+    /// Applies a configuration version at a node.
+    pub fn apply(&mut self, node: usize, version: ConfigVersion) {
+        let applied = &mut self.nodes[node].applied;
+        if applied.last_key_value().is_some_and(|(v, _)| *v >= version) {
+            return;
+        }
+        applied.insert(version, self.now);
+        self.handle(node, Event::ConfigApplied(version));
+    }
+
+    fn deliver(&mut self, node: usize, item: Item) {
+        let state = &mut self.nodes[node];
+        if state.paused_until > self.now {
+            if state.held.is_empty() {
+                let wake = Item::Tick { life: state.life };
+                let at = state.paused_until;
+                self.schedule(at, node, wake);
+            }
+            let state = &mut self.nodes[node];
+            match item {
+                // The process runs one late tick after the pause.
+                Item::Tick { .. } if !state.held.is_empty() => {}
+                item => state.held.push(item),
+            }
+            return;
+        }
+        for held in std::mem::take(&mut self.nodes[node].held) {
+            if !matches!(held, Item::Tick { .. }) {
+                self.process(node, held);
+            }
+        }
+        self.process(node, item);
+    }
+
+    fn process(&mut self, node: usize, item: Item) {
+        let life = self.nodes[node].life;
+        match item {
+            Item::Tick { life: l } if l == life => {
+                self.handle(node, Event::Tick);
+                self.schedule(self.now.after(TICK), node, Item::Tick { life });
+            }
+            Item::Message { from, message } => {
+                let from = self.nodes[from].entry.address;
+                self.handle(node, Event::Received { from, message });
+            }
+            Item::FetchConfig { from } => {
+                if let Some(version) = self.version(node) {
+                    self.send(
+                        node,
+                        from,
+                        Item::Config {
+                            from: node,
+                            version,
+                        },
+                    );
+                }
+            }
+            Item::Config { version, .. } => {
+                let applied = Item::Applied { life, version };
+                self.schedule(self.now.after(APPLY_TIME), node, applied);
+            }
+            Item::Applied { life: l, version } if l == life => self.apply(node, version),
+            Item::FetchMembers { from, digest } => {
+                if let Some(membership) = &self.nodes[node].membership {
+                    let records = membership.directory().differing(self.now, &digest);
+                    self.send(
+                        node,
+                        from,
+                        Item::Members {
+                            from: node,
+                            records,
+                        },
+                    );
+                }
+            }
+            Item::Members { records, .. } => self.handle(node, Event::Members(records)),
+            Item::Tick { .. } | Item::Applied { .. } => {}
+        }
+    }
+
+    fn act(&mut self, node: usize, action: Action) {
+        match action {
+            Action::Send { to, message } => {
+                self.network.count(node, &message);
+                let to = self.by_address[&to];
+                self.send(
+                    node,
+                    to,
+                    Item::Message {
+                        from: node,
+                        message,
+                    },
+                );
+            }
+            Action::RecordChanged(record) => self.seen.push(Seen {
+                at: self.now,
+                observer: node,
+                host: self.by_host[&record.host],
+                state: record.state,
+                incarnation: record.incarnation,
+            }),
+            Action::FetchConfig { from } => {
+                let from = self.by_address[&from];
+                self.network.fetches += 1;
+                self.send(node, from, Item::FetchConfig { from: node });
+            }
+            Action::FetchMembers { from } => {
+                let from = self.by_address[&from];
+                if let Some(membership) = &self.nodes[node].membership {
+                    let digest = membership.directory().digest();
+                    self.send(node, from, Item::FetchMembers { from: node, digest });
+                }
+            }
+            Action::MembersChanged | Action::AnnouncementRefused(_) => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, item: Item) {
+        if let Some(delay) = self.network.delay(from, to) {
+            self.schedule(self.now.after(delay), to, item);
+        }
+    }
+
+    fn schedule(&mut self, at: Time, node: usize, item: Item) {
+        self.order += 1;
+        self.queue.insert((at, self.order), (node, item));
+    }
+}
--- /dev/null
+++ b/crates/zone/tests/sim/results.rs
@@ -0,0 +1,76 @@
+//! What the members have seen.
+
+use super::{Seen, Sim};
+use knapweed_world::ConfigVersion;
+use knapweed_zone::{MemberRecord, MemberState};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Results.
+impl Sim {
+    /// The version that a node has applied; `None` while it is down.
+    pub fn version(&self, node: usize) -> Option<ConfigVersion> {
+        let membership = self.nodes[node].membership.as_ref()?;
+        Some(membership.own().applied)
+    }
+
+    /// Whether each running node has applied at least `version`.
+    pub fn all_applied(&self, version: ConfigVersion) -> bool {
+        (0..self.nodes.len()).all(|n| self.version(n).is_none_or(|v| v >= version))
+    }
+
+    /// The node with this address.
+    pub fn node_at(&self, address: SocketAddr) -> usize {
+        self.by_address[&address]
+    }
+
+    /// How `observer` sees `host`.
+    pub fn record(&self, observer: usize, host: usize) -> Option<&MemberRecord> {
+        let directory = self.nodes[observer].membership.as_ref()?.directory();
+        directory.get(directory.find(&self.nodes[host].entry.name)?)
+    }
+
+    /// Whether each running node sees `host` in `state`.
+    pub fn all_see(&self, host: usize, state: MemberState) -> bool {
+        let sees = |n: usize| self.record(n, host).is_none_or(|r| r.state == state);
+        (0..self.nodes.len()).filter(|n| *n != host).all(sees)
+    }
+
+    /// Deaths seen of processes that are running.
+    pub fn false_deaths(&self) -> Vec<Seen> {
+        let is_running = |s: &&Seen| {
+            let membership = self.nodes[s.host].membership.as_ref();
+            membership.is_some_and(|m| m.own().incarnation == s.incarnation)
+        };
+        let dead = self.seen.iter().filter(|s| s.state == MemberState::Dead);
+        dead.filter(is_running).copied().collect()
+    }
+
+    /// Deaths seen by a node that had seen the same host alive before.
+    pub fn relapses(&self) -> Vec<Seen> {
+        let mut alive = HashSet::new();
+        let mut relapses = Vec::new();
+        for seen in &self.seen {
+            let pair = (seen.observer, seen.host);
+            match seen.state {
+                MemberState::Alive => drop(alive.insert(pair)),
+                MemberState::Dead if alive.contains(&pair) => relapses.push(*seen),
+                _ => {}
+            }
+        }
+        relapses
+    }
+}
+
+/// The largest of some times.
+pub fn worst(times: &[Duration]) -> Duration {
+    times.iter().copied().max().unwrap_or_default()
+}
+
+/// The median of some times.
+pub fn median(times: &[Duration]) -> Duration {
+    let mut sorted = times.to_vec();
+    sorted.sort();
+    sorted.get(sorted.len() / 2).copied().unwrap_or_default()
+}
