fix(node): follow the message header of the membership

Cause: the header of member messages gained a field that tells neighbours apart. Change: notices of the node set it; a lint of the measuring program is mended. Result: the workspace compiles and lints clean again.

--- a/crates/demo/src/bin/knapweed-measure.rs
+++ b/crates/demo/src/bin/knapweed-measure.rs
@@ -82,7 +82,7 @@
 fn place(index: usize) -> NodePlace {
     // Hosts live as long as the program.
     let host = Box::leak(format!("h{index}").into_boxed_str());
-    let zone = if index % 2 == 0 {
+    let zone = if index.is_multiple_of(2) {
         "labasa-a"
     } else {
         "labasa-b"
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -128,6 +128,7 @@
             sender: knapweed_zone::message::Sender {
                 incarnation: own.incarnation,
                 version: own.applied,
+                is_neighbour: false,
             },
             body: knapweed_zone::message::Body::Notice(knapweed_zone::message::Notice {}),
             records: Vec::new(),
