test(contract): stops, lost answers, races and interleavings of acceptance

Cause: the promises about tickets (one version each, one result, nothing left by a refusal) were not yet tested under faults.

--- a/crates/contract/src/problem.rs
+++ b/crates/contract/src/problem.rs
@@ -166,7 +166,9 @@
         base: ConfigVersion,
     },
     /// A ticket with a lower number changed the object after the base version.
-    #[error("ticket {ticket} is based on version {base}, but ticket {by} changed it in {version}")]
+    #[error(
+        "ticket {ticket} is based on version {base}, but ticket {by} changed it in version {version}"
+    )]
     Conflict {
         /// The refused ticket.
         ticket: TicketNumber,
--- /dev/null
+++ b/crates/contract/tests/collect.rs
@@ -0,0 +1,58 @@
+//! Unused parts are deleted late, slowly, and never under a filing process.
+
+use knapweed_contract::collect::{Collector, GRACE, MAX_DELETIONS_PER_S};
+use knapweed_contract::{Digest, Head, parts};
+use knapweed_platform::{ObjectKey, Revision};
+use knapweed_world::Time;
+use std::time::Duration;
+
+fn listed(count: u64) -> Vec<(ObjectKey, Revision)> {
+    let part = |i: u64| parts::key(&Digest::of(&i.to_le_bytes()));
+    (0..count).map(|i| (part(i), Revision(i + 1))).collect()
+}
+
+#[test]
+fn parts_are_deleted_after_the_grace_time_at_a_bounded_rate() {
+    let (mut collector, head) = (Collector::default(), Head::default());
+    let (listed, now) = (listed(25), Time::default());
+    let mut count = |listed: &[_], now| collector.observe(listed, &head, Revision(100), now).len();
+    assert_eq!(count(&listed, now), 0);
+    assert_eq!(
+        count(&listed, now.after(GRACE - Duration::from_millis(1))),
+        0
+    );
+    assert_eq!(count(&listed, now.after(GRACE)), MAX_DELETIONS_PER_S);
+    assert_eq!(count(&listed[20..], now.after(GRACE)), 5);
+}
+
+/// Guards against the deletion of parts that a paused filing process wrote and
+/// whose head it may still write.
+#[test]
+fn parts_newer_than_the_head_stay() {
+    let (mut collector, head) = (Collector::default(), Head::default());
+    let listed = listed(3);
+    collector.observe(&listed, &head, Revision(2), Time::default());
+    let due = collector.observe(&listed, &head, Revision(2), Time::default().after(GRACE));
+    let revisions: Vec<_> = due.iter().map(|d| d.revision.0).collect();
+    assert_eq!(revisions, [1]);
+}
+
+/// Guards against a grace time that goes on counting while a part is used.
+#[test]
+fn use_and_rewriting_start_the_grace_time_again() {
+    let (mut collector, unused) = (Collector::default(), Head::default());
+    let mut listed = listed(2);
+    let mut used = Head::default();
+    used.routes.insert(0, Digest::of(&0_u64.to_le_bytes()));
+    let now = Time::default();
+    let later = now.after(GRACE);
+    collector.observe(&listed, &unused, Revision(100), now);
+    listed[1].1 = Revision(50);
+    assert_eq!(collector.observe(&listed, &used, Revision(100), later), []);
+    assert_eq!(
+        collector.observe(&listed, &unused, Revision(100), later),
+        []
+    );
+    let due = collector.observe(&listed, &unused, Revision(100), later.after(GRACE));
+    assert_eq!(due.len(), 2);
+}
--- a/crates/contract/tests/common/mod.rs
+++ b/crates/contract/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod sim;
 pub(crate) mod world;
 
 use knapweed_contract::check::{Context, Defaults, TargetReached, check};
--- /dev/null
+++ b/crates/contract/tests/common/sim.rs
@@ -0,0 +1,213 @@
+//! A platform for many processes whose calls interleave by a seed.
+
+use super::world::HandClock;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use knapweed_contract::{Head, parts};
+use knapweed_platform::memory::MemoryPlatform;
+use knapweed_platform::{Answer, Condition, Error, Object, ObjectKey, Platform, Revision};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+/// A write or deletion that takes effect later than its caller knows.
+enum Late {
+    Write(ObjectKey, Bytes, Condition),
+    Delete(ObjectKey, Revision),
+}
+
+/// A platform on which every call first lets other processes run, and then may
+/// fail, lose its answer, or take effect at some later moment.
+pub(crate) struct SimPlatform {
+    pub(crate) inner: MemoryPlatform,
+    pub(crate) clock: HandClock,
+    rng: Mutex<SmallRng>,
+    late: Mutex<Vec<Late>>,
+    /// Every head that was written, in order.
+    pub(crate) heads: Mutex<Vec<Head>>,
+    /// Percentage of calls that fail in some way.
+    fault_percent: u32,
+}
+
+enum Fault {
+    None,
+    Unavailable,
+    LoseAnswer,
+    Delay,
+}
+
+impl SimPlatform {
+    pub(crate) fn new(seed: u64, fault_percent: u32, objects: &[(ObjectKey, Bytes)]) -> Self {
+        let inner = MemoryPlatform::new();
+        for (key, value) in objects {
+            let write = inner.write(key, value.clone(), Condition::Absent);
+            now(write).expect("no faults");
+        }
+        Self {
+            inner,
+            clock: HandClock::new(),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+            late: Mutex::default(),
+            heads: Mutex::default(),
+            fault_percent,
+        }
+    }
+
+    pub(crate) fn random(&self, below: u32) -> u32 {
+        self.rng.lock().expect("one thread").random_range(0..below)
+    }
+
+    fn fault(&self) -> Fault {
+        if self.random(100) >= self.fault_percent {
+            return Fault::None;
+        }
+        match self.random(3) {
+            0 => Fault::Unavailable,
+            1 => Fault::LoseAnswer,
+            _ => Fault::Delay,
+        }
+    }
+
+    fn apply(&self, late: Late) -> Result<Revision, Error> {
+        let (key, value, condition) = match late {
+            Late::Write(key, value, condition) => (key, value, condition),
+            Late::Delete(key, revision) => {
+                return now(self.inner.delete(&key, revision)).map(|()| Revision(0));
+            }
+        };
+        let revision = now(self.inner.write(&key, value.clone(), condition))?;
+        if key == knapweed_contract::head::key() {
+            let head = Object { revision, value };
+            let (_, head) = Head::decode(Some(&head)).expect("a readable head");
+            self.heads.lock().expect("one thread").push(head);
+        }
+        Ok(revision)
+    }
+
+    async fn change(&self, late: Late) -> Result<Revision, Error> {
+        yield_once().await;
+        match self.fault() {
+            Fault::None => self.apply(late),
+            Fault::Unavailable => Err(Error::Unavailable("simulated".into())),
+            Fault::LoseAnswer => {
+                let _ = self.apply(late);
+                Err(Error::AnswerLost("simulated".into()))
+            }
+            Fault::Delay => {
+                self.late.lock().expect("one thread").push(late);
+                Err(Error::AnswerLost("simulated".into()))
+            }
+        }
+    }
+
+    async fn query<T>(&self, read: Answer<'_, T>) -> Result<T, Error> {
+        yield_once().await;
+        match self.fault() {
+            Fault::None => read.await,
+            _ => Err(Error::Unavailable("simulated".into())),
+        }
+    }
+
+    /// Lets one delayed write take effect.
+    pub(crate) fn deliver_late(&self) -> bool {
+        let mut late = self.late.lock().expect("one thread");
+        if late.is_empty() {
+            return false;
+        }
+        let index = self.random(late.len() as u32) as usize;
+        let write = late.swap_remove(index);
+        drop(late);
+        let _ = self.apply(write);
+        true
+    }
+
+    /// Checks that the head refers only to parts that exist.
+    pub(crate) fn assert_parts(&self, seed: u64) {
+        let key = knapweed_contract::head::key();
+        let object = now(self.inner.read(&key)).expect("no faults");
+        let (_, head) = Head::decode(object.as_ref()).expect("a readable head");
+        let listed = now(self.inner.list(parts::KEY_PREFIX)).expect("no faults");
+        let present: BTreeSet<_> = listed.into_iter().map(|(key, _)| key).collect();
+        for digest in head.digests() {
+            assert!(
+                present.contains(&parts::key(digest)),
+                "seed {seed}: {digest} is gone"
+            );
+        }
+    }
+
+    /// All objects, in the order of their revisions.
+    pub(crate) fn objects(platform: &MemoryPlatform) -> Vec<(ObjectKey, Bytes)> {
+        let mut keys = now(platform.list("")).expect("no faults");
+        keys.sort_by_key(|(_, revision)| *revision);
+        let value = |key: &ObjectKey| now(platform.read(key)).expect("no faults");
+        let objects = keys.into_iter().filter_map(|(key, _)| {
+            let value = value(&key)?.value;
+            Some((key, value))
+        });
+        objects.collect()
+    }
+}
+
+fn now<T>(answer: Answer<'_, T>) -> Result<T, Error> {
+    answer.now_or_never().expect("the fake answers at once")
+}
+
+async fn yield_once() {
+    let mut yielded = false;
+    std::future::poll_fn(|_| match std::mem::replace(&mut yielded, true) {
+        true => Poll::Ready(()),
+        false => Poll::Pending,
+    })
+    .await;
+}
+
+impl Platform for SimPlatform {
+    fn read<'a>(&'a self, key: &'a ObjectKey) -> Answer<'a, Option<Object>> {
+        Box::pin(self.query(self.inner.read(key)))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        after: Revision,
+        wait: Duration,
+    ) -> Answer<'a, Option<Object>> {
+        Box::pin(self.query(self.inner.watch(key, after, wait)))
+    }
+
+    fn write<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        value: Bytes,
+        condition: Condition,
+    ) -> Answer<'a, Revision> {
+        Box::pin(self.change(Late::Write(key.clone(), value, condition)))
+    }
+
+    fn delete<'a>(&'a self, key: &'a ObjectKey, revision: Revision) -> Answer<'a, ()> {
+        let delete = self.change(Late::Delete(key.clone(), revision));
+        Box::pin(async { delete.await.map(drop) })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Vec<(ObjectKey, Revision)>> {
+        Box::pin(self.query(self.inner.list(prefix)))
+    }
+}
+
+/// A process of the simulation; its output is a list of outcomes.
+pub(crate) type Process<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+
+/// Polls one process once.
+pub(crate) fn step<T>(process: &mut Process<'_, T>) -> Option<T> {
+    let mut cx = Context::from_waker(Waker::noop());
+    match process.as_mut().poll(&mut cx) {
+        Poll::Ready(output) => Some(output),
+        Poll::Pending => None,
+    }
+}
--- /dev/null
+++ b/crates/contract/tests/result.rs
@@ -0,0 +1,128 @@
+//! A ticket has exactly one final result, told in one sentence.
+
+mod common;
+
+use assert_matches::assert_matches;
+use common::world::{HandClock, Plan, Planned, driver, file, record};
+use common::{NOW, name, set_service};
+use futures_util::FutureExt;
+use knapweed_contract::drive::Error;
+use knapweed_contract::result::{self, Ending, Evidence, FinalResult, Tally};
+use knapweed_contract::{Record, sentence};
+use knapweed_platform::memory::MemoryPlatform;
+use knapweed_world::{TicketNumber, UnixMillis};
+use std::fmt::Write;
+use std::time::Duration;
+
+fn platform() -> (MemoryPlatform, HandClock) {
+    let (platform, clock) = (MemoryPlatform::new(), HandClock::new());
+    file(&platform, &clock, &set_service(1, None, "calendar", "v1"));
+    (platform, clock)
+}
+
+fn conclude(
+    platform: &Planned<'_>,
+    number: u64,
+    ending: Ending,
+) -> Option<Result<FinalResult, Error>> {
+    let clock = HandClock::new();
+    let result = FinalResult::new(ending, later());
+    let driver = driver(platform, &clock);
+    driver
+        .conclude(TicketNumber(number), &result)
+        .now_or_never()
+}
+
+fn later() -> UnixMillis {
+    NOW.after(Duration::from_millis(61_500))
+}
+
+/// Guards against two results, and against one that a lost answer hides.
+#[test]
+fn the_first_result_stands_also_after_lost_answers_and_stops() {
+    for plan in [Plan::LoseAnswer, Plan::StopBefore, Plan::StopAfter] {
+        for call in 0..4 {
+            let (platform, _) = platform();
+            let planned = Planned::new(&platform, [(call, plan)]);
+            let first = conclude(&planned, 1, Ending::Completed);
+            let plain = Planned::new(&platform, []);
+            let second = conclude(&plain, 1, Ending::InForce).expect("no stop");
+            let stands = second.expect("a result").ending;
+            match first {
+                Some(first) => assert_eq!(first.expect("a result").ending, stands),
+                None => assert_matches!(stands, Ending::Completed | Ending::InForce),
+            }
+            let result = record(&platform, 1).and_then(|r| r.result);
+            assert_eq!(result.map(|r| r.ending), Some(stands));
+        }
+    }
+}
+
+#[test]
+fn only_accepted_tickets_are_concluded() {
+    let (platform, clock) = platform();
+    let planned = Planned::new(&platform, []);
+    let missing = conclude(&planned, 9, Ending::InForce).expect("no stop");
+    assert_matches!(missing, Err(Error::NotFiled(TicketNumber(9))));
+    let stopped = Planned::new(&platform, [(3, Plan::StopBefore)]);
+    let document = set_service(2, None, "calendar", "v2");
+    assert_matches!(common::world::try_file(&stopped, &clock, &document), None);
+    let open = conclude(&planned, 2, Ending::InForce).expect("no stop");
+    assert_matches!(
+        open,
+        Err(Error::Record {
+            error: result::Error::NotAccepted,
+            ..
+        })
+    );
+}
+
+#[test]
+fn each_state_is_told_in_one_sentence() {
+    let (platform, _) = platform();
+    let accepted = record(&platform, 1).expect("a filed ticket");
+    let open = Record {
+        progress: None,
+        ..accepted.clone()
+    };
+    let pulled_back = Ending::PulledBack {
+        service: name("calendar"),
+        reason: "the new versions failed more often".to_owned(),
+        evidence: Some(Evidence {
+            route: Some(name("calendar")),
+            zone: Some(name("labasa-a")),
+            new: Tally {
+                requests: 40,
+                failures: 12,
+                slow: 3,
+            },
+            old: Tally {
+                requests: 800,
+                failures: 1,
+                slow: 40,
+            },
+        }),
+    };
+    let endings = [
+        Ending::Completed,
+        Ending::InForce,
+        Ending::Superseded {
+            by: TicketNumber(2),
+        },
+        pulled_back,
+    ];
+    let mut out = String::new();
+    let mut tell = |record: &Record| {
+        writeln!(out, "{}", sentence::of_record(record)).expect("a string");
+    };
+    tell(&open);
+    tell(&accepted);
+    for (i, ending) in endings.into_iter().enumerate() {
+        let mut result = FinalResult::new(ending, later());
+        result.unconfirmed = (0..i * 6).map(|i| name(&format!("host-{i}"))).collect();
+        let record = accepted.with_result(&result).expect("no result yet");
+        tell(&record.expect("a change"));
+    }
+    insta::assert_snapshot!(out);
+    insta::assert_json_snapshot!(accepted);
+}
