feat(node): rollouts from ticket to result, and a guard that ends them

Cause: tickets with a rollout had no effect on traffic and no result. Change: trials at the egress count per version and route; reports go to the holder of the duty; states spread by push and are joined; final results are written once; a tripped guard is reported and pulls the rollout back. Ruled out: lowering the judge's evidence bound, since the first 10 s of a server are kept apart on purpose and only 10 warm requests had been counted. Until duties are bound to leases the member with the lowest name works.

--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -34,6 +34,12 @@
 
 /// The bound on the time until a ticket is in force on all nodes.
 const IN_FORCE: Duration = Duration::from_secs(3);
+/// The bound on the time until a ticket with a rollout has its result.
+const RESULT: Duration = Duration::from_secs(40);
+/// The bound on the time until a node without calls has stopped.
+const STOPPED: Duration = Duration::from_secs(10);
+/// Bound on the calls made during the rollouts.
+const MAX_CALLS: usize = 100_000;
 /// The bound on the time until all nodes know each other.
 const JOINED: Duration = Duration::from_secs(15);
 
@@ -67,7 +73,18 @@
     join(mesh, hosts).await?;
     make_route(mesh, hosts).await?;
     call_other_zone(mesh).await?;
-    refuse_bad_ticket(mesh, hosts).await
+    refuse_bad_ticket(mesh, hosts).await?;
+    let traffic = Traffic::start(mesh, hosts);
+    complete_rollout(mesh).await?;
+    pull_back_bad_version(mesh).await?;
+    let counts = traffic.stop().await?;
+    ensure!(
+        counts.unknown == 0,
+        "{} calls have an unknown outcome",
+        counts.unknown
+    );
+    println!("8. calls meanwhile: {counts:?}");
+    stop_gracefully(mesh).await
 }
 
 async fn join(mesh: &mut Mesh, hosts: &[&str]) -> anyhow::Result<()> {
@@ -163,6 +180,169 @@
     Ok(())
 }
 
+async fn complete_rollout(mesh: &mut Mesh) -> anyhow::Result<()> {
+    for host in ["a2", "b2"] {
+        let place = BackendPlace {
+            host,
+            service: "calendar",
+            version: "v2",
+            work_ms: 2,
+        };
+        mesh.start_backend(&place)?;
+    }
+    let reply = mesh.file("b1", &move_to(3, "v2", 20)).await?;
+    ensure!(
+        reply.status == 200,
+        "ticket 3 was not accepted: {}",
+        text(&reply)
+    );
+    let (ticket, took) = result_of(mesh, "a1", 3).await?;
+    let kind = &ticket["record"]["result"]["ending"]["kind"];
+    ensure!(kind == "completed", "ticket 3 ended otherwise: {ticket}");
+    println!("6. after {took:?}: {}", ticket["sentence"]);
+    let reply = mesh
+        .client
+        .get(mesh.node("a1").callers, "/calendar/today")
+        .await?;
+    ensure!(
+        reply.json()?["version"] == "v2",
+        "a call went elsewhere: {}",
+        text(&reply)
+    );
+    Ok(())
+}
+
+async fn pull_back_bad_version(mesh: &mut Mesh) -> anyhow::Result<()> {
+    for host in ["a1", "b1"] {
+        let place = BackendPlace {
+            host,
+            service: "calendar",
+            version: "v3",
+            work_ms: 2,
+        };
+        let name = mesh.start_backend(&place)?;
+        let address = mesh.backend(&name);
+        mesh.until("the backend server takes its fault", JOINED, || async {
+            let body = json!({ "fail_percent": 50 }).to_string();
+            let put = mesh
+                .client
+                .send(Method::PUT, address, "/faults", &[], body)
+                .await
+                .ok()?;
+            put.status.is_success().then_some(())
+        })
+        .await?;
+    }
+    let reply = mesh.file("a2", &move_to(4, "v3", 30)).await?;
+    ensure!(
+        reply.status == 200,
+        "ticket 4 was not accepted: {}",
+        text(&reply)
+    );
+    let (ticket, took) = result_of(mesh, "b1", 4).await?;
+    let kind = &ticket["record"]["result"]["ending"]["kind"];
+    ensure!(kind == "pulled-back", "ticket 4 ended otherwise: {ticket}");
+    println!("7. after {took:?}: {}", ticket["sentence"]);
+    for _ in 0..100 {
+        let reply = mesh
+            .client
+            .get(mesh.node("b1").callers, "/calendar/today")
+            .await?;
+        ensure!(
+            reply.json()?["version"] == "v2",
+            "a call went elsewhere: {}",
+            text(&reply)
+        );
+    }
+    Ok(())
+}
+
+async fn stop_gracefully(mesh: &mut Mesh) -> anyhow::Result<()> {
+    let node = mesh.process("b2");
+    node.signal("TERM")?;
+    let status = node.wait(STOPPED)?;
+    ensure!(status.success(), "the node of b2 ended with {status}");
+    println!("9. the node of b2 stopped gracefully");
+    Ok(())
+}
+
+fn move_to(number: u64, version: &str, deadline_s: u64) -> serde_json::Value {
+    json!({
+        "ticket": number,
+        "services": [{ "name": "calendar",
+                       "versions": [{ "version": version, "share": 100 }],
+                       "rollout": { "deadline_s": deadline_s } }],
+    })
+}
+
+/// Waits for the final result of a ticket.
+async fn result_of(
+    mesh: &Mesh,
+    host: &str,
+    ticket: u64,
+) -> anyhow::Result<(serde_json::Value, Duration)> {
+    let address = mesh.node(host).operators;
+    let path = format!("/v1/tickets/{ticket}");
+    mesh.until(&format!("ticket {ticket} has a result"), RESULT, || async {
+        let ticket = mesh.client.get(address, &path).await.ok()?.json().ok()?;
+        (!ticket["record"]["result"].is_null()).then_some(ticket)
+    })
+    .await
+}
+
+/// Outcomes of calls.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    answered: u64,
+    failed: u64,
+    not_run: u64,
+    unknown: u64,
+}
+
+/// Calls through all nodes, one after the other, until stopped.
+struct Traffic {
+    stop: tokio::sync::watch::Sender<bool>,
+    task: tokio::task::JoinHandle<Counts>,
+}
+
+impl Traffic {
+    fn start(mesh: &Mesh, hosts: &[&str]) -> Self {
+        let (stop, stopped) = tokio::sync::watch::channel(false);
+        let nodes: Vec<_> = hosts.iter().map(|host| mesh.node(host).callers).collect();
+        let client = mesh.client.clone();
+        let task = tokio::spawn(async move {
+            let mut counts = Counts::default();
+            for address in nodes.iter().cycle().take(MAX_CALLS) {
+                if *stopped.borrow() {
+                    break;
+                }
+                if let Ok(reply) = client.get(*address, "/calendar/today").await {
+                    counts.add(&reply);
+                }
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+            counts
+        });
+        Self { stop, task }
+    }
+
+    async fn stop(self) -> anyhow::Result<Counts> {
+        self.stop.send_replace(true);
+        Ok(self.task.await?)
+    }
+}
+
+impl Counts {
+    fn add(&mut self, reply: &Reply) {
+        match reply.header("knapweed-outcome") {
+            "answered" if reply.status.is_server_error() => self.failed += 1,
+            "answered" => self.answered += 1,
+            "not-run" => self.not_run += 1,
+            _ => self.unknown += 1,
+        }
+    }
+}
+
 fn text(reply: &Reply) -> String {
     let body = String::from_utf8_lossy(&reply.body);
     body.chars().take(300).collect()
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -5,10 +5,13 @@
 pub mod event;
 mod members;
 pub mod query;
+mod results;
+mod rollouts;
 mod streams;
-mod view;
+pub mod view;
 
 use crate::egress::Egress;
+use crate::trial::Trials;
 use arc_swap::ArcSwap;
 use config::ConfigStore;
 pub use event::{ControlHandle, Event};
@@ -16,8 +19,11 @@
 use knapweed_platform::Platform;
 use knapweed_timer::TimerService;
 use knapweed_transport::Peers;
-use knapweed_world::{Name, SnapshotCell, Time};
+use knapweed_world::{Name, SnapshotCell, TicketNumber, Time};
 use knapweed_zone::{Membership, membership};
+use results::Results;
+use rollouts::Rollouts;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 pub use view::View;
@@ -34,6 +40,8 @@
     pub peers: Arc<Peers>,
     /// The platform.
     pub platform: Arc<dyn Platform>,
+    /// Counts of services whose traffic is being moved.
+    pub trials: Arc<Trials>,
     /// The time.
     pub timer: TimerService,
     /// What operators see.
@@ -46,6 +54,10 @@
     handle: ControlHandle,
     membership: Membership,
     configs: ConfigStore,
+    rollouts: Rollouts,
+    results: Results,
+    /// Recent tickets that are known to have a final result.
+    concluded: BTreeSet<TicketNumber>,
     /// Whether the snapshot no longer fits the members or the configuration.
     stale: bool,
 }
@@ -59,6 +71,9 @@
             handle,
             membership,
             configs: ConfigStore::default(),
+            rollouts: Rollouts::default(),
+            results: Results::default(),
+            concluded: BTreeSet::new(),
             stale: true,
         }
     }
@@ -87,6 +102,8 @@
 
     fn tick(&mut self, now: Time) {
         self.member_event(now, membership::Event::Tick);
+        self.rollout_tick(now);
+        self.result_tick(now);
     }
 
     fn take(&mut self, event: Event) {
@@ -100,6 +117,8 @@
                 self.member_event(now, membership::Event::Members(records));
             }
             Event::Loaded { head, cache } => self.loaded(&head, cache),
+            Event::Rollout { service, event } => self.rollout_event(now, &service, *event),
+            Event::Concluded(ticket) => self.ticket_concluded(now, ticket),
             Event::Query(query) => self.answer(query),
             Event::Leave => self.member_event(now, membership::Event::Leave),
             Event::Stop(done) => {
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -7,6 +7,7 @@
 use knapweed_transport::Incoming;
 use knapweed_wire::StreamHead;
 use knapweed_world::backend_server::Announcement;
+use knapweed_world::{Name, TicketNumber};
 use knapweed_zone::directory::SharedRecord;
 use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
@@ -49,6 +50,15 @@
         /// Its parts.
         cache: PartCache,
     },
+    /// An answer of the platform about a rollout.
+    Rollout {
+        /// The service.
+        service: Name,
+        /// The answer.
+        event: Box<knapweed_rollout::Event>,
+    },
+    /// The final result of a ticket is written.
+    Concluded(TicketNumber),
     /// A question of an operator.
     Query(Query),
     /// The node will stop soon.
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 
 /// Members that are told of a new configuration version.
-const NOTICE_FANOUT: usize = 4;
+pub(super) const NOTICE_FANOUT: usize = 4;
 /// Longest answer to a comparison of records, in bytes.
 const MAX_RECORDS_LEN: usize = 4 * 1024 * 1024;
 
@@ -93,6 +93,18 @@
     }
 }
 
+async fn tell(peers: Arc<Peers>, to: SocketAddr, bytes: Bytes) {
+    let sent = async {
+        let (mut tx, _rx) = peers.open(to).await?;
+        tx.head(&bytes).await?;
+        tx.finish();
+        Ok::<_, anyhow::Error>(())
+    };
+    if let Err(err) = sent.await {
+        log::debug!(target: part::LINK, "{err}");
+    }
+}
+
 async fn ask_members(
     peers: &Peers,
     from: SocketAddr,
@@ -112,10 +124,11 @@
         let present = self.membership.directory().present();
         let hosts = present.filter_map(|(_, record)| record.host_entry());
         let previous = self.parts.snapshots.load();
-        Builder::new(self.parts.host.clone(), &config)
-            .hosts(hosts)
-            .previous(&previous)
-            .build()
+        let builder = Builder::new(self.parts.host.clone(), &config);
+        let builder = builder.hosts(hosts).previous(&previous);
+        let shares = self.shares().into_iter();
+        let builder = shares.fold(builder, |b, (service, shares)| b.shares(service, shares));
+        builder.build()
     }
 }
 
@@ -133,12 +146,27 @@
             body: knapweed_zone::message::Body::Notice(knapweed_zone::message::Notice {}),
             records: Vec::new(),
         };
+        for to in self.some_members(NOTICE_FANOUT) {
+            self.send_message(to, &message);
+        }
+    }
+
+    /// Addresses of up to `count` other members, chosen at random.
+    pub(super) fn some_members(&self, count: usize) -> Vec<SocketAddr> {
+        let own = &self.membership.own().host;
         let members = self.membership.directory().present();
         let others = members
-            .filter(|(_, r)| r.host != own.host)
+            .filter(|(_, r)| r.host != *own)
             .map(|(_, r)| r.address);
-        for to in others.choose_multiple(&mut rand::rng(), NOTICE_FANOUT) {
-            self.send_message(to, &message);
+        others.choose_multiple(&mut rand::rng(), count)
+    }
+
+    /// Sends a message on a stream without waiting for an answer.
+    pub(super) fn tell(&self, to: SocketAddr, head: &StreamHead) {
+        let peers = Arc::clone(&self.parts.peers);
+        match encode(head) {
+            Ok(bytes) => drop(tokio::spawn(tell(peers, to, bytes))),
+            Err(err) => log::error!(target: part::LINK, "could not send to {to}: {err}"),
         }
     }
 }
--- /dev/null
+++ b/crates/node/src/control/results.rs
@@ -0,0 +1,217 @@
+//! Final results of tickets: written once, and from stored state only.
+
+use super::{Control, Event};
+use knapweed_contract::drive::SystemClock;
+use knapweed_contract::head::Accepted;
+use knapweed_contract::result::{Ending, Evidence, FinalResult, Record, Tally};
+use knapweed_contract::{Driver, Head};
+use knapweed_observe::part;
+use knapweed_platform::Platform;
+use knapweed_rollout::judge::{Fault, FaultKind};
+use knapweed_rollout::result::PullBackReason;
+use knapweed_rollout::{self as rollout, TicketResult};
+use knapweed_world::{Config, ConfigVersion, Name, TicketNumber, Time};
+use knapweed_zone::MemberState;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Time between looks at tickets without a result.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for all nodes to confirm a version; the bound on its convergence.
+const CONFIRM_WAIT: Duration = Duration::from_secs(3);
+/// Wait before a result that could not be written is tried again.
+const RETRY_WAIT: Duration = Duration::from_secs(2);
+
+/// Tickets on their way to a final result.
+#[derive(Debug, Default)]
+pub(super) struct Results {
+    /// Ends of rollouts by ticket and service.
+    ended: BTreeMap<TicketNumber, BTreeMap<Name, TicketResult>>,
+    /// Tickets whose result is being written, and since when.
+    writing: BTreeMap<TicketNumber, Time>,
+    checked: Time,
+}
+
+/// Tickets with a rollout.
+impl Control {
+    /// The rollout of one service of a ticket has ended.
+    pub(super) fn rollout_ended(&mut self, result: TicketResult) {
+        let ticket = result.ticket;
+        let ended = self.results.ended.entry(ticket).or_default();
+        ended.insert(result.service.clone(), result);
+        let ended = ended.clone();
+        if let Some(ending) = ending(&ended, &self.expected(ticket)) {
+            self.conclude(ticket, ending);
+        }
+    }
+
+    /// Services whose newest ticket is `ticket` and that move by it.
+    fn expected(&self, ticket: TicketNumber) -> BTreeSet<Name> {
+        let services = self.configs.config().services.iter();
+        let moving = services.filter(|(_, s)| s.ticket == ticket && s.rollout.is_some());
+        moving.map(|(name, _)| name.clone()).collect()
+    }
+}
+
+/// How a ticket ends, once that is certain. A pull-back ends it at once.
+fn ending(ended: &BTreeMap<Name, TicketResult>, expected: &BTreeSet<Name>) -> Option<Ending> {
+    let pulled_back = ended.values().find_map(pulled_back);
+    if pulled_back.is_some() {
+        return pulled_back;
+    }
+    if expected.iter().any(|service| !ended.contains_key(service)) {
+        return None;
+    }
+    let superseded = ended.values().find_map(|result| match result.outcome {
+        rollout::Outcome::Superseded { by, .. } => Some(Ending::Superseded { by }),
+        _ => None,
+    });
+    Some(superseded.unwrap_or(Ending::Completed))
+}
+
+fn pulled_back(result: &TicketResult) -> Option<Ending> {
+    let rollout::Outcome::PulledBack { reason, .. } = &result.outcome else {
+        return None;
+    };
+    Some(Ending::PulledBack {
+        service: result.service.clone(),
+        reason: reason.to_string(),
+        evidence: match reason {
+            PullBackReason::Fault(fault) => Some(evidence(fault)),
+            PullBackReason::NoServers => None,
+        },
+    })
+}
+
+fn evidence(fault: &Fault) -> Evidence {
+    let tally = |t: rollout::judge::Tally| {
+        let (failures, slow) = match fault.kind {
+            FaultKind::Failures => (t.affected, 0),
+            FaultKind::Slow => (0, t.affected),
+        };
+        Tally {
+            requests: t.requests,
+            failures,
+            slow,
+        }
+    };
+    Evidence {
+        route: Some(fault.route.clone()),
+        zone: None,
+        new: tally(fault.new),
+        old: tally(fault.old),
+    }
+}
+
+/// Tickets without a rollout.
+impl Control {
+    pub(super) fn result_tick(&mut self, now: Time) {
+        if now.since(self.results.checked) < CHECK_INTERVAL || !self.holds_ticket_duty() {
+            return;
+        }
+        self.results.checked = now;
+        self.results
+            .writing
+            .retain(|_, since| now.since(*since) < RETRY_WAIT);
+        let recent: Vec<_> = self.configs.head().recent.iter().copied().collect();
+        self.concluded
+            .retain(|ticket| recent.iter().any(|a| a.ticket == *ticket));
+        for accepted in recent {
+            self.check_in_force(accepted);
+        }
+    }
+
+    fn check_in_force(&mut self, accepted: Accepted) {
+        let ticket = accepted.ticket;
+        let is_known =
+            self.concluded.contains(&ticket) || self.results.writing.contains_key(&ticket);
+        if is_known || !self.expected(ticket).is_empty() {
+            return;
+        }
+        let unconfirmed = self.unconfirmed(accepted.version);
+        let waited = self.parts.timer.wall().since(accepted.at);
+        if unconfirmed.is_empty() || waited >= CONFIRM_WAIT {
+            self.conclude(ticket, Ending::InForce);
+        }
+    }
+
+    /// Nodes that are alive and have not applied `version`.
+    fn unconfirmed(&self, version: ConfigVersion) -> Vec<Name> {
+        let members = self.membership.directory().present();
+        let alive = members.filter(|(_, r)| r.state == MemberState::Alive);
+        let behind = alive.filter(|(_, r)| r.applied < version);
+        behind.map(|(_, r)| r.host.clone()).collect()
+    }
+}
+
+/// Writing.
+impl Control {
+    fn conclude(&mut self, ticket: TicketNumber, ending: Ending) {
+        let now = self.now();
+        if self.results.writing.insert(ticket, now).is_some() {
+            return;
+        }
+        let accepted = self.configs.head().accepted(ticket);
+        let version = accepted.map_or(ConfigVersion(0), |a| a.version);
+        let result = FinalResult {
+            ending,
+            at: self.parts.timer.wall(),
+            unconfirmed: self.unconfirmed(version),
+        };
+        let (platform, handle) = (self.parts.platform.clone(), self.handle.clone());
+        let (head, config) = (self.configs.head().clone(), self.configs.config().clone());
+        tokio::spawn(async move {
+            match write(&*platform, ticket, result, &head, &config).await {
+                Ok(()) => handle.send(Event::Concluded(ticket)).await,
+                Err(err) => log::warn!(target: part::TICKET, "no result of {ticket} yet: {err}"),
+            }
+        });
+    }
+
+    /// The result of a ticket is written, by this node or another.
+    pub(super) fn ticket_concluded(&mut self, now: Time, ticket: TicketNumber) {
+        self.concluded.insert(ticket);
+        self.results.writing.remove(&ticket);
+        self.results.ended.remove(&ticket);
+        let services: Vec<_> = self.configs.config().services.keys().cloned().collect();
+        for service in services {
+            self.rollout_event(now, &service, rollout::Event::ResultWritten(ticket));
+        }
+    }
+}
+
+async fn write(
+    platform: &dyn Platform,
+    ticket: TicketNumber,
+    mut result: FinalResult,
+    head: &Head,
+    config: &Config,
+) -> Result<(), knapweed_contract::drive::Error> {
+    let driver = Driver::new(platform, &SystemClock);
+    driver.finish_progress(head, &mut BTreeSet::new()).await?;
+    if result.ending == Ending::InForce {
+        let Some(record) = driver.record(ticket).await? else {
+            return Ok(());
+        };
+        if record.result.is_some() {
+            return Ok(());
+        }
+        if let Some(by) = overtaken(&record, config) {
+            result.ending = Ending::Superseded { by };
+        }
+    }
+    let stands = driver.conclude(ticket, &result).await?;
+    log::info!(target: part::TICKET, "ticket {ticket}: {:?}", stands.ending);
+    Ok(())
+}
+
+/// The later ticket that changed a service of this one before it had a result.
+fn overtaken(record: &Record, config: &Config) -> Option<TicketNumber> {
+    let own = record.document.ticket;
+    let changes = record.document.services.iter();
+    let later = changes.filter_map(|change| config.services.get(&change.name));
+    later
+        .map(|service| service.ticket)
+        .filter(|ticket| *ticket > own)
+        .min()
+}
--- /dev/null
+++ b/crates/node/src/control/rollouts.rs
@@ -0,0 +1,360 @@
+//! Rollouts: the states that this node knows, and control of them while it
+//! holds the duty.
+
+use super::{Control, Event};
+use knapweed_observe::part;
+use knapweed_platform::{Condition, Error as PlatformError, Object, ObjectKey};
+use knapweed_rollout::control::WriteAnswer;
+use knapweed_rollout::judge::{Fault, SequentialJudge, SequentialOptions};
+use knapweed_rollout::planner::DeadlinePlanner;
+use knapweed_rollout::{self as rollout, Revision, RolloutState, ZoneCapacity, ZoneReport};
+use knapweed_wire::StreamHead;
+use knapweed_world::backend_server::ServerState;
+use knapweed_world::config::VersionShare;
+use knapweed_world::{Name, TicketNumber, Time};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time between reports of counters.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between ticks of rollout control.
+const CONTROL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between pushes of states to one member, for those that missed a publication.
+const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What this node knows of rollouts.
+#[derive(Debug, Default)]
+pub(super) struct Rollouts {
+    /// The newest state of each service.
+    states: BTreeMap<Name, RolloutState>,
+    /// Where the holder of the duty takes reports.
+    holder: Option<SocketAddr>,
+    /// Control of each service, while this node holds the duty.
+    controls: BTreeMap<Name, rollout::Control>,
+    /// Number of the last report.
+    sequence: u64,
+    reported: Time,
+    controlled: Time,
+    repaired: Time,
+}
+
+/// Access.
+impl Rollouts {
+    pub(super) fn states(&self) -> &BTreeMap<Name, RolloutState> {
+        &self.states
+    }
+}
+
+/// Time.
+impl Control {
+    pub(super) fn rollout_tick(&mut self, now: Time) {
+        if now.since(self.rollouts.reported) >= REPORT_INTERVAL {
+            self.rollouts.reported = now;
+            self.send_reports(now);
+        }
+        if now.since(self.rollouts.repaired) >= REPAIR_INTERVAL {
+            self.rollouts.repaired = now;
+            self.repair_states();
+        }
+        if now.since(self.rollouts.controlled) >= CONTROL_INTERVAL {
+            self.rollouts.controlled = now;
+            self.control_rollouts(now);
+        }
+    }
+
+    /// Pushes the states that go on to one member.
+    fn repair_states(&mut self) {
+        let states = self.rollouts.states.values();
+        let going_on: Vec<_> = states.filter(|s| !s.phase.is_final()).cloned().collect();
+        if !going_on.is_empty() {
+            self.push_states(going_on, 1);
+        }
+    }
+
+    /// Sends the counts of this host to the holder of the duty.
+    fn send_reports(&mut self, now: Time) {
+        let Some(holder) = self.rollouts.holder else {
+            return;
+        };
+        for (service, trial) in self.parts.trials.all() {
+            if !self.serves(&service) {
+                continue;
+            }
+            self.rollouts.sequence += 1;
+            let own = self.membership.own();
+            let report = ZoneReport {
+                zone: own.zone.clone(),
+                relay: own.host.clone(),
+                incarnation: own.incarnation.0,
+                sequence: self.rollouts.sequence,
+                counters: trial.take(),
+            };
+            let tripped = trial.tripped();
+            if holder == own.address {
+                self.report(now, &service, report, tripped);
+            } else {
+                self.tell(
+                    holder,
+                    &StreamHead::Report {
+                        service,
+                        report,
+                        tripped,
+                    },
+                );
+            }
+        }
+    }
+
+    fn serves(&self, service: &Name) -> bool {
+        let announcements = &self.membership.own().announcements;
+        announcements.iter().any(|a| a.service == *service)
+    }
+}
+
+/// States.
+impl Control {
+    /// The shares in force of services with a rollout state.
+    pub(super) fn shares(&self) -> Vec<(Name, Vec<VersionShare>)> {
+        let services = self.configs.config().services.iter();
+        let in_force = services.map(|(name, config)| {
+            let state = self.rollouts.states.get(name);
+            (name.clone(), rollout::shares::in_force(config, state))
+        });
+        in_force.collect()
+    }
+
+    /// Joins states of another node, and passes on what was new.
+    pub(super) fn states(&mut self, states: Vec<RolloutState>, holder: Option<SocketAddr>) {
+        let changed: Vec<_> = states.into_iter().filter(|s| self.join(s)).collect();
+        if holder.is_some() {
+            self.rollouts.holder = holder;
+        }
+        if !changed.is_empty() {
+            self.states_changed();
+            self.push_states(changed, super::members::NOTICE_FANOUT);
+        }
+    }
+
+    /// Joins a state; returns whether it was newer.
+    fn join(&mut self, state: &RolloutState) -> bool {
+        let known = self.rollouts.states.get(&state.service);
+        if known.is_some_and(|known| known.order(state).is_ge()) {
+            return false;
+        }
+        let joined = match known.cloned() {
+            Some(known) => known.join(state.clone()),
+            None => state.clone(),
+        };
+        log::info!(
+            target: part::ROLLOUT,
+            "service {}, ticket {}: {:?}", state.service, state.ticket, joined.phase
+        );
+        self.rollouts.states.insert(state.service.clone(), joined);
+        true
+    }
+
+    fn states_changed(&mut self) {
+        self.stale = true;
+        let zone = &self.membership.own().zone;
+        self.parts.trials.follow(&self.rollouts.states, zone);
+    }
+
+    fn push_states(&mut self, states: Vec<RolloutState>, fanout: usize) {
+        let holder = self.rollouts.holder;
+        let head = StreamHead::Rollouts { states, holder };
+        for to in self.some_members(fanout) {
+            self.tell(to, &head);
+        }
+    }
+}
+
+/// Control, while this node holds the duty.
+impl Control {
+    fn control_rollouts(&mut self, now: Time) {
+        if !self.holds_rollout_duty() {
+            // What was decided is stored; the next holder goes on from there.
+            self.rollouts.controls.clear();
+            return;
+        }
+        self.rollouts.holder = Some(self.membership.own().address);
+        self.start_controls();
+        let services: Vec<_> = self.rollouts.controls.keys().cloned().collect();
+        for service in services {
+            let config = self.configs.config().services.get(&service).cloned();
+            if let Some(config) = config {
+                self.rollout_event(now, &service, rollout::Event::Config(config));
+            }
+            let capacity = self.capacity(&service);
+            self.rollout_event(now, &service, rollout::Event::Capacity(capacity));
+            self.rollout_event(now, &service, rollout::Event::Tick);
+        }
+    }
+
+    /// Starts control of services that have a rollout or a state that is not final.
+    fn start_controls(&mut self) {
+        let config = self.configs.config();
+        for (name, service) in &config.services {
+            let state = self.rollouts.states.get(name);
+            let going_on = state.is_some_and(|s| !s.phase.is_final());
+            let awaited =
+                service.rollout.is_some() && state.is_none_or(|s| s.ticket < service.ticket);
+            let unconfirmed = !self.concluded.contains(&service.ticket);
+            let needed = going_on || awaited || (service.rollout.is_some() && unconfirmed);
+            if needed && !self.rollouts.controls.contains_key(name) {
+                let judge = SequentialJudge::new(SequentialOptions::default());
+                let control =
+                    rollout::Control::new(name.clone(), Box::new(judge), Box::new(DeadlinePlanner));
+                self.rollouts.controls.insert(name.clone(), control);
+            }
+        }
+        self.rollouts
+            .controls
+            .retain(|_, control| !control.is_idle() || control.state().is_none());
+    }
+
+    fn capacity(&self, service: &Name) -> Vec<ZoneCapacity> {
+        let mut slots: BTreeMap<(Name, Name), u32> = BTreeMap::new();
+        for (_, record) in self.membership.directory().present() {
+            let ready = record
+                .announcements
+                .iter()
+                .filter(|a| a.state == ServerState::Ready);
+            for server in ready.filter(|a| a.service == *service) {
+                let key = (record.zone.clone(), server.version.clone());
+                *slots.entry(key).or_default() += u32::from(server.slots);
+            }
+        }
+        let list = slots.into_iter();
+        list.map(|((zone, version), slots)| ZoneCapacity {
+            zone,
+            version,
+            slots,
+        })
+        .collect()
+    }
+
+    /// Takes the counts of a host.
+    pub(super) fn report(
+        &mut self,
+        now: Time,
+        service: &Name,
+        report: ZoneReport,
+        tripped: Option<(TicketNumber, Fault)>,
+    ) {
+        self.rollout_event(now, service, rollout::Event::Report(report));
+        if let Some((ticket, fault)) = tripped {
+            self.rollout_event(now, service, rollout::Event::GuardTripped { ticket, fault });
+        }
+    }
+
+    pub(super) fn rollout_event(&mut self, now: Time, service: &Name, event: rollout::Event) {
+        let Some(control) = self.rollouts.controls.get_mut(service) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        control.handle(event, now, self.parts.timer.wall(), &mut actions);
+        for action in actions {
+            self.rollout_action(service, action);
+        }
+    }
+
+    fn rollout_action(&mut self, service: &Name, action: rollout::Action) {
+        match action {
+            rollout::Action::Read => self.read_state(service.clone()),
+            rollout::Action::Write { state, condition } => self.write_state(*state, condition),
+            rollout::Action::Publish(state) => {
+                if self.join(&state) {
+                    self.states_changed();
+                }
+                self.push_states(vec![*state], super::members::NOTICE_FANOUT);
+            }
+            rollout::Action::Finish(result) => self.rollout_ended(*result),
+        }
+    }
+}
+
+/// The stored state.
+impl Control {
+    fn read_state(&self, service: Name) {
+        let platform = self.parts.platform.clone();
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let answer = platform.read(&key(&service)).await;
+            let event = match answer.as_ref().map(|o| o.as_ref().map(decode).transpose()) {
+                Ok(Ok(stored)) => rollout::Event::Read {
+                    revision: stored.as_ref().map_or(Revision::ABSENT, |(r, _)| *r),
+                    state: stored.map(|(_, state)| state),
+                },
+                Ok(Err(err)) => {
+                    log::error!(target: part::ROLLOUT, "stored state of {service}: {err}");
+                    rollout::Event::ReadFailed
+                }
+                Err(_) => rollout::Event::ReadFailed,
+            };
+            handle
+                .send(Event::Rollout {
+                    service,
+                    event: Box::new(event),
+                })
+                .await;
+        });
+    }
+
+    fn write_state(&self, state: RolloutState, condition: Revision) {
+        let platform = self.parts.platform.clone();
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let service = state.service.clone();
+            let condition = match condition {
+                Revision::ABSENT => Condition::Absent,
+                Revision(revision) => Condition::Revision(knapweed_platform::Revision(revision)),
+            };
+            let answer = match serde_json::to_vec(&state) {
+                Ok(value) => {
+                    platform
+                        .write(&key(&service), value.into(), condition)
+                        .await
+                }
+                Err(err) => Err(PlatformError::Malformed(err.to_string())),
+            };
+            let event = rollout::Event::Write(match answer {
+                Ok(revision) => WriteAnswer::Written(Revision(revision.0)),
+                Err(PlatformError::Conflict { .. }) => WriteAnswer::Conflict,
+                Err(_) => WriteAnswer::Unknown,
+            });
+            handle
+                .send(Event::Rollout {
+                    service,
+                    event: Box::new(event),
+                })
+                .await;
+        });
+    }
+}
+
+fn key(service: &Name) -> ObjectKey {
+    ObjectKey::new(format!("rollout/{service}"))
+}
+
+fn decode(object: &Object) -> Result<(Revision, RolloutState), serde_json::Error> {
+    let state = serde_json::from_slice(&object.value)?;
+    Ok((Revision(object.revision.0), state))
+}
+
+/// Duties.
+impl Control {
+    /// Whether this node is the member with the lowest name.
+    ///
+    /// Until duties are bound to leases, this decides who works; two holders at
+    /// a time are safe, since every write is conditional on the revision read.
+    pub(super) fn holds_rollout_duty(&self) -> bool {
+        let members = self.membership.directory().present();
+        let lowest = members.map(|(_, r)| &r.host).min();
+        lowest == Some(&self.membership.own().host)
+    }
+
+    pub(super) fn holds_ticket_duty(&self) -> bool {
+        self.holds_rollout_duty()
+    }
+}
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -32,6 +32,14 @@
                     Err(err) => log::error!(target: part::MEMBER, "could not answer: {err}"),
                 }
             }
+            StreamHead::Rollouts { states, holder } => self.states(states, holder),
+            StreamHead::Report {
+                service,
+                report,
+                tripped,
+            } => {
+                self.report(now, &service, report, tripped);
+            }
             StreamHead::Request(_) => {}
         }
     }
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -1,9 +1,14 @@
 //! What operators see of the control thread, published after each change.
 
 use super::Control;
+use arc_swap::ArcSwap;
 use knapweed_contract::api::{NodeState, NodeSummary};
-use knapweed_world::Config;
+use knapweed_contract::check::Traffic;
+use knapweed_rollout::RolloutState;
+use knapweed_world::config::{ServiceConfig, VersionShare};
+use knapweed_world::{Config, Name};
 use knapweed_zone::{MemberRecord, MemberState};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// The state that operators can read.
@@ -13,6 +18,18 @@
     pub config: Arc<Config>,
     /// All nodes that this node knows.
     pub nodes: Vec<NodeSummary>,
+    /// The newest rollout state of each service.
+    pub rollouts: BTreeMap<Name, RolloutState>,
+}
+
+/// Tells the check of tickets which shares are in force.
+pub struct ViewTraffic(pub Arc<ArcSwap<View>>);
+
+impl Traffic for ViewTraffic {
+    fn shares(&self, service: &Name, config: &ServiceConfig) -> Vec<VersionShare> {
+        let view = self.0.load();
+        knapweed_rollout::shares::in_force(config, view.rollouts.get(service))
+    }
 }
 
 impl Control {
@@ -21,7 +38,11 @@
         let mut nodes: Vec<_> = records.map(|(_, record)| summary(record)).collect();
         nodes.sort_by(|a, b| a.host.cmp(&b.host));
         let config = Arc::clone(self.configs.config());
-        self.parts.view.store(Arc::new(View { config, nodes }));
+        self.parts.view.store(Arc::new(View {
+            config,
+            nodes,
+            rollouts: self.rollouts.states().clone(),
+        }));
     }
 }
 
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -7,6 +7,7 @@
 
 use crate::body::Body;
 use crate::carrier::Response;
+use crate::trial::Trials;
 use arc_swap::ArcSwap;
 use futures_util::future::BoxFuture;
 use knapweed_host::{NotRun, Outcome};
@@ -25,15 +26,17 @@
 /// The egress of a host.
 pub struct Egress {
     lanes: ArcSwap<Lanes>,
+    trials: Arc<Trials>,
     timer: TimerService,
 }
 
 /// Construction and backend servers.
 impl Egress {
-    /// An egress without backend servers.
-    pub fn new(timer: TimerService) -> Self {
+    /// An egress without backend servers that counts for `trials`.
+    pub fn new(timer: TimerService, trials: Arc<Trials>) -> Self {
         Self {
             lanes: ArcSwap::default(),
+            trials,
             timer,
         }
     }
@@ -50,7 +53,11 @@
             (Some(lane), ServerState::Draining | ServerState::Gone) => lane.drain(),
             (Some(_), _) | (None, ServerState::Draining | ServerState::Gone) => return,
             (None, _) => {
-                let lane = Arc::new(Lane::new(announcement.clone(), self.timer.clone()));
+                let lane = Arc::new(Lane::new(
+                    announcement.clone(),
+                    Arc::clone(&self.trials),
+                    self.timer.clone(),
+                ));
                 lanes.insert(announcement.address, lane);
             }
         }
--- a/crates/node/src/egress/lane.rs
+++ b/crates/node/src/egress/lane.rs
@@ -4,8 +4,10 @@
 use super::{exchange, time_left};
 use crate::body::Body;
 use crate::carrier::Response;
+use crate::trial::{Run, Trial, Trials};
 use knapweed_host::admission::{Arrival, FairQueue, Flow, Options, Released, Verdict, WaiterKey};
 use knapweed_host::{Admission, NotRun, Outcome};
+use knapweed_rollout::counters::Sample;
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
 use knapweed_world::Time;
@@ -17,6 +19,9 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+/// Lowest status that tells a fault of the backend server.
+const SERVER_ERROR: u16 = 500;
+
 /// Requests that the queue holds, and how to wake each.
 struct Queue {
     admission: Box<dyn Admission>,
@@ -26,23 +31,31 @@
 /// Everything that a node knows of one backend server on its host.
 pub(super) struct Lane {
     announcement: Announcement,
+    ready_since: Time,
     queue: Mutex<Queue>,
     pool: Arc<Pool>,
+    trials: Arc<Trials>,
     timer: TimerService,
 }
 
 /// Construction and access.
 impl Lane {
-    pub(super) fn new(announcement: Announcement, timer: TimerService) -> Self {
+    pub(super) fn new(
+        announcement: Announcement,
+        trials: Arc<Trials>,
+        timer: TimerService,
+    ) -> Self {
         let admission = FairQueue::new(Options::new(announcement.slots));
         let pool = Pool::new(announcement.address, announcement.max_connections);
         Self {
             announcement,
+            ready_since: timer.now(),
             queue: Mutex::new(Queue {
                 admission: Box::new(admission),
                 waiting: SecondaryMap::new(),
             }),
             pool: Arc::new(pool),
+            trials,
             timer,
         }
     }
@@ -70,12 +83,55 @@
         head: RequestHead,
         body: Body,
     ) -> Result<Response, Outcome> {
+        match self.trials.find(&head.service) {
+            Some(trial) => self.run_trial(&trial, head, body).await,
+            None => self.exchange(head, body).await.1,
+        }
+    }
+
+    /// Runs a request of a service whose traffic is being moved, and counts it.
+    async fn run_trial(
+        self: Arc<Self>,
+        trial: &Trial,
+        head: RequestHead,
+        body: Body,
+    ) -> Result<Response, Outcome> {
+        let (route, version) = (head.route.clone(), head.version.clone());
+        if !trial.admits(&version) {
+            return Err(Outcome::NotRun(NotRun::Guarded));
+        }
+        let (start, result) = Arc::clone(&self).exchange(head, body).await;
+        let now = self.timer.now();
+        if let Some(start) = start
+            && let Some(sample) = sample(&result, now.since(start.at))
+        {
+            let run = Run {
+                route: &route,
+                version: &version,
+                in_use: start.in_use,
+                slots: self.announcement.slots,
+                age: now.since(self.ready_since),
+            };
+            trial.record(&run, sample, now);
+        }
+        result
+    }
+
+    /// Waits for a slot and runs the request; tells the start when it got a slot.
+    async fn exchange(
+        self: Arc<Self>,
+        head: RequestHead,
+        body: Body,
+    ) -> (Option<Start>, Result<Response, Outcome>) {
         let deadline = self.timer.now().after(time_left(&head));
-        let slot = self
-            .admit(flow(&head), deadline)
-            .await
-            .map_err(Outcome::NotRun)?;
-        exchange::run(&self.pool, slot, head, body, self.timer.clone(), deadline).await
+        let slot = match self.admit(flow(&head), deadline).await {
+            Ok(slot) => slot,
+            Err(reason) => return (None, Err(Outcome::NotRun(reason))),
+        };
+        let start = slot.start;
+        let timer = self.timer.clone();
+        let result = exchange::run(&self.pool, slot, head, body, timer, deadline).await;
+        (Some(start), result)
     }
 
     async fn admit(self: &Arc<Self>, flow: Flow, deadline: Time) -> Result<Slot, NotRun> {
@@ -84,7 +140,7 @@
             deadline,
             alone: false,
         }) {
-            Decision::Admitted => {}
+            Decision::Admitted { in_use } => return Ok(self.slot(flow, in_use)),
             Decision::Shed(reason) => return Err(reason),
             Decision::Queued(waiter, woken) => {
                 let mut place = Place {
@@ -97,14 +153,16 @@
                 place.wait().await?;
             }
         }
-        Ok(self.slot(flow))
+        // A request that waited got the last free slot.
+        Ok(self.slot(flow, u32::from(self.announcement.slots)))
     }
 
-    fn slot(self: &Arc<Self>, flow: Flow) -> Slot {
+    fn slot(self: &Arc<Self>, flow: Flow, in_use: u32) -> Slot {
+        let at = self.timer.now();
         Slot {
             lane: Arc::clone(self),
             flow,
-            start: self.timer.now(),
+            start: Start { at, in_use },
             answered: false,
         }
     }
@@ -112,7 +170,9 @@
     fn arrive(self: &Arc<Self>, arrival: Arrival) -> Decision {
         let mut queue = self.queue.lock();
         match queue.admission.arrive(arrival, self.timer.now()) {
-            Verdict::Admit => Decision::Admitted,
+            Verdict::Admit => Decision::Admitted {
+                in_use: queue.admission.running(),
+            },
             Verdict::Shed(reason) => Decision::Shed(reason),
             Verdict::Queue { waiter, displaced } => {
                 let (tx, rx) = oneshot::channel();
@@ -179,7 +239,7 @@
 }
 
 enum Decision {
-    Admitted,
+    Admitted { in_use: u32 },
     Queued(WaiterKey, oneshot::Receiver<Result<(), NotRun>>),
     Shed(NotRun),
 }
@@ -222,11 +282,31 @@
     }
 }
 
+/// When a request got its slot.
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    at: Time,
+    /// Slots in use, its own included.
+    in_use: u32,
+}
+
+/// How a request counts for a rollout; `None` when it says nothing of the version.
+fn sample(result: &Result<Response, Outcome>, took: Duration) -> Option<Sample> {
+    match result {
+        Ok(response) if response.head.status >= SERVER_ERROR => Some(Sample::Failed),
+        Ok(_) => Some(Sample::Succeeded {
+            latency_us: took.as_micros() as u64,
+        }),
+        Err(Outcome::Unknown(_)) => Some(Sample::Failed),
+        Err(_) => None,
+    }
+}
+
 /// A slot of the backend server, held while a request runs.
 pub(super) struct Slot {
     lane: Arc<Lane>,
     flow: Flow,
-    start: Time,
+    start: Start,
     answered: bool,
 }
 
@@ -239,7 +319,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let took = self.lane.timer.now().since(self.start);
+        let took = self.lane.timer.now().since(self.start.at);
         self.lane.finish(self.flow, self.answered.then_some(took));
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod operators;
 pub mod run;
 pub mod settings;
+pub mod trial;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -14,10 +14,13 @@
 use gotham::state::State;
 use http::StatusCode;
 use knapweed_contract::accept::Policy;
-use knapweed_contract::api::{self, ConfigResponse, NodesResponse};
+use knapweed_contract::api::{
+    self, ConfigResponse, NodesResponse, RolloutPhase, RolloutSummary, RolloutsResponse,
+};
 use knapweed_host::Drain;
 use knapweed_observe::{Logs, Metrics};
 use knapweed_platform::Platform;
+use knapweed_rollout::{Phase, RolloutState};
 use knapweed_world::backend_server::Announcement;
 use respond::{body, error, json, text};
 use std::panic::AssertUnwindSafe;
@@ -68,6 +71,7 @@
             .to(tickets::show);
         route.get(api::CONFIG).to(config);
         route.get(api::NODES).to(nodes);
+        route.get(api::ROLLOUTS).to(rollouts);
         route.get("/health/live").to(live);
         route.get("/health/ready").to(ready);
         route.get("/metrics").to(metrics);
@@ -90,6 +94,28 @@
     (state, json(StatusCode::OK, &NodesResponse { nodes }))
 }
 
+fn rollouts(state: State) -> (State, http::Response<crate::body::Body>) {
+    let view = parts(&state).view.load_full();
+    let rollouts = view.rollouts.values().map(summary).collect();
+    (state, json(StatusCode::OK, &RolloutsResponse { rollouts }))
+}
+
+fn summary(state: &RolloutState) -> RolloutSummary {
+    RolloutSummary {
+        service: state.service.clone(),
+        ticket: state.ticket,
+        phase: match &state.phase {
+            Phase::Warming => RolloutPhase::Warming,
+            Phase::Ramping(share) => RolloutPhase::Ramping { share: *share },
+            Phase::Holding(share) => RolloutPhase::Holding { share: *share },
+            Phase::Completed => RolloutPhase::Completed,
+            Phase::PulledBack(reason) => RolloutPhase::PulledBack {
+                reason: reason.to_string(),
+            },
+        },
+    }
+}
+
 fn live(state: State) -> (State, http::Response<crate::body::Body>) {
     (state, text(StatusCode::OK, "live\n"))
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,12 +2,14 @@
 
 use crate::carrier::{LinkCarrier, LocalCarrier};
 use crate::control::event::Event;
+use crate::control::view::ViewTraffic;
 use crate::control::{Control, ControlHandle, View};
 use crate::egress::{Egress, serve};
 use crate::ingress::metrics::IngressMetrics;
 use crate::ingress::{self, Ingress, handler};
 use crate::operators;
 use crate::settings::Options;
+use crate::trial::Trials;
 use anyhow::Context;
 use arc_swap::ArcSwap;
 use knapweed_contract::accept::Policy;
@@ -59,7 +61,8 @@
             .build(),
     );
     let snapshots = Arc::new(SnapshotCell::new(first_snapshot(&options)?));
-    let egress = Arc::new(Egress::new(timer.clone()));
+    let trials = Arc::new(Trials::default());
+    let egress = Arc::new(Egress::new(timer.clone(), Arc::clone(&trials)));
     let drain = Arc::new(Drain::default());
     let view = Arc::new(ArcSwap::from_pointee(View::default()));
     let (control, events) = ControlHandle::new();
@@ -71,6 +74,7 @@
         egress: Arc::clone(&egress),
         peers: endpoint.peers(),
         platform: Arc::clone(&platform),
+        trials,
         timer: timer.clone(),
         view: Arc::clone(&view),
     };
@@ -89,7 +93,7 @@
     let serving = tokio::spawn(handler::listen(callers, ingress));
     let router = operators::router(operators::Parts {
         platform,
-        policy: policy(&options),
+        policy: policy(&options, &view),
         control: control.clone(),
         view,
         drain: Arc::clone(&drain),
@@ -142,7 +146,7 @@
     Membership::new(timer.now(), record, options.seeds.clone(), rng)
 }
 
-fn policy(options: &Options) -> Policy {
+fn policy(options: &Options, view: &Arc<ArcSwap<View>>) -> Policy {
     let defaults = Defaults {
         deadline: options.deadline,
         caution: options.caution,
@@ -150,7 +154,7 @@
     };
     Policy {
         defaults,
-        ..Policy::default()
+        traffic: Arc::new(ViewTraffic(Arc::clone(view))),
     }
 }
 
--- /dev/null
+++ b/crates/node/src/trial.rs
@@ -0,0 +1,146 @@
+//! Trials: what this host counts of services whose traffic is being moved.
+//!
+//! A service without a rollout costs the request path one look into a map.
+
+use arc_swap::ArcSwap;
+use knapweed_observe::part;
+use knapweed_rollout::counters::{LoadLevel, Sample, SeriesId, Warmth};
+use knapweed_rollout::judge::Fault;
+use knapweed_rollout::{Counters, Guard, RolloutState, guard};
+use knapweed_world::{Name, TicketNumber, Time};
+use parking_lot::Mutex;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The rollout of one service as this host's egress sees it.
+#[derive(Debug)]
+pub struct Trial {
+    ticket: TicketNumber,
+    zone: Name,
+    new_versions: Vec<Name>,
+    counted: Mutex<Counted>,
+}
+
+#[derive(Debug)]
+struct Counted {
+    guard: Guard,
+    counters: Counters,
+}
+
+/// A request that a backend server of a service under trial ran.
+#[derive(Clone, Debug)]
+pub struct Run<'a> {
+    /// Its route.
+    pub route: &'a Name,
+    /// The version that ran it.
+    pub version: &'a Name,
+    /// Requests that the backend server ran at its start, itself included.
+    pub in_use: u32,
+    /// Slots of the backend server.
+    pub slots: u16,
+    /// How long the backend server had been ready.
+    pub age: Duration,
+}
+
+impl Trial {
+    fn new(state: &RolloutState, zone: Name) -> Self {
+        let guard = Guard::new(state.ticket, guard::Options::default());
+        Self {
+            ticket: state.ticket,
+            zone,
+            new_versions: state.new_versions(),
+            counted: Mutex::new(Counted {
+                guard,
+                counters: Counters::default(),
+            }),
+        }
+    }
+
+    /// Whether a request may run on `version` here; the guard refuses a new
+    /// version that clearly fails on this host.
+    pub fn admits(&self, version: &Name) -> bool {
+        !self.is_new(version) || self.counted.lock().guard.admits()
+    }
+
+    /// Counts a request that ended.
+    pub fn record(&self, run: &Run<'_>, sample: Sample, now: Time) {
+        let id = SeriesId {
+            zone: self.zone.clone(),
+            version: run.version.clone(),
+            route: run.route.clone(),
+            load: LoadLevel::of(run.in_use, u32::from(run.slots)),
+            warmth: Warmth::of(run.age),
+        };
+        let failed = matches!(sample, Sample::Failed);
+        let mut counted = self.counted.lock();
+        if let Some(key) = counted.counters.key(&id) {
+            counted.counters.record(key, sample);
+        }
+        let route = counted.guard.route(run.route);
+        if !self.is_new(run.version) {
+            counted.guard.old(route, failed);
+            return;
+        }
+        let admitted = counted.guard.admits();
+        counted.guard.new_version(route, failed, now);
+        if let Some(fault) = counted.guard.fault().filter(|_| admitted) {
+            let version = run.version;
+            log::warn!(target: part::ROLLOUT, "the guard refuses version {version} here: {fault}");
+        }
+    }
+
+    /// The counts since the last call.
+    pub fn take(&self) -> Counters {
+        std::mem::take(&mut self.counted.lock().counters)
+    }
+
+    /// The ticket and the fault, once the guard refuses the new version here.
+    pub fn tripped(&self) -> Option<(TicketNumber, Fault)> {
+        let counted = self.counted.lock();
+        counted
+            .guard
+            .fault()
+            .map(|fault| (self.ticket, fault.clone()))
+    }
+
+    fn is_new(&self, version: &Name) -> bool {
+        self.new_versions.contains(version)
+    }
+}
+
+/// The trials of a host, replaced as a whole by the control thread.
+#[derive(Debug, Default)]
+pub struct Trials(ArcSwap<HashMap<Name, Arc<Trial>>>);
+
+impl Trials {
+    /// The trial of a service, if its traffic is being moved.
+    pub fn find(&self, service: &Name) -> Option<Arc<Trial>> {
+        self.0.load().get(service).cloned()
+    }
+
+    /// All trials with their services.
+    pub fn all(&self) -> Vec<(Name, Arc<Trial>)> {
+        let trials = self.0.load();
+        trials
+            .iter()
+            .map(|(service, trial)| (service.clone(), Arc::clone(trial)))
+            .collect()
+    }
+
+    /// Keeps the trials of rollouts that go on, and starts those of new ones.
+    pub fn follow(&self, states: &BTreeMap<Name, RolloutState>, zone: &Name) {
+        let old = self.0.load();
+        let going_on = states.iter().filter(|(_, state)| !state.phase.is_final());
+        let trials = going_on.map(|(service, state)| {
+            let known = old
+                .get(service)
+                .filter(|trial| trial.ticket == state.ticket);
+            let trial = known
+                .cloned()
+                .unwrap_or_else(|| Arc::new(Trial::new(state, zone.clone())));
+            (service.clone(), trial)
+        });
+        self.0.store(Arc::new(trials.collect()));
+    }
+}
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -2,8 +2,12 @@
 
 use crate::RequestHead;
 use knapweed_link::PartTag;
+use knapweed_rollout::judge::Fault;
+use knapweed_rollout::{RolloutState, ZoneReport};
+use knapweed_world::{Name, TicketNumber};
 use knapweed_zone::directory::Digest;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// First message on a stream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -18,4 +22,20 @@
     /// Asks for member records that differ. Answered by a list of
     /// [`knapweed_zone::directory::SharedRecord`].
     FetchMembers(Digest),
+    /// Rollout states, to be joined with those at hand. Not answered.
+    Rollouts {
+        /// The states.
+        states: Vec<RolloutState>,
+        /// Where the holder of the duty `rollout` takes reports.
+        holder: Option<SocketAddr>,
+    },
+    /// Counts of one host for the holder of the duty `rollout`. Not answered.
+    Report {
+        /// The service.
+        service: Name,
+        /// The counts.
+        report: ZoneReport,
+        /// The ticket whose new version the guard refuses on that host, and why.
+        tripped: Option<(TicketNumber, Fault)>,
+    },
 }
