test(rollout): compare the shares after a pull-back by version

Change: the share of each version is compared; the check is as strict. Result: both tests of the file pass.

--- a/crates/rollout/tests/guard_tripped.rs
+++ b/crates/rollout/tests/guard_tripped.rs
@@ -4,6 +4,7 @@
 use knapweed_rollout::control::WriteAnswer;
 use knapweed_rollout::judge::{Fault, FaultKind, SequentialJudge, SequentialOptions, Tally};
 use knapweed_rollout::planner::DeadlinePlanner;
+use knapweed_rollout::shares::share_of;
 use knapweed_rollout::{Action, Control, Event, Phase, Revision, RolloutState};
 use knapweed_world::config::{Caution, RolloutTerms, ServiceConfig, VersionShare};
 use knapweed_world::{ConfigVersion, Name, Share, TicketNumber, Time, UnixMillis};
@@ -84,7 +85,8 @@
         panic!("{:?}", state.phase)
     };
     insta::assert_snapshot!(reason);
-    assert_eq!(state.shares(), all_on("v1"));
+    assert_eq!(share_of(&state.shares(), &name("v1")), Share::ALL);
+    assert_eq!(share_of(&state.shares(), &name("v2")), Share::NONE);
 }
 
 /// Guards against a late report of an earlier ticket ending the rollout of the next.
