feat(ctl): file, show, list and await tickets; show what nodes know

Cause: operators had no way to file tickets and to read their results. The outcome 'number taken' names the number as 'number', since its answer has a field 'ticket' already and could not be read; a test of the new commands found it.

--- a/crates/contract/src/accept.rs
+++ b/crates/contract/src/accept.rs
@@ -232,8 +232,8 @@
         };
         let record = &stored.record;
         if record.digest != self.digest {
-            let ticket = self.number();
-            return Action::Finish(Outcome::NumberTaken { ticket });
+            let number = self.number();
+            return Action::Finish(Outcome::NumberTaken { number });
         }
         if let Some(accepted) = record.progress {
             return Action::Finish(accepted.into());
--- a/crates/contract/src/accept/outcome.rs
+++ b/crates/contract/src/accept/outcome.rs
@@ -30,7 +30,7 @@
     /// The number belongs to another document; nothing has changed.
     NumberTaken {
         /// The number.
-        ticket: TicketNumber,
+        number: TicketNumber,
     },
     /// The document is not a ticket; nothing has changed.
     Malformed {
--- a/crates/contract/src/sentence.rs
+++ b/crates/contract/src/sentence.rs
@@ -44,8 +44,8 @@
         }
         Outcome::Refused { reasons } => format!("{subject} is refused: {}.", list(reasons)),
         Outcome::Superseded { by } => format!("{subject} is superseded by ticket {by}."),
-        Outcome::NumberTaken { ticket } => {
-            format!("{subject} is refused: another document has the number {ticket}.")
+        Outcome::NumberTaken { number } => {
+            format!("{subject} is refused: another document has the number {number}.")
         }
         Outcome::Malformed { error } => format!("{subject} is refused: {error}."),
         Outcome::Unavailable { reason } => {
--- /dev/null
+++ b/crates/ctl/src/output.rs
@@ -0,0 +1,134 @@
+//! Writes answers as text or JSON.
+
+use crate::args::Format;
+use crate::error::Error;
+use knapweed_contract::api::{
+    ConfigResponse, FileResponse, NodeSummary, NodesResponse, RolloutPhase, RolloutSummary,
+    RolloutsResponse, TicketResponse, TicketSummary, TicketsResponse,
+};
+use knapweed_world::config::VersionShare;
+use serde::Serialize;
+use std::io::Write;
+
+/// An answer with a form for people.
+pub(crate) trait Text {
+    /// Lines of text without a last line break.
+    fn text(&self) -> String;
+}
+
+/// Writes an answer to the standard output.
+pub(crate) fn print(answer: &(impl Serialize + Text), format: Format) -> Result<(), Error> {
+    let text = match format {
+        Format::Text => answer.text(),
+        Format::Json => serde_json::to_string_pretty(answer).map_err(std::io::Error::from)?,
+    };
+    Ok(writeln!(std::io::stdout(), "{text}")?)
+}
+
+impl Text for FileResponse {
+    fn text(&self) -> String {
+        self.sentence.clone()
+    }
+}
+
+impl Text for TicketResponse {
+    fn text(&self) -> String {
+        self.sentence.clone()
+    }
+}
+
+impl Text for TicketsResponse {
+    fn text(&self) -> String {
+        lines(&self.tickets, ticket)
+    }
+}
+
+impl Text for NodesResponse {
+    fn text(&self) -> String {
+        lines(&self.nodes, node)
+    }
+}
+
+impl Text for RolloutsResponse {
+    fn text(&self) -> String {
+        lines(&self.rollouts, rollout)
+    }
+}
+
+impl Text for ConfigResponse {
+    fn text(&self) -> String {
+        let config = &self.config;
+        let mut lines = vec![format!("version {}", config.version)];
+        for (name, service) in &config.services {
+            let versions = shares(&service.versions);
+            let ticket = service.ticket;
+            lines.push(format!("service {name}: {versions} (ticket {ticket})"));
+        }
+        for (name, route) in &config.routes {
+            lines.push(format!(
+                "route {name}: {} to {}, timeout {} ms (ticket {})",
+                route.path_prefix, route.service, route.timeout_ms, route.ticket
+            ));
+        }
+        lines.join("\n")
+    }
+}
+
+fn lines<T>(items: &[T], line: impl Fn(&T) -> String) -> String {
+    items.iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
+fn ticket(ticket: &TicketSummary) -> String {
+    let state = ticket
+        .state
+        .map(word)
+        .unwrap_or_else(|| "unknown".to_owned());
+    match ticket.version {
+        Some(version) => format!("{} {state}, version {version}", ticket.ticket),
+        None => format!("{} {state}", ticket.ticket),
+    }
+}
+
+fn node(node: &NodeSummary) -> String {
+    let NodeSummary {
+        host,
+        zone,
+        address,
+        version,
+        ..
+    } = node;
+    let state = word(node.state);
+    let mut line = format!("{host} {zone} {address} {state}, version {version}");
+    for server in &node.backend_servers {
+        let state = word(server.state);
+        line += &format!("; {} {} {state}", server.service, server.version);
+    }
+    if let Some(error) = &node.error {
+        line += &format!("; error: {error}");
+    }
+    line
+}
+
+fn rollout(rollout: &RolloutSummary) -> String {
+    let phase = match &rollout.phase {
+        RolloutPhase::Warming => "warming".to_owned(),
+        RolloutPhase::Ramping { share } => format!("ramping at {share}"),
+        RolloutPhase::Holding { share } => format!("holding at {share}"),
+        RolloutPhase::Completed => "completed".to_owned(),
+        RolloutPhase::PulledBack { reason } => format!("pulled back: {reason}"),
+    };
+    format!("{} (ticket {}): {phase}", rollout.service, rollout.ticket)
+}
+
+fn shares(versions: &[VersionShare]) -> String {
+    let share = |v: &VersionShare| format!("{} {}", v.version, v.share);
+    versions.iter().map(share).collect::<Vec<_>>().join(", ")
+}
+
+/// The name of a variant as serde writes it.
+fn word(value: impl Serialize) -> String {
+    match serde_json::to_value(value) {
+        Ok(serde_json::Value::String(word)) => word,
+        _ => "unknown".to_owned(),
+    }
+}
