--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -21,7 +21,8 @@
 pub enum Answer {
     /// The response is complete and goes to the caller.
     Complete,
-    /// An earlier send of the same key was answered, and its response is no longer stored.
+    /// The response is no longer stored, or never was: it was lost on its way,
+    /// or belongs to an earlier send of the same key.
     NotStored,
 }
 
@@ -113,7 +114,7 @@
         match self {
             Self::Answered(Answer::Complete) => "the backend server answered",
             Self::Answered(Answer::NotStored) => {
-                "the key was answered before and its response is no longer stored"
+                "the request was answered and its response is not stored"
             }
             Self::NotRun(reason) => reason.text(),
             Self::Unknown(reason) => reason.text(),
--- /dev/null
+++ b/crates/host/tests/crash.rs
@@ -0,0 +1,182 @@
+//! A request that crashes servers takes down at most two.
+
+use knapweed_host::crash::{
+    CrashId, CrashMemory, CrashRecord, RETENTION, Subject, Suspect, Verdict,
+};
+use knapweed_host::{NotRun, RequestId, SendId};
+use knapweed_world::{Name, Time};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::fmt::Write;
+
+fn ms(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn route() -> Name {
+    "calendar".parse().expect("a valid name")
+}
+
+fn suspect(identity: u8, body: &[u8]) -> Suspect {
+    Suspect {
+        identity: Subject::identity(RequestId([identity; 16])),
+        content: Subject::content(&route(), b"POST", b"/calendar", body),
+    }
+}
+
+fn crash(n: u64) -> CrashId {
+    let request = RequestId([0; 16]);
+    CrashId::of(SendId {
+        request,
+        attempt: n,
+    })
+}
+
+#[test]
+fn from_the_first_crash_to_the_refusal() {
+    let mut memory = CrashMemory::default();
+    let mut out = String::new();
+    let deadline = ms(10_000);
+    let mut note = |line: &str, verdict: Verdict| {
+        writeln!(out, "{line}: {verdict:?}").expect("a string");
+    };
+    note("first", memory.check(&suspect(1, b"bad"), deadline, ms(0)));
+    memory.crashed(&suspect(1, b"bad"), crash(1), ms(10));
+    note(
+        "another body",
+        memory.check(&suspect(2, b"good"), deadline, ms(20)),
+    );
+    note(
+        "with a new identity",
+        memory.check(&suspect(3, b"bad"), deadline, ms(20)),
+    );
+    note(
+        "beside the trial",
+        memory.check(&suspect(4, b"bad"), deadline, ms(30)),
+    );
+    memory.crashed(&suspect(3, b"bad"), crash(2), ms(40));
+    note(
+        "after two",
+        memory.check(&suspect(5, b"bad"), deadline, ms(50)),
+    );
+    note(
+        "the first identity",
+        memory.check(&suspect(1, b"?"), deadline, ms(50)),
+    );
+    let later = Time(ms(40).0 + RETENTION.as_micros() as u64);
+    memory.tick(later);
+    note(
+        "after the retention",
+        memory.check(&suspect(5, b"bad"), deadline, later),
+    );
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against innocent requests that are refused because they ran beside
+/// the one that crashed the server.
+#[test]
+fn a_request_that_passes_its_trial_is_cleared() {
+    let mut memory = CrashMemory::default();
+    let request = suspect(1, b"innocent");
+    for n in 1..10 {
+        memory.crashed(&request, crash(n), ms(n * 100));
+        assert_eq!(
+            memory.check(&request, ms(10_000), ms(n * 100)),
+            Verdict::Alone
+        );
+        memory.ended(&request, true, ms(n * 100 + 10));
+        assert_eq!(
+            memory.check(&request, ms(10_000), ms(n * 100 + 20)),
+            Verdict::Clear
+        );
+    }
+}
+
+/// Guards against a trial whose end was never reported and that blocks the
+/// request for ten minutes.
+#[test]
+fn a_trial_ends_at_its_deadline() {
+    let mut memory = CrashMemory::default();
+    let request = suspect(1, b"?");
+    memory.crashed(&request, crash(1), ms(0));
+    assert_eq!(memory.check(&request, ms(1_000), ms(0)), Verdict::Alone);
+    let refused = Verdict::Refuse(NotRun::CrashSuspect);
+    assert_eq!(memory.check(&request, ms(1_000), ms(999)), refused);
+    assert_eq!(memory.check(&request, ms(2_000), ms(1_000)), Verdict::Alone);
+}
+
+/// Guards against a crash that is counted twice because two nodes saw it.
+#[test]
+fn ingress_and_egress_count_one_crash_once() {
+    let (mut ingress, mut egress) = (CrashMemory::default(), CrashMemory::default());
+    let request = suspect(1, b"?");
+    let records = egress.crashed(&request, crash(1), ms(0));
+    ingress.crashed(&request, crash(1), ms(5));
+    for record in &records {
+        assert!(!ingress.merge(record, ms(10)), "nothing is new");
+    }
+    assert_eq!(ingress.check(&request, ms(1_000), ms(20)), Verdict::Alone);
+}
+
+/// A caller sends a request that crashes every server, with a new identity each
+/// time, through any of several nodes, after gossip has reached them all.
+/// Guards against more than two lost servers (B7).
+#[test]
+fn at_most_two_servers_are_lost() {
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut nodes: Vec<CrashMemory> = (0..5).map(|_| CrashMemory::default()).collect();
+        let mut lost = 0;
+        for n in 0..30u8 {
+            let now = ms(u64::from(n) * 1_000);
+            let request = suspect(n, b"bad");
+            let node = rng.random_range(0..nodes.len());
+            match nodes[node].check(&request, now.after(RETENTION), now) {
+                Verdict::Refuse(_) => continue,
+                Verdict::Clear | Verdict::Alone => lost += 1,
+            }
+            let mut records = nodes[node].crashed(&request, crash(u64::from(n) + 1), now);
+            gossip(&mut nodes, &mut records, &mut rng, now);
+        }
+        assert_eq!(lost, 2, "seed {seed}");
+    }
+}
+
+/// Delivers every record to every node, in any order and some twice.
+fn gossip(nodes: &mut [CrashMemory], records: &mut [CrashRecord], rng: &mut SmallRng, now: Time) {
+    for node in nodes {
+        if rng.random() {
+            records.reverse();
+        }
+        for record in records.iter().chain(records.iter().take(1)) {
+            node.merge(record, now);
+        }
+    }
+}
+
+/// Guards against unbounded memory, and against records that gossip keeps alive.
+#[test]
+fn memory_is_bounded_and_gossip_does_not_renew_it() {
+    let mut memory = CrashMemory::new(100);
+    let mut last = Vec::new();
+    for n in 0..1_000u64 {
+        let body = n.to_le_bytes();
+        last = memory.crashed(&suspect(n as u8, &body), crash(n), ms(n));
+        assert!(memory.len() <= 100);
+    }
+    let mut other = CrashMemory::default();
+    let late = ms(RETENTION.as_millis() as u64);
+    last[0].age_s = RETENTION.as_secs() as u16;
+    assert!(!other.merge(&last[0], late));
+    assert!(other.is_empty());
+}
+
+/// Guards against fingerprints of different requests that are equal.
+#[test]
+fn parts_of_the_content_are_kept_apart() {
+    let of =
+        |method: &[u8], path: &[u8], body: &[u8]| Subject::content(&route(), method, path, body);
+    assert_ne!(of(b"POST", b"/a", b"b"), of(b"POST", b"/ab", b""));
+    assert_ne!(of(b"GET", b"/a", b""), of(b"GET", b"/b", b""));
+    assert_eq!(of(b"GET", b"/a", b""), of(b"GET", b"/a", b""));
+}
