feat(host): health of the connections to another host

Change: a state machine per host that probes after 100 ms without a byte, retires 300 ms after the probe, and retires everything as old as a silent connection once a fresh one works; fresh ones are opened at most every 200 ms. Result: 57 tests pass; in the test a silent connection is retired 400 ms after the request was sent, and its age group 40 ms later with the first byte on the fresh one.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod outcome;
 pub mod request;
 pub mod retry;
+pub mod silence;
 
 pub use admission::Admission;
 pub use choice::{Choice, ServerChoice};
