feat(rollout): check suspicions after the last step at even shares

Cause: after the last step a suspicion was checked at three quarters of new traffic, where a difference hardly shows, and a fault that needs full load went away during each check. Change: half of the traffic goes back for the check as far as old servers are left; the judge expects a fault at that moment; a suspicion that comes back after two checks in which the old version was as usual is a fault.

--- a/crates/rollout/examples/evaluate.rs
+++ b/crates/rollout/examples/evaluate.rs
@@ -17,6 +17,8 @@
 /// Replays per deployment and variant.
 const REPLAYS: usize = 1_000;
 const THREADS: usize = 5;
+/// False alarms that are printed per deployment and variant.
+const SHOWN_ALARMS: u64 = 3;
 /// Confidence of the bound on false alarms.
 const CONFIDENCE: f64 = 0.95;
 
@@ -184,7 +186,15 @@
             Version::Good(kind) => {
                 good += 1;
                 in_time += u64::from(outcomes.in_time());
-                alarms += u64::from(outcomes.pulled_back());
+                if outcomes.pulled_back() {
+                    alarms += 1;
+                }
+                if outcomes.pulled_back() && alarms <= SHOWN_ALARMS {
+                    println!(
+                        "    false alarm in replay {i}: {kind:?} {:?}",
+                        outcomes.outcome
+                    );
+                }
                 trips += outcomes.tallies.guard_trips;
                 let group = groups.entry(format!("good {kind:?}")).or_default();
                 group.add(outcomes.in_time(), outcomes);
--- a/crates/rollout/src/control/step.rs
+++ b/crates/rollout/src/control/step.rs
@@ -15,12 +15,8 @@
 const MAX_OWED: usize = 8;
 /// New servers that are all gone for this long do not come back in time.
 const SERVERS_GONE: Duration = Duration::from_secs(10);
-/// The old versions get this share, at most their kept capacity, while a
-/// suspicion is checked side by side.
-const RECHECK_OLD_SHARE: u8 = 25;
-/// How long a suspicion is checked. At the share above it takes a second or two
-/// to see a clear fault.
-const RECHECK_TIME: Duration = Duration::from_secs(6);
+/// How long a suspicion is checked side by side at most.
+const RECHECK_TIME: Duration = Duration::from_secs(8);
 
 impl Control {
     /// Takes every decision that is due.
@@ -199,8 +195,7 @@
             return self.end_recheck(since, share, now);
         }
         if share == Share::ALL && matches!(self.judge.verdict(), Verdict::Suspect(_)) {
-            self.rechecked = Some(now);
-            return Some(Phase::Holding(recheck_share(&state.terms)));
+            return self.start_recheck(state, now);
         }
         let view = self.view(state, now, wall);
         match self.planner.next(&view) {
@@ -211,6 +206,15 @@
         }
     }
 
+    /// Gives a part of the traffic back to the old versions, to compare them
+    /// with the new ones side by side.
+    fn start_recheck(&mut self, state: &RolloutState, now: Time) -> Option<Phase> {
+        let share = self.traffic.recheck_share(state)?;
+        self.rechecked = Some(now);
+        self.judge.recheck();
+        Some(Phase::Holding(share))
+    }
+
     fn end_recheck(&mut self, since: Time, share: Share, now: Time) -> Option<Phase> {
         if now.since(since) < RECHECK_TIME {
             return None;
@@ -264,8 +268,3 @@
         }
     }
 }
-
-fn recheck_share(terms: &RolloutTerms) -> Share {
-    let old = RECHECK_OLD_SHARE.min(terms.min_old_capacity);
-    Share::from_percent(100 - old)
-}
--- a/crates/rollout/src/control/traffic.rs
+++ b/crates/rollout/src/control/traffic.rs
@@ -17,6 +17,10 @@
 /// traffic: a fleet keeps at least this headroom for the loss of servers.
 const ENOUGH_CAPACITY_PERCENT: u64 = 75;
 
+/// Largest share of the old versions while a suspicion is checked. At even
+/// shares a difference shows soonest.
+const RECHECK_OLD_LIMIT: Share = Share(5_000);
+
 /// Requests on one route.
 #[derive(Clone, Copy, Debug, Default)]
 struct RouteCount {
@@ -115,6 +119,16 @@
         Share(share as u16)
     }
 
+    /// The share at which old and new versions are compared again after the last
+    /// step: half, or less for the old versions when fewer of their servers are
+    /// left. `None` when none is left.
+    pub(super) fn recheck_share(&self, state: &RolloutState) -> Option<Share> {
+        let old = self.slots(&state.old_versions());
+        let left = old * u64::from(Share::ALL.0) / self.most_old_slots.max(1);
+        let old_share = left.min(u64::from(RECHECK_OLD_LIMIT.0)) as u16;
+        (old_share > 0).then(|| Share(Share::ALL.0 - old_share))
+    }
+
     /// Requests of the new versions at this share, on the route with fewest.
     pub(super) fn step_requests(&self) -> u64 {
         let counts = self.major_routes().map(|c| c.new_in_step);
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -127,6 +127,9 @@
     /// The decision so far. A bad version stays bad until the next trial.
     fn verdict(&self) -> Verdict;
 
-    /// Drops a suspicion that a comparison side by side did not confirm.
+    /// Prepares for a comparison side by side, which checks a suspicion.
+    fn recheck(&mut self);
+
+    /// Drops a suspicion that the comparison did not confirm.
     fn acquit(&mut self);
 }
--- a/crates/rollout/src/judge/clock.rs
+++ b/crates/rollout/src/judge/clock.rs
@@ -15,5 +15,7 @@
         Verdict::NoFault
     }
 
+    fn recheck(&mut self) {}
+
     fn acquit(&mut self) {}
 }
--- a/crates/rollout/src/judge/history.rs
+++ b/crates/rollout/src/judge/history.rs
@@ -23,6 +23,20 @@
 /// Highest failure rate that is looked for.
 const MAX_FAULT: f64 = 0.9;
 
+/// Fewest old requests in a recheck to tell whether they were as usual.
+const RECHECK_REQUESTS: u64 = 40;
+
+/// What a recheck showed of the old version on one route.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Recheck {
+    /// It was as before.
+    Usual,
+    /// It was worse than before.
+    Unusual,
+    /// It had too few requests.
+    Unknown,
+}
+
 /// What was usual on one route, and the suspicion against the new version.
 #[derive(Debug)]
 pub(super) struct History {
@@ -77,27 +91,56 @@
         })
     }
 
-    /// Forgets the suspicion. What is usual is then what the old version showed
-    /// while it ran side by side.
-    pub(super) fn acquit(&mut self) {
-        let usual = std::mem::take(&mut self.recent);
+    /// Forgets the suspicion. When the old version was not as usual while it ran
+    /// side by side, what it showed there is usual from now on.
+    pub(super) fn acquit(&mut self) -> Recheck {
+        let recent = std::mem::take(&mut self.recent);
+        let recheck = self.recheck(&recent);
+        let usual = match recheck {
+            Recheck::Unusual => recent,
+            Recheck::Usual | Recheck::Unknown => std::mem::take(&mut self.usual),
+        };
         *self = Self {
             usual,
             ..Self::new(self.windows)
         };
+        recheck
+    }
+
+    fn recheck(&self, recent: &Series) -> Recheck {
+        if recent.requests < RECHECK_REQUESTS {
+            Recheck::Unknown
+        } else if self.is_usual(recent) {
+            Recheck::Usual
+        } else {
+            Recheck::Unusual
+        }
+    }
+
+    fn is_usual(&self, recent: &Series) -> bool {
+        let failing = rate(recent.failures, recent.requests);
+        let slow = recent.latency.count_from(self.first_slow_bucket());
+        failing <= self.usual_failures() && rate(slow, recent.latency.count()) <= TAIL_MARGIN
+    }
+
+    fn usual_failures(&self) -> f64 {
+        (rate(self.usual.failures, self.usual.requests) * 2.0).max(USUAL_FAILURES)
+    }
+
+    fn first_slow_bucket(&self) -> usize {
+        (self.usual.latency.tail_bucket(USUAL_TAIL) + 1).min(BUCKETS - 1)
     }
 
     fn check(&mut self, new: &Series) {
         let failures = Pair::new(new.requests, new.failures);
-        let usual = self.usual.failures as f64 / self.usual.requests as f64;
-        let null = (usual * 2.0).max(USUAL_FAILURES);
+        let null = self.usual_failures();
         if null < MAX_USUAL_FAILURES {
             let faults = FAILURE_FACTORS.map(|f| (null * f).min(MAX_FAULT));
             self.failures
                 .update(faults.map(|fault| rate_ratio(failures, null, fault)));
         }
-        let first = (self.usual.latency.tail_bucket(USUAL_TAIL) + 1).min(BUCKETS - 1);
-        let slow = Pair::new(new.latency.count(), new.latency.count_from(first));
+        let slow = new.latency.count_from(self.first_slow_bucket());
+        let slow = Pair::new(new.latency.count(), slow);
         self.slow
             .update(TAIL_FAULTS.map(|fault| rate_ratio(slow, TAIL_MARGIN, fault)));
         for (seen, pair) in self.seen.iter_mut().zip([failures, slow]) {
@@ -108,3 +151,8 @@
         }
     }
 }
+
+/// The part of `requests` that is `affected`; zero without requests.
+fn rate(affected: u64, requests: u64) -> f64 {
+    affected as f64 / requests.max(1) as f64
+}
--- a/crates/rollout/src/judge/kind_test.rs
+++ b/crates/rollout/src/judge/kind_test.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Gives more weight to a fault that is there in the next window.
+    pub(super) fn expect(&mut self) {
+        let scopes = self.scopes.values_mut();
+        scopes.for_each(|s| s.detector.expect());
+    }
+
     /// The weighted sum of the evidence of all scopes, as its log.
     pub(super) fn log_evidence(&self) -> f64 {
         let scopes = self.scopes.values();
--- a/crates/rollout/src/judge/sequential.rs
+++ b/crates/rollout/src/judge/sequential.rs
@@ -1,7 +1,7 @@
 //! The sequential test of a new version against the old one in the same
 //! availability zone and window.
 
-use crate::judge::history::History;
+use crate::judge::history::{History, Recheck};
 use crate::judge::kind_test::{KindTest, Odds};
 use crate::judge::strata::{Stratum, by_route};
 use crate::judge::{Fault, FaultKind, Judge, Trial, Verdict, Window};
@@ -22,6 +22,11 @@
 /// Tests per route: failures and slow requests.
 const TESTS_PER_ROUTE: f64 = 2.0;
 
+/// A suspicion that came back after this many rechecks, in each of which the old
+/// version was as usual, is a fault: it shows only when the new version carries
+/// all of the traffic.
+const MAX_SOUND_RECHECKS: u32 = 2;
+
 new_key_type! {
     /// Key of a route in the judge that made it.
     struct RouteKey;
@@ -49,6 +54,10 @@
     routes: SlotMap<RouteKey, RouteTest>,
     names: BTreeMap<Name, RouteKey>,
     fault: Option<Fault>,
+    sound_rechecks: u32,
+    /// Whether the old version was not as usual in a recheck: then everything
+    /// changed, and full traffic may make it worse without a fault.
+    is_unusual: bool,
 }
 
 impl SequentialJudge {
@@ -60,6 +69,16 @@
         }
     }
 
+    fn suspicion(&self) -> Option<Fault> {
+        let mut tests = self.names.iter().map(|(n, key)| (n, &self.routes[*key]));
+        tests.find_map(|(name, test)| test.history.suspicion(name, test.threshold))
+    }
+
+    /// Whether the fault shows only when the new version carries all traffic.
+    fn shows_alone(&self) -> bool {
+        !self.is_unusual && self.sound_rechecks >= MAX_SOUND_RECHECKS
+    }
+
     /// The routes share the bound in the order of their first requests: 1/2,
     /// 1/6, 1/12 and so on, which sums to 1 for any number of routes.
     fn route(&mut self, name: &Name, windows: u64) -> RouteKey {
@@ -99,14 +118,27 @@
         if let Some(fault) = &self.fault {
             return Verdict::Bad(fault.clone());
         }
-        let mut tests = self.names.iter().map(|(n, key)| (n, &self.routes[*key]));
-        let suspicion = tests.find_map(|(name, test)| test.history.suspicion(name, test.threshold));
-        suspicion.map_or(Verdict::NoFault, Verdict::Suspect)
+        match self.suspicion() {
+            Some(fault) if self.shows_alone() => Verdict::Bad(fault),
+            Some(fault) => Verdict::Suspect(fault),
+            None => Verdict::NoFault,
+        }
     }
 
-    fn acquit(&mut self) {
+    fn recheck(&mut self) {
         for test in self.routes.values_mut() {
-            test.history.acquit();
+            test.failures.expect();
+            test.slow.expect();
+        }
+    }
+
+    fn acquit(&mut self) {
+        let histories = self.routes.values_mut().map(|t| &mut t.history);
+        let rechecks: Vec<Recheck> = histories.map(|h| h.acquit()).collect();
+        if rechecks.contains(&Recheck::Unusual) {
+            self.is_unusual = true;
+        } else if rechecks.contains(&Recheck::Usual) {
+            self.sound_rechecks += 1;
         }
     }
 }
--- a/crates/rollout/src/judge/threshold.rs
+++ b/crates/rollout/src/judge/threshold.rs
@@ -96,5 +96,7 @@
         }
     }
 
+    fn recheck(&mut self) {}
+
     fn acquit(&mut self) {}
 }
--- a/crates/rollout/src/likelihood.rs
+++ b/crates/rollout/src/likelihood.rs
@@ -40,11 +40,13 @@
 }
 
 /// Prior weight of a fault that is there from the start.
-const WEIGHT_AT_START: f64 = 0.5;
+const WEIGHT_AT_START: f64 = 0.4;
 /// Prior weight of a fault that begins within the horizon.
 const WEIGHT_IN_HORIZON: f64 = 0.25;
 /// Prior weight of a fault that begins after it.
-const WEIGHT_LATER: f64 = 0.25;
+const WEIGHT_LATER: f64 = 0.1;
+/// Prior weight of a fault that is there at one of the moments it is expected.
+const WEIGHT_EXPECTED: f64 = 0.25;
 
 /// Sum of likelihood ratios over all possible starts of a fault, each with its
 /// prior weight. The weights sum to at most 1, so the probability that the sum
@@ -54,6 +56,8 @@
     log_sums: [f64; N],
     step: u64,
     horizon: f64,
+    expectations: u32,
+    is_expected: bool,
 }
 
 impl<const N: usize> Detector<N> {
@@ -63,13 +67,22 @@
             log_sums: [f64::NEG_INFINITY; N],
             step: 0,
             horizon: horizon.max(1) as f64,
+            expectations: 0,
+            is_expected: false,
         }
     }
 
+    /// Gives more weight to a fault that is there at the next update.
+    pub(crate) fn expect(&mut self) {
+        self.expectations += 1;
+        self.is_expected = true;
+    }
+
     /// Adds the log likelihood ratios of one update, one per size of fault.
     pub(crate) fn update(&mut self, ratios: [f64; N]) {
         let weight = (self.weight() / N as f64).ln();
         self.step += 1;
+        self.is_expected = false;
         for (sum, ratio) in self.log_sums.iter_mut().zip(ratios) {
             *sum = log_add(*sum, weight) + ratio;
         }
@@ -82,6 +95,16 @@
     }
 
     fn weight(&self) -> f64 {
+        let nth = f64::from(self.expectations);
+        let expected = if self.is_expected {
+            WEIGHT_EXPECTED / (nth * (nth + 1.0))
+        } else {
+            0.0
+        };
+        expected + self.weight_by_time()
+    }
+
+    fn weight_by_time(&self) -> f64 {
         let step = self.step as f64;
         if self.step == 0 {
             WEIGHT_AT_START
