feat(node): count requests per service on the request path

Cause: operators could not see the outcomes of one service; the node only had counters over all requests, and their names carried the prefix knapweed_ twice.

Requests that are refused for a fault of their own (4xx not-run) and requests without a route count for the node only.

The cost per request was not measured.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -3,6 +3,7 @@
 mod attempt;
 pub mod handler;
 pub mod metrics;
+pub mod service_metrics;
 
 use crate::body::{Body, MAX_KEPT_LEN, RequestBody};
 use crate::carrier::{Carrier, Response};
@@ -75,22 +76,38 @@
     /// Runs a request of a caller.
     pub async fn run(&self, request: CallerRequest) -> Response {
         let start = self.parts.timer.now();
-        let result = self.try_run(request).await;
+        // The snapshot is kept for the whole request, so that it sees one version.
+        let snapshot = self.parts.snapshots.load_full();
+        let taken = take(&snapshot, &request, start);
+        let route = match &taken {
+            Ok(taken) => Some(taken.route),
+            Err(_) => snapshot.find_route(request.uri.path().as_bytes()),
+        };
+        let result = match taken {
+            Ok(taken) => self.try_run(&snapshot, taken, request).await,
+            Err(outcome) => Err(outcome),
+        };
         let response = result.unwrap_or_else(Response::without_answer);
         let took = self.parts.timer.now().since(start);
         self.parts.metrics.count(response.head.outcome, took);
+        if let Some(route) = route {
+            let service = snapshot.service(snapshot.route(route).service);
+            metrics::count_service(&service.counters, &response.head, took);
+        }
         response
     }
 
-    async fn try_run(&self, request: CallerRequest) -> Result<Response, Outcome> {
-        // The snapshot is kept for the whole request, so that it sees one version.
-        let snapshot = self.parts.snapshots.load_full();
-        let taken = take(&snapshot, &request, self.parts.timer.now())?;
+    async fn try_run(
+        &self,
+        snapshot: &Snapshot,
+        taken: Request,
+        request: CallerRequest,
+    ) -> Result<Response, Outcome> {
         let cut_short = |_| Outcome::NotRun(NotRun::InvalidHeader);
         let body = keep_short(request.body).await.map_err(cut_short)?;
         let attempts = Attempts {
             ingress: self,
-            snapshot: &snapshot,
+            snapshot,
             request: taken,
             method: Bytes::copy_from_slice(request.method.as_str().as_bytes()),
             path: path_and_query(&request.uri),
--- a/crates/node/src/ingress/metrics.rs
+++ b/crates/node/src/ingress/metrics.rs
@@ -3,6 +3,8 @@
 use knapweed_host::Outcome;
 use knapweed_observe::Metrics;
 use knapweed_observe::metrics::latency_histogram;
+use knapweed_wire::ResponseHead;
+use knapweed_world::ServiceCounters;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::histogram::Histogram;
 use std::time::Duration;
@@ -21,14 +23,11 @@
     pub fn register(metrics: &Metrics) -> Self {
         let counter = |name: &str, help: &str| metrics.register(name, help, Counter::default());
         Self {
-            answered: counter("knapweed_requests_answered", "Requests with an answer"),
-            not_run: counter("knapweed_requests_not_run", "Requests that did not run"),
-            unknown: counter(
-                "knapweed_requests_unknown",
-                "Requests with an unknown outcome",
-            ),
+            answered: counter("requests_answered", "Requests with an answer"),
+            not_run: counter("requests_not_run", "Requests that did not run"),
+            unknown: counter("requests_unknown", "Requests with an unknown outcome"),
             duration: metrics.register(
-                "knapweed_request_duration_seconds",
+                "request_duration_seconds",
                 "Time until the head of the response",
                 latency_histogram(),
             ),
@@ -46,3 +45,22 @@
         self.duration.observe(took.as_secs_f64());
     }
 }
+
+/// First status that is not a fault of the request itself.
+const FIRST_SERVER_STATUS: u16 = 500;
+
+/// Counts a request that ended for its service.
+///
+/// A request that is refused for a fault of its own says nothing about the
+/// service and is not counted.
+pub(super) fn count_service(counters: &ServiceCounters, head: &ResponseHead, took: Duration) {
+    match head.outcome {
+        Outcome::Answered(_) => {
+            let status = head.outcome.status().unwrap_or(head.status);
+            counters.answered(status, took);
+        }
+        Outcome::NotRun(reason) if reason.status() < FIRST_SERVER_STATUS => {}
+        Outcome::NotRun(_) => counters.not_run(),
+        Outcome::Unknown(_) => counters.unknown(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress/service_metrics.rs
@@ -0,0 +1,123 @@
+//! Metrics of each service, read from the counters of the current snapshot.
+
+use knapweed_world::service_counters::LATENCY_BOUNDS_US;
+use knapweed_world::{ServiceCounts, SnapshotCell};
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{DescriptorEncoder, MetricEncoder, NoLabelSet};
+use prometheus_client::metrics::MetricType;
+use std::fmt;
+use std::sync::Arc;
+
+/// Services with a label of their own; the others are counted together.
+pub const MAX_SERVICES: usize = 160;
+/// Label of the services beyond [`MAX_SERVICES`]; it is no valid name.
+pub const OVERFLOW: &str = "(other)";
+
+/// Microseconds in a second.
+const US_PER_S: f64 = 1e6;
+
+/// A counter of a service.
+struct Column {
+    name: &'static str,
+    help: &'static str,
+    value: fn(&ServiceCounts) -> u64,
+}
+
+const COLUMNS: [Column; 4] = [
+    Column {
+        name: "knapweed_service_requests_answered",
+        help: "Requests of a service with an answer",
+        value: |c| c.answered,
+    },
+    Column {
+        name: "knapweed_service_server_errors",
+        help: "Answers of a service with status 500 and above",
+        value: |c| c.server_errors,
+    },
+    Column {
+        name: "knapweed_service_requests_not_run",
+        help: "Requests of a service that did not run",
+        value: |c| c.not_run,
+    },
+    Column {
+        name: "knapweed_service_requests_unknown",
+        help: "Requests of a service with an unknown outcome",
+        value: |c| c.unknown,
+    },
+];
+
+/// Collector over the services of the current snapshot.
+#[derive(Debug)]
+pub struct ServiceMetrics {
+    snapshots: Arc<SnapshotCell>,
+}
+
+/// One line per metric of a service.
+struct Row {
+    service: String,
+    counts: ServiceCounts,
+}
+
+impl ServiceMetrics {
+    /// A collector over `snapshots`.
+    pub fn new(snapshots: Arc<SnapshotCell>) -> Self {
+        Self { snapshots }
+    }
+
+    fn rows(&self) -> Vec<Row> {
+        let snapshot = self.snapshots.load();
+        let mut rows = Vec::new();
+        let mut rest: Option<ServiceCounts> = None;
+        for (_, service) in snapshot.services() {
+            let counts = service.counters.counts();
+            if rows.len() < MAX_SERVICES {
+                let service = service.name.to_string();
+                rows.push(Row { service, counts });
+            } else {
+                rest = Some(rest.unwrap_or_default().plus(&counts));
+            }
+        }
+        rows.extend(rest.map(|counts| Row {
+            service: OVERFLOW.to_owned(),
+            counts,
+        }));
+        rows
+    }
+}
+
+impl Collector for ServiceMetrics {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        let rows = self.rows();
+        for column in &COLUMNS {
+            let mut metric =
+                encoder.encode_descriptor(column.name, column.help, None, MetricType::Counter)?;
+            for row in &rows {
+                let labels = [("service", row.service.as_str())];
+                let value = (column.value)(&row.counts);
+                metric
+                    .encode_family(&labels)?
+                    .encode_counter::<NoLabelSet, _, u64>(&value, None)?;
+            }
+        }
+        let mut metric = encoder.encode_descriptor(
+            "knapweed_service_request_duration_seconds",
+            "Time until the head of the answer of a service",
+            None,
+            MetricType::Histogram,
+        )?;
+        rows.iter().try_for_each(|row| histogram(&mut metric, row))
+    }
+}
+
+fn histogram(metric: &mut MetricEncoder<'_>, row: &Row) -> fmt::Result {
+    let bounds = LATENCY_BOUNDS_US.iter().map(|us| f64::from(*us) / US_PER_S);
+    let bounds = bounds.chain([f64::INFINITY]);
+    let buckets: Vec<_> = bounds.zip(row.counts.latency).collect();
+    let sum = row.counts.latency_sum_us as f64 / US_PER_S;
+    // The buckets are the source of the count, so that the two always agree.
+    let count = row.counts.latency.iter().sum();
+    let labels = [("service", row.service.as_str())];
+    metric
+        .encode_family(&labels)?
+        .encode_histogram::<NoLabelSet>(sum, count, &buckets, None)
+}
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -1,6 +1,7 @@
 //! The operators' HTTP interface: tickets, configuration, nodes, health,
 //! metrics, and announcements of the backend servers of this host.
 
+pub mod node_metrics;
 mod respond;
 mod tickets;
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -5,8 +5,10 @@
 use crate::control::{Control, ControlHandle, View};
 use crate::egress::{Egress, serve};
 use crate::ingress::metrics::IngressMetrics;
+use crate::ingress::service_metrics::ServiceMetrics;
 use crate::ingress::{self, Ingress, handler};
 use crate::operators;
+use crate::operators::node_metrics::NodeMetrics;
 use crate::settings::Options;
 use anyhow::Context;
 use arc_swap::ArcSwap;
@@ -48,7 +50,7 @@
 /// An address, certificate or key cannot be used.
 pub async fn run(options: Options, logs: Logs) -> anyhow::Result<ExitCode> {
     let timer = TimerService::start();
-    let metrics = Metrics::new();
+    let metrics = Metrics::with_labels([("zone", options.zone.to_string())]);
     let identity = Identity::load(&options.tls)?;
     let (endpoint, arrivals) = Endpoint::open(options.nodes, &identity)?;
     let callers = listen(options.callers).await?;
@@ -77,6 +79,13 @@
     start_control(Control::new(parts, control.clone(), membership), events)?;
     tokio::spawn(receive(arrivals, control.clone(), Arc::clone(&egress)));
 
+    metrics.register_collector(ServiceMetrics::new(Arc::clone(&snapshots)));
+    metrics.register_collector(NodeMetrics {
+        snapshots: Arc::clone(&snapshots),
+        view: Arc::clone(&view),
+        drain: Arc::clone(&drain),
+        peers: endpoint.peers(),
+    });
     let ingress = Arc::new(Ingress::new(ingress::Parts {
         snapshots,
         choice: Box::new(NearestLeastLoaded::default()),
--- /dev/null
+++ b/crates/node/tests/ingress.rs
@@ -0,0 +1,136 @@
+//! The ingress counts each request for its service.
+
+use futures_util::future::BoxFuture;
+use http::{HeaderMap, Method};
+use knapweed_host::choice::NearestLeastLoaded;
+use knapweed_host::outcome::Answer;
+use knapweed_host::{Drain, NotRun, Outcome, Unknown};
+use knapweed_node::body::{self, RequestBody};
+use knapweed_node::carrier::{Carrier, Response};
+use knapweed_node::ingress::metrics::IngressMetrics;
+use knapweed_node::ingress::{CallerRequest, Ingress, Parts};
+use knapweed_observe::Metrics;
+use knapweed_timer::TimerService;
+use knapweed_wire::RequestHead;
+use knapweed_world::backend_server::Announcement;
+use knapweed_world::config::{Config, RouteConfig, ServiceConfig, VersionShare};
+use knapweed_world::snapshot::{Builder, HostEntry};
+use knapweed_world::{ConfigVersion, Name, ServerState, Share, SnapshotCell, TicketNumber};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A carrier that gives the outcome that the path names.
+struct Scripted;
+
+impl Carrier for Scripted {
+    fn carry<'a>(
+        &'a self,
+        _node: SocketAddr,
+        head: RequestHead,
+        _body: &'a mut RequestBody,
+    ) -> BoxFuture<'a, Response> {
+        let (outcome, status) = match &head.path[..] {
+            b"/calendar/ok" => (Outcome::Answered(Answer::Complete), 200),
+            b"/calendar/broken" => (Outcome::Answered(Answer::Complete), 502),
+            b"/calendar/shed" => (Outcome::NotRun(NotRun::Overloaded), 0),
+            b"/calendar/reused" => (Outcome::NotRun(NotRun::KeyReused), 0),
+            _ => (Outcome::Unknown(Unknown::ServerCrashed), 0),
+        };
+        let mut response = Response::without_answer(outcome);
+        response.head.status = status;
+        Box::pin(async move { response })
+    }
+}
+
+fn name(text: &str) -> Name {
+    text.parse().expect("a valid name")
+}
+
+fn config() -> Config {
+    let mut config = Config::default();
+    let service = ServiceConfig {
+        versions: vec![VersionShare {
+            version: name("v1"),
+            share: Share::ALL,
+        }],
+        rollout: None,
+        ticket: TicketNumber(1),
+        changed_at: ConfigVersion(1),
+    };
+    let route = RouteConfig {
+        path_prefix: "/calendar".into(),
+        service: name("calendar"),
+        timeout_ms: 1_000,
+        idempotent_methods: Vec::new(),
+        ticket: TicketNumber(1),
+        changed_at: ConfigVersion(1),
+    };
+    config.services.insert(name("calendar"), service);
+    config.routes.insert(name("calendar"), route);
+    config
+}
+
+fn snapshots() -> Arc<SnapshotCell> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let host = HostEntry {
+        name: name("a1"),
+        zone: name("labasa-a"),
+        region: name("labasa"),
+        address,
+        announcements: vec![Announcement {
+            service: name("calendar"),
+            version: name("v1"),
+            address,
+            slots: 12,
+            max_connections: 110,
+            state: ServerState::Ready,
+        }],
+    };
+    let snapshot = Builder::new(name("a1"), &config()).hosts([host]).build();
+    Arc::new(SnapshotCell::new(snapshot.expect("a whole mesh")))
+}
+
+/// Guards against server errors, refusals and requests without a route that
+/// are counted for the wrong service or not at all.
+#[tokio::test]
+async fn requests_are_counted_by_service_and_outcome() {
+    let (snapshots, metrics) = (snapshots(), Metrics::new());
+    let ingress = Ingress::new(Parts {
+        snapshots: Arc::clone(&snapshots),
+        choice: Box::new(NearestLeastLoaded::default()),
+        local: Box::new(Scripted),
+        link: Box::new(Scripted),
+        drain: Arc::new(Drain::default()),
+        timer: TimerService::start(),
+        metrics: IngressMetrics::register(&metrics),
+    });
+    for path in ["ok", "ok", "broken", "shed", "reused", "crash"] {
+        run(&ingress, &format!("/calendar/{path}"), &[]).await;
+    }
+    run(&ingress, "/nowhere", &[]).await;
+    run(&ingress, "/calendar/ok", &[("knapweed-depth", "8")]).await;
+    let snapshot = snapshots.load_full();
+    let (_, service) = snapshot.services().next().expect("a service");
+    let mut counts = service.counters.counts();
+    assert_eq!(counts.latency.iter().sum::<u64>(), counts.answered);
+    // Latencies differ from run to run.
+    counts.latency = Default::default();
+    counts.latency_sum_us = 0;
+    let text = metrics.to_text();
+    let node: Vec<_> = text.lines().filter(|l| l.contains("_total")).collect();
+    insta::assert_snapshot!(format!("{}\n{counts:#?}", node.join("\n")));
+}
+
+async fn run(ingress: &Ingress, path: &str, headers: &[(&'static str, &str)]) {
+    let mut fields = HeaderMap::new();
+    for (name, value) in headers {
+        fields.insert(*name, value.parse().expect("a header value"));
+    }
+    let request = CallerRequest {
+        method: Method::GET,
+        uri: path.parse().expect("a path"),
+        headers: fields,
+        body: body::empty(),
+    };
+    ingress.run(request).await;
+}
--- /dev/null
+++ b/crates/node/tests/metrics.rs
@@ -0,0 +1,139 @@
+//! Metrics of the node: what is exported, and the operators' page about it.
+
+use arc_swap::ArcSwap;
+use knapweed_host::Drain;
+use knapweed_node::control::View;
+use knapweed_node::ingress::metrics::IngressMetrics;
+use knapweed_node::ingress::service_metrics::ServiceMetrics;
+use knapweed_node::operators::node_metrics::NodeMetrics;
+use knapweed_observe::Metrics;
+use knapweed_transport::Endpoint;
+use knapweed_transport::certificates::Authority;
+use knapweed_transport::tls::{Files, Identity};
+use knapweed_world::config::ServiceConfig;
+use knapweed_world::snapshot::{Builder, HostEntry};
+use knapweed_world::{Config, Name, SnapshotCell};
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn name(text: &str) -> Name {
+    text.parse().expect("a valid name")
+}
+
+fn snapshots(services: usize) -> Arc<SnapshotCell> {
+    let mut config = Config::default();
+    for i in 0..services {
+        let service = ServiceConfig {
+            versions: Vec::new(),
+            rollout: None,
+            ticket: knapweed_world::TicketNumber(1),
+            changed_at: knapweed_world::ConfigVersion(1),
+        };
+        config.services.insert(name(&format!("s{i:03}")), service);
+    }
+    let host = HostEntry {
+        name: name("a1"),
+        zone: name("labasa-a"),
+        region: name("labasa"),
+        address: (Ipv4Addr::LOCALHOST, 1).into(),
+        announcements: Vec::new(),
+    };
+    let snapshot = Builder::new(name("a1"), &config).hosts([host]).build();
+    Arc::new(SnapshotCell::new(snapshot.expect("a whole mesh")))
+}
+
+fn endpoint() -> Endpoint {
+    let authority = Authority::new().expect("an authority");
+    let pair = authority.issue("a1", &[Ipv4Addr::LOCALHOST.into()]);
+    let pair = pair.expect("a pair");
+    let dir = tempfile::tempdir().expect("a temporary folder");
+    let file = |name: &str, text: String| {
+        let path = dir.path().join(name);
+        std::fs::write(&path, text).expect("a file");
+        path
+    };
+    let identity = Identity::load(&Files {
+        certificate: file("node.pem", pair.certificate),
+        key: file("node.key", pair.key),
+        authority: file("authority.pem", authority.certificate()),
+    });
+    let any_port = (Ipv4Addr::LOCALHOST, 0).into();
+    let (endpoint, _arrivals) =
+        Endpoint::open(any_port, &identity.expect("an identity")).expect("an endpoint");
+    endpoint
+}
+
+/// Guards against metrics that the operators' page lacks or describes otherwise.
+#[tokio::test]
+async fn the_page_lists_every_metric() {
+    let metrics = Metrics::with_labels([("zone", "labasa-a".into())]);
+    IngressMetrics::register(&metrics);
+    let snapshots = snapshots(1);
+    metrics.register_collector(ServiceMetrics::new(Arc::clone(&snapshots)));
+    metrics.register_collector(NodeMetrics {
+        snapshots,
+        view: Arc::new(ArcSwap::from_pointee(View::default())),
+        drain: Arc::new(Drain::default()),
+        peers: endpoint().peers(),
+    });
+    assert_eq!(rows_of_page(), rows_of_registry(&metrics.to_text()));
+}
+
+fn rows_of_page() -> BTreeSet<String> {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operators/metrics.md");
+    let text = std::fs::read_to_string(page).expect("the page");
+    let rows = text.lines().filter(|l| l.starts_with("| `"));
+    rows.map(str::to_owned).collect()
+}
+
+fn rows_of_registry(text: &str) -> BTreeSet<String> {
+    let after = |prefix: &str, name: &str| {
+        let start = format!("{prefix} {name} ");
+        let found = text.lines().find_map(|l| l.strip_prefix(&start));
+        found.expect("a description").to_owned()
+    };
+    let names = text.lines().filter_map(|l| l.strip_prefix("# HELP "));
+    let names = names.filter_map(|l| l.split(' ').next());
+    names
+        .map(|name| {
+            let kind = after("# TYPE", name);
+            let help = after("# HELP", name);
+            format!("| `{name}` | {kind} | {} |", help.trim_end_matches('.'))
+        })
+        .collect()
+}
+
+/// Guards against histograms that are not cumulative, and units that are not seconds.
+#[test]
+fn counters_of_a_service_are_exported() {
+    let metrics = Metrics::with_labels([("zone", "labasa-a".into())]);
+    let snapshots = snapshots(1);
+    let snapshot = snapshots.load_full();
+    let (_, service) = snapshot.services().next().expect("a service");
+    service.counters.answered(200, Duration::from_micros(1_500));
+    service.counters.answered(500, Duration::from_secs(3));
+    service.counters.not_run();
+    metrics.register_collector(ServiceMetrics::new(snapshots));
+    insta::assert_snapshot!(metrics.to_text());
+}
+
+/// Guards against an unbounded number of labels.
+#[test]
+fn services_beyond_the_limit_share_a_label() {
+    let metrics = Metrics::new();
+    let snapshots = snapshots(163);
+    for (_, service) in snapshots.load().services() {
+        service.counters.unknown();
+    }
+    metrics.register_collector(ServiceMetrics::new(snapshots));
+    let text = metrics.to_text();
+    let unknown: Vec<_> = text
+        .lines()
+        .filter(|l| l.starts_with("knapweed_service_requests_unknown_total"))
+        .collect();
+    assert_eq!(unknown.len(), 161);
+    assert!(unknown[160].ends_with("{service=\"(other)\"} 3"));
+}
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -4,6 +4,7 @@
 //! handles to atomics that the request path updates without the registry.
 
 use parking_lot::Mutex;
+use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Metric, Registry};
@@ -29,7 +30,13 @@
 impl Metrics {
     /// An empty registry.
     pub fn new() -> Self {
-        let registry = Registry::with_prefix(PREFIX);
+        Self::with_labels([])
+    }
+
+    /// An empty registry whose metrics all have the labels `labels`.
+    pub fn with_labels(labels: impl IntoIterator<Item = (&'static str, String)>) -> Self {
+        let labels = labels.into_iter().map(|(k, v)| (k.into(), v.into()));
+        let registry = Registry::with_labels(labels);
         Self {
             registry: Arc::new(Mutex::new(registry)),
         }
@@ -39,10 +46,18 @@
     ///
     /// The name gets the prefix `knapweed_`, and a counter the suffix `_total`.
     pub fn register<M: Clone + Metric>(&self, name: &str, help: &str, metric: M) -> M {
+        let name = format!("{PREFIX}_{name}");
         self.registry.lock().register(name, help, metric.clone());
         metric
     }
 
+    /// Registers a collector, which is asked at each [`Metrics::to_text`].
+    ///
+    /// It gives its metrics their whole names.
+    pub fn register_collector(&self, collector: impl Collector) {
+        self.registry.lock().register_collector(Box::new(collector));
+    }
+
     /// All metrics in the OpenMetrics text format, for `GET /metrics`.
     pub fn to_text(&self) -> String {
         let mut out = String::new();
--- a/crates/world/src/service.rs
+++ b/crates/world/src/service.rs
@@ -1,8 +1,9 @@
 //! Services, their versions and traffic shares.
 
-use crate::{BackendServerKey, Name};
+use crate::{BackendServerKey, Name, ServiceCounters};
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::sync::Arc;
 
 /// A share of traffic in basis points: 10,000 is all of it.
 #[derive(
@@ -54,6 +55,8 @@
     pub name: Name,
     /// Its versions with their shares.
     pub versions: Vec<ServedVersion>,
+    /// Its requests at the local ingress.
+    pub counters: Arc<ServiceCounters>,
 }
 
 impl Service {
--- /dev/null
+++ b/crates/world/src/service_counters.rs
@@ -0,0 +1,113 @@
+//! Counters of one service, updated by many threads without a lock.
+
+use std::array;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Upper bounds of the latency buckets in microseconds; a last bucket without a
+/// bound follows.
+pub const LATENCY_BOUNDS_US: [u32; 10] = [
+    1_000, 2_000, 5_000, 10_000, 20_000, 50_000, 100_000, 200_000, 500_000, 1_000_000,
+];
+/// Number of latency buckets.
+pub const LATENCY_BUCKETS: usize = LATENCY_BOUNDS_US.len() + 1;
+
+/// Lowest HTTP status that counts as a server error.
+const FIRST_SERVER_ERROR: u16 = 500;
+
+/// Requests of one service that ended at the local ingress.
+///
+/// Shared between snapshots, so that counts go on when the configuration changes.
+#[derive(Debug, Default)]
+pub struct ServiceCounters {
+    answered: AtomicU64,
+    server_errors: AtomicU64,
+    not_run: AtomicU64,
+    unknown: AtomicU64,
+    latency_sum_us: AtomicU64,
+    latency: [AtomicU64; LATENCY_BUCKETS],
+}
+
+/// Values of [`ServiceCounters`] at one time.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServiceCounts {
+    /// Requests with an answer.
+    pub answered: u64,
+    /// Those of them with status 500 and above.
+    pub server_errors: u64,
+    /// Requests that did not run.
+    pub not_run: u64,
+    /// Requests with an unknown outcome.
+    pub unknown: u64,
+    /// Sum of the latencies of answered requests, in microseconds.
+    pub latency_sum_us: u64,
+    /// Answered requests by latency; the bounds are [`LATENCY_BOUNDS_US`].
+    pub latency: [u64; LATENCY_BUCKETS],
+}
+
+/// Mutation.
+impl ServiceCounters {
+    /// Counts a request that was answered with `status` after `took`.
+    pub fn answered(&self, status: u16, took: Duration) {
+        self.answered.fetch_add(1, Ordering::Relaxed);
+        if status >= FIRST_SERVER_ERROR {
+            self.server_errors.fetch_add(1, Ordering::Relaxed);
+        }
+        let took_us = took.as_micros() as u64;
+        self.latency_sum_us.fetch_add(took_us, Ordering::Relaxed);
+        self.latency[bucket(took_us)].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a request that did not run.
+    pub fn not_run(&self) {
+        self.not_run.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a request with an unknown outcome.
+    pub fn unknown(&self) {
+        self.unknown.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Access.
+impl ServiceCounters {
+    /// The values now. Requests that end meanwhile may be counted in part.
+    pub fn counts(&self) -> ServiceCounts {
+        ServiceCounts {
+            answered: self.answered.load(Ordering::Relaxed),
+            server_errors: self.server_errors.load(Ordering::Relaxed),
+            not_run: self.not_run.load(Ordering::Relaxed),
+            unknown: self.unknown.load(Ordering::Relaxed),
+            latency_sum_us: self.latency_sum_us.load(Ordering::Relaxed),
+            latency: array::from_fn(|i| self.latency[i].load(Ordering::Relaxed)),
+        }
+    }
+}
+
+/// Arithmetic.
+impl ServiceCounts {
+    /// The sum of two services' counts.
+    pub fn plus(&self, other: &Self) -> Self {
+        self.zip(other, u64::saturating_add)
+    }
+
+    /// What was counted since `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        self.zip(earlier, u64::saturating_sub)
+    }
+
+    fn zip(&self, other: &Self, op: fn(u64, u64) -> u64) -> Self {
+        Self {
+            answered: op(self.answered, other.answered),
+            server_errors: op(self.server_errors, other.server_errors),
+            not_run: op(self.not_run, other.not_run),
+            unknown: op(self.unknown, other.unknown),
+            latency_sum_us: op(self.latency_sum_us, other.latency_sum_us),
+            latency: array::from_fn(|i| op(self.latency[i], other.latency[i])),
+        }
+    }
+}
+
+fn bucket(took_us: u64) -> usize {
+    LATENCY_BOUNDS_US.partition_point(|bound| took_us > u64::from(*bound))
+}
--- /dev/null
+++ b/crates/world/src/snapshot/build.rs
@@ -0,0 +1,297 @@
+//! The builder of snapshots.
+
+use super::{Error, HostEntry, Snapshot, zone_distance};
+use crate::backend_server::{Announcement, ServerId};
+use crate::config::VersionShare;
+use crate::link::Distance;
+use crate::service::ServedVersion;
+use crate::{
+    BackendServer, BackendServerKey, Config, ConfigVersion, Host, HostKey, Link, LinkKey, Name,
+    Region, RegionKey, Route, RouteKey, ServerLoad, ServerState, Service, ServiceCounters,
+    ServiceKey, Zone, ZoneKey,
+};
+use bytes::Bytes;
+use slotmap::SlotMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Builds a snapshot whole, beside the one being served.
+#[derive(Debug)]
+pub struct Builder<'a> {
+    local: Name,
+    config: &'a Config,
+    hosts: Vec<HostEntry>,
+    shares: BTreeMap<Name, Vec<VersionShare>>,
+    loads: HashMap<ServerId, Arc<ServerLoad>>,
+    counters: HashMap<Name, Arc<ServiceCounters>>,
+}
+
+/// Construction.
+impl<'a> Builder<'a> {
+    /// Starts a snapshot of `config` as seen from the host `local`.
+    pub fn new(local: Name, config: &'a Config) -> Self {
+        Self {
+            local,
+            config,
+            hosts: Vec::new(),
+            shares: BTreeMap::new(),
+            loads: HashMap::new(),
+            counters: HashMap::new(),
+        }
+    }
+
+    /// Adds the hosts known now, the local one among them.
+    pub fn hosts(mut self, hosts: impl IntoIterator<Item = HostEntry>) -> Self {
+        self.hosts.extend(hosts);
+        self.hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        self
+    }
+
+    /// Sets the shares of a service in the middle of a rollout.
+    pub fn shares(mut self, service: Name, shares: Vec<VersionShare>) -> Self {
+        self.shares.insert(service, shares);
+        self
+    }
+
+    /// Keeps the counters of backend servers and services that `previous` knows too.
+    pub fn previous(mut self, previous: &Snapshot) -> Self {
+        self.loads.clone_from(&previous.loads);
+        let services = previous.services.values();
+        self.counters = services
+            .map(|s| (s.name.clone(), Arc::clone(&s.counters)))
+            .collect();
+        self
+    }
+
+    /// Resolves every reference.
+    ///
+    /// # Errors
+    ///
+    /// A route without its service, or hosts without the local one.
+    pub fn build(self) -> Result<Snapshot, Error> {
+        let mut draft = Draft::default();
+        for entry in &self.hosts {
+            draft.add_host(entry);
+        }
+        let local = draft.find_host(&self.local)?;
+        draft.add_links(local);
+        draft.add_services(&self);
+        for entry in &self.hosts {
+            draft.add_backend_servers(entry, local, &self.loads);
+        }
+        draft.add_routes(self.config)?;
+        Ok(draft.finish(self.config.version, local))
+    }
+}
+
+/// Arenas being filled, with the names already seen.
+#[derive(Default)]
+struct Draft {
+    regions: SlotMap<RegionKey, Region>,
+    zones: SlotMap<ZoneKey, Zone>,
+    links: SlotMap<LinkKey, Link>,
+    hosts: SlotMap<HostKey, Host>,
+    services: SlotMap<ServiceKey, Service>,
+    backend_servers: SlotMap<BackendServerKey, BackendServer>,
+    routes: SlotMap<RouteKey, Route>,
+    region_names: HashMap<Name, RegionKey>,
+    zone_names: HashMap<Name, ZoneKey>,
+    host_names: HashMap<Name, HostKey>,
+    service_names: HashMap<Name, ServiceKey>,
+    loads: HashMap<ServerId, Arc<ServerLoad>>,
+}
+
+impl Draft {
+    fn add_host(&mut self, entry: &HostEntry) {
+        let zone = self.zone(&entry.zone, &entry.region);
+        let key = self.hosts.insert(Host {
+            name: entry.name.clone(),
+            zone,
+            address: entry.address,
+            backend_servers: Vec::new(),
+        });
+        self.zones[zone].hosts.push(key);
+        self.host_names.insert(entry.name.clone(), key);
+    }
+
+    fn zone(&mut self, name: &Name, region_name: &Name) -> ZoneKey {
+        if let Some(key) = self.zone_names.get(name) {
+            return *key;
+        }
+        let region = match self.region_names.get(region_name) {
+            Some(key) => *key,
+            None => self.add_region(region_name),
+        };
+        let zone = Zone {
+            name: name.clone(),
+            region,
+            hosts: Vec::new(),
+        };
+        let key = self.zones.insert(zone);
+        self.regions[region].zones.push(key);
+        self.zone_names.insert(name.clone(), key);
+        key
+    }
+
+    fn add_region(&mut self, name: &Name) -> RegionKey {
+        let region = Region {
+            name: name.clone(),
+            zones: Vec::new(),
+        };
+        let key = self.regions.insert(region);
+        self.region_names.insert(name.clone(), key);
+        key
+    }
+
+    fn find_host(&self, name: &Name) -> Result<HostKey, Error> {
+        let key = self.host_names.get(name).copied();
+        key.ok_or_else(|| Error::MissingLocalHost(name.clone()))
+    }
+
+    fn add_links(&mut self, local: HostKey) {
+        let here = self.hosts[local].zone;
+        for to in self.zones.keys() {
+            let distance = zone_distance(&self.zones, here, to);
+            self.links.insert(Link { to, distance });
+        }
+    }
+
+    fn add_services(&mut self, builder: &Builder<'_>) {
+        for (name, service) in &builder.config.services {
+            let shares = builder.shares.get(name).unwrap_or(&service.versions);
+            let counters = builder.counters.get(name).cloned();
+            let versions = shares.iter().map(served_version).collect();
+            let key = self.services.insert(Service {
+                name: name.clone(),
+                versions,
+                counters: counters.unwrap_or_default(),
+            });
+            self.service_names.insert(name.clone(), key);
+        }
+    }
+
+    fn add_backend_servers(
+        &mut self,
+        entry: &HostEntry,
+        local: HostKey,
+        loads: &HashMap<ServerId, Arc<ServerLoad>>,
+    ) {
+        let host = self.host_names[&entry.name];
+        let here = self.hosts[local].zone;
+        let distance = zone_distance(&self.zones, here, self.hosts[host].zone);
+        for announcement in &entry.announcements {
+            let Some(service) = self.service_names.get(&announcement.service).copied() else {
+                continue;
+            };
+            let id = server_id(entry, announcement);
+            let load = loads.get(&id).cloned().unwrap_or_default();
+            self.loads.insert(id, Arc::clone(&load));
+            let server = backend_server(announcement, service, host, load);
+            let key = self.backend_servers.insert(server);
+            self.hosts[host].backend_servers.push(key);
+            if announcement.state == ServerState::Ready {
+                self.serve(service, &announcement.version, distance, key);
+            }
+        }
+    }
+
+    fn serve(
+        &mut self,
+        service: ServiceKey,
+        version: &Name,
+        distance: Distance,
+        key: BackendServerKey,
+    ) {
+        let versions = &mut self.services[service].versions;
+        if let Some(served) = versions.iter_mut().find(|v| v.version == *version) {
+            served.servers[ring(distance)].push(key);
+        }
+    }
+
+    fn add_routes(&mut self, config: &Config) -> Result<(), Error> {
+        for (name, route) in &config.routes {
+            let Some(service) = self.service_names.get(&route.service).copied() else {
+                return Err(Error::MissingService {
+                    route: name.clone(),
+                    service: route.service.clone(),
+                });
+            };
+            self.routes.insert(Route {
+                name: name.clone(),
+                path_prefix: Bytes::copy_from_slice(route.path_prefix.as_bytes()),
+                service,
+                timeout: Duration::from_millis(u64::from(route.timeout_ms)),
+                idempotent_methods: route
+                    .idempotent_methods
+                    .iter()
+                    .map(|m| Bytes::copy_from_slice(m.as_bytes()))
+                    .collect(),
+            });
+        }
+        Ok(())
+    }
+
+    fn finish(self, version: ConfigVersion, local: HostKey) -> Snapshot {
+        let mut route_order: Vec<_> = self.routes.keys().collect();
+        route_order.sort_by_key(|k| Reverse(self.routes[*k].path_prefix.len()));
+        Snapshot {
+            version,
+            local,
+            regions: self.regions,
+            zones: self.zones,
+            links: self.links,
+            hosts: self.hosts,
+            services: self.services,
+            backend_servers: self.backend_servers,
+            routes: self.routes,
+            route_order,
+            loads: self.loads,
+        }
+    }
+}
+
+fn served_version(share: &VersionShare) -> ServedVersion {
+    ServedVersion {
+        version: share.version.clone(),
+        share: share.share,
+        servers: Default::default(),
+    }
+}
+
+fn server_id(entry: &HostEntry, announcement: &Announcement) -> ServerId {
+    ServerId {
+        host: entry.name.clone(),
+        service: announcement.service.clone(),
+        version: announcement.version.clone(),
+        address: announcement.address,
+    }
+}
+
+fn backend_server(
+    announcement: &Announcement,
+    service: ServiceKey,
+    host: HostKey,
+    load: Arc<ServerLoad>,
+) -> BackendServer {
+    BackendServer {
+        service,
+        version: announcement.version.clone(),
+        host,
+        address: announcement.address,
+        slots: announcement.slots,
+        max_connections: announcement.max_connections,
+        state: announcement.state,
+        load,
+    }
+}
+
+/// Index into [`ServedVersion::servers`] for a distance between availability zones.
+fn ring(distance: Distance) -> usize {
+    match distance {
+        Distance::Host | Distance::Zone => 0,
+        Distance::Region => 1,
+        Distance::Remote => 2,
+    }
+}
--- a/crates/world/tests/snapshot.rs
+++ b/crates/world/tests/snapshot.rs
@@ -9,6 +9,7 @@
 use std::fmt::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 fn build(version: u64) -> Snapshot {
     Builder::new(name("a1"), &config(version))
@@ -89,6 +90,25 @@
     assert_eq!(total, 1);
 }
 
+/// Guards against service counters that start again at zero with each change of
+/// the configuration, and against requests on the old snapshot that are lost.
+#[test]
+fn service_counters_survive_a_new_snapshot() {
+    let first = build(1);
+    let config = config(2);
+    let builder = Builder::new(name("a1"), &config).hosts(hosts());
+    let second = builder.previous(&first).build().expect("a whole mesh");
+    let (_, old) = first.services().next().expect("a service");
+    for us in [1_000, 1_001, 2_000_000] {
+        old.counters.answered(200, Duration::from_micros(us));
+    }
+    old.counters.answered(503, Duration::ZERO);
+    old.counters.not_run();
+    old.counters.unknown();
+    let (_, new) = second.services().next().expect("a service");
+    insta::assert_debug_snapshot!(new.counters.counts());
+}
+
 /// Guards against readers that see parts of two versions, or a version going
 /// back, while the control thread swaps snapshots (H1, H3).
 #[test]
