feat(node): bounded history of requests at GET /v1/history

Cause: a burn report needs counts over windows of up to 24 hours, and hosts have no disks to keep them on.

Configuration versions and changed shares are noted on the same time line (newest 1,024). Periods without a request take no room. The document is encoded on a blocking thread, away from requests.

Time per record was not measured.

--- /dev/null
+++ b/crates/node/src/history.rs
@@ -0,0 +1,74 @@
+//! Requests of the last day in the node's memory, for the burn report.
+
+pub mod recorder;
+mod ring;
+
+use knapweed_observe::History;
+use knapweed_timer::{Subscription, TimerService};
+use knapweed_world::service_counters::LATENCY_BOUNDS_US;
+use knapweed_world::{Name, SnapshotCell};
+use parking_lot::Mutex;
+pub use recorder::Recorder;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two records.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// The node that a history belongs to.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Its host.
+    pub host: Name,
+    /// Its availability zone.
+    pub zone: Name,
+}
+
+/// Keeps the history of a node, apart from the request path.
+#[derive(Debug)]
+pub struct HistoryKeeper {
+    place: Place,
+    recorder: Mutex<Recorder>,
+}
+
+impl HistoryKeeper {
+    /// Starts to record the services of `snapshots` each second.
+    pub fn start(place: Place, snapshots: Arc<SnapshotCell>, timer: &TimerService) -> Arc<Self> {
+        let keeper = Arc::new(Self {
+            place,
+            recorder: Mutex::new(Recorder::new(timer.wall())),
+        });
+        let ticks = timer.subscribe(PERIOD);
+        let task = record(Arc::clone(&keeper), snapshots, timer.clone(), ticks);
+        tokio::spawn(task);
+        keeper
+    }
+
+    /// The history until now.
+    pub fn document(&self) -> History {
+        let recorder = self.recorder.lock();
+        History {
+            host: self.place.host.clone(),
+            zone: self.place.zone.clone(),
+            since: recorder.since(),
+            until: recorder.until(),
+            latency_bounds_us: LATENCY_BOUNDS_US.to_vec(),
+            services: recorder.services(),
+            services_left_out: recorder.left_out(),
+            changes: recorder.changes().cloned().collect(),
+        }
+    }
+}
+
+async fn record(
+    keeper: Arc<HistoryKeeper>,
+    snapshots: Arc<SnapshotCell>,
+    timer: TimerService,
+    mut ticks: Subscription,
+) {
+    loop {
+        ticks.tick().await;
+        let snapshot = snapshots.load_full();
+        keeper.recorder.lock().record(timer.wall(), &snapshot);
+    }
+}
--- /dev/null
+++ b/crates/node/src/history/recorder.rs
@@ -0,0 +1,206 @@
+//! Turns the counters of services into buckets.
+
+use super::ring::Ring;
+use knapweed_observe::history::{Bucket, Change, ChangeKind, ServiceHistory};
+use knapweed_world::config::VersionShare;
+use knapweed_world::{ConfigVersion, Name, Service, ServiceCounts, Snapshot, UnixMillis};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// Buckets of one second: 10 minutes.
+const SECONDS: usize = 600;
+/// Buckets of one minute: 24 hours.
+const MINUTES: usize = 1_440;
+/// Services with a history. Each takes at most 2,040 buckets of 64 bytes,
+/// 130,560 bytes, which makes 8.4 MB for all of them.
+pub const MAX_SERVICES: usize = 64;
+/// Changes that are kept; a busy day has 980 tickets.
+const MAX_CHANGES: usize = 1_024;
+
+const MS_PER_S: u64 = 1_000;
+
+/// History of one service.
+#[derive(Debug)]
+struct Track {
+    last: ServiceCounts,
+    seconds: Ring,
+    minutes: Ring,
+}
+
+impl Track {
+    fn new() -> Self {
+        Self {
+            last: ServiceCounts::default(),
+            seconds: Ring::new(1, SECONDS),
+            minutes: Ring::new(60, MINUTES),
+        }
+    }
+
+    fn record(&mut self, now_s: u32, counts: ServiceCounts) {
+        // A service that was removed and added again starts at zero.
+        let restarted = counts.requests() < self.last.requests();
+        let before = match restarted {
+            true => ServiceCounts::default(),
+            false => self.last,
+        };
+        let new = counts.since(&before);
+        self.last = counts;
+        if new.requests() > 0 {
+            let bucket = Bucket::new(now_s, &new);
+            self.seconds.add(&bucket);
+            self.minutes.add(&bucket);
+        }
+    }
+
+    fn drop_before(&mut self, now_s: u32) {
+        self.seconds.drop_before(now_s);
+        self.minutes.drop_before(now_s);
+    }
+}
+
+/// The history of a node.
+#[derive(Debug)]
+pub struct Recorder {
+    since: UnixMillis,
+    until: UnixMillis,
+    tracks: BTreeMap<Name, Track>,
+    left_out: u32,
+    changes: VecDeque<Change>,
+    version: ConfigVersion,
+    shares: BTreeMap<Name, Vec<VersionShare>>,
+    snapshot: Option<Arc<Snapshot>>,
+}
+
+/// Construction.
+impl Recorder {
+    /// An empty history that starts at `now`.
+    pub fn new(now: UnixMillis) -> Self {
+        Self {
+            since: now,
+            until: now,
+            tracks: BTreeMap::new(),
+            left_out: 0,
+            changes: VecDeque::new(),
+            version: ConfigVersion::default(),
+            shares: BTreeMap::new(),
+            snapshot: None,
+        }
+    }
+}
+
+/// Mutation.
+impl Recorder {
+    /// Records what the services of `snapshot` have counted since the last call.
+    pub fn record(&mut self, now: UnixMillis, snapshot: &Arc<Snapshot>) {
+        self.until = now;
+        self.note_changes(now, snapshot);
+        let now_s = u32::try_from(now.0 / MS_PER_S).unwrap_or(u32::MAX);
+        for track in self.tracks.values_mut() {
+            track.drop_before(now_s);
+        }
+        self.left_out = 0;
+        for (_, service) in snapshot.services() {
+            let counts = service.counters.counts();
+            if counts.requests() == 0 {
+                continue;
+            }
+            match self.track(&service.name) {
+                Some(track) => track.record(now_s, counts),
+                None => self.left_out += 1,
+            }
+        }
+    }
+
+    /// The track of a service; `None` when there is no room for another one.
+    fn track(&mut self, service: &Name) -> Option<&mut Track> {
+        if !self.tracks.contains_key(service) {
+            if self.tracks.len() >= MAX_SERVICES {
+                return None;
+            }
+            self.tracks.insert(service.clone(), Track::new());
+        }
+        self.tracks.get_mut(service)
+    }
+
+    fn note_changes(&mut self, now: UnixMillis, snapshot: &Arc<Snapshot>) {
+        if self
+            .snapshot
+            .as_ref()
+            .is_some_and(|s| Arc::ptr_eq(s, snapshot))
+        {
+            return;
+        }
+        self.snapshot = Some(Arc::clone(snapshot));
+        if snapshot.version() != self.version {
+            self.version = snapshot.version();
+            let version = self.version;
+            self.note(now, ChangeKind::Version { version });
+        }
+        let shares: BTreeMap<_, _> = snapshot
+            .services()
+            .map(|(_, s)| (s.name.clone(), shares(s)))
+            .collect();
+        let before = std::mem::replace(&mut self.shares, shares.clone());
+        for (service, shares) in shares {
+            if before.get(&service).is_some_and(|old| *old != shares) {
+                self.note(now, ChangeKind::Shares { service, shares });
+            }
+        }
+        self.forget_removed();
+    }
+
+    /// Makes room: a removed service without a request in 24 hours has no history.
+    fn forget_removed(&mut self) {
+        let shares = &self.shares;
+        self.tracks
+            .retain(|name, track| shares.contains_key(name) || !track.minutes.is_empty());
+    }
+
+    fn note(&mut self, at: UnixMillis, kind: ChangeKind) {
+        if self.changes.len() == MAX_CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(Change { at, kind });
+    }
+}
+
+/// Access.
+impl Recorder {
+    /// Start of the history.
+    pub fn since(&self) -> UnixMillis {
+        self.since
+    }
+
+    /// Time of the last record.
+    pub fn until(&self) -> UnixMillis {
+        self.until
+    }
+
+    /// Services with requests that have no history for lack of room.
+    pub fn left_out(&self) -> u32 {
+        self.left_out
+    }
+
+    /// Changes, oldest first.
+    pub fn changes(&self) -> impl Iterator<Item = &Change> {
+        self.changes.iter()
+    }
+
+    /// All services with their buckets.
+    pub fn services(&self) -> Vec<ServiceHistory> {
+        let history = |(service, track): (&Name, &Track)| ServiceHistory {
+            service: service.clone(),
+            seconds: track.seconds.to_vec(),
+            minutes: track.minutes.to_vec(),
+        };
+        self.tracks.iter().map(history).collect()
+    }
+}
+
+fn shares(service: &Service) -> Vec<VersionShare> {
+    let share = |v: &knapweed_world::service::ServedVersion| VersionShare {
+        version: v.version.clone(),
+        share: v.share,
+    };
+    service.versions.iter().map(share).collect()
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod egress;
 pub mod guarded;
 pub mod headers;
+pub mod history;
 pub mod ingress;
 pub mod operators;
 pub mod run;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -6,6 +6,7 @@
 mod tickets;
 
 use crate::control::{ControlHandle, Event, View};
+use crate::history::HistoryKeeper;
 use arc_swap::ArcSwap;
 use gotham::handler::HandlerFuture;
 use gotham::pipeline::{new_pipeline, single_pipeline};
@@ -17,7 +18,7 @@
 use knapweed_contract::accept::Policy;
 use knapweed_contract::api::{self, ConfigResponse, NodesResponse};
 use knapweed_host::Drain;
-use knapweed_observe::{Logs, Metrics};
+use knapweed_observe::{Logs, Metrics, history};
 use knapweed_platform::Platform;
 use knapweed_world::backend_server::Announcement;
 use respond::{body, error, json, text};
@@ -25,6 +26,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::task::spawn_blocking;
 
 /// Longest announcement of a backend server, in bytes.
 const MAX_ANNOUNCEMENT_LEN: usize = 4 * 1024;
@@ -45,6 +47,8 @@
     pub drain: Arc<Drain>,
     /// Whether the node has a configuration that it may serve.
     pub ready: Arc<AtomicBool>,
+    /// The history of requests.
+    pub history: Arc<HistoryKeeper>,
     /// The metrics.
     pub metrics: Metrics,
     /// The logs.
@@ -72,6 +76,7 @@
         route.get("/health/live").to(live);
         route.get("/health/ready").to(ready);
         route.get("/metrics").to(metrics);
+        route.get(history::PATH).to(show_history);
         route.post("/v1/announce").to(announce);
         route.put("/v1/log-level").to(log_level);
     })
@@ -113,6 +118,18 @@
     (state, response)
 }
 
+fn show_history(state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let parts = parts(&state);
+        // A long history takes too long to encode for a thread that serves requests.
+        let encoded = spawn_blocking(move || json(StatusCode::OK, &parts.history.document()));
+        let response = encoded
+            .await
+            .unwrap_or_else(|err| error(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()));
+        Ok((state, response))
+    })
+}
+
 fn announce(mut state: State) -> Pin<Box<HandlerFuture>> {
     Box::pin(async move {
         let response = match body(&mut state, MAX_ANNOUNCEMENT_LEN).await {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -4,6 +4,7 @@
 use crate::control::event::Event;
 use crate::control::{Control, ControlHandle, View};
 use crate::egress::{Egress, serve};
+use crate::history::{HistoryKeeper, Place};
 use crate::ingress::metrics::IngressMetrics;
 use crate::ingress::service_metrics::ServiceMetrics;
 use crate::ingress::{self, Ingress, handler};
@@ -86,6 +87,14 @@
         drain: Arc::clone(&drain),
         peers: endpoint.peers(),
     });
+    let history = HistoryKeeper::start(
+        Place {
+            host: options.host.clone(),
+            zone: options.zone.clone(),
+        },
+        Arc::clone(&snapshots),
+        &timer,
+    );
     let ingress = Arc::new(Ingress::new(ingress::Parts {
         snapshots,
         choice: Box::new(NearestLeastLoaded::default()),
@@ -103,6 +112,7 @@
         view,
         drain: Arc::clone(&drain),
         ready: Arc::new(AtomicBool::new(true)),
+        history,
         metrics,
         logs,
     });
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,16 +1,18 @@
-//! Logs and metrics.
+//! Logs, metrics and the history of requests.
 //!
 //! A log line names its part through the target of the `log` macros:
 //! `log::info!(target: part::INGRESS, "listening on {address}")` gives
 //! `ingress: listening on 127.0.0.1:80`.
 
 pub mod format;
+pub mod history;
 pub mod limit;
 pub mod logs;
 pub mod metrics;
 pub mod part;
 pub mod settings;
 
+pub use history::History;
 pub use limit::{RateLimit, Suppressed};
 pub use logs::{Error, Form, Logs};
 pub use metrics::Metrics;
--- a/crates/world/src/service_counters.rs
+++ b/crates/world/src/service_counters.rs
@@ -86,6 +86,11 @@
 
 /// Arithmetic.
 impl ServiceCounts {
+    /// All requests.
+    pub fn requests(&self) -> u64 {
+        self.answered + self.not_run + self.unknown
+    }
+
     /// The sum of two services' counts.
     pub fn plus(&self, other: &Self) -> Self {
         self.zip(other, u64::saturating_add)
