feat(zone): dissemination of versions and records across zones

Cause: an accepted version must be in force on every proxy within 3 s, without a tree whose inner nodes stall a branch when they die.

Change: a node that has applied a version notifies 4 random members, the 3 neighbours it asks for its floor after a restart, and the candidates for the relay leases, which collect confirmations. A node that hears of a higher version fetches it from the sender: one fetch at a time, another sender after 500 ms plus jitter, a version that cannot be applied is not asked for again. Relays and gateways notify and ping the candidates for the duties of other zones and regions, which each node computes from its directory, push changed records to the best ones, and compare directories every 5 s. Relays ping members that have not confirmed. A relay that hears from no gateway for 2 s watches the head.

--- /dev/null
+++ b/crates/zone/src/dissemination/fetch.rs
@@ -0,0 +1,130 @@
+//! Which node to fetch a newer configuration from, and when.
+
+use knapweed_world::{ConfigVersion, Time};
+use rand::Rng;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time after which another sender is asked.
+pub const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest random addition to [`FETCH_TIMEOUT`].
+pub const FETCH_JITTER: Duration = Duration::from_millis(100);
+/// Most senders of newer versions that are remembered.
+pub const MAX_SOURCES: usize = 8;
+
+/// A node that has a newer version.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    address: SocketAddr,
+    version: ConfigVersion,
+}
+
+/// At most one fetch at a time.
+#[derive(Debug, Default)]
+pub struct Fetch {
+    applied: ConfigVersion,
+    refused: ConfigVersion,
+    sources: Vec<Source>,
+    outstanding: Option<Outstanding>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Outstanding {
+    from: SocketAddr,
+    deadline: Time,
+}
+
+/// Events; each returns the node to fetch from now, if any.
+impl Fetch {
+    /// A node reported that it has applied `version`.
+    pub fn heard(
+        &mut self,
+        now: Time,
+        address: SocketAddr,
+        version: ConfigVersion,
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        if version <= self.applied.max(self.refused) {
+            return None;
+        }
+        self.sources.retain(|s| s.address != address);
+        if self.sources.len() == MAX_SOURCES {
+            self.sources.remove(0);
+        }
+        self.sources.push(Source { address, version });
+        self.next(now, rng)
+    }
+
+    /// This node has applied `version`.
+    pub fn applied(
+        &mut self,
+        now: Time,
+        version: ConfigVersion,
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        self.applied = self.applied.max(version);
+        self.settled(now, rng)
+    }
+
+    /// This node cannot apply `version` and will not ask for it again.
+    pub fn refused(
+        &mut self,
+        now: Time,
+        version: ConfigVersion,
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        self.refused = self.refused.max(version);
+        self.settled(now, rng)
+    }
+
+    /// The fetch from this node failed.
+    pub fn failed(
+        &mut self,
+        now: Time,
+        address: SocketAddr,
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        if self.outstanding.is_none_or(|o| o.from != address) {
+            return None;
+        }
+        self.outstanding = None;
+        self.sources.retain(|s| s.address != address);
+        self.next(now, rng)
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Option<SocketAddr> {
+        let late = self.outstanding.filter(|o| o.deadline <= now)?;
+        self.outstanding = None;
+        // The sender that did not answer is asked again only after the others.
+        if let Some(index) = self.sources.iter().position(|s| s.address == late.from) {
+            let source = self.sources.remove(index);
+            self.sources.insert(0, source);
+        }
+        self.next(now, rng)
+    }
+}
+
+impl Fetch {
+    fn settled(&mut self, now: Time, rng: &mut impl Rng) -> Option<SocketAddr> {
+        let known = self.applied.max(self.refused);
+        self.sources.retain(|s| s.version > known);
+        let asked = self.outstanding.map(|o| o.from);
+        if self.sources.iter().all(|s| Some(s.address) != asked) {
+            self.outstanding = None;
+        }
+        self.next(now, rng)
+    }
+
+    /// Asks the latest sender.
+    fn next(&mut self, now: Time, rng: &mut impl Rng) -> Option<SocketAddr> {
+        if self.outstanding.is_some() {
+            return None;
+        }
+        let from = self.sources.last()?.address;
+        let jitter = FETCH_JITTER.mul_f64(rng.random_range(0.0..1.0));
+        let deadline = now.after(FETCH_TIMEOUT + jitter);
+        self.outstanding = Some(Outstanding { from, deadline });
+        Some(from)
+    }
+}
--- a/crates/zone/src/lib.rs
+++ b/crates/zone/src/lib.rs
@@ -4,12 +4,16 @@
 //! takes typed events with a [`knapweed_world::Time`] and returns typed actions.
 
 pub mod directory;
+pub mod dissemination;
+pub mod duty;
 pub mod membership;
 pub mod message;
 pub mod record;
 pub mod score;
 
 pub use directory::{Directory, MemberKey};
+pub use dissemination::peers::Role;
+pub use duty::Duty;
 pub use membership::Membership;
 pub use message::Message;
 pub use record::{Incarnation, MemberRecord, MemberState, Sequence};
--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -14,7 +14,9 @@
 mod exchange;
 
 use crate::directory::{Directory, MemberKey, SharedRecord};
-use crate::message::{Body, Message, Room, Sender};
+use crate::dissemination::peers::Role;
+use crate::dissemination::{Dissemination, Request, View, fork};
+use crate::message::{Body, Message, Notice, Ping, PingSequence, Room, Sender};
 use crate::record::{ErrorCode, MAX_RECORD_LEN, MemberRecord, MemberState, Sequence};
 use gossip::Gossip;
 use knapweed_world::backend_server::{Announcement, ServerState};
@@ -45,6 +47,11 @@
 pub const FAST_COMPARISONS: u32 = 8;
 /// Time between sweeps for expired tombstones.
 pub const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+/// Number of neighbours that are told each version this node applies, and that
+/// it asks for its version floor after a restart.
+pub const FLOOR_PEERS: usize = 3;
+/// Sequence of pings whose ack nobody waits for.
+const UNTRACKED: PingSequence = PingSequence(0);
 /// Most messages with new records to each neighbour per tick.
 pub const PUSHES_PER_TICK: usize = 2;
 
@@ -68,6 +75,17 @@
     LocalError(Option<ErrorCode>),
     /// This node has applied a configuration version.
     ConfigApplied(ConfigVersion),
+    /// This node has received a configuration version that it cannot apply.
+    ConfigRefused(ConfigVersion),
+    /// [`Action::FetchConfig`] has failed.
+    FetchFailed {
+        /// Address of the node that was asked.
+        from: SocketAddr,
+    },
+    /// The duties of this node have changed.
+    RoleChanged(Role),
+    /// Entry addresses of other availability zones, from their status.
+    Entries(Vec<SocketAddr>),
     /// This node will stop soon and takes no new work.
     Leave,
     /// This node stops now.
@@ -98,6 +116,8 @@
         /// Address of that node.
         from: SocketAddr,
     },
+    /// Start or stop to watch the platform's head.
+    WatchHead(bool),
     /// Tell the backend server that its announcement does not fit into the record.
     AnnouncementRefused(Announcement),
 }
@@ -111,6 +131,7 @@
     probes: Probes,
     suspicions: Suspicions,
     gossip: Gossip,
+    dissemination: Dissemination,
     retransmit_limit: u32,
     seeds: Vec<SocketAddr>,
     /// Comparisons left at the short interval.
@@ -137,7 +158,7 @@
     ///
     /// `seeds` are addresses of other nodes of the availability zone, used at
     /// the start and while no member is known.
-    pub fn new(now: Time, record: MemberRecord, seeds: Vec<SocketAddr>, rng: SmallRng) -> Self {
+    pub fn new(now: Time, record: MemberRecord, seeds: Vec<SocketAddr>, mut rng: SmallRng) -> Self {
         let mut directory = Directory::default();
         let (own, _) = directory.merge(now, &record);
         let mut membership = Self {
@@ -147,6 +168,7 @@
             probes: Probes::default(),
             suspicions: Suspicions::default(),
             gossip: Gossip::default(),
+            dissemination: Dissemination::new(now, fork(&mut rng)),
             retransmit_limit: gossip::retransmit_limit(1),
             seeds,
             fast_comparisons: FAST_COMPARISONS,
@@ -202,6 +224,16 @@
             Event::LocalAnnouncement(announcement) => self.announce(now, announcement),
             Event::LocalError(error) => self.change_own(now, |own| own.last_error = error),
             Event::ConfigApplied(version) => self.apply(now, version),
+            Event::ConfigRefused(version) => {
+                let requests = self.dissemination.refused(now, version);
+                self.carry_out(requests);
+            }
+            Event::FetchFailed { from } => {
+                let requests = self.dissemination.failed(now, from);
+                self.carry_out(requests);
+            }
+            Event::RoleChanged(role) => self.dissemination.set_role(now, role),
+            Event::Entries(entries) => self.dissemination.set_entries(entries),
             Event::Leave => self.change_own(now, |own| own.state = MemberState::Leaving),
             Event::Stop => self.change_own(now, |own| own.state = MemberState::Dead),
         }
@@ -231,6 +263,16 @@
 
     fn apply(&mut self, now: Time, version: ConfigVersion) {
         self.edit_own(now, |own| own.learn_version(own.incarnation, version));
+        let neighbours = self.neighbours.iter().map(|n| n.address);
+        let floor_peers: Vec<_> = neighbours.take(FLOOR_PEERS).collect();
+        let view = View {
+            directory: &self.directory,
+            own: self.own,
+        };
+        let applied = view.directory.get(self.own).map(|own| own.applied);
+        let version = applied.unwrap_or(version);
+        let requests = self.dissemination.applied(now, view, version, &floor_peers);
+        self.carry_out(requests);
     }
 }
 
@@ -250,7 +292,7 @@
     }
 
     fn publish_own(&mut self) {
-        self.gossip.add(self.own);
+        self.spread(self.own);
         let record = self.own().clone();
         self.actions.push(Action::RecordChanged(record));
     }
@@ -263,6 +305,29 @@
 
 /// Sending.
 impl Membership {
+    /// Gossips a changed record, and sends it on to other availability zones.
+    fn spread(&mut self, member: MemberKey) {
+        self.gossip.add(member);
+        self.dissemination.record_changed(member);
+    }
+
+    fn carry_out(&mut self, requests: Vec<Request>) {
+        for request in requests {
+            match request {
+                Request::Notice(to, records) => {
+                    self.send_records(to, Body::Notice(Notice {}), records);
+                }
+                Request::Ping(to) => {
+                    let sequence = UNTRACKED;
+                    self.send(to, Body::Ping(Ping { sequence }));
+                }
+                Request::FetchConfig(from) => self.actions.push(Action::FetchConfig { from }),
+                Request::FetchMembers(from) => self.actions.push(Action::FetchMembers { from }),
+                Request::WatchHead(watch) => self.actions.push(Action::WatchHead(watch)),
+            }
+        }
+    }
+
     /// Sends a message with the records that are due.
     fn send(&mut self, to: SocketAddr, body: Body) {
         let mut room = Room::new();
@@ -275,8 +340,12 @@
         {
             records.push(record.clone());
         }
-        let limit = self.retransmit_limit;
-        records.extend(self.gossip.take(&self.directory, &mut room, limit));
+        // Relays send records to other availability zones once, without gossip.
+        let is_near = target.is_none_or(|r| r.zone == self.own().zone);
+        if is_near {
+            let limit = self.retransmit_limit;
+            records.extend(self.gossip.take(&self.directory, &mut room, limit));
+        }
         self.send_records(to, body, records);
     }
 
@@ -286,6 +355,7 @@
             incarnation: own.incarnation,
             version: own.applied,
             is_neighbour: self.neighbours.has_chosen(to),
+            is_gateway: self.dissemination.role().is_gateway,
         };
         let message = Message {
             sender,
--- a/crates/zone/src/membership/detect.rs
+++ b/crates/zone/src/membership/detect.rs
@@ -4,11 +4,12 @@
 use super::probe::{INDIRECT_TIMEOUT, Purpose};
 use super::{
     Action, COMPARE_INTERVAL, FAST_COMPARE_INTERVAL, FAST_COMPARISONS, INDIRECT_PINGS, Membership,
-    PAUSE_THRESHOLD, PING_INTERVAL, PUSHES_PER_TICK, REJOIN_INTERVAL, SWEEP_INTERVAL,
+    PAUSE_THRESHOLD, PING_INTERVAL, PUSHES_PER_TICK, REJOIN_INTERVAL, SWEEP_INTERVAL, UNTRACKED,
 };
 use crate::directory::MemberKey;
+use crate::dissemination::View;
 use crate::membership::probe::{ACK_TIMEOUT, Probe};
-use crate::message::{Body, Notice, Ping, PingReq, PingSequence, Room};
+use crate::message::{Body, Notice, Ping, PingReq, Room};
 use crate::record::{MemberState, Sequence};
 use knapweed_world::Time;
 use rand::Rng;
@@ -18,8 +19,6 @@
 
 /// A pause after which other members may suspect this node.
 const SUSPECTED_AFTER: Duration = ACK_TIMEOUT.saturating_add(INDIRECT_TIMEOUT);
-/// Sequence of pings whose ack nobody waits for.
-const UNTRACKED: PingSequence = PingSequence(0);
 
 impl Membership {
     /// Puts the first periodic steps at random times, so that nodes that start
@@ -50,6 +49,12 @@
         if now >= self.timers.compare {
             self.compare(now);
         }
+        let view = View {
+            directory: &self.directory,
+            own: self.own,
+        };
+        let requests = self.dissemination.tick(now, view);
+        self.carry_out(requests);
         self.push_new(now);
     }
 
@@ -109,7 +114,7 @@
         if !self.directory.raise_state(now, member, state) {
             return;
         }
-        self.gossip.add(member);
+        self.spread(member);
         if let Some(record) = self.directory.get(member) {
             self.actions.push(Action::RecordChanged(record.clone()));
         }
@@ -120,6 +125,7 @@
 
     pub(super) fn members_changed(&mut self) {
         self.neighbours.invalidate();
+        self.dissemination.members_changed();
         self.members_changed = true;
     }
 
--- a/crates/zone/src/membership/exchange.rs
+++ b/crates/zone/src/membership/exchange.rs
@@ -19,7 +19,7 @@
                 dead_for_ms: 0,
             };
             if let Some(member) = self.absorb(now, &shared) {
-                self.gossip.add(member);
+                self.spread(member);
             }
         }
         if let Some(member) = self.directory.find_address(from) {
@@ -42,9 +42,9 @@
             let learn = |r: &mut MemberRecord| r.learn_version(sender.incarnation, sender.version);
             self.directory.change(now, member, learn);
         }
-        if sender.version > self.own().applied {
-            self.actions.push(Action::FetchConfig { from });
-        }
+        let (version, is_gateway) = (sender.version, sender.is_gateway);
+        let requests = self.dissemination.heard(now, from, version, is_gateway);
+        self.carry_out(requests);
     }
 
     fn acknowledged(&mut self, ack: Ack) {
@@ -77,10 +77,15 @@
 impl Membership {
     /// Merges records that a peer shared as an answer to the digest.
     ///
-    /// They are not gossiped, because other members know them already.
+    /// Only relays and gateways gossip them, because they come from another
+    /// availability zone; otherwise other members know them already.
     pub(super) fn absorb_shared(&mut self, now: Time, records: &[SharedRecord]) {
+        let role = self.dissemination.role();
         for shared in records {
-            self.absorb(now, shared);
+            let changed = self.absorb(now, shared);
+            if let Some(member) = changed.filter(|_| role.is_relay || role.is_gateway) {
+                self.spread(member);
+            }
         }
     }
 
--- a/crates/zone/src/message.rs
+++ b/crates/zone/src/message.rs
@@ -26,6 +26,8 @@
     pub version: ConfigVersion,
     /// Whether the sender has chosen the receiver as a neighbour.
     pub is_neighbour: bool,
+    /// Whether the sender is a gateway of its region.
+    pub is_gateway: bool,
 }
 
 /// Asks for an [`Ack`].
--- /dev/null
+++ b/crates/zone/tests/dissemination.rs
@@ -0,0 +1,205 @@
+//! Versions and records reach every member, with faults on the way.
+
+mod sim;
+
+use knapweed_world::backend_server::ServerState;
+use knapweed_world::{ConfigVersion, Name, Time};
+use knapweed_zone::dissemination::fetch::{FETCH_JITTER, FETCH_TIMEOUT, Fetch};
+use knapweed_zone::membership::Event;
+use knapweed_zone::{Duty, MemberState};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use sim::results::{median, worst};
+use sim::{Sim, announcement, ms, name};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Bound B1 of the design.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(3);
+/// Five availability zones; the last two are in the other region.
+const ZONES: [usize; 5] = [56; 5];
+const SEEDS: u64 = 5;
+
+fn gateway(region: &Name, slot: u8) -> Duty {
+    Duty::Gateway {
+        region: region.clone(),
+        slot,
+    }
+}
+
+/// Times that versions take to reach all, with the holders of slot 0 of each
+/// duty killed in the middle when `kills`.
+fn spread(zones: &[usize], seed: u64, loss: f64, kills: bool) -> Vec<Duration> {
+    let mut sim = Sim::new(zones, seed);
+    let holders = sim.assign_roles();
+    sim.run(ms(6_000));
+    sim.network.loss = loss;
+    let source = holders[&gateway(&name("west"), 1)];
+    let mut times = Vec::new();
+    for version in (1..=5).map(ConfigVersion) {
+        sim.apply(source, version);
+        let start = sim.now;
+        sim.run(ms(25));
+        if kills && version == ConfigVersion(2) {
+            let slot_0 = |d: &Duty| d.to_string().ends_with("/0");
+            for (_, node) in holders.iter().filter(|(d, n)| slot_0(d) && **n != source) {
+                sim.kill(*node);
+            }
+        }
+        let all = sim.run_until(ms(10_000), |s| s.all_applied(version));
+        assert!(all.is_some(), "seed {seed}: version {version} is missing");
+        times.push(sim.now.since(start));
+        sim.run(ms(500));
+    }
+    times
+}
+
+fn assert_in_force(zones: &[usize], loss: f64, kills: bool) {
+    let times = (0..SEEDS).flat_map(|seed| spread(zones, seed, loss, kills));
+    let times: Vec<_> = times.collect();
+    let (median, worst) = (median(&times), worst(&times));
+    println!("median {median:?}, worst {worst:?}");
+    assert!(worst <= IN_FORCE_BOUND, "worst {worst:?} of {times:?}");
+}
+
+/// Guards against a version that misses members of a large availability zone (H10).
+#[test]
+fn a_version_reaches_one_large_zone() {
+    assert_in_force(&[280], 0.0, false);
+}
+
+/// Guards against relays as single points of failure (H10, F10).
+#[test]
+fn a_version_reaches_one_large_zone_when_relays_die() {
+    assert_in_force(&[280], 0.02, true);
+}
+
+/// Guards against a version that stops at a zone or region border (H10).
+#[test]
+fn a_version_reaches_five_zones() {
+    assert_in_force(&ZONES, 0.0, false);
+}
+
+#[test]
+fn a_version_reaches_five_zones_when_relays_die() {
+    assert_in_force(&ZONES, 0.02, true);
+}
+
+/// Guards against a zone that stays behind after a partition (B1, F9).
+#[test]
+fn a_zone_that_was_cut_off_catches_up() {
+    let mut sim = Sim::new(&ZONES, 1);
+    let holders = sim.assign_roles();
+    sim.run(ms(6_000));
+    sim.network.sides = sim.network.zones.iter().map(|z| (*z == 1) as u8).collect();
+    sim.apply(holders[&gateway(&name("west"), 0)], ConfigVersion(1));
+    sim.run(ms(10_000));
+    assert!(!sim.all_applied(ConfigVersion(1)));
+    sim.network.sides.clear();
+    let time = sim.run_until(IN_FORCE_BOUND, |s| s.all_applied(ConfigVersion(1)));
+    assert!(time.is_some(), "the zone does not have the version");
+}
+
+/// Guards against calls to servers of another zone that have left (B2).
+#[test]
+fn a_leaving_server_is_known_in_all_zones() {
+    let mut sim = Sim::new(&ZONES, 2);
+    sim.assign_roles();
+    sim.run(ms(6_000));
+    let address = sim.nodes[100].entry.address;
+    let draining = announcement(address, ServerState::Draining);
+    sim.handle(100, Event::LocalAnnouncement(draining));
+    let knows = |s: &Sim, n: usize| {
+        let record = s.record(n, 100).expect("a known record");
+        let mut servers = record.announcements.iter();
+        servers.all(|a| a.state == ServerState::Draining)
+    };
+    let known = |s: &Sim| (0..s.nodes.len()).all(|n| knows(s, n));
+    let time = sim.run_until(ms(10_000), known);
+    println!("known after {time:?}");
+    assert!(time.is_some_and(|t| t <= IN_FORCE_BOUND), "{time:?}");
+}
+
+/// Guards against a dead host that other zones keep forever.
+#[test]
+fn a_death_is_known_in_all_zones() {
+    let mut sim = Sim::new(&ZONES, 3);
+    sim.assign_roles();
+    sim.run(ms(6_000));
+    sim.kill(30);
+    let dead = |s: &Sim| s.all_see(30, MemberState::Dead);
+    let time = sim.run_until(ms(15_000), dead);
+    println!("known after {time:?}");
+    assert!(time.is_some());
+    assert!(sim.false_deaths().is_empty());
+}
+
+/// Guards against a region whose gateways are both gone, with nobody watching
+/// the head, and against watches by more nodes than needed (P3).
+#[test]
+fn relays_watch_the_head_only_without_gateways() {
+    let mut sim = Sim::new(&ZONES, 4);
+    let holders = sim.assign_roles();
+    sim.run(ms(6_000));
+    let watching = |s: &Sim| s.nodes.iter().filter(|n| n.watches_head).count();
+    assert_eq!(watching(&sim), 4);
+    for slot in 0..2 {
+        sim.kill(holders[&gateway(&name("west"), slot)]);
+    }
+    sim.run(ms(3_000));
+    let relays = holders.iter().filter(|(d, n)| {
+        let is_relay = matches!(d, Duty::Relay { .. });
+        is_relay
+            && sim.nodes[**n].entry.region == name("west")
+            && sim.nodes[**n].membership.is_some()
+    });
+    for (duty, node) in relays {
+        assert!(sim.nodes[*node].watches_head, "{duty} does not watch");
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+/// Guards against a reconnect storm of fetches, and against a sender that does
+/// not answer and blocks the others.
+#[test]
+fn one_fetch_at_a_time_and_another_sender_after_the_timeout() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut fetch = Fetch::default();
+    let now = Time::from_millis(0);
+    let mut heard = |f: &mut Fetch, port, version| {
+        f.heard(now, address(port), ConfigVersion(version), &mut rng)
+    };
+    assert_eq!(heard(&mut fetch, 1, 5), Some(address(1)));
+    assert_eq!(heard(&mut fetch, 2, 6), None);
+    let early = now.after(FETCH_TIMEOUT - ms(1));
+    assert_eq!(fetch.tick(early, &mut rng), None);
+    let late = now.after(FETCH_TIMEOUT + FETCH_JITTER);
+    assert_eq!(fetch.tick(late, &mut rng), Some(address(2)));
+    assert_eq!(fetch.failed(late, address(2), &mut rng), Some(address(1)));
+    assert_eq!(fetch.applied(late, ConfigVersion(6), &mut rng), None);
+    let idle = late.after(Duration::from_secs(9));
+    assert_eq!(fetch.tick(idle, &mut rng), None);
+}
+
+/// Guards against a node that fetches a version it cannot apply again and again.
+#[test]
+fn a_refused_version_is_not_fetched_again() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut fetch = Fetch::default();
+    let now = Time::from_millis(0);
+    assert!(
+        fetch
+            .heard(now, address(1), ConfigVersion(5), &mut rng)
+            .is_some()
+    );
+    assert_eq!(fetch.refused(now, ConfigVersion(5), &mut rng), None);
+    assert_eq!(
+        fetch.heard(now, address(2), ConfigVersion(5), &mut rng),
+        None
+    );
+    let next = fetch.heard(now, address(2), ConfigVersion(6), &mut rng);
+    assert_eq!(next, Some(address(2)));
+}
--- a/crates/zone/tests/record.rs
+++ b/crates/zone/tests/record.rs
@@ -184,6 +184,7 @@
             incarnation: Incarnation(u64::MAX),
             version: ConfigVersion(u64::MAX),
             is_neighbour: true,
+            is_gateway: true,
         },
         body: Body::PingReq(PingReq {
             sequence: PingSequence(u32::MAX),
@@ -226,6 +227,7 @@
             incarnation: Incarnation(1),
             version: ConfigVersion(0),
             is_neighbour: false,
+            is_gateway: false,
         },
         body: Body::Ping(Ping {
             sequence: PingSequence(1),
--- a/crates/zone/tests/sim/mod.rs
+++ b/crates/zone/tests/sim/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod network;
 pub mod results;
+pub mod roles;
 
 use knapweed_world::backend_server::{Announcement, ServerState};
 use knapweed_world::snapshot::HostEntry;
@@ -75,6 +76,8 @@
     pub entry: HostEntry,
     /// `None` while the process is down.
     pub membership: Option<Membership>,
+    /// Whether the node watches the platform's head.
+    pub watches_head: bool,
     /// When each configuration version was applied in the current life.
     pub applied: BTreeMap<ConfigVersion, Time>,
     life: u32,
@@ -142,6 +145,7 @@
         self.nodes.push(Node {
             entry,
             membership: None,
+            watches_head: false,
             applied: BTreeMap::new(),
             life: 0,
             paused_until: Time(0),
@@ -356,6 +360,7 @@
                     self.send(node, from, Item::FetchMembers { from: node, digest });
                 }
             }
+            Action::WatchHead(watch) => self.nodes[node].watches_head = watch,
             Action::MembersChanged | Action::AnnouncementRefused(_) => {}
         }
     }
