feat(zone): version floor of a starting node and applied versions of a zone

Cause: hosts persist nothing, so a restarted node could serve a version older than one that its address has served (H1), and the result of a ticket needs the nodes that have not confirmed it.

The status of a zone lists applied and served versions from the directory, with dead members as long as they are known.

--- /dev/null
+++ b/crates/zone/tests/floor.rs
@@ -0,0 +1,281 @@
+//! A restarted node serves no version older than one its address has served.
+
+mod sim;
+
+use knapweed_world::{ConfigVersion, Time};
+use knapweed_zone::applied::AppliedVersions;
+use knapweed_zone::directory::Directory;
+use knapweed_zone::floor::{Action, Event, Floor, FloorAnswer, MAX_BACKOFF, Source};
+use knapweed_zone::{Duty, MemberState};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use sim::{Sim, ms, name};
+use std::fmt::Write;
+use std::time::Duration;
+
+/// What a source does when it is asked.
+#[derive(Clone, Copy, Debug)]
+enum Reply {
+    /// It answers with this version, serving or not.
+    Version(u64, bool),
+    /// It cannot be reached.
+    Refused,
+    /// It does not answer.
+    Silent,
+}
+
+/// The others as a starting node finds them.
+#[derive(Clone, Copy, Debug)]
+struct Others {
+    peers: [Reply; 3],
+    relay: Reply,
+    platform: Reply,
+}
+
+/// Runs a starting node for `length` and writes down what it did. A fetch gives
+/// the highest version of the sources that answer.
+fn start(others: Others, length: Duration) -> (Vec<Action>, String) {
+    let mut floor = Floor::new(Time(0), SmallRng::seed_from_u64(1));
+    let (mut actions, mut log) = (Vec::new(), String::new());
+    let mut now = Time(0);
+    while now <= Time(0).after(length) {
+        let mut events = vec![Event::Tick];
+        while let Some(event) = events.pop() {
+            for action in floor.handle(now, event) {
+                writeln!(log, "{:>5} ms {action:?}", now.0 / 1_000).expect("a string");
+                events.extend(reply(others, action));
+                actions.push(action);
+            }
+        }
+        now = now.after(ms(10));
+    }
+    (actions, log)
+}
+
+fn reply(others: Others, action: Action) -> Vec<Event> {
+    match action {
+        Action::Ask { source, .. } => {
+            let replies = match source {
+                Source::Peers => others.peers.to_vec(),
+                Source::Relay => vec![others.relay],
+                Source::Platform => vec![others.platform],
+            };
+            let events = replies.into_iter().filter_map(|r| event(source, r));
+            events.collect()
+        }
+        Action::Fetch(_) => newest(others).map(Event::Fetched).into_iter().collect(),
+        Action::Serve { .. } | Action::NotYet { .. } => Vec::new(),
+    }
+}
+
+fn event(source: Source, reply: Reply) -> Option<Event> {
+    match reply {
+        Reply::Version(version, is_serving) => Some(Event::Answer(FloorAnswer {
+            source,
+            served: ConfigVersion(version),
+            is_serving,
+        })),
+        Reply::Refused => Some(Event::Failed(source)),
+        Reply::Silent => None,
+    }
+}
+
+fn newest(others: Others) -> Option<ConfigVersion> {
+    let [a, b, c] = others.peers;
+    let versions = [a, b, c, others.relay, others.platform];
+    let versions = versions.into_iter().filter_map(|r| match r {
+        Reply::Version(version, _) => Some(ConfigVersion(version)),
+        _ => None,
+    });
+    versions.max()
+}
+
+fn served(actions: &[Action]) -> Option<ConfigVersion> {
+    actions.iter().find_map(|a| match a {
+        Action::Serve { floor } => Some(*floor),
+        _ => None,
+    })
+}
+
+const SERVING: [Reply; 3] = [
+    Reply::Version(7, true),
+    Reply::Version(9, true),
+    Reply::Version(8, true),
+];
+const RESTARTED: [Reply; 3] = [Reply::Version(0, false); 3];
+const LENGTH: Duration = Duration::from_secs(30);
+
+/// Guards against a node that goes back behind what its address has served (H1).
+#[test]
+fn one_node_restarts() {
+    let others = Others {
+        peers: SERVING,
+        relay: Reply::Version(8, true),
+        platform: Reply::Version(9, true),
+    };
+    let (actions, log) = start(others, ms(1_000));
+    assert_eq!(served(&actions), Some(ConfigVersion(9)));
+    insta::assert_snapshot!(log);
+}
+
+/// Guards against a platform outage that keeps restarted nodes from serving (F2).
+#[test]
+fn one_node_restarts_while_the_platform_is_down() {
+    let others = Others {
+        peers: SERVING,
+        relay: Reply::Refused,
+        platform: Reply::Silent,
+    };
+    let (actions, log) = start(others, ms(1_000));
+    assert_eq!(served(&actions), Some(ConfigVersion(9)));
+    insta::assert_snapshot!(log);
+}
+
+/// Guards against a zone that agrees among its restarted members on an old
+/// version or on none (H1, F1).
+#[test]
+fn a_whole_zone_restarts() {
+    let others = Others {
+        peers: RESTARTED,
+        relay: Reply::Version(8, true),
+        platform: Reply::Version(9, true),
+    };
+    let (actions, log) = start(others, ms(1_000));
+    assert_eq!(served(&actions), Some(ConfigVersion(9)));
+    insta::assert_snapshot!(log);
+}
+
+#[test]
+fn a_whole_zone_restarts_while_the_platform_is_down() {
+    let others = Others {
+        peers: RESTARTED,
+        relay: Reply::Version(8, true),
+        platform: Reply::Refused,
+    };
+    let (actions, _) = start(others, LENGTH);
+    assert_eq!(served(&actions), None);
+}
+
+/// Guards against a node that serves without knowing its floor, and against
+/// questions in a tight loop.
+#[test]
+fn nobody_answers() {
+    let others = Others {
+        peers: [Reply::Silent; 3],
+        relay: Reply::Silent,
+        platform: Reply::Silent,
+    };
+    let (actions, _) = start(others, LENGTH);
+    assert_eq!(served(&actions), None);
+    let rounds = actions.iter().filter(|a| matches!(a, Action::Ask { .. }));
+    let rounds = rounds.count() / 3;
+    assert!((5..=30).contains(&rounds), "{rounds} rounds in {LENGTH:?}");
+    let waits = actions.iter().filter_map(|a| match a {
+        Action::NotYet { retry_after } => Some(*retry_after),
+        _ => None,
+    });
+    assert!(waits.max().is_some_and(|w| w <= MAX_BACKOFF));
+}
+
+/// Guards against a configuration below the floor that is served because it was
+/// fetched first.
+#[test]
+fn an_older_configuration_is_not_served() {
+    let mut floor = Floor::new(Time(0), SmallRng::seed_from_u64(1));
+    floor.handle(Time(0), Event::Tick);
+    floor.handle(Time(1), Event::Fetched(ConfigVersion(3)));
+    for version in [4, 3, 3] {
+        let answer = event(Source::Peers, Reply::Version(version, true));
+        floor.handle(Time(2), answer.expect("an answer"));
+    }
+    floor.handle(Time(3), Event::Failed(Source::Relay));
+    let actions = floor.handle(Time(4), Event::Failed(Source::Platform));
+    assert!(actions.contains(&Action::Fetch(ConfigVersion(4))));
+    assert!(!floor.is_serving());
+    let actions = floor.handle(Time(5), Event::Fetched(ConfigVersion(4)));
+    let floor = ConfigVersion(4);
+    assert_eq!(actions, [Action::Serve { floor }]);
+}
+
+/// Guards against peers that forget what a restarted host has served, and
+/// against a status that counts a restarted host as confirmed.
+#[test]
+fn peers_remember_what_a_host_has_served() {
+    let mut sim = Sim::new(&[70], 1);
+    let holders = sim.assign_roles();
+    let is_relay = |d: &Duty| matches!(d, Duty::Relay { .. });
+    let relay = *holders
+        .iter()
+        .find(|(d, _)| is_relay(d))
+        .expect("a relay")
+        .1;
+    sim.run(ms(2_000));
+    sim.apply(5, ConfigVersion(3));
+    sim.run(ms(3_000));
+    let zone = sim.nodes[5].entry.zone.clone();
+    let host = sim.nodes[5].entry.name.clone();
+    let neighbours = sim.nodes[5]
+        .membership
+        .as_ref()
+        .expect("running")
+        .neighbours();
+    let peers: Vec<_> = neighbours.take(3).map(|a| sim.node_at(a)).collect();
+    sim.kill(5);
+    sim.run(ms(500));
+    sim.start(5);
+    sim.run(ms(50));
+    for peer in peers {
+        let membership = sim.nodes[peer].membership.as_ref().expect("running");
+        let (directory, own) = (membership.directory(), membership.own());
+        let answer = FloorAnswer::of_member(Source::Peers, directory, own, true, &host);
+        assert_eq!(answer.served, ConfigVersion(3));
+    }
+    let membership = sim.nodes[relay].membership.as_ref().expect("running");
+    let applied = AppliedVersions::collect(membership.directory(), &zone);
+    assert_eq!(applied.served(&host), Some(ConfigVersion(3)));
+    assert_eq!(applied.unconfirmed(ConfigVersion(4)).count(), 70);
+}
+
+/// Guards against members that a zone status reports as behind for ever, because
+/// their confirmation was lost.
+#[test]
+fn a_relay_learns_all_confirmations() {
+    let mut sim = Sim::new(&[280], 1);
+    let holders = sim.assign_roles();
+    sim.run(ms(2_000));
+    sim.network.loss = 0.2;
+    let relay = holders
+        .iter()
+        .find(|(d, _)| d.to_string().starts_with("relay"));
+    let relay = *relay.expect("a relay").1;
+    sim.apply(relay, ConfigVersion(1));
+    let behind = |s: &Sim| {
+        let membership = s.nodes[relay].membership.as_ref().expect("running");
+        let zone = name("zone-0");
+        let applied = AppliedVersions::collect(membership.directory(), &zone);
+        applied.unconfirmed(ConfigVersion(1)).count()
+    };
+    let time = sim.run_until(ms(10_000), |s| behind(s) == 0);
+    println!("all confirmed after {time:?}");
+    assert!(time.is_some(), "{} members are not confirmed", behind(&sim));
+}
+
+#[test]
+fn the_status_of_a_zone_lists_members_by_name() {
+    let mut directory = Directory::default();
+    let sim = Sim::new(&[4, 2], 1);
+    for (index, node) in sim.nodes.iter().enumerate() {
+        let membership = node.membership.as_ref().expect("running");
+        let mut record = membership.own().clone();
+        record.incarnation.0 = 1;
+        record.applied = ConfigVersion(index as u64);
+        record.served = ConfigVersion(5);
+        if index == 2 {
+            record.state = MemberState::Dead;
+        }
+        directory.merge(Time(0), &record);
+    }
+    let status = AppliedVersions::collect(&directory, &name("zone-0"));
+    let behind: Vec<_> = status.unconfirmed(ConfigVersion(2)).collect();
+    insta::assert_debug_snapshot!((&behind, status.lowest(), &status));
+}
