feat(zone): lease state machine for duties

Cause: relays, gateways, rollout control and ticket maintenance need one holder at a time, also when the holder dies, pauses or is cut off.

Change: candidates read the lease every 2 s and take over when the revision has not changed for 6 s by their own clock; the holder renews every 2 s and stops 4 s after the start of its last successful write. The revision is the fencing token. After a lost answer the holder stops at once and reads again before the next write, since its token may have changed; it resumes when the object names its own incarnation. A leaving holder writes an empty lease, which is taken over at the next read.

--- a/crates/zone/src/duty.rs
+++ b/crates/zone/src/duty.rs
@@ -1,8 +1,10 @@
 //! Duties: roles of nodes that a lease on the platform guards.
 
 pub mod candidates;
+pub mod lease;
 
 pub use candidates::candidates;
+pub use lease::Lease;
 
 use crate::record::MemberRecord;
 use knapweed_world::Name;
--- a/crates/zone/tests/sim/mod.rs
+++ b/crates/zone/tests/sim/mod.rs
@@ -101,6 +101,17 @@
 impl Sim {
     /// Availability zones with these numbers of members, all known to all.
     pub fn new(zones: &[usize], seed: u64) -> Self {
+        let mut sim = Self::empty(zones, seed);
+        let records = sim.records();
+        for node in 0..sim.nodes.len() {
+            sim.handle(node, Event::Members(records.clone()));
+        }
+        sim.seen.clear();
+        sim
+    }
+
+    /// Members that know only themselves.
+    pub fn empty(zones: &[usize], seed: u64) -> Self {
         let mut sim = Self {
             now: Time(0),
             nodes: Vec::new(),
@@ -120,11 +131,6 @@
         for node in 0..sim.nodes.len() {
             sim.start(node);
         }
-        let records = sim.records();
-        for node in 0..sim.nodes.len() {
-            sim.handle(node, Event::Members(records.clone()));
-        }
-        sim.seen.clear();
         sim
     }
 
