feat(node): duties under leases, version floor, watch of the head, zone status

Cause: work of the whole mesh was done by the member with the lowest name, and a restarted node served before it knew which version its address had served. Change: six leases per node with fencing tokens; gateways watch the head; relays write the zone status; a starting node asks peers, another zone and the platform for its floor and refuses callers as not run until it has one.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -2,31 +2,42 @@
 //! on this node, and the only writer of snapshots.
 
 pub mod config;
+mod duties;
 pub mod event;
+mod floor;
 mod members;
 pub mod query;
 mod results;
 mod rollouts;
+mod status;
 mod streams;
 pub mod view;
+pub(crate) mod watch;
 
 use crate::egress::Egress;
 use crate::trial::Trials;
 use arc_swap::ArcSwap;
 use config::ConfigStore;
+use duties::Duties;
 pub use event::{ControlHandle, Event};
 use knapweed_observe::part;
 use knapweed_platform::Platform;
 use knapweed_timer::TimerService;
 use knapweed_transport::Peers;
 use knapweed_world::{Name, SnapshotCell, TicketNumber, Time};
+use knapweed_zone::floor::{self as floor_decision, Floor};
 use knapweed_zone::{Membership, membership};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use results::Results;
 use rollouts::Rollouts;
+use status::StatusTimes;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use tokio::sync::mpsc;
 pub use view::View;
+use watch::Watch;
 
 /// What the control thread uses.
 pub struct Parts {
@@ -44,6 +55,8 @@
     pub trials: Arc<Trials>,
     /// The time.
     pub timer: TimerService,
+    /// Whether the node may serve callers.
+    pub ready: Arc<AtomicBool>,
     /// What operators see.
     pub view: Arc<ArcSwap<View>>,
 }
@@ -54,6 +67,10 @@
     handle: ControlHandle,
     membership: Membership,
     configs: ConfigStore,
+    duties: Duties,
+    floor: Floor,
+    status: StatusTimes,
+    watch: Watch,
     rollouts: Rollouts,
     results: Results,
     /// Recent tickets that are known to have a final result.
@@ -66,11 +83,17 @@
 impl Control {
     /// The control thread's state, with `membership` of this node.
     pub fn new(parts: Parts, handle: ControlHandle, membership: Membership) -> Self {
+        let now = parts.timer.now();
+        let rng = SmallRng::seed_from_u64(rand::random());
         Self {
+            duties: Duties::new(now, membership.own()),
+            floor: Floor::new(now, rng),
             parts,
             handle,
             membership,
             configs: ConfigStore::default(),
+            status: StatusTimes::default(),
+            watch: Watch::default(),
             rollouts: Rollouts::default(),
             results: Results::default(),
             concluded: BTreeSet::new(),
@@ -102,6 +125,9 @@
 
     fn tick(&mut self, now: Time) {
         self.member_event(now, membership::Event::Tick);
+        self.floor_event(now, floor_decision::Event::Tick);
+        self.duty_tick(now);
+        self.status_tick(now);
         self.rollout_tick(now);
         self.result_tick(now);
     }
@@ -120,7 +146,14 @@
             Event::Rollout { service, event } => self.rollout_event(now, &service, *event),
             Event::Concluded(ticket) => self.ticket_concluded(now, ticket),
             Event::Query(query) => self.answer(query),
-            Event::Leave => self.member_event(now, membership::Event::Leave),
+            Event::Membership(event) => self.member_event(now, *event),
+            Event::Lease { key, event } => self.lease_event(now, key, event),
+            Event::Floor(event) => self.floor_event(now, event),
+            Event::Entries(entries) => self.meet(&entries),
+            Event::Leave => {
+                self.release_duties(now);
+                self.member_event(now, membership::Event::Leave);
+            }
             Event::Stop(done) => {
                 self.member_event(now, membership::Event::Stop);
                 let _ = done.send(());
@@ -152,7 +185,7 @@
             log::info!(target: part::CONFIG, "version {version} is in force on this node");
             let now = self.now();
             self.member_event(now, membership::Event::ConfigApplied(version));
-            self.send_notices();
+            self.floor_event(now, floor_decision::Event::Fetched(version));
         }
     }
 }
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -1,5 +1,6 @@
 //! What the control thread is told.
 
+use super::duties::LeaseKey;
 use super::query::Query;
 use bytes::Bytes;
 use knapweed_contract::{Head, PartCache};
@@ -9,6 +10,8 @@
 use knapweed_world::backend_server::Announcement;
 use knapweed_world::{Name, TicketNumber};
 use knapweed_zone::directory::SharedRecord;
+use knapweed_zone::duty::lease;
+use knapweed_zone::{floor, membership};
 use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
 
@@ -57,6 +60,19 @@
         /// The answer.
         event: Box<knapweed_rollout::Event>,
     },
+    /// An event for the membership.
+    Membership(Box<membership::Event>),
+    /// An answer of the platform about a lease.
+    Lease {
+        /// The lease.
+        key: LeaseKey,
+        /// The answer.
+        event: lease::Event,
+    },
+    /// An answer about the version floor.
+    Floor(floor::Event),
+    /// Nodes of the own availability zone, from its status.
+    Entries(Vec<SocketAddr>),
     /// The final result of a ticket is written.
     Concluded(TicketNumber),
     /// A question of an operator.
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -15,8 +15,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Members that are told of a new configuration version.
-pub(super) const NOTICE_FANOUT: usize = 4;
+/// Members that new rollout states are pushed to.
+pub(super) const PUSH_FANOUT: usize = 4;
 /// Longest answer to a comparison of records, in bytes.
 const MAX_RECORDS_LEN: usize = 4 * 1024 * 1024;
 
@@ -33,12 +33,17 @@
             Action::Send { to, message } => self.send_message(to, &message),
             Action::RecordChanged(record) => {
                 self.stale = true;
+                self.duties.members_changed();
                 if record.state != MemberState::Alive {
                     let state = record.state;
                     log::info!(target: part::MEMBER, "host {} is {state:?}", record.host);
                 }
             }
-            Action::MembersChanged => self.stale = true,
+            Action::MembersChanged => {
+                self.stale = true;
+                self.duties.members_changed();
+            }
+            Action::WatchHead(on) => self.watch_head(on),
             Action::FetchConfig { from } => self.fetch_config(from),
             Action::FetchMembers { from } => self.fetch_members(from),
             Action::AnnouncementRefused(announcement) => {
@@ -75,6 +80,13 @@
         }
     }
 
+    /// Asks nodes for the records that they have.
+    pub(super) fn meet(&self, entries: &[SocketAddr]) {
+        let own = self.membership.own().address;
+        let others = entries.iter().filter(|entry| **entry != own);
+        others.for_each(|entry| self.fetch_members(*entry));
+    }
+
     fn fetch_members(&self, from: SocketAddr) {
         let digest = self.membership.directory().digest();
         let (peers, handle) = (Arc::clone(&self.parts.peers), self.handle.clone());
@@ -132,25 +144,8 @@
     }
 }
 
-/// Notices of a new configuration version.
+/// Messages to other members.
 impl Control {
-    /// Tells some members of the version that this node has applied.
-    pub(super) fn send_notices(&self) {
-        let own = self.membership.own();
-        let message = Message {
-            sender: knapweed_zone::message::Sender {
-                incarnation: own.incarnation,
-                version: own.applied,
-                is_neighbour: false,
-            },
-            body: knapweed_zone::message::Body::Notice(knapweed_zone::message::Notice {}),
-            records: Vec::new(),
-        };
-        for to in self.some_members(NOTICE_FANOUT) {
-            self.send_message(to, &message);
-        }
-    }
-
     /// Addresses of up to `count` other members, chosen at random.
     pub(super) fn some_members(&self, count: usize) -> Vec<SocketAddr> {
         let own = &self.membership.own().host;
--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -132,7 +132,7 @@
         }
         if !changed.is_empty() {
             self.states_changed();
-            self.push_states(changed, super::members::NOTICE_FANOUT);
+            self.push_states(changed, super::members::PUSH_FANOUT);
         }
     }
 
@@ -267,7 +267,7 @@
                 if self.join(&state) {
                     self.states_changed();
                 }
-                self.push_states(vec![*state], super::members::NOTICE_FANOUT);
+                self.push_states(vec![*state], super::members::PUSH_FANOUT);
             }
             rollout::Action::Finish(result) => self.rollout_ended(*result),
         }
@@ -341,20 +341,3 @@
     let state = serde_json::from_slice(&object.value)?;
     Ok((Revision(object.revision.0), state))
 }
-
-/// Duties.
-impl Control {
-    /// Whether this node is the member with the lowest name.
-    ///
-    /// Until duties are bound to leases, this decides who works; two holders at
-    /// a time are safe, since every write is conditional on the revision read.
-    pub(super) fn holds_rollout_duty(&self) -> bool {
-        let members = self.membership.directory().present();
-        let lowest = members.map(|(_, r)| &r.host).min();
-        lowest == Some(&self.membership.own().host)
-    }
-
-    pub(super) fn holds_ticket_duty(&self) -> bool {
-        self.holds_rollout_duty()
-    }
-}
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -8,6 +8,8 @@
 use knapweed_transport::{Incoming, Peers};
 use knapweed_wire::{StreamHead, encode};
 use knapweed_world::Time;
+use knapweed_zone::membership;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,11 +28,10 @@
                 Err(err) => log::error!(target: part::CONFIG, "could not make a delta: {err}"),
             },
             StreamHead::FetchMembers(digest) => {
-                let records = self.membership.directory().differing(now, &digest);
-                match encode(&records) {
-                    Ok(bytes) => drop(tokio::spawn(respond(incoming, bytes))),
-                    Err(err) => log::error!(target: part::MEMBER, "could not answer: {err}"),
-                }
+                reply(
+                    incoming,
+                    &self.membership.directory().differing(now, &digest),
+                );
             }
             StreamHead::Rollouts { states, holder } => self.states(states, holder),
             StreamHead::Report {
@@ -40,11 +41,20 @@
             } => {
                 self.report(now, &service, report, tripped);
             }
+            StreamHead::Floor { host } => self.answer_floor(&host, incoming),
             StreamHead::Request(_) => {}
         }
     }
 }
 
+/// Answers with one message.
+pub(super) fn reply<M: Serialize>(incoming: Incoming, message: &M) {
+    match encode(message) {
+        Ok(bytes) => drop(tokio::spawn(respond(incoming, bytes))),
+        Err(err) => log::error!(target: part::LINK, "could not answer: {err}"),
+    }
+}
+
 async fn respond(incoming: Incoming, bytes: Bytes) {
     let Incoming {
         from, mut sender, ..
@@ -76,11 +86,15 @@
     }
 
     pub(super) fn delta(&mut self, from: SocketAddr, delta: Option<Delta>) {
-        let Some(delta) = delta else { return };
+        let now = self.now();
+        let Some(delta) = delta else {
+            return self.member_event(now, membership::Event::FetchFailed { from });
+        };
         match self.configs.absorb(delta) {
             Ok(newer) => self.stale |= newer,
             Err(err) => {
                 log::warn!(target: part::CONFIG, "refused the configuration of {from}: {err}");
+                self.member_event(now, membership::Event::FetchFailed { from });
             }
         }
     }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -21,6 +21,7 @@
 use knapweed_world::{Snapshot, SnapshotCell, Time};
 use metrics::IngressMetrics;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// A request as gotham gives it.
 #[derive(Debug)]
@@ -47,6 +48,8 @@
     pub link: Box<dyn Carrier>,
     /// The life cycle of the node.
     pub drain: Arc<Drain>,
+    /// Whether the version floor is known and kept.
+    pub ready: Arc<AtomicBool>,
     /// The time.
     pub timer: TimerService,
     /// Counters.
@@ -76,6 +79,9 @@
     /// Runs a request of a caller.
     pub async fn run(&self, request: CallerRequest) -> Response {
         let start = self.parts.timer.now();
+        if !self.parts.ready.load(Ordering::Relaxed) {
+            return Response::without_answer(Outcome::NotRun(NotRun::NotServing));
+        }
         // The snapshot is kept for the whole request, so that it sees one version.
         let snapshot = self.parts.snapshots.load_full();
         let taken = take(&snapshot, &request, start);
--- a/crates/node/src/operators/tickets.rs
+++ b/crates/node/src/operators/tickets.rs
@@ -4,7 +4,7 @@
 use super::{Parts, parts};
 use crate::body::Body;
 use crate::control::event::Event;
-use crate::control::query::Query;
+use crate::control::watch::known_parts;
 use gotham::handler::HandlerFuture;
 use gotham::prelude::*;
 use gotham::state::State;
@@ -18,7 +18,6 @@
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::Arc;
-use tokio::sync::oneshot;
 
 /// Longest ticket, in bytes.
 const MAX_TICKET_LEN: usize = 200_000;
@@ -54,7 +53,7 @@
 
 async fn accept(parts: &Parts, document: &[u8]) -> FileResponse {
     let ticket = Ticket::parse(document).ok().map(|t| t.ticket);
-    let mut cache = known_parts(parts).await;
+    let mut cache = known_parts(&parts.control).await;
     let driver = Driver::new(&*parts.platform, &SystemClock).policy(parts.policy.clone());
     let outcome = driver.file(document, &mut cache).await;
     let accepted = matches!(outcome, Outcome::Accepted { .. });
@@ -66,12 +65,6 @@
     response
 }
 
-async fn known_parts(parts: &Parts) -> PartCache {
-    let (tx, rx) = oneshot::channel();
-    parts.control.send(Event::Query(Query::Parts(tx))).await;
-    rx.await.unwrap_or_default()
-}
-
 /// Puts the new configuration in force here at once; the others learn from this node.
 async fn load(parts: &Parts, driver: &Driver<'_>, mut cache: PartCache) {
     let loaded = async {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -68,6 +68,7 @@
     let egress = Arc::new(Egress::new(timer.clone(), Arc::clone(&trials)));
     let drain = Arc::new(Drain::default());
     let view = Arc::new(ArcSwap::from_pointee(View::default()));
+    let ready = Arc::new(AtomicBool::new(false));
     let (control, events) = ControlHandle::new();
 
     let membership = membership(&options, &timer);
@@ -78,6 +79,7 @@
         peers: endpoint.peers(),
         platform: Arc::clone(&platform),
         trials,
+        ready: Arc::clone(&ready),
         timer: timer.clone(),
         view: Arc::clone(&view),
     };
@@ -105,6 +107,7 @@
         local: Box::new(LocalCarrier::new(egress)),
         link: Box::new(LinkCarrier::new(endpoint.peers())),
         drain: Arc::clone(&drain),
+        ready: Arc::clone(&ready),
         timer: timer.clone(),
         metrics: IngressMetrics::register(&metrics),
     }));
@@ -115,7 +118,7 @@
         control: control.clone(),
         view,
         drain: Arc::clone(&drain),
-        ready: Arc::new(AtomicBool::new(true)),
+        ready,
         history,
         metrics,
         logs,
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -18,6 +18,7 @@
 use knapweed_world::{ConfigVersion, Name, ServerState, Share, SnapshotCell, TicketNumber};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 /// A carrier that gives the outcome that the path names.
 struct Scripted;
@@ -101,6 +102,7 @@
         local: Box::new(Scripted),
         link: Box::new(Scripted),
         drain: Arc::new(Drain::default()),
+        ready: Arc::new(AtomicBool::new(true)),
         timer: TimerService::start(),
         metrics: IngressMetrics::register(&metrics),
     });
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -4,7 +4,7 @@
 use knapweed_link::PartTag;
 use knapweed_rollout::judge::Fault;
 use knapweed_rollout::{RolloutState, ZoneReport};
-use knapweed_world::{Name, TicketNumber};
+use knapweed_world::{ConfigVersion, Name, TicketNumber};
 use knapweed_zone::directory::Digest;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -22,6 +22,11 @@
     /// Asks for member records that differ. Answered by a list of
     /// [`knapweed_zone::directory::SharedRecord`].
     FetchMembers(Digest),
+    /// Asks which configuration version a host has served. Answered by a [`FloorReply`].
+    Floor {
+        /// The host.
+        host: Name,
+    },
     /// Rollout states, to be joined with those at hand. Not answered.
     Rollouts {
         /// The states.
@@ -39,3 +44,12 @@
         tripped: Option<(TicketNumber, Fault)>,
     },
 }
+
+/// The answer to [`StreamHead::Floor`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FloorReply {
+    /// Highest version that the host may have served.
+    pub served: ConfigVersion,
+    /// Whether the answering node serves callers.
+    pub is_serving: bool,
+}
