--- a/crates/contract/src/accept.rs
+++ b/crates/contract/src/accept.rs
@@ -181,7 +181,10 @@
             }
             Step::WritePart(_) => self.write_next_part(),
             Step::WriteOldest => self.write_head(),
-            Step::WriteHead(accepted) => self.write_progress(accepted),
+            Step::WriteHead(accepted) => {
+                self.keep_parts();
+                self.write_progress(accepted)
+            }
             Step::WriteProgress(accepted) => Action::Finish(accepted.into()),
             Step::WriteResult(result) => Action::Finish(Outcome::of_result(&result)),
             _ => Action::Wait(Delay::Contention),
--- a/crates/contract/src/accept/writes.rs
+++ b/crates/contract/src/accept/writes.rs
@@ -74,6 +74,16 @@
         }
     }
 
+    /// Keeps the parts of the head just written, which nodes load next.
+    pub(super) fn keep_parts(&mut self) {
+        let contents = self.next.take().map(|next| next.parts.contents);
+        for (digest, content) in contents.unwrap_or_default() {
+            if self.cache.get(&digest).is_none() {
+                self.cache.insert(content);
+            }
+        }
+    }
+
     pub(super) fn write_progress(&mut self, accepted: Accepted) -> Action {
         self.accepted = Some(accepted);
         let write = self.record.as_ref();
--- a/crates/contract/src/drive.rs
+++ b/crates/contract/src/drive.rs
@@ -168,6 +168,27 @@
         Ok(parts::join(head, cache)?)
     }
 
+    /// The newest head and its configuration.
+    ///
+    /// Reads the head again when parts of it were deleted in the meantime.
+    pub async fn load_newest(
+        &self,
+        cache: &mut PartCache,
+    ) -> Result<(Revision, Head, Config), Error> {
+        let mut backoff = Backoff::new(&self.backoff);
+        loop {
+            let (revision, head) = self.head().await?;
+            let e = match self.load_config(&head, cache).await {
+                Ok(config) => return Ok((revision, head, config)),
+                Err(e) => e,
+            };
+            let missing = matches!(e, Error::Part(parts::Error::Missing { .. }));
+            if !missing || !backoff.wait(&Delay::Contention).await {
+                return Err(e);
+            }
+        }
+    }
+
     async fn stored(&self, ticket: TicketNumber) -> Result<Option<StoredRecord>, Error> {
         let key = result::key(ticket);
         let object = self.retry(|| self.platform.read(&key)).await?;
@@ -194,8 +215,12 @@
     /// Records the acceptance of every recent ticket of `head` whose filing
     /// process did not, and returns those tickets.
     ///
-    /// `known` holds the recent tickets whose record is complete, so that each
-    /// is read once.
+    /// Best called a second after a change of the head: the filing process is
+    /// then usually done, and neither it nor this call has to read again.
+    ///
+    /// `known` holds the recent tickets that need no further look, so that each
+    /// is read once. A record that is gone or unreadable is passed over: it must
+    /// not keep the others incomplete.
     pub async fn finish_progress(
         &self,
         head: &Head,
@@ -208,9 +233,12 @@
             if known.contains(&ticket) {
                 continue;
             }
-            let wrote = self
-                .update(ticket, |r| Ok(r.with_progress(*accepted)))
-                .await?;
+            let update = self.update(ticket, |r| Ok(r.with_progress(*accepted)));
+            let wrote = match update.await {
+                Ok(wrote) => wrote,
+                Err(Error::NotFiled(_) | Error::Record { .. }) => false,
+                Err(e) => return Err(e),
+            };
             known.insert(ticket);
             finished.extend(wrote.then_some(ticket));
         }
--- a/crates/contract/src/parts.rs
+++ b/crates/contract/src/parts.rs
@@ -6,7 +6,7 @@
 use knapweed_world::config::{RouteConfig, ServiceConfig};
 use knapweed_world::{Config, Name};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fmt;
 
 /// Number of hash groups of routes.
@@ -169,10 +169,10 @@
         self.0.get(digest)
     }
 
-    /// The parts of a head that are not at hand.
+    /// The parts of a head that are not at hand, in order.
     pub fn missing(&self, head: &Head) -> Vec<Digest> {
         let missing = head.digests().filter(|d| !self.0.contains_key(*d));
-        let unique: HashSet<_> = missing.copied().collect();
+        let unique: BTreeSet<_> = missing.copied().collect();
         unique.into_iter().collect()
     }
 }
--- a/crates/contract/tests/crash.rs
+++ b/crates/contract/tests/crash.rs
@@ -9,6 +9,7 @@
 use common::{name, route, service, set_service};
 use futures_util::FutureExt;
 use knapweed_contract::Outcome;
+use knapweed_platform::Platform;
 use knapweed_platform::memory::MemoryPlatform;
 use knapweed_world::{ConfigVersion, TicketNumber};
 use serde_json::json;
@@ -219,6 +220,24 @@
     assert_versions(&platform, &[1, 2]);
 }
 
+/// Guards against one lost record that keeps all later ones incomplete.
+#[test]
+fn a_relay_passes_over_a_record_that_is_gone() {
+    let calls = calls();
+    let (platform, clock) = platform();
+    let key = knapweed_contract::result::key(TicketNumber(1));
+    let object = platform.read(&key).now_or_never().expect("no waits");
+    let revision = object.expect("no faults").expect("a record").revision;
+    let deletion = platform.delete(&key, revision).now_or_never();
+    deletion.expect("no waits").expect("no faults");
+    let planned = Planned::new(&platform, [(calls - 1, Plan::StopBefore)]);
+    assert_matches!(try_file(&planned, &clock, &document()), None);
+    let (relay, head) = (driver(&platform, &clock), head(&platform));
+    let mut known = BTreeSet::new();
+    let done = relay.finish_progress(&head, &mut known).now_or_never();
+    assert_eq!(done.expect("no waits"), Ok(vec![TicketNumber(2)]));
+}
+
 /// Guards against a refused ticket that leaves something behind (H3).
 #[test]
 fn refused_tickets_change_only_their_record() {
