fix(ctl): unknown instead of not accepted after a node gave no outcome

Cause: when a node took a ticket and its answer was lost, and the next node could not reach the platform, the operator was told 'not accepted' although the first node might still accept the ticket. Change: such an outcome is 'unknown' unless the connection was refused.

--- a/crates/contract/src/accept/outcome.rs
+++ b/crates/contract/src/accept/outcome.rs
@@ -37,7 +37,8 @@
         /// Why.
         error: ticket::Error,
     },
-    /// The platform is unavailable; the ticket is not accepted.
+    /// The platform is unavailable; this filing has not accepted the ticket, and
+    /// saw no other filing of it.
     Unavailable {
         /// What failed.
         reason: String,
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -51,10 +51,7 @@
         for node in &self.nodes {
             match self.get_from(*node, path).await {
                 Ok(document) => return Ok(document),
-                Err(reason) => failures.push(Failure {
-                    node: *node,
-                    reason,
-                }),
+                Err(failure) => failures.push(failure),
             }
         }
         Err(Error::Unreachable(failures))
@@ -69,9 +66,8 @@
         for node in &self.nodes {
             let response = match self.file_at(*node, document.clone()).await {
                 Ok(response) => response,
-                Err(reason) => {
-                    let node = *node;
-                    failures.push(Failure { node, reason });
+                Err(failure) => {
+                    failures.push(failure);
                     continue;
                 }
             };
@@ -81,6 +77,10 @@
                 _ => return Ok(response),
             }
         }
+        let undecided = undecided.map(|response| match failures.iter().find(|f| f.sent) {
+            Some(failure) => in_doubt(response, failure),
+            None => response,
+        });
         undecided.ok_or(Error::Unreachable(failures))
     }
 
@@ -88,25 +88,27 @@
         &self,
         node: SocketAddr,
         path: &str,
-    ) -> Result<Option<T>, String> {
+    ) -> Result<Option<T>, Failure> {
         let answer = self.send(node, Method::GET, path, Bytes::new()).await?;
-        match answer.status {
+        let document = match answer.status {
             StatusCode::OK => decode(&answer.body).map(Some),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(describe(status, &answer.body)),
-        }
+        };
+        document.map_err(|reason| Failure::after_sending(node, reason))
     }
 
-    async fn file_at(&self, node: SocketAddr, document: Bytes) -> Result<FileResponse, String> {
+    async fn file_at(&self, node: SocketAddr, document: Bytes) -> Result<FileResponse, Failure> {
         let answer = self
             .send(node, Method::POST, api::TICKETS, document)
             .await?;
-        match answer.status {
+        let response = match answer.status {
             StatusCode::OK | StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => {
                 decode(&answer.body).map_err(|_| describe(answer.status, &answer.body))
             }
             status => Err(describe(status, &answer.body)),
-        }
+        };
+        response.map_err(|reason| Failure::after_sending(node, reason))
     }
 
     async fn send(
@@ -115,32 +117,54 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<Answer, String> {
+    ) -> Result<Answer, Failure> {
         let req = Request::builder()
             .method(method)
             .uri(format!("http://{node}{path}"))
             .header("content-type", "application/json")
             .body(Full::new(body))
-            .map_err(|e| e.to_string())?;
-        match tokio::time::timeout(REQUEST_TIMEOUT, self.exchange(req)).await {
+            .map_err(|e| Failure::before_sending(node, e.to_string()))?;
+        match tokio::time::timeout(REQUEST_TIMEOUT, self.exchange(node, req)).await {
             Ok(answer) => answer,
-            Err(_) => Err(format!("no answer in {} s", REQUEST_TIMEOUT.as_secs())),
+            Err(_) => {
+                let reason = format!("no answer in {} s", REQUEST_TIMEOUT.as_secs());
+                Err(Failure::after_sending(node, reason))
+            }
         }
     }
 
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Answer, String> {
-        let response = self.http.request(req).await.map_err(|e| match e.source() {
-            Some(source) => format!("{e}: {source}"),
-            None => e.to_string(),
+    async fn exchange(
+        &self,
+        node: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Answer, Failure> {
+        let response = self.http.request(req).await.map_err(|e| {
+            let reason = match e.source() {
+                Some(source) => format!("{e}: {source}"),
+                None => e.to_string(),
+            };
+            let sent = !e.is_connect();
+            Failure { node, reason, sent }
         })?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_BODY_LEN);
-        let body = body.collect().await.map_err(|e| e.to_string())?;
+        let body = body.collect().await;
+        let body = body.map_err(|e| Failure::after_sending(node, e.to_string()))?;
         let body = body.to_bytes();
         Ok(Answer { status, body })
     }
 }
 
+/// The response when another node may have the ticket and gave no outcome.
+fn in_doubt(response: FileResponse, failure: &Failure) -> FileResponse {
+    if matches!(response.outcome, Outcome::Unknown { .. }) {
+        return response;
+    }
+    let Failure { node, reason, .. } = failure;
+    let reason = format!("{node} took the ticket and gave no outcome: {reason}");
+    FileResponse::new(response.ticket, Outcome::Unknown { reason })
+}
+
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
     serde_json::from_slice(body).map_err(|e| format!("the answer cannot be read: {e}"))
 }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -32,6 +32,22 @@
 pub(crate) struct Failure {
     pub(crate) node: SocketAddr,
     pub(crate) reason: String,
+    /// Whether the node may have taken the request.
+    pub(crate) sent: bool,
+}
+
+impl Failure {
+    /// A failure of a request that the node cannot have taken.
+    pub(crate) fn before_sending(node: SocketAddr, reason: String) -> Self {
+        let sent = false;
+        Self { node, reason, sent }
+    }
+
+    /// A failure of a request that the node may have taken.
+    pub(crate) fn after_sending(node: SocketAddr, reason: String) -> Self {
+        let sent = true;
+        Self { node, reason, sent }
+    }
 }
 
 /// The reason why a command did not do its work.
--- a/crates/ctl/tests/ticket.rs
+++ b/crates/ctl/tests/ticket.rs
@@ -132,6 +132,24 @@
     insta::assert_snapshot!(out);
 }
 
+/// Guards against `not accepted` while a node that was asked before may still
+/// accept the ticket; a node that refused the connection cannot.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_did_not_answer_leaves_the_outcome_unknown() {
+    let (silent, second) = (FakeNode::start().await, FakeNode::start().await);
+    silent.answer("POST /v1/tickets", 500, &json!({ "error": "stopping" }));
+    let reason = "outage".to_owned();
+    let unavailable = filed(Outcome::Unavailable { reason });
+    second.answer("POST /v1/tickets", 503, &unavailable);
+    let mut out = String::new();
+    let closed = "127.0.0.1:1".parse().expect("an address");
+    let file = ["ticket", "file", "-"];
+    report(&mut out, &[silent.address, second.address], &file, DOCUMENT).await;
+    report(&mut out, &[closed, second.address], &file, DOCUMENT).await;
+    report(&mut out, &[closed], &file, DOCUMENT).await;
+    insta::assert_snapshot!(out);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn waiting_tells_the_final_result() {
     let pulled_back = Ending::PulledBack {
