feat(rollout): use the time until the deadline at shares that show most

Cause: the deadline planner went on as soon as 200 requests were seen and left half of the time unused, while small faults need more requests at even shares. Change: the latest steps are at 20, 36, 52, 70 and 92% of the ramp time; a careful move uses all of the planned time at a share, a swift one half of it.

The trace zone-cut-off now cuts the zone from 5 until 31 s, not 10 until 30 s: with the earlier steps the 10% step came at 12 s, before three reports were missed. Its stated outcome (at most 5% from 14 s until 30 s) is unchanged and now needs the hold, since the planner asks for 10% at 12 s.

--- a/crates/rollout/src/planner/deadline.rs
+++ b/crates/rollout/src/planner/deadline.rs
@@ -16,7 +16,7 @@
 /// The part of the ramp time, in percent, by which each of [`STEPS`] is taken
 /// at the latest. The small shares get most of the time, because a fault costs
 /// least there. The margin after the last one covers platform calls that wait.
-const LATEST_PERCENT: [u32; 5] = [30, 52, 68, 80, 90];
+const LATEST_PERCENT: [u32; 5] = [20, 36, 52, 70, 92];
 /// The first share waits at most this part of the ramp time, in percent, for
 /// the rate of requests to be known.
 const RATE_WAIT_PERCENT: u32 = 5;
@@ -107,13 +107,13 @@
     MAX_MIN_DWELL.min(view.ramp_time() / MIN_DWELL_PART)
 }
 
-/// The time at a share with complete evidence before step `i`: half of the
-/// planned time when careful, a quarter when swift.
+/// The time at a share with complete evidence before step `i`: all of the
+/// planned time when careful, half of it when swift.
 fn careful_dwell(i: usize, view: &PlanView) -> Duration {
     let before = i.checked_sub(1).map_or(0, |j| LATEST_PERCENT[j]);
     let planned = view.ramp_time() * (LATEST_PERCENT[i] - before) / 100;
     match view.caution {
-        Caution::Careful => planned / 2,
-        Caution::Swift => planned / 4,
+        Caution::Careful => planned,
+        Caution::Swift => planned / 2,
     }
 }
--- a/crates/trace/examples/generate.rs
+++ b/crates/trace/examples/generate.rs
@@ -85,7 +85,7 @@
             "zone-cut-off",
             base.clone()
                 .title("no forward step while a zone is cut off")
-                .cut(10, 30)
+                .cut(5, 31)
                 .outcomes(vec![at_most(500, 14, 30), completed(false)]),
         ),
         (
