feat(rollout): let guards and the judge work together

Cause: a guard that tripped after four failures hid the fault from the judge, so the rollout went on to its end with servers refused. Change: a guard needs 12 failures to trip; reports carry trips; rollout control answers a trip with a recheck (at most two per rollout), during which guards admit the new version again. Three rounds of a guard stay within 60 failures.

--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -24,7 +24,7 @@
 use crate::planner::Planner;
 use crate::{Evidence, Phase, RolloutState, ZoneReport};
 use knapweed_world::config::{RolloutTerms, ServiceConfig};
-use knapweed_world::{Name, TicketNumber, Time, UnixMillis};
+use knapweed_world::{Name, Share, TicketNumber, Time, UnixMillis};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use store::Store;
@@ -55,7 +55,11 @@
     published: Option<Time>,
     started: Option<Time>,
     rechecked: Option<Time>,
+    /// The share to go on with after a recheck.
+    resume_at: Option<Share>,
     no_servers_since: Option<Time>,
+    guard_tripped: bool,
+    guard_rechecks: u32,
 }
 
 /// Construction.
@@ -77,7 +81,10 @@
             published: None,
             started: None,
             rechecked: None,
+            resume_at: None,
             no_servers_since: None,
+            guard_tripped: false,
+            guard_rechecks: 0,
         }
     }
 }
@@ -120,6 +127,7 @@
         };
         self.traffic
             .count(&report.counters, &state.new_versions(), now);
+        self.guard_tripped |= report.guard_trips > 0;
         self.evidence.add(&report.counters, wall);
         self.judge.observe(&Window {
             counters: &report.counters,
@@ -178,7 +186,10 @@
         self.evidence = state.evidence.clone();
         self.tested = Some(state.ticket);
         self.rechecked = None;
+        self.resume_at = None;
         self.no_servers_since = None;
+        self.guard_tripped = false;
+        self.guard_rechecks = 0;
     }
 
     fn publish(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/crates/rollout/src/control/step.rs
+++ b/crates/rollout/src/control/step.rs
@@ -15,6 +15,8 @@
 const MAX_OWED: usize = 8;
 /// New servers that are all gone for this long do not come back in time.
 const SERVERS_GONE: Duration = Duration::from_secs(10);
+/// Most rechecks because of guards; each guard takes part in this many.
+const MAX_GUARD_RECHECKS: u32 = 2;
 /// How long a suspicion is checked side by side at most.
 const RECHECK_TIME: Duration = Duration::from_secs(8);
 
@@ -194,7 +196,8 @@
         if let Some(since) = self.rechecked {
             return self.end_recheck(since, share, now);
         }
-        if share == Share::ALL && matches!(self.judge.verdict(), Verdict::Suspect(_)) {
+        let is_suspect = matches!(self.judge.verdict(), Verdict::Suspect(_));
+        if self.wants_guard_recheck() || (share == Share::ALL && is_suspect) {
             return self.start_recheck(state, now);
         }
         let view = self.view(state, now, wall);
@@ -206,11 +209,24 @@
         }
     }
 
-    /// Gives a part of the traffic back to the old versions, to compare them
-    /// with the new ones side by side.
+    /// Whether a guard tripped: it hides further failures from the judge until
+    /// a recheck lets the new version be tried again.
+    fn wants_guard_recheck(&mut self) -> bool {
+        if self.guard_rechecks >= MAX_GUARD_RECHECKS {
+            return false;
+        }
+        let has_tripped = std::mem::take(&mut self.guard_tripped);
+        self.guard_rechecks += u32::from(has_tripped);
+        has_tripped
+    }
+
+    /// Compares the versions side by side, for which the old ones get a part of
+    /// the traffic back if the share is above that of a recheck.
     fn start_recheck(&mut self, state: &RolloutState, now: Time) -> Option<Phase> {
         let share = self.traffic.recheck_share(state)?;
+        let share = share.min(state.phase.progress());
         self.rechecked = Some(now);
+        self.resume_at = Some(state.phase.progress());
         self.judge.recheck();
         Some(Phase::Holding(share))
     }
@@ -221,7 +237,7 @@
         }
         self.rechecked = None;
         self.judge.acquit();
-        (share < Share::ALL).then_some(Phase::Ramping(Share::ALL))
+        Some(Phase::Ramping(self.resume_at.take().unwrap_or(share)))
     }
 
     fn view(&mut self, state: &RolloutState, now: Time, wall: UnixMillis) -> PlanView {
--- a/crates/rollout/src/guard.rs
+++ b/crates/rollout/src/guard.rs
@@ -3,6 +3,7 @@
 
 use crate::judge::{Fault, FaultKind, Tally};
 use crate::likelihood::{Pair, rate_ratio};
+use crate::{Epoch, Phase, RolloutState};
 use knapweed_world::{Name, TicketNumber, Time};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::BTreeMap;
@@ -18,6 +19,12 @@
 const FACTORS: [f64; 2] = [4.0, 25.0];
 /// Highest failure rate that the guard looks for.
 const MAX_FAULT: f64 = 0.9;
+/// Fewest failures on a route to trip. A few more than the likelihood needs for
+/// a total failure, so that the judge gets enough of them to decide, too.
+const MIN_FAILURES: u64 = 12;
+/// Times that the guard lets the new version be tried again for a recheck. With
+/// the first time this stays within 60 failed requests.
+const MAX_REARMS: u32 = 2;
 /// Requests of the old version that the local baseline remembers.
 const BASELINE_REQUESTS: f64 = 200.0;
 /// Requests after which the prior weight of a late fault shrinks further.
@@ -45,8 +52,9 @@
 
 /// Outcomes of one service at one egress during the rollout of one ticket.
 ///
-/// Once it has tripped it stays so until the guard of another ticket replaces
-/// it, or until the rollout is complete and the guard is dropped.
+/// Once it has tripped it stays so until rollout control asks for a recheck, the
+/// guard of another ticket replaces it, or the rollout is complete and the guard
+/// is dropped. Trips are reported with the counters.
 #[derive(Clone, Debug)]
 pub struct Guard {
     ticket: TicketNumber,
@@ -54,6 +62,8 @@
     routes: SlotMap<GuardRouteKey, RouteGuard>,
     names: BTreeMap<Name, GuardRouteKey>,
     fault: Option<Fault>,
+    epoch: Epoch,
+    rearms: u32,
 }
 
 impl Guard {
@@ -65,6 +75,24 @@
             routes: SlotMap::with_key(),
             names: BTreeMap::new(),
             fault: None,
+            epoch: Epoch::default(),
+            rearms: 0,
+        }
+    }
+
+    /// Takes the state that the node applies. When rollout control holds after
+    /// the guard tripped, it wants the versions compared side by side: the guard
+    /// then admits the new version again, at most [`MAX_REARMS`] times.
+    pub fn apply(&mut self, state: &RolloutState) {
+        if state.ticket != self.ticket || state.epoch <= self.epoch {
+            return;
+        }
+        self.epoch = state.epoch;
+        let is_recheck = matches!(state.phase, Phase::Holding(_));
+        if is_recheck && self.fault.is_some() && self.rearms < MAX_REARMS {
+            self.rearms += 1;
+            self.fault = None;
+            self.routes.values_mut().for_each(RouteGuard::restart);
         }
     }
 
@@ -155,6 +183,11 @@
         }
     }
 
+    fn restart(&mut self) {
+        self.sums = [0.0; 2];
+        self.new = Tally::default();
+    }
+
     fn count_old(&mut self, failed: bool) {
         let sample = if failed { 1.0 } else { 0.0 };
         self.local_rate += (sample - self.local_rate) / BASELINE_REQUESTS;
@@ -183,7 +216,8 @@
     }
 
     fn is_over(&self) -> bool {
-        self.sums.iter().sum::<f64>().ln() >= self.threshold
+        let evidence = self.sums.iter().sum::<f64>().ln();
+        self.new.affected >= MIN_FAILURES && evidence >= self.threshold
     }
 
     fn fault(&self, route: &Name) -> Fault {
--- a/crates/rollout/src/report.rs
+++ b/crates/rollout/src/report.rs
@@ -23,6 +23,8 @@
     pub incarnation: u64,
     /// Number of the report; each sender counts up.
     pub sequence: u64,
+    /// Guards that tripped since the report before it.
+    pub guard_trips: u32,
     /// The counts since the report before it.
     pub counters: Counters,
 }
--- a/crates/rollout/tests/common/replay.rs
+++ b/crates/rollout/tests/common/replay.rs
@@ -146,6 +146,7 @@
         let t = self.now_ms as f64 / 1e3;
         self.platform.down = self.service.scenario.outage.contains(t);
         if let Some(next) = self.next_state.take() {
+            self.service.apply(&next);
             self.node_state = Some(next);
         }
         self.run_traffic(t);
@@ -201,11 +202,13 @@
             if cut.is_some_and(|(z, span)| z == zone && span.contains(t)) {
                 continue;
             }
+            let guard_trips = self.service.take_trips(zone);
             let report = ZoneReport {
                 zone: self.service.zone(zone).clone(),
                 relay: Name::clone(self.service.zone(zone)),
                 incarnation: 1,
                 sequence: self.sequence,
+                guard_trips,
                 counters,
             };
             self.send(Event::Report(report), DELAY_STEPS);
--- a/crates/rollout/tests/common/service.rs
+++ b/crates/rollout/tests/common/service.rs
@@ -2,9 +2,9 @@
 
 use super::name;
 use super::scenario::{Bad, Scenario, Size, Version};
-use knapweed_rollout::ZoneCapacity;
 use knapweed_rollout::counters::{Counters, LoadLevel, Sample, SeriesId, SeriesKey, Warmth};
 use knapweed_rollout::guard::{Guard, Options};
+use knapweed_rollout::{RolloutState, ZoneCapacity};
 use knapweed_world::{Name, Share, TicketNumber, Time};
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -52,6 +52,7 @@
     zones: Vec<Name>,
     servers: Vec<Server>,
     failed_at: Vec<u64>,
+    trips: [u32; 4],
     windows: Vec<Counters>,
     /// Keys of the series in use, by zone, version, route, load and warmth.
     keys: Vec<[Option<SeriesKey>; KEYS]>,
@@ -76,6 +77,7 @@
             windows: vec![Counters::default(); zones.len()],
             keys: vec![[None; KEYS]; zones.len()],
             zones: zones.to_vec(),
+            trips: [0; 4],
             failed_at: vec![0; servers.len()],
             servers,
             spread: (0..4_096).map(|_| (SPREAD * normal(rng)).exp()).collect(),
@@ -100,6 +102,17 @@
         std::mem::take(&mut self.windows[zone])
     }
 
+    /// Guards that tripped in the zone since the last call.
+    pub fn take_trips(&mut self, zone: usize) -> u32 {
+        std::mem::take(&mut self.trips[zone])
+    }
+
+    /// Gives the state that nodes apply to all guards.
+    pub fn apply(&mut self, state: &RolloutState) {
+        let guards = self.servers.iter_mut().filter_map(|s| s.guard.as_mut());
+        guards.for_each(|guard| guard.apply(state));
+    }
+
     pub fn zone(&self, zone: usize) -> &Name {
         &self.zones[zone]
     }
@@ -249,7 +262,10 @@
             let key = guard.route(&self.routes[route]);
             let had_tripped = !guard.admits();
             guard.new_version(key, failed, Time((t * 1e6) as u64));
-            self.tallies.guard_trips += u64::from(!had_tripped && !guard.admits());
+            if !had_tripped && !guard.admits() {
+                self.tallies.guard_trips += 1;
+                self.trips[server.zone] += 1;
+            }
         }
     }
 }
--- a/crates/rollout/tests/counters.rs
+++ b/crates/rollout/tests/counters.rs
@@ -111,6 +111,7 @@
         relay: name(relay),
         incarnation,
         sequence,
+        guard_trips: 0,
         counters: Counters::default(),
     }
 }
--- a/crates/trace/examples/generate/model.rs
+++ b/crates/trace/examples/generate/model.rs
@@ -269,6 +269,7 @@
         relay: name(&format!("host-{zone}")),
         incarnation: 1,
         sequence: second,
+        guard_trips: 0,
         counters,
     })
 }
