test(zone): measurement of traffic and convergence; one fetch per region

Cause: the cost at rest and the slope with the number of members were not known, and each candidate that was notified fetched a version over the region link.

Change: the example `measure` prints traffic at rest, convergence and detection for 35 to 280 members and for 5 zones. A version is notified to one gateway candidate of each other region; a node that hears of it from there by a ping waits 300 ms for a nearer sender. The driver repeats messages late.

--- /dev/null
+++ b/crates/zone/examples/measure.rs
@@ -0,0 +1,144 @@
+//! Measures control traffic and convergence of simulated availability zones.
+//!
+//! Run with `cargo run --release -p knapweed-zone --example measure`. The
+//! network, the clocks and the platform are fakes; bytes are those of the
+//! messages encoded with postcard, without QUIC, UDP and IP headers.
+
+#[path = "../tests/sim/mod.rs"]
+mod sim;
+
+use knapweed_world::ConfigVersion;
+use knapweed_zone::{Duty, MemberState};
+use rand::Rng;
+use sim::results::{median, worst};
+use sim::{Sim, ms};
+use std::time::{Duration, Instant};
+
+/// Members of one availability zone at the target size.
+const MEMBERS: usize = 280;
+/// Versions of each measurement of convergence.
+const VERSIONS: u64 = 200;
+/// Time between two versions.
+const VERSION_INTERVAL: Duration = ms(1_500);
+/// Length of a measurement of traffic at rest.
+const REST: Duration = ms(60_000);
+
+fn main() {
+    let start = Instant::now();
+    println!("traffic at rest, sent per node and second, mean (highest node)");
+    for zones in [vec![35], vec![70], vec![140], vec![MEMBERS], vec![56; 5]] {
+        rest(&zones);
+    }
+    println!("\nfrom the first node with a version to all nodes, {VERSIONS} versions");
+    for members in [35, 70, 140, MEMBERS] {
+        convergence("no faults", &[members], 0.0, false);
+    }
+    convergence("no faults", &[56; 5], 0.0, false);
+    convergence("2% loss, restarts", &[MEMBERS], 0.02, true);
+    convergence("2% loss, restarts", &[56; 5], 0.02, true);
+    println!("\ndeath known to all, 20 deaths");
+    for members in [35, 70, 140, MEMBERS] {
+        detection(members);
+    }
+    println!("\nmeasured in {:.0?}", start.elapsed());
+}
+
+fn describe(zones: &[usize]) -> String {
+    format!("{} x {:3}", zones.len(), zones[0])
+}
+
+/// Traffic of members that have nothing to report.
+fn rest(zones: &[usize]) {
+    let mut sim = Sim::new(zones, 1);
+    sim.assign_roles();
+    // The records of the start have been sent often enough after this time.
+    sim.run(ms(60_000));
+    sim.network.measures = true;
+    sim.run(REST);
+    let seconds = REST.as_secs_f64();
+    let nodes = sim.nodes.len() as f64;
+    let summary = |counts: &[u64]| {
+        let sum: u64 = counts.iter().sum();
+        let highest = counts.iter().copied().max().unwrap_or_default();
+        (sum as f64 / nodes / seconds, highest as f64 / seconds)
+    };
+    let (messages, most_messages) = summary(&sim.network.messages);
+    let (bytes, most_bytes) = summary(&sim.network.bytes);
+    let (compared, most_compared) = summary(&sim.network.compare_bytes);
+    let remote = sim.network.remote_bytes as f64 / seconds;
+    println!(
+        "{}: messages {messages:5.1} ({most_messages:5.1}), bytes {bytes:6.1} ({most_bytes:6.1}), \
+         comparison bytes {compared:6.1} ({most_compared:6.1}), between regions {remote:.0} in all",
+        describe(zones),
+    );
+}
+
+/// Times that versions take to reach all nodes.
+fn convergence(label: &str, zones: &[usize], loss: f64, restarts: bool) {
+    let mut sim = Sim::new(zones, 2);
+    let holders = sim.assign_roles();
+    sim.run(ms(60_000));
+    sim.network.loss = loss;
+    let is_gateway = |d: &Duty| matches!(d, Duty::Gateway { .. });
+    let gateways: Vec<_> = holders.iter().filter(|(d, _)| is_gateway(d)).collect();
+    let source = *gateways[0].1;
+    let mut times = Vec::new();
+    let mut missing = 0;
+    sim.network.measures = true;
+    for version in (1..=VERSIONS).map(ConfigVersion) {
+        let start = sim.now;
+        sim.apply(source, version);
+        sim.run(ms(25));
+        if restarts {
+            restart_one(&mut sim, source);
+        }
+        match sim.run_until(ms(5_000), |s| s.all_applied(version)) {
+            Some(_) => times.push(sim.now.since(start)),
+            None => missing += 1,
+        }
+        let rest = VERSION_INTERVAL.saturating_sub(sim.now.since(start));
+        sim.run(rest);
+    }
+    let bytes: u64 = sim.network.bytes.iter().sum();
+    let per_version = bytes as f64 / sim.nodes.len() as f64 / VERSIONS as f64;
+    let fetches = sim.network.fetches as f64 / sim.nodes.len() as f64 / VERSIONS as f64;
+    println!(
+        "{} {label:18}: median {:?}, worst {:?}, missing after 5 s {missing}, \
+         bytes per node and version {per_version:.0}, fetches per node and version {fetches:.2}, \
+         fetches between regions {}, longest message {}",
+        describe(zones),
+        median(&times),
+        worst(&times),
+        sim.network.remote_fetches,
+        sim.network.longest,
+    );
+}
+
+/// Restarts a random node other than the source of versions.
+fn restart_one(sim: &mut Sim, source: usize) {
+    let node = sim.rng.random_range(0..sim.nodes.len());
+    if node != source {
+        sim.kill(node);
+        sim.start(node);
+    }
+}
+
+fn detection(members: usize) {
+    let times: Vec<_> = (0..20).map(|seed| death(members, seed)).collect();
+    println!(
+        "{}: median {:?}, worst {:?}",
+        describe(&[members]),
+        median(&times),
+        worst(&times)
+    );
+}
+
+fn death(members: usize, seed: u64) -> Duration {
+    const LIMIT: Duration = ms(15_000);
+    let mut sim = Sim::new(&[members], seed);
+    sim.run(ms(6_000));
+    let victim = sim.rng.random_range(0..members);
+    sim.kill(victim);
+    let dead = |s: &Sim| s.all_see(victim, MemberState::Dead);
+    sim.run_until(LIMIT, dead).unwrap_or(LIMIT)
+}
--- a/crates/zone/src/dissemination.rs
+++ b/crates/zone/src/dissemination.rs
@@ -8,9 +8,9 @@
 pub mod peers;
 
 use crate::directory::{Directory, MemberKey};
-use crate::message::Room;
+use crate::message::{Body, Message, Room};
 use crate::record::{MemberRecord, MemberState};
-use fetch::Fetch;
+use fetch::{Fetch, REMOTE_HOLD};
 use knapweed_world::{ConfigVersion, Time};
 use peers::{Peers, Role};
 use rand::Rng;
@@ -56,6 +56,12 @@
         self.directory.get(self.own).expect("own record is kept")
     }
 
+    fn is_in_other_region(&self, address: SocketAddr) -> bool {
+        let member = self.directory.find_address(address);
+        let record = member.and_then(|key| self.directory.get(key));
+        record.is_some_and(|r| r.region != self.me().region)
+    }
+
     /// The other present members of the own availability zone.
     fn zone_members(&self) -> impl Iterator<Item = &MemberRecord> {
         let zone = &self.me().zone;
@@ -133,14 +139,22 @@
     pub(crate) fn heard(
         &mut self,
         now: Time,
+        view: View<'_>,
         from: SocketAddr,
-        version: ConfigVersion,
-        is_gateway: bool,
+        message: &Message,
     ) -> Vec<Request> {
-        if is_gateway {
+        let is_remote = view.is_in_other_region(from);
+        if message.sender.is_gateway && !is_remote {
             self.gateway_heard = now;
         }
-        let next = self.fetch.heard(now, from, version, &mut self.rng);
+        // A notice is addressed to one node of the other region; pings repair
+        // its loss, and must not make more nodes fetch over the region link.
+        let hold = match (is_remote, message.body) {
+            (false, _) | (true, Body::Notice(_)) => Duration::ZERO,
+            (true, _) => REMOTE_HOLD,
+        };
+        let version = message.sender.version;
+        let next = self.fetch.heard(now, from, version, hold, &mut self.rng);
         next.map(Request::FetchConfig).into_iter().collect()
     }
 
@@ -160,7 +174,8 @@
         let mut receivers = members.choose_multiple(&mut self.rng, NOTICE_FANOUT);
         let peers = self.peers(view);
         receivers.extend(&peers.own_relays.all);
-        receivers.extend(peers.remote());
+        receivers.extend(&peers.relays.all);
+        receivers.extend(peers.gateways.best.first());
         receivers.extend(floor_peers);
         receivers.sort_unstable();
         receivers.dedup();
--- a/crates/zone/src/dissemination/fetch.rs
+++ b/crates/zone/src/dissemination/fetch.rs
@@ -9,6 +9,9 @@
 pub const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest random addition to [`FETCH_TIMEOUT`].
 pub const FETCH_JITTER: Duration = Duration::from_millis(100);
+/// Time in which another node of the region may fetch a version from another
+/// region first.
+pub const REMOTE_HOLD: Duration = Duration::from_millis(300);
 /// Most senders of newer versions that are remembered.
 pub const MAX_SOURCES: usize = 8;
 
@@ -17,6 +20,8 @@
 struct Source {
     address: SocketAddr,
     version: ConfigVersion,
+    /// Not asked before this time.
+    ready: Time,
 }
 
 /// At most one fetch at a time.
@@ -36,22 +41,30 @@
 
 /// Events; each returns the node to fetch from now, if any.
 impl Fetch {
-    /// A node reported that it has applied `version`.
+    /// A node reported that it has applied `version`; it is asked after `hold`
+    /// at the earliest.
     pub fn heard(
         &mut self,
         now: Time,
         address: SocketAddr,
         version: ConfigVersion,
+        hold: Duration,
         rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
         if version <= self.applied.max(self.refused) {
             return None;
         }
+        let known = self.sources.iter().find(|s| s.address == address);
+        let ready = known.map_or(now.after(hold), |s| s.ready.min(now.after(hold)));
         self.sources.retain(|s| s.address != address);
         if self.sources.len() == MAX_SOURCES {
             self.sources.remove(0);
         }
-        self.sources.push(Source { address, version });
+        self.sources.push(Source {
+            address,
+            version,
+            ready,
+        });
         self.next(now, rng)
     }
 
@@ -94,7 +107,9 @@
 
     /// Time has passed.
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Option<SocketAddr> {
-        let late = self.outstanding.filter(|o| o.deadline <= now)?;
+        let Some(late) = self.outstanding.filter(|o| o.deadline <= now) else {
+            return self.next(now, rng);
+        };
         self.outstanding = None;
         // The sender that did not answer is asked again only after the others.
         if let Some(index) = self.sources.iter().position(|s| s.address == late.from) {
@@ -121,7 +136,7 @@
         if self.outstanding.is_some() {
             return None;
         }
-        let from = self.sources.last()?.address;
+        let from = self.sources.iter().rfind(|s| s.ready <= now)?.address;
         let jitter = FETCH_JITTER.mul_f64(rng.random_range(0.0..1.0));
         let deadline = now.after(FETCH_TIMEOUT + jitter);
         self.outstanding = Some(Outstanding { from, deadline });
--- a/crates/zone/src/membership/exchange.rs
+++ b/crates/zone/src/membership/exchange.rs
@@ -3,7 +3,8 @@
 use super::probe::{Probe, Purpose};
 use super::{Action, Membership};
 use crate::directory::{MemberKey, SharedRecord};
-use crate::message::{Ack, Body, Message, Ping, PingReq, Sender};
+use crate::dissemination::View;
+use crate::message::{Ack, Body, Message, Ping, PingReq};
 use crate::record::{Incarnation, MemberRecord, MemberState, Merge, Sequence};
 use knapweed_world::Time;
 use std::cmp::Ordering;
@@ -12,7 +13,7 @@
 impl Membership {
     pub(super) fn receive(&mut self, now: Time, from: SocketAddr, message: Message) {
         self.neighbours.heard(now, from);
-        self.learn_version(now, from, message.sender);
+        self.learn_version(now, from, &message);
         for record in &message.records {
             let shared = SharedRecord {
                 record: record.clone(),
@@ -36,14 +37,18 @@
         }
     }
 
-    fn learn_version(&mut self, now: Time, from: SocketAddr, sender: Sender) {
+    fn learn_version(&mut self, now: Time, from: SocketAddr, message: &Message) {
+        let sender = message.sender;
         let member = self.directory.find_address(from);
         if let Some(member) = member.filter(|m| *m != self.own) {
             let learn = |r: &mut MemberRecord| r.learn_version(sender.incarnation, sender.version);
             self.directory.change(now, member, learn);
         }
-        let (version, is_gateway) = (sender.version, sender.is_gateway);
-        let requests = self.dissemination.heard(now, from, version, is_gateway);
+        let view = View {
+            directory: &self.directory,
+            own: self.own,
+        };
+        let requests = self.dissemination.heard(now, view, from, message);
         self.carry_out(requests);
     }
 
--- a/crates/zone/tests/dissemination.rs
+++ b/crates/zone/tests/dissemination.rs
@@ -4,7 +4,7 @@
 
 use knapweed_world::backend_server::ServerState;
 use knapweed_world::{ConfigVersion, Name, Time};
-use knapweed_zone::dissemination::fetch::{FETCH_JITTER, FETCH_TIMEOUT, Fetch};
+use knapweed_zone::dissemination::fetch::{FETCH_JITTER, FETCH_TIMEOUT, Fetch, REMOTE_HOLD};
 use knapweed_zone::membership::Event;
 use knapweed_zone::{Duty, MemberState};
 use rand::SeedableRng;
@@ -170,7 +170,13 @@
     let mut fetch = Fetch::default();
     let now = Time::from_millis(0);
     let mut heard = |f: &mut Fetch, port, version| {
-        f.heard(now, address(port), ConfigVersion(version), &mut rng)
+        f.heard(
+            now,
+            address(port),
+            ConfigVersion(version),
+            Duration::ZERO,
+            &mut rng,
+        )
     };
     assert_eq!(heard(&mut fetch, 1, 5), Some(address(1)));
     assert_eq!(heard(&mut fetch, 2, 6), None);
@@ -190,16 +196,49 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut fetch = Fetch::default();
     let now = Time::from_millis(0);
-    assert!(
-        fetch
-            .heard(now, address(1), ConfigVersion(5), &mut rng)
-            .is_some()
-    );
-    assert_eq!(fetch.refused(now, ConfigVersion(5), &mut rng), None);
-    assert_eq!(
-        fetch.heard(now, address(2), ConfigVersion(5), &mut rng),
-        None
-    );
-    let next = fetch.heard(now, address(2), ConfigVersion(6), &mut rng);
-    assert_eq!(next, Some(address(2)));
+    let mut heard = |f: &mut Fetch, port, version| {
+        let version = ConfigVersion(version);
+        f.heard(now, address(port), version, Duration::ZERO, &mut rng)
+    };
+    assert_eq!(heard(&mut fetch, 1, 5), Some(address(1)));
+    let mut other = SmallRng::seed_from_u64(2);
+    assert_eq!(fetch.refused(now, ConfigVersion(5), &mut other), None);
+    assert_eq!(heard(&mut fetch, 2, 5), None);
+    assert_eq!(heard(&mut fetch, 2, 6), Some(address(2)));
+}
+
+/// Guards against a held fetch that never starts, and against one that ignores
+/// a nearer sender.
+#[test]
+fn a_fetch_from_another_region_waits_for_a_nearer_sender() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let (now, version) = (Time::from_millis(0), ConfigVersion(1));
+    let mut fetch = Fetch::default();
+    let held = fetch.heard(now, address(1), version, REMOTE_HOLD, &mut rng);
+    assert_eq!(held, None);
+    assert_eq!(fetch.tick(now.after(ms(100)), &mut rng), None);
+    let ready = now.after(REMOTE_HOLD);
+    assert_eq!(fetch.tick(ready, &mut rng), Some(address(1)));
+    let mut fetch = Fetch::default();
+    fetch.heard(now, address(1), version, REMOTE_HOLD, &mut rng);
+    let near = fetch.heard(now, address(2), version, Duration::ZERO, &mut rng);
+    assert_eq!(near, Some(address(2)));
+}
+
+/// Guards against a link between regions that carries a version more than once
+/// per region (P8).
+#[test]
+fn a_version_crosses_the_region_link_once() {
+    let mut sim = Sim::new(&ZONES, 5);
+    let holders = sim.assign_roles();
+    sim.run(ms(6_000));
+    let source = holders[&gateway(&name("west"), 0)];
+    let versions = 20;
+    for version in (1..=versions).map(ConfigVersion) {
+        sim.apply(source, version);
+        let all = sim.run_until(IN_FORCE_BOUND, |s| s.all_applied(version));
+        assert!(all.is_some());
+        sim.run(ms(1_000));
+    }
+    assert_eq!(sim.network.remote_fetches, versions);
 }
--- a/crates/zone/tests/membership.rs
+++ b/crates/zone/tests/membership.rs
@@ -200,3 +200,34 @@
     sim.run(ms(10_000));
     assert!(gone(&sim), "the host came back");
 }
+
+/// Guards against lost, crossed and repeated messages that bring back a server
+/// that has left, at a node that has seen it leave (F2).
+#[test]
+fn crossed_and_repeated_messages_bring_back_no_server() {
+    const LEAVERS: usize = 20;
+    let mut sim = settled(140, 7);
+    sim.network.loss = 0.05;
+    sim.network.repeated = 0.3;
+    let mut has_left = vec![[false; LEAVERS]; 140];
+    for state in [ServerState::Draining, ServerState::Gone] {
+        for leaver in 0..LEAVERS {
+            let address = sim.nodes[leaver].entry.address;
+            let next = announcement(address, state);
+            sim.handle(leaver, Event::LocalAnnouncement(next));
+            sim.run(ms(50));
+        }
+    }
+    for _ in 0..200 {
+        sim.run(ms(50));
+        for (observer, left) in has_left.iter_mut().enumerate() {
+            for (leaver, left) in left.iter_mut().enumerate() {
+                let record = sim.record(observer, leaver).expect("a known record");
+                let is_gone = record.announcements.is_empty();
+                assert!(is_gone || !*left, "{leaver} is back at {observer}");
+                *left = is_gone;
+            }
+        }
+    }
+    assert!(has_left.iter().flatten().all(|left| *left));
+}
--- a/crates/zone/tests/sim/mod.rs
+++ b/crates/zone/tests/sim/mod.rs
@@ -11,7 +11,7 @@
 use knapweed_zone::directory::{Digest, SharedRecord};
 use knapweed_zone::membership::{Action, Event, TICK};
 use knapweed_zone::{Incarnation, MemberRecord, MemberState, Membership, Message};
-use network::Network;
+use network::{FIRST_EAST_ZONE, Network};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashMap};
@@ -141,7 +141,7 @@
         let entry = HostEntry {
             name: name(&host),
             zone: name(&format!("zone-{zone}")),
-            region: name(if zone < 3 { "west" } else { "east" }),
+            region: name(region(zone)),
             address,
             announcements: vec![announcement(address, ServerState::Ready)],
         };
@@ -169,6 +169,13 @@
     }
 }
 
+fn region(zone: usize) -> &'static str {
+    match zone < FIRST_EAST_ZONE {
+        true => "west",
+        false => "east",
+    }
+}
+
 pub fn announcement(node: SocketAddr, state: ServerState) -> Announcement {
     Announcement {
         service: name("calendar"),
@@ -318,6 +325,7 @@
             Item::FetchMembers { from, digest } => {
                 if let Some(membership) = &self.nodes[node].membership {
                     let records = membership.directory().differing(self.now, &digest);
+                    self.network.count_comparison(node, from, &records);
                     self.send(
                         node,
                         from,
@@ -336,8 +344,8 @@
     fn act(&mut self, node: usize, action: Action) {
         match action {
             Action::Send { to, message } => {
-                self.network.count(node, &message);
                 let to = self.by_address[&to];
+                self.network.count(node, to, &message);
                 self.send(
                     node,
                     to,
@@ -356,13 +364,14 @@
             }),
             Action::FetchConfig { from } => {
                 let from = self.by_address[&from];
-                self.network.fetches += 1;
+                self.network.count_fetch(node, from);
                 self.send(node, from, Item::FetchConfig { from: node });
             }
             Action::FetchMembers { from } => {
                 let from = self.by_address[&from];
                 if let Some(membership) = &self.nodes[node].membership {
                     let digest = membership.directory().digest();
+                    self.network.count_comparison(node, from, &digest);
                     self.send(node, from, Item::FetchMembers { from: node, digest });
                 }
             }
@@ -372,6 +381,9 @@
     }
 
     fn send(&mut self, from: usize, to: usize, item: Item) {
+        if let Some(delay) = self.network.repeat_delay() {
+            self.schedule(self.now.after(delay), to, item.clone());
+        }
         if let Some(delay) = self.network.delay(from, to) {
             self.schedule(self.now.after(delay), to, item);
         }
--- a/crates/zone/tests/sim/network.rs
+++ b/crates/zone/tests/sim/network.rs
@@ -3,30 +3,44 @@
 use knapweed_zone::Message;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use serde::Serialize;
 use std::time::Duration;
 
 /// Latency inside an availability zone, in microseconds.
 const ZONE_DELAY_US: std::ops::Range<u64> = 100..600;
+/// Delay of a repeated message, in milliseconds.
+const REPEAT_DELAY_MS: std::ops::Range<u64> = 1..5_000;
 /// Added latency to another availability zone of the region.
 const REGION_DELAY: Duration = Duration::from_millis(1);
 /// Added latency to the other region.
 const REMOTE_DELAY: Duration = Duration::from_millis(30);
 
+/// The first availability zone of the region east; those before it are in west.
+pub const FIRST_EAST_ZONE: usize = 3;
+
 pub struct Network {
     /// Availability zone of each node.
     pub zones: Vec<usize>,
     /// Share of messages that are lost.
     pub loss: f64,
+    /// Share of messages that arrive a second time, late.
+    pub repeated: f64,
     /// Side of a partition of each node; empty when there is none.
     pub sides: Vec<u8>,
     /// Messages sent, per node.
     pub messages: Vec<u64>,
     /// Encoded bytes sent, per node.
     pub bytes: Vec<u64>,
+    /// Encoded bytes of digests and their answers sent, per node.
+    pub compare_bytes: Vec<u64>,
     /// Longest encoded message.
     pub longest: usize,
     /// Configuration fetches.
     pub fetches: u64,
+    /// Configuration fetches from the other region.
+    pub remote_fetches: u64,
+    /// Encoded bytes of messages, digests and answers to the other region.
+    pub remote_bytes: u64,
     /// Whether messages are encoded to count their bytes.
     pub measures: bool,
     rng: SmallRng,
@@ -37,11 +51,15 @@
         Self {
             zones: Vec::new(),
             loss: 0.0,
+            repeated: 0.0,
             sides: Vec::new(),
             messages: Vec::new(),
             bytes: Vec::new(),
+            compare_bytes: Vec::new(),
             longest: 0,
             fetches: 0,
+            remote_fetches: 0,
+            remote_bytes: 0,
             measures: false,
             rng: SmallRng::seed_from_u64(seed ^ 0x5eed),
         }
@@ -57,21 +75,66 @@
         let (a, b) = (self.zones[from], self.zones[to]);
         Some(match a == b {
             true => near,
-            false if (a < 3) == (b < 3) => near + REGION_DELAY,
+            false if !self.is_remote(from, to) => near + REGION_DELAY,
             false => near + REMOTE_DELAY,
         })
     }
 
+    /// Time for a late copy of something; `None` when there is no copy.
+    pub fn repeat_delay(&mut self) -> Option<Duration> {
+        if !self.rng.random_bool(self.repeated) {
+            return None;
+        }
+        Some(Duration::from_millis(
+            self.rng.random_range(REPEAT_DELAY_MS),
+        ))
+    }
+
+    fn is_remote(&self, from: usize, to: usize) -> bool {
+        (self.zones[from] < FIRST_EAST_ZONE) != (self.zones[to] < FIRST_EAST_ZONE)
+    }
+
+    /// Counts a configuration fetch.
+    pub fn count_fetch(&mut self, from: usize, to: usize) {
+        self.fetches += 1;
+        if self.is_remote(from, to) {
+            self.remote_fetches += 1;
+        }
+    }
+
     /// Counts a message.
-    pub fn count(&mut self, from: usize, message: &Message) {
+    pub fn count(&mut self, from: usize, to: usize, message: &Message) {
         if !self.measures {
             return;
         }
-        let encoded = postcard::to_allocvec(message).expect("a message can be encoded");
+        let length = encoded_len(message);
         self.messages.resize(self.zones.len(), 0);
         self.bytes.resize(self.zones.len(), 0);
         self.messages[from] += 1;
-        self.bytes[from] += encoded.len() as u64;
-        self.longest = self.longest.max(encoded.len());
+        self.bytes[from] += length as u64;
+        self.longest = self.longest.max(length);
+        self.count_remote(from, to, length);
     }
+
+    /// Counts a digest or the answer to one.
+    pub fn count_comparison(&mut self, from: usize, to: usize, content: &impl Serialize) {
+        if !self.measures {
+            return;
+        }
+        self.compare_bytes.resize(self.zones.len(), 0);
+        let length = encoded_len(content);
+        self.compare_bytes[from] += length as u64;
+        self.count_remote(from, to, length);
+    }
+
+    fn count_remote(&mut self, from: usize, to: usize, length: usize) {
+        if self.is_remote(from, to) {
+            self.remote_bytes += length as u64;
+        }
+    }
+}
+
+fn encoded_len(content: &impl Serialize) -> usize {
+    let encoded = postcard::to_allocvec(content).expect("messages can be encoded");
+    encoded.len()
 }
