feat(report): service-level burn report over the histories of nodes

Cause: nothing told operators how fast a service spends its error budget.

Change: knapweed-report asks the operator ports of nodes (16 at a time) or reads saved histories, and gives burn rates of availability and latency over 5 min, 30 min, 1 h, 6 h and 24 h, the fast (14.4 over 1 h and 5 min) and slow (6 over 6 h and 30 min) alerts, good and bad counts by availability zone, and configuration versions and rollouts on one time line. Output as text, JSON or one HTML page with SVG plots inside. Exit codes 0, 1, 2, 3 as on docs/operators/report.md, and 4 when the report cannot be written.

Result: 8 tests of the crate pass; etc/report.ini is validated by one of them. The SVG was read as text only: no renderer is installed, so no picture of it was looked at.

--- /dev/null
+++ b/crates/report/src/objective.rs
@@ -0,0 +1,138 @@
+//! Service-level objectives.
+
+use knapweed_world::Name;
+use knapweed_world::service_counters::LATENCY_BOUNDS_US;
+use serde::Serialize;
+use std::fmt;
+use std::str::FromStr;
+
+/// Microseconds in a millisecond.
+const US_PER_MS: u32 = 1_000;
+/// What an objective looks like in the settings.
+const FORM: &str = "AVAILABILITY LATENCY_MS SHARE, such as 99.9 50 99";
+
+/// The reason why a text is not an objective.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The number of words is wrong.
+    #[error("{found:?} is not an objective: expected {FORM}")]
+    Form {
+        /// The text.
+        found: String,
+    },
+    /// The service has no valid name.
+    #[error("{found:?} is not a service: {cause}")]
+    Service {
+        /// The text.
+        found: String,
+        /// What is wrong with the name.
+        cause: knapweed_world::name::Error,
+    },
+    /// A percentage is not a number between 0 and 100.
+    #[error("{found:?} is not a percentage above 0 and below 100")]
+    Percentage {
+        /// The text.
+        found: String,
+    },
+    /// The nodes do not count by this latency.
+    #[error(
+        "{found:?} is not a latency that nodes count by: expected one of {} ms",
+        bounds()
+    )]
+    Latency {
+        /// The text.
+        found: String,
+    },
+}
+
+fn bounds() -> String {
+    let bounds = LATENCY_BOUNDS_US.map(|us| (us / US_PER_MS).to_string());
+    bounds.join(", ")
+}
+
+/// What a service promises.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Objective {
+    /// Share of requests that succeed, in percent.
+    pub availability_percent: f64,
+    /// Bound of the latency, in milliseconds.
+    pub latency_ms: u32,
+    /// Share of answered requests within the bound, in percent.
+    pub latency_percent: f64,
+}
+
+/// Access.
+impl Objective {
+    /// The share of requests that may fail.
+    pub fn failure_budget(&self) -> f64 {
+        1.0 - self.availability_percent / 100.0
+    }
+
+    /// The share of answered requests that may be slow.
+    pub fn latency_budget(&self) -> f64 {
+        1.0 - self.latency_percent / 100.0
+    }
+
+    /// The latency bound in microseconds.
+    pub fn latency_us(&self) -> u32 {
+        self.latency_ms * US_PER_MS
+    }
+}
+
+impl FromStr for Objective {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let words: Vec<_> = text.split_whitespace().collect();
+        let [availability, latency, share] = words[..] else {
+            let found = text.trim().to_owned();
+            return Err(Error::Form { found });
+        };
+        Ok(Self {
+            availability_percent: percentage(availability)?,
+            latency_ms: latency_bound(latency)?,
+            latency_percent: percentage(share)?,
+        })
+    }
+}
+
+impl fmt::Display for Objective {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}% available, {}% within {} ms",
+            self.availability_percent, self.latency_percent, self.latency_ms
+        )
+    }
+}
+
+/// Reads a service with its objective.
+///
+/// # Errors
+///
+/// The text has another form, or a value is out of range.
+pub fn parse_service(text: &str) -> Result<(Name, Objective), Error> {
+    let text = text.trim();
+    let (service, objective) = text.split_once(' ').unwrap_or((text, ""));
+    let name = service.parse().map_err(|cause| Error::Service {
+        found: service.to_owned(),
+        cause,
+    })?;
+    Ok((name, objective.parse()?))
+}
+
+fn percentage(text: &str) -> Result<f64, Error> {
+    let parsed = text.parse::<f64>().ok();
+    let valid = parsed.filter(|p| *p > 0.0 && *p < 100.0);
+    valid.ok_or_else(|| Error::Percentage {
+        found: text.to_owned(),
+    })
+}
+
+fn latency_bound(text: &str) -> Result<u32, Error> {
+    let parsed = text.parse::<u32>().ok();
+    let known = |ms: &u32| LATENCY_BOUNDS_US.iter().any(|us| us / US_PER_MS == *ms);
+    parsed.filter(known).ok_or_else(|| Error::Latency {
+        found: text.to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/report/src/report.rs
@@ -0,0 +1,197 @@
+//! The report: what the histories say about the objectives.
+
+use crate::burn::{Alert, WindowBurn, alerts};
+use crate::changes::{self, MeshChange};
+use crate::source::{Collected, Failure};
+use crate::tally::{Tally, WINDOWS, Window, tally};
+use crate::{Objective, Options};
+use knapweed_observe::History;
+use knapweed_world::{Name, UnixMillis};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// A node whose history is part of the report.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct NodeSource {
+    /// Its host.
+    pub host: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Start of its history.
+    pub since: UnixMillis,
+    /// End of its history.
+    pub until: UnixMillis,
+    /// Services that it had no room for.
+    pub services_left_out: u32,
+}
+
+/// Requests of a service in one availability zone, in the longest window.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct ZoneTally {
+    /// The availability zone.
+    pub zone: Name,
+    /// Its requests.
+    #[serde(flatten)]
+    pub tally: Tally,
+}
+
+/// Shares of the budget of the whole period that the longest window spent, in percent.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct BudgetSpent {
+    /// Of the availability.
+    pub availability_percent: f64,
+    /// Of the latency.
+    pub latency_percent: f64,
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ServiceReport {
+    /// The service.
+    pub service: Name,
+    /// Its objective.
+    pub objective: Option<Objective>,
+    /// Burn rates by window.
+    pub burns: Vec<WindowBurn>,
+    /// Budget spent; `None` without an objective.
+    pub spent: Option<BudgetSpent>,
+    /// Alerts that fire.
+    pub alerts: Vec<Alert>,
+    /// Requests by availability zone.
+    pub zones: Vec<ZoneTally>,
+}
+
+/// The whole report.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// Start of the earliest history.
+    pub since: UnixMillis,
+    /// Time of the report: the end of the latest history.
+    pub until: UnixMillis,
+    /// Period of the budgets, in days.
+    pub budget_days: u64,
+    /// Nodes that gave a history.
+    pub nodes: Vec<NodeSource>,
+    /// Sources without a history.
+    pub failures: Vec<Failure>,
+    /// Services by name.
+    pub services: Vec<ServiceReport>,
+    /// Configuration versions and rollouts by time.
+    pub changes: Vec<MeshChange>,
+}
+
+/// Seconds in a day.
+const DAY_S: u64 = 24 * 60 * 60;
+
+/// Construction.
+impl Report {
+    /// The report on what was collected.
+    pub fn new(collected: &Collected, options: &Options) -> Self {
+        let histories = &collected.histories;
+        let since = histories.iter().map(|h| h.since).min().unwrap_or_default();
+        let until = histories.iter().map(|h| h.until).max().unwrap_or_default();
+        let services = histories.iter().flat_map(|h| &h.services);
+        let names: BTreeSet<_> = services.map(|s| s.service.clone()).collect();
+        let scope = Scope {
+            histories,
+            until,
+            budget: options.budget,
+            covered: until.since(since),
+        };
+        let service = |name: Name| scope.service(options.objective(&name), name);
+        Self {
+            since,
+            until,
+            budget_days: options.budget.as_secs() / DAY_S,
+            nodes: histories.iter().map(node).collect(),
+            failures: collected.failures.clone(),
+            services: names.into_iter().map(service).collect(),
+            changes: changes::merge(histories),
+        }
+    }
+}
+
+/// Access.
+impl Report {
+    /// Whether any alert fires.
+    pub fn has_alerts(&self) -> bool {
+        self.services.iter().any(|s| !s.alerts.is_empty())
+    }
+
+    /// Number of availability zones that the nodes stand in.
+    pub fn zones(&self) -> usize {
+        let zones: BTreeSet<_> = self.nodes.iter().map(|n| &n.zone).collect();
+        zones.len()
+    }
+}
+
+fn node(history: &History) -> NodeSource {
+    NodeSource {
+        host: history.host.clone(),
+        zone: history.zone.clone(),
+        since: history.since,
+        until: history.until,
+        services_left_out: history.services_left_out,
+    }
+}
+
+/// What all services of a report have in common.
+struct Scope<'a> {
+    histories: &'a [History],
+    until: UnixMillis,
+    budget: Duration,
+    covered: Duration,
+}
+
+impl Scope<'_> {
+    fn service(&self, objective: Option<Objective>, service: Name) -> ServiceReport {
+        let bound_us = objective.map(|o| o.latency_us());
+        let by_zone = |window| self.by_zone(&service, window, bound_us);
+        let burns: Vec<_> = WINDOWS
+            .iter()
+            .map(|window| {
+                let mut sum = Tally::default();
+                by_zone(*window).values().for_each(|t| sum.add(t));
+                WindowBurn::new(*window, sum, objective.as_ref())
+            })
+            .collect();
+        let longest = WINDOWS[WINDOWS.len() - 1];
+        let zones = by_zone(longest).into_iter();
+        ServiceReport {
+            spent: objective.and_then(|_| self.spent(burns.last()?)),
+            alerts: alerts(&burns),
+            zones: zones
+                .map(|(zone, tally)| ZoneTally { zone, tally })
+                .collect(),
+            service,
+            objective,
+            burns,
+        }
+    }
+
+    fn by_zone(
+        &self,
+        service: &Name,
+        window: Window,
+        bound_us: Option<u32>,
+    ) -> BTreeMap<Name, Tally> {
+        let mut zones: BTreeMap<Name, Tally> = BTreeMap::new();
+        for history in self.histories {
+            let part = tally(history, service, window, self.until, bound_us);
+            zones.entry(history.zone.clone()).or_default().add(&part);
+        }
+        zones
+    }
+
+    /// A burn rate for a part of the period spends that part of the budget times the rate.
+    fn spent(&self, longest: &WindowBurn) -> Option<BudgetSpent> {
+        let window = Duration::from_secs(longest.window.seconds).min(self.covered);
+        let part = window.as_secs_f64() / self.budget.as_secs_f64();
+        let percent = |rate: Option<f64>| rate.unwrap_or_default() * part * 100.0;
+        Some(BudgetSpent {
+            availability_percent: percent(longest.availability),
+            latency_percent: percent(longest.latency),
+        })
+    }
+}
--- /dev/null
+++ b/crates/report/src/tally.rs
@@ -0,0 +1,130 @@
+//! Sums of buckets over windows.
+
+use knapweed_observe::history::{Bucket, History, ServiceHistory};
+use knapweed_world::{Name, UnixMillis};
+use serde::Serialize;
+
+const MS_PER_S: u64 = 1_000;
+/// Longest window that is summed from buckets of one second.
+const MAX_FROM_SECONDS_S: u64 = 600;
+
+/// A span of time that ends with the report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Window {
+    /// Its name for operators.
+    pub name: &'static str,
+    /// Its length in seconds.
+    pub seconds: u64,
+}
+
+/// The windows of a report, shortest first.
+pub const WINDOWS: [Window; 5] = [
+    Window {
+        name: "5 min",
+        seconds: 300,
+    },
+    Window {
+        name: "30 min",
+        seconds: 1_800,
+    },
+    Window {
+        name: "1 h",
+        seconds: 3_600,
+    },
+    Window {
+        name: "6 h",
+        seconds: 21_600,
+    },
+    Window {
+        name: "24 h",
+        seconds: 86_400,
+    },
+];
+
+/// Requests of a service, good and bad.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Tally {
+    /// Requests that were answered without a server error.
+    pub good: u64,
+    /// Requests with a server error, not run or with an unknown outcome.
+    pub bad: u64,
+    /// Answered requests.
+    pub answered: u64,
+    /// Those of them above the latency bound; 0 without an objective.
+    pub slow: u64,
+}
+
+/// Access.
+impl Tally {
+    /// All requests.
+    pub fn requests(&self) -> u64 {
+        self.good + self.bad
+    }
+
+    /// Share of bad requests; `None` without requests.
+    pub fn bad_share(&self) -> Option<f64> {
+        share(self.bad, self.requests())
+    }
+
+    /// Share of slow requests among the answered ones; `None` without any.
+    pub fn slow_share(&self) -> Option<f64> {
+        share(self.slow, self.answered)
+    }
+}
+
+/// Mutation.
+impl Tally {
+    /// Adds the requests of `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.good += other.good;
+        self.bad += other.bad;
+        self.answered += other.answered;
+        self.slow += other.slow;
+    }
+
+    /// Adds a bucket, with the latency bound where there is one.
+    pub fn add_bucket(&mut self, bucket: &Bucket, bounds_us: &[u32], bound_us: Option<u32>) {
+        let failed = [bucket.server_errors, bucket.not_run, bucket.unknown];
+        self.good += u64::from(bucket.answered.saturating_sub(bucket.server_errors));
+        self.bad += failed.map(u64::from).iter().sum::<u64>();
+        self.answered += u64::from(bucket.answered);
+        let Some(bound_us) = bound_us else {
+            return;
+        };
+        let fast = bounds_us.iter().filter(|b| **b <= bound_us).count();
+        let slow = bucket.latency.iter().skip(fast);
+        self.slow += slow.map(|n| u64::from(*n)).sum::<u64>();
+    }
+}
+
+fn share(part: u64, all: u64) -> Option<f64> {
+    (all > 0).then(|| part as f64 / all as f64)
+}
+
+/// Requests of `service` on one node in the window that ends at `until`.
+pub fn tally(
+    history: &History,
+    service: &Name,
+    window: Window,
+    until: UnixMillis,
+    bound_us: Option<u32>,
+) -> Tally {
+    let mut tally = Tally::default();
+    let Some(service) = find(history, service) else {
+        return tally;
+    };
+    let from_s = (until.0 / MS_PER_S).saturating_sub(window.seconds);
+    let buckets = match window.seconds <= MAX_FROM_SECONDS_S {
+        true => &service.seconds,
+        false => &service.minutes,
+    };
+    for bucket in buckets.iter().filter(|b| u64::from(b.start_s) >= from_s) {
+        tally.add_bucket(bucket, &history.latency_bounds_us, bound_us);
+    }
+    tally
+}
+
+/// The history of a service on one node.
+pub fn find<'a>(history: &'a History, service: &Name) -> Option<&'a ServiceHistory> {
+    history.services.iter().find(|s| s.service == *service)
+}
