--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,15 +8,22 @@
 pub mod admission;
 pub mod choice;
 pub mod connections;
+pub mod crash;
 pub mod drain;
+pub mod inquiry;
+pub mod ledger;
 pub mod outcome;
 pub mod request;
 pub mod retry;
+pub mod silence;
 
 pub use admission::Admission;
 pub use choice::{Choice, ServerChoice};
 pub use connections::Connections;
+pub use crash::CrashMemory;
 pub use drain::Drain;
+pub use inquiry::{ExchangeStore, Inquiry};
+pub use ledger::Ledger;
 pub use outcome::{Answer, NotRun, Outcome, Unknown};
 pub use request::{Identity, RequestId, SendId};
 pub use retry::RetryPolicy;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod operators;
 pub mod run;
 pub mod settings;
+pub mod trial;
