--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -30,7 +30,7 @@
     ));
     let (nodes, zones) = (report.nodes.len(), report.zones());
     out.line(&format!(
-        "<p>From {nodes} nodes in {zones} availability zones, history since {}; budgets of {} days.</p>",
+        "<p>Nodes: {nodes}, availability zones: {zones}, history since {}, budget period: {} days.</p>",
         time(report.since),
         report.budget_days
     ));
--- a/crates/report/src/text.rs
+++ b/crates/report/src/text.rs
@@ -9,7 +9,7 @@
         let (nodes, zones) = (self.nodes.len(), self.zones());
         writeln!(
             f,
-            "Service levels at {} from {nodes} nodes in {zones} availability zones, \
+            "Service levels at {}; nodes: {nodes}, availability zones: {zones}, \
              history since {}",
             time(self.until),
             time(self.since)
