--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -89,6 +89,7 @@
                 incarnation: own.incarnation.0,
                 sequence: self.rollouts.sequence,
                 counters: trial.take(),
+                guard_trips: trial.take_trips(),
             };
             let tripped = trial.tripped();
             if holder == own.address {
@@ -96,11 +97,7 @@
             } else {
                 self.tell(
                     holder,
-                    &StreamHead::Report {
-                        service,
-                        report,
-                        tripped,
-                    },
+                    &StreamHead::Report { service, report: Box::new(report), tripped },
                 );
             }
         }
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -39,7 +39,7 @@
                 report,
                 tripped,
             } => {
-                self.report(now, &service, report, tripped);
+                self.report(now, &service, *report, tripped);
             }
             StreamHead::Floor { host } => self.answer_floor(&host, incoming),
             StreamHead::Request(_) => {}
--- a/crates/node/src/trial.rs
+++ b/crates/node/src/trial.rs
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 struct Counted {
     guard: Guard,
+    /// Trips since the last report.
+    trips: u32,
     counters: Counters,
 }
 
@@ -52,6 +54,7 @@
             new_versions: state.new_versions(),
             counted: Mutex::new(Counted {
                 guard,
+                trips: 0,
                 counters: Counters::default(),
             }),
         }
@@ -87,9 +90,20 @@
         if let Some(fault) = counted.guard.fault().filter(|_| admitted) {
             let version = run.version;
             log::warn!(target: part::ROLLOUT, "the guard refuses version {version} here: {fault}");
+            counted.trips += 1;
         }
     }
 
+    /// Follows the state of the rollout, which may let the guard try again.
+    pub fn apply(&self, state: &RolloutState) {
+        self.counted.lock().guard.apply(state);
+    }
+
+    /// Trips of the guard since the last call.
+    pub fn take_trips(&self) -> u32 {
+        std::mem::take(&mut self.counted.lock().trips)
+    }
+
     /// The counts since the last call.
     pub fn take(&self) -> Counters {
         std::mem::take(&mut self.counted.lock().counters)
@@ -139,6 +153,7 @@
             let trial = known
                 .cloned()
                 .unwrap_or_else(|| Arc::new(Trial::new(state, zone.clone())));
+            trial.apply(state);
             (service.clone(), trial)
         });
         self.0.store(Arc::new(trials.collect()));
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -39,7 +39,7 @@
         /// The service.
         service: Name,
         /// The counts.
-        report: ZoneReport,
+        report: Box<ZoneReport>,
         /// The ticket whose new version the guard refuses on that host, and why.
         tripped: Option<(TicketNumber, Fault)>,
     },
