perf(world): derive the answered count from the latency buckets

Cause: an answered request cost three atomic additions on one cache line.

Change: answered is the sum of the latency buckets when it is read, which also keeps the two equal.

--- a/crates/node/src/ingress/service_metrics.rs
+++ b/crates/node/src/ingress/service_metrics.rs
@@ -114,10 +114,8 @@
     let bounds = bounds.chain([f64::INFINITY]);
     let buckets: Vec<_> = bounds.zip(row.counts.latency).collect();
     let sum = row.counts.latency_sum_us as f64 / US_PER_S;
-    // The buckets are the source of the count, so that the two always agree.
-    let count = row.counts.latency.iter().sum();
     let labels = [("service", row.service.as_str())];
     metric
         .encode_family(&labels)?
-        .encode_histogram::<NoLabelSet>(sum, count, &buckets, None)
+        .encode_histogram::<NoLabelSet>(sum, row.counts.answered, &buckets, None)
 }
--- a/crates/world/src/service_counters.rs
+++ b/crates/world/src/service_counters.rs
@@ -20,7 +20,6 @@
 /// Shared between snapshots, so that counts go on when the configuration changes.
 #[derive(Debug, Default)]
 pub struct ServiceCounters {
-    answered: AtomicU64,
     server_errors: AtomicU64,
     not_run: AtomicU64,
     unknown: AtomicU64,
@@ -49,7 +48,6 @@
 impl ServiceCounters {
     /// Counts a request that was answered with `status` after `took`.
     pub fn answered(&self, status: u16, took: Duration) {
-        self.answered.fetch_add(1, Ordering::Relaxed);
         if status >= FIRST_SERVER_ERROR {
             self.server_errors.fetch_add(1, Ordering::Relaxed);
         }
@@ -73,13 +71,15 @@
 impl ServiceCounters {
     /// The values now. Requests that end meanwhile may be counted in part.
     pub fn counts(&self) -> ServiceCounts {
+        let latency = array::from_fn(|i| self.latency[i].load(Ordering::Relaxed));
         ServiceCounts {
-            answered: self.answered.load(Ordering::Relaxed),
+            // The sum of the buckets, which saves the request path one atomic.
+            answered: latency.iter().sum(),
             server_errors: self.server_errors.load(Ordering::Relaxed),
             not_run: self.not_run.load(Ordering::Relaxed),
             unknown: self.unknown.load(Ordering::Relaxed),
             latency_sum_us: self.latency_sum_us.load(Ordering::Relaxed),
-            latency: array::from_fn(|i| self.latency[i].load(Ordering::Relaxed)),
+            latency,
         }
     }
 }
