revert(rollout): pull back on the trip of one guard

Cause: a tripped guard hides the fault from the judge. Two answers were tried: pulling back at once, and a recheck during which the guards admit again.

--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -5,13 +5,13 @@
 use knapweed_observe::part;
 use knapweed_platform::{Condition, Error as PlatformError, Object, ObjectKey};
 use knapweed_rollout::control::WriteAnswer;
-use knapweed_rollout::judge::{Fault, SequentialJudge, SequentialOptions};
+use knapweed_rollout::judge::{SequentialJudge, SequentialOptions};
 use knapweed_rollout::planner::DeadlinePlanner;
 use knapweed_rollout::{self as rollout, Revision, RolloutState, ZoneCapacity, ZoneReport};
 use knapweed_wire::StreamHead;
 use knapweed_world::backend_server::ServerState;
 use knapweed_world::config::VersionShare;
-use knapweed_world::{Name, TicketNumber, Time};
+use knapweed_world::{Name, Time};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -91,14 +91,11 @@
                 counters: trial.take(),
                 guard_trips: trial.take_trips(),
             };
-            let tripped = trial.tripped();
             if holder == own.address {
-                self.report(now, &service, report, tripped);
+                self.report(now, &service, report);
             } else {
-                self.tell(
-                    holder,
-                    &StreamHead::Report { service, report: Box::new(report), tripped },
-                );
+                let report = Box::new(report);
+                self.tell(holder, &StreamHead::Report { service, report });
             }
         }
     }
@@ -232,17 +229,8 @@
     }
 
     /// Takes the counts of a host.
-    pub(super) fn report(
-        &mut self,
-        now: Time,
-        service: &Name,
-        report: ZoneReport,
-        tripped: Option<(TicketNumber, Fault)>,
-    ) {
+    pub(super) fn report(&mut self, now: Time, service: &Name, report: ZoneReport) {
         self.rollout_event(now, service, rollout::Event::Report(report));
-        if let Some((ticket, fault)) = tripped {
-            self.rollout_event(now, service, rollout::Event::GuardTripped { ticket, fault });
-        }
     }
 
     pub(super) fn rollout_event(&mut self, now: Time, service: &Name, event: rollout::Event) {
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -34,13 +34,7 @@
                 );
             }
             StreamHead::Rollouts { states, holder } => self.states(states, holder),
-            StreamHead::Report {
-                service,
-                report,
-                tripped,
-            } => {
-                self.report(now, &service, *report, tripped);
-            }
+            StreamHead::Report { service, report } => self.report(now, &service, *report),
             StreamHead::Floor { host } => self.answer_floor(&host, incoming),
             StreamHead::Request(_) => {}
         }
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -20,7 +20,7 @@
 
 pub use event::{Action, Event, Revision, WriteAnswer};
 
-use crate::judge::{Fault, Judge, Trial, Window};
+use crate::judge::{Judge, Trial, Window};
 use crate::planner::Planner;
 use crate::{Evidence, Phase, RolloutState, ZoneReport};
 use knapweed_world::config::{RolloutTerms, ServiceConfig};
@@ -50,7 +50,6 @@
     traffic: Traffic,
     evidence: Evidence,
     tested: Option<TicketNumber>,
-    guarded: Option<Fault>,
     confirmed: BTreeSet<TicketNumber>,
     asked: Option<Time>,
     published: Option<Time>,
@@ -77,7 +76,6 @@
             traffic: Traffic::default(),
             evidence: Evidence::default(),
             tested: None,
-            guarded: None,
             confirmed: BTreeSet::new(),
             asked: None,
             published: None,
@@ -101,7 +99,6 @@
             Event::Config(config) => self.config_changed(config),
             Event::Capacity(capacity) => self.traffic.set_capacity(capacity),
             Event::Report(report) => self.report(&report, now, wall),
-            Event::GuardTripped { ticket, fault } => self.guard_tripped(ticket, fault),
             Event::Seen(state) => self.adopt(state, now, out),
             Event::Read { state, revision } => self.read(state, revision, now, out),
             Event::ReadFailed => self.store.read_failed(now),
@@ -138,14 +135,6 @@
         });
     }
 
-    /// A host whose guard has tripped sends the judge no more evidence, so the
-    /// guard's own counts decide.
-    fn guard_tripped(&mut self, ticket: TicketNumber, fault: Fault) {
-        if self.tested == Some(ticket) {
-            self.guarded.get_or_insert(fault);
-        }
-    }
-
     fn read(
         &mut self,
         state: Option<RolloutState>,
@@ -196,7 +185,6 @@
         self.traffic.next_ticket();
         self.evidence = state.evidence.clone();
         self.tested = Some(state.ticket);
-        self.guarded = None;
         self.rechecked = None;
         self.resume_at = None;
         self.no_servers_since = None;
--- a/crates/rollout/src/control/event.rs
+++ b/crates/rollout/src/control/event.rs
@@ -1,6 +1,5 @@
 //! What rollout control is told and what it asks for.
 
-use crate::judge::Fault;
 use crate::{RolloutState, TicketResult, ZoneCapacity, ZoneReport};
 use knapweed_world::TicketNumber;
 use knapweed_world::config::ServiceConfig;
@@ -40,13 +39,6 @@
     Capacity(Vec<ZoneCapacity>),
     /// Counters of an availability zone.
     Report(ZoneReport),
-    /// The guard of a host has refused the new version of a ticket.
-    GuardTripped {
-        /// The ticket.
-        ticket: TicketNumber,
-        /// What the guard counted.
-        fault: Fault,
-    },
     /// A copy of the state that a node holds.
     Seen(RolloutState),
     /// The stored state was read.
--- a/crates/rollout/src/control/step.rs
+++ b/crates/rollout/src/control/step.rs
@@ -41,8 +41,7 @@
         if state.phase.is_final() || state.is_return() {
             return;
         }
-        let guarded = self.guarded.clone().map(Verdict::Bad);
-        let reason = match guarded.unwrap_or_else(|| self.judge.verdict()) {
+        let reason = match self.judge.verdict() {
             Verdict::Bad(fault) => PullBackReason::Fault(fault),
             _ if self.has_lost_servers(&state, now, wall) => PullBackReason::NoServers,
             _ => return,
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -2,9 +2,8 @@
 
 use crate::RequestHead;
 use knapweed_link::PartTag;
-use knapweed_rollout::judge::Fault;
 use knapweed_rollout::{RolloutState, ZoneReport};
-use knapweed_world::{ConfigVersion, Name, TicketNumber};
+use knapweed_world::{ConfigVersion, Name};
 use knapweed_zone::directory::Digest;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -40,8 +39,6 @@
         service: Name,
         /// The counts.
         report: Box<ZoneReport>,
-        /// The ticket whose new version the guard refuses on that host, and why.
-        tripped: Option<(TicketNumber, Fault)>,
     },
 }
 
