feat(rollout): test failures in the cold start with a small part of the bound

Cause: a version that fails at once was seen by the judge only after its cold start. Change: the same test with a tenth of the bound.

--- a/crates/rollout/src/judge/kind_test.rs
+++ b/crates/rollout/src/judge/kind_test.rs
@@ -63,8 +63,11 @@
     /// Takes the strata of a window, with the counts that `compare` picks.
     pub(super) fn update(&mut self, strata: &[Stratum], compare: fn(&Stratum) -> Comparison) {
         let mut ratios: BTreeMap<Scope, [f64; 4]> = BTreeMap::new();
-        for stratum in strata.iter().filter(|s| s.is_paired()) {
+        for stratum in strata {
             let counts = compare(stratum);
+            if !counts.is_paired() {
+                continue;
+            }
             self.old.add(tally(counts.old));
             self.new.add(tally(counts.new));
             let parts = self.ratios(counts, stratum.is_uneven);
--- a/crates/rollout/src/judge/sequential.rs
+++ b/crates/rollout/src/judge/sequential.rs
@@ -19,8 +19,16 @@
     margin: 1.5,
     faults: [2.5, 5.0, 12.0, 50.0],
 };
-/// Tests per route: failures and slow requests.
-const TESTS_PER_ROUTE: f64 = 2.0;
+/// Odds ratios of failures in the cold start, in which a good version fails more.
+const COLD_ODDS: Odds = Odds {
+    margin: 6.0,
+    faults: [20.0, 50.0, 200.0, 1_000.0],
+};
+/// Part of a route's error bound for failures, and as much for slow requests.
+const MAIN_PART: f64 = 0.45;
+/// Part of a route's error bound for failures in the cold start. It is small,
+/// because only a fault as clear as the margin asks for is looked for there.
+const COLD_PART: f64 = 0.1;
 
 /// A suspicion that came back after this many rechecks, in each of which the old
 /// version was as usual, is a fault: it shows only when the new version carries
@@ -87,8 +95,8 @@
         }
         let nth = self.names.len() as f64;
         let part = 1.0 / ((nth + 1.0) * (nth + 2.0));
-        let threshold = -(self.options.alpha * part / TESTS_PER_ROUTE).ln();
-        let key = self.routes.insert(RouteTest::new(windows, threshold));
+        let alpha = self.options.alpha * part;
+        let key = self.routes.insert(RouteTest::new(windows, alpha));
         self.names.insert(name.clone(), key);
         key
     }
@@ -147,16 +155,20 @@
 #[derive(Debug)]
 struct RouteTest {
     threshold: f64,
+    cold_threshold: f64,
     failures: KindTest,
+    cold: KindTest,
     slow: KindTest,
     history: History,
 }
 
 impl RouteTest {
-    fn new(windows: u64, threshold: f64) -> Self {
+    fn new(windows: u64, alpha: f64) -> Self {
         Self {
-            threshold,
+            threshold: -(alpha * MAIN_PART).ln(),
+            cold_threshold: -(alpha * COLD_PART).ln(),
             failures: KindTest::new(windows, FAILURE_ODDS),
+            cold: KindTest::new(windows, COLD_ODDS),
             slow: KindTest::new(windows, SLOW_ODDS),
             history: History::new(windows),
         }
@@ -164,18 +176,19 @@
 
     fn observe(&mut self, strata: &[Stratum]) {
         self.failures.update(strata, Stratum::failures);
+        self.cold.update(strata, Stratum::cold_failures);
         self.slow.update(strata, Stratum::slow);
         self.history.observe(strata);
     }
 
     fn fault(&self, route: &Name) -> Option<Fault> {
         let tests = [
-            (FaultKind::Failures, &self.failures),
-            (FaultKind::Slow, &self.slow),
+            (FaultKind::Failures, &self.failures, self.threshold),
+            (FaultKind::Failures, &self.cold, self.cold_threshold),
+            (FaultKind::Slow, &self.slow, self.threshold),
         ];
-        let (kind, test) = tests
-            .into_iter()
-            .find(|(_, t)| t.log_evidence() >= self.threshold)?;
+        let is_over = |t: &(FaultKind, &KindTest, f64)| t.1.log_evidence() >= t.2;
+        let (kind, test, _) = tests.into_iter().find(is_over)?;
         Some(Fault {
             kind,
             route: route.clone(),
--- a/crates/rollout/src/judge/strata.rs
+++ b/crates/rollout/src/judge/strata.rs
@@ -21,6 +21,8 @@
     pub(super) load: LoadLevel,
     pub(super) old: Series,
     pub(super) new: Series,
+    /// New counts of servers in their cold start.
+    pub(super) cold: Series,
     /// Whether new counts of crowded servers have a higher load than the old ones.
     pub(super) is_uneven: bool,
 }
@@ -36,13 +38,14 @@
         }
         let total = totals.entry(id.zone.clone()).or_default();
         total.add(is_new, series.requests);
-        if id.warmth == Warmth::Cold {
-            continue;
-        }
         let zones = routes.entry(id.route.clone()).or_default();
         let levels = zones.entry(id.zone.clone()).or_default();
         let stratum = of_level(levels, &id.zone, id.load);
-        stratum.side(is_new).merge(series);
+        match id.warmth {
+            Warmth::Cold if is_new => stratum.cold.merge(series),
+            Warmth::Cold => {}
+            Warmth::Warm => stratum.side(is_new).merge(series),
+        }
     }
     let is_crowded = |zone: &Name| {
         totals
@@ -99,7 +102,8 @@
 /// servers are crowded.
 fn pair_up(mut strata: Vec<Stratum>, is_crowded: bool) -> Vec<Stratum> {
     for i in 0..strata.len() {
-        if strata[i].new.requests == 0 || strata[i].old.requests > 0 {
+        let new_requests = strata[i].new.requests + strata[i].cold.requests;
+        if new_requests == 0 || strata[i].old.requests > 0 {
             continue;
         }
         let has_old = |j: &usize| strata[*j].old.requests > 0;
@@ -110,6 +114,8 @@
         };
         let moved = std::mem::take(&mut strata[i].new);
         strata[to].new.merge(&moved);
+        let moved = std::mem::take(&mut strata[i].cold);
+        strata[to].cold.merge(&moved);
         strata[to].is_uneven |= is_crowded && to < i;
     }
     strata
@@ -122,6 +128,7 @@
             load,
             old: Series::default(),
             new: Series::default(),
+            cold: Series::default(),
             is_uneven: false,
         }
     }
@@ -130,11 +137,6 @@
         if is_new { &mut self.new } else { &mut self.old }
     }
 
-    /// Whether there are counts of both versions.
-    pub(super) fn is_paired(&self) -> bool {
-        self.old.requests > 0 && self.new.requests > 0
-    }
-
     /// Failed requests of the old and the new version.
     pub(super) fn failures(&self) -> Comparison {
         let pair = |s: &Series| Pair::new(s.requests, s.failures);
@@ -144,6 +146,15 @@
         }
     }
 
+    /// Failed requests of the old version and of the new one in its cold start.
+    pub(super) fn cold_failures(&self) -> Comparison {
+        let pair = |s: &Series| Pair::new(s.requests, s.failures);
+        Comparison {
+            old: pair(&self.old),
+            new: pair(&self.cold),
+        }
+    }
+
     /// Slow requests of the old and the new version. Slow is what lies in the
     /// tail of both together, so that the limit favours neither of them.
     pub(super) fn slow(&self) -> Comparison {
@@ -164,3 +175,10 @@
     pub(super) old: Pair,
     pub(super) new: Pair,
 }
+
+impl Comparison {
+    /// Whether there are counts of both versions.
+    pub(super) fn is_paired(&self) -> bool {
+        self.old.requests > 0.0 && self.new.requests > 0.0
+    }
+}
