fix(rollout): do not count superseded new servers as needed capacity

Cause: a ticket that supersedes a move has two old versions; the sum of their slots was taken as the need, so the new version was held at half of the move. Found by the test of a third version in the middle of a move. Change: the need is judged by the old version that carried its share with the fewest slots.

--- a/crates/rollout/src/control/traffic.rs
+++ b/crates/rollout/src/control/traffic.rs
@@ -34,6 +34,7 @@
     inbox: Inbox,
     capacity: Vec<ZoneCapacity>,
     most_old_slots: u64,
+    needed_slots: u64,
     routes: BTreeMap<Name, RouteCount>,
     first_report: Option<Time>,
 }
@@ -74,6 +75,7 @@
         self.routes.clear();
         self.first_report = None;
         self.most_old_slots = 0;
+        self.needed_slots = 0;
     }
 }
 
@@ -106,19 +108,34 @@
         capacity::slots(&self.capacity, versions, None)
     }
 
-    /// The share that the ready new servers can carry, measured by the most
-    /// old slots that were ready in this move.
+    /// The share that the ready new servers can carry, measured by the slots
+    /// that the old ones used in this move.
     pub(super) fn capacity_share(&mut self, state: &RolloutState) -> Share {
         let new = self.slots(&state.new_versions());
         let old = self.slots(&state.old_versions());
         self.most_old_slots = self.most_old_slots.max(old);
-        if new * 100 >= self.most_old_slots * ENOUGH_CAPACITY_PERCENT && new > 0 {
+        self.needed_slots = self.needed_slots.max(self.slots_in_use(state));
+        if new * 100 >= self.needed_slots * ENOUGH_CAPACITY_PERCENT && new > 0 {
             return Share::ALL;
         }
-        let share = new * u64::from(Share::ALL.0) / self.most_old_slots.max(1);
+        let share = new * u64::from(Share::ALL.0) / self.needed_slots.max(1);
         Share(share as u16)
     }
 
+    /// Slots for all of the traffic, judged by the old version that carried its
+    /// share at the start with the fewest slots. Old versions that are ready for
+    /// more than their share do not raise the need.
+    fn slots_in_use(&self, state: &RolloutState) -> u64 {
+        let old = state.old_versions();
+        let from = state.terms.from.iter();
+        let old = from.filter(|s| s.share > Share::NONE && old.contains(&s.version));
+        let scaled = old.map(|s| {
+            let slots = self.slots(std::slice::from_ref(&s.version));
+            slots * u64::from(Share::ALL.0) / u64::from(s.share.0)
+        });
+        scaled.filter(|slots| *slots > 0).min().unwrap_or(0)
+    }
+
     /// The share at which old and new versions are compared again after the last
     /// step: half, or less for the old versions when fewer of their servers are
     /// left. `None` when none is left.
