fix(rollout): suspect nothing by a handful of old requests

Cause: a new holder after the last step had seen a few old requests, took their tail as usual and suspected a good version again and again; with a change of holder at each step a move ended 8.5 s late. Change: history needs 100 old requests.

--- a/crates/rollout/examples/evaluate.rs
+++ b/crates/rollout/examples/evaluate.rs
@@ -5,7 +5,7 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use common::replay::{Outcomes, Replay, Variant};
+use common::replay::{Outcomes, Replay, STANDARD, Variant};
 use common::scenario::{BAD, Deployment, GOOD, POWER_AUTHORITY, POYRAZ, SIZES, Scenario, Version};
 use knapweed_rollout::judge::{ClockJudge, SequentialJudge, ThresholdJudge};
 use knapweed_rollout::planner::{DeadlinePlanner, RampPlanner};
@@ -25,16 +25,10 @@
 const VARIANTS: [Variant; 6] = [
     Variant {
         title: "sequential, deadline, guard",
-        judge: || Box::new(SequentialJudge::default()),
-        planner: || Box::new(DeadlinePlanner),
         has_guard: true,
+        ..STANDARD
     },
-    Variant {
-        title: "sequential, deadline",
-        judge: || Box::new(SequentialJudge::default()),
-        planner: || Box::new(DeadlinePlanner),
-        has_guard: false,
-    },
+    STANDARD,
     Variant {
         title: "threshold, deadline",
         judge: || Box::new(ThresholdJudge::new(Default::default())),
--- a/crates/rollout/src/judge/history.rs
+++ b/crates/rollout/src/judge/history.rs
@@ -8,6 +8,9 @@
 use crate::likelihood::{Detector, Pair, rate_ratio};
 use knapweed_world::Name;
 
+/// Fewest old requests to say what is usual. With fewer, the tail of the
+/// latencies is mostly chance.
+const USUAL_REQUESTS: u64 = 100;
 /// Lowest failure rate that counts as usual.
 const USUAL_FAILURES: f64 = 0.01;
 /// Highest failure rate up to which a change is looked for.
@@ -68,7 +71,7 @@
             if has_old {
                 self.usual.merge(&stratum.old);
                 self.recent.merge(&stratum.old);
-            } else if stratum.new.requests > 0 && self.usual.requests > 0 {
+            } else if stratum.new.requests > 0 && self.usual.requests >= USUAL_REQUESTS {
                 self.recent = Series::default();
                 self.check(&stratum.new);
             }
--- a/crates/rollout/tests/common/replay.rs
+++ b/crates/rollout/tests/common/replay.rs
@@ -5,8 +5,8 @@
 use super::service::{Service, Tallies};
 use super::{START, config, name};
 use knapweed_rollout::control::Control;
-use knapweed_rollout::judge::Judge;
-use knapweed_rollout::planner::{FIRST_SHARE_LIMIT, MIN_EVIDENCE, Planner};
+use knapweed_rollout::judge::{Judge, SequentialJudge};
+use knapweed_rollout::planner::{DeadlinePlanner, MIN_EVIDENCE, Planner};
 use knapweed_rollout::{Action, Event, Outcome, RolloutState, ZoneReport};
 use knapweed_world::{Name, Share, TicketNumber, Time, UnixMillis};
 use rand::SeedableRng;
@@ -20,6 +20,14 @@
 /// The replay ends this long after the deadline.
 const OVERTIME_MS: u64 = 120_000;
 
+/// The judge and the planner in use, without the guard.
+pub const STANDARD: Variant = Variant {
+    title: "sequential, deadline",
+    judge: || Box::new(SequentialJudge::default()),
+    planner: || Box::new(DeadlinePlanner),
+    has_guard: false,
+};
+
 /// Which judge and planner run.
 #[derive(Clone, Copy)]
 pub struct Variant {
@@ -36,8 +44,8 @@
     pub tallies: Tallies,
     /// When the judge decided against the version.
     pub decided: Option<f64>,
-    /// Requests of the service and of the new version before 200 requests on
-    /// each route, or the decision.
+    /// Requests of the service and of the new version before the evidence was
+    /// complete or the version was pulled back.
     pub early: (u64, u64),
     /// Largest share in that time.
     pub early_share: Share,
@@ -76,6 +84,7 @@
     decided: Option<f64>,
     early: (u64, u64),
     early_share: Share,
+    first_share_ms: Option<u64>,
 }
 
 impl Replay {
@@ -97,6 +106,7 @@
             decided: None,
             early: (0, 0),
             early_share: Share::NONE,
+            first_share_ms: None,
         };
         replay.send_config();
         replay
@@ -160,13 +170,14 @@
         let share = self.share();
         let before = (self.service.tallies.requests, self.service.tallies.to_new);
         let dt = STEP_MS as f64 / 1e3;
+        if share > Share::NONE {
+            self.first_share_ms.get_or_insert(self.now_ms);
+        }
         self.service.run(t, dt, share, &mut self.rng);
         let is_early = self.decided.is_none() && !self.has_evidence();
-        if is_early && share <= FIRST_SHARE_LIMIT {
+        if is_early {
             self.early.0 += self.service.tallies.requests - before.0;
             self.early.1 += self.service.tallies.to_new - before.1;
-        }
-        if is_early {
             self.early_share = self.early_share.max(share);
         }
     }
@@ -177,13 +188,15 @@
         self.node_state.as_ref().map_or(Share::NONE, progress)
     }
 
-    /// The minimum evidence, or half of the time: then there is no more to wait
-    /// for.
+    /// The minimum evidence: 200 requests on each route, or all there are in a
+    /// tenth of the time that was left at the first share.
     fn has_evidence(&self) -> bool {
         let rows = &self.control.evidence().rows;
         let counts = rows.iter().filter(|r| r.version == name("v2"));
         let enough = counts.filter(|r| r.requests >= MIN_EVIDENCE).count() == 3;
-        enough || self.now_ms >= self.service.scenario.deadline_s * 500
+        let deadline_ms = self.service.scenario.deadline_s * 1_000;
+        let is_over = |first: u64| self.now_ms >= first + (deadline_ms - first) / 10;
+        enough || self.first_share_ms.is_some_and(is_over)
     }
 
     fn send_config(&mut self) {
--- a/crates/rollout/tests/moves.rs
+++ b/crates/rollout/tests/moves.rs
@@ -2,22 +2,13 @@
 
 mod common;
 
-use common::replay::{Replay, Variant};
+use common::replay::{Replay, STANDARD};
 use common::scenario::{Bad, Good, POWER_AUTHORITY, Scenario, Size, Version};
 use insta::assert_snapshot;
-use knapweed_rollout::judge::SequentialJudge;
-use knapweed_rollout::planner::DeadlinePlanner;
-
-const VARIANT: Variant = Variant {
-    title: "sequential",
-    judge: || Box::new(SequentialJudge::default()),
-    planner: || Box::new(DeadlinePlanner),
-    has_guard: false,
-};
 
 fn story(version: Version) -> String {
     let scenario = Scenario::draw(POWER_AUTHORITY, version, 7);
-    let outcomes = Replay::new(scenario, VARIANT).run();
+    let outcomes = Replay::new(scenario, STANDARD).run();
     let mut out = String::new();
     for state in &outcomes.platform.history {
         let at = (state.changed.0 - common::START.0) as f64 / 1e3;
