--- a/crates/host/src/admission/fair_queue.rs
+++ b/crates/host/src/admission/fair_queue.rs
@@ -228,13 +228,8 @@
 /// The queue.
 impl FairQueue {
     fn enqueue(&mut self, arrival: Arrival, now: Time) -> Verdict {
-        let service = Duration::from_micros(self.flow(arrival.flow).service_us);
-        let start_by = Time(
-            arrival
-                .deadline
-                .0
-                .saturating_sub(service.as_micros() as u64),
-        );
+        let service_us = self.flow(arrival.flow).service_us;
+        let start_by = Time(arrival.deadline.0.saturating_sub(service_us));
         if start_by <= now {
             self.doubt_estimate(arrival.flow);
             return Verdict::Shed(NotRun::Overloaded);
--- a/crates/host/src/ledger.rs
+++ b/crates/host/src/ledger.rs
@@ -17,6 +17,7 @@
 pub mod ingress;
 pub mod message;
 mod owner;
+pub mod plan;
 mod slot;
 pub mod table;
 mod waiting;
--- a/crates/host/src/ledger/owner.rs
+++ b/crates/host/src/ledger/owner.rs
@@ -9,16 +9,16 @@
 use super::waiting::Waiting;
 use crate::{NotRun, RequestId, Unknown};
 use knapweed_world::Time;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// State of an owner besides the keys.
 #[derive(Debug, Default)]
 pub(super) struct Owner {
     pub(super) deputy: Option<Member>,
     /// Grants that the deputy has not answered yet.
-    pub(super) pending: HashMap<RequestId, Pending>,
+    pub(super) pending: BTreeMap<RequestId, Pending>,
     /// Re-sends of keys whose earlier send has no known end.
-    pub(super) waiting: HashMap<RequestId, Waiting>,
+    pub(super) waiting: BTreeMap<RequestId, Waiting>,
     pub(super) copying: Option<Copying>,
 }
 
