test(host): late and repeated grants

Cause: with the position of a grant ignored at the deputy, or the attempt ignored in its answer, all earlier tests still passed. Change: one test for each.

--- a/crates/host/tests/ledger_rules.rs
+++ b/crates/host/tests/ledger_rules.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use knapweed_host::ledger::ingress::{KeyedSend, Step};
 use knapweed_host::ledger::message::{
-    Action, AskId, Grant, Permit, PermitAnswer, Resolution, Settle, Settlement,
+    Action, AskId, Copy, Grant, Permit, PermitAnswer, Resolution, Settle, Settlement,
 };
 use knapweed_host::ledger::table::{Epoch, Member, Row, Slot, SlotTable};
 use knapweed_host::ledger::{Ledger, Options};
@@ -207,6 +207,58 @@
     assert_eq!(answers(&actions), [(1, &refused)]);
 }
 
+/// Guards against a repeated message that replaces a later attempt at the
+/// deputy: after a takeover the inquiry would be about the wrong send.
+#[test]
+fn a_deputy_keeps_the_later_attempt() {
+    let first = row("a", "b");
+    let mut owner = ledger("a", &first);
+    let mut deputy = ledger("b", &first);
+    for action in install_copy(&mut owner, &first) {
+        deputy.copy(&action, ms(0), WALL);
+    }
+    let grant_1 = grants(&owner.permit(AskId(1), permit(1, 1), ms(1), WALL)).remove(0);
+    let (answer, _) = deputy.grant(&grant_1, ms(2), WALL);
+    owner.grant_answered(&answer, ms(3), WALL);
+    let send = grant_1.record.send;
+    let settlement = Settlement::NotRun;
+    owner.settle(&Settle { send, settlement }, ms(4), WALL);
+    let grant_2 = grants(&owner.permit(AskId(2), permit(1, 2), ms(5), WALL)).remove(0);
+    deputy.grant(&grant_2, ms(6), WALL);
+    deputy.grant(&grant_1, ms(7), WALL);
+    install(&mut deputy, &first.promote(member("c")), ms(8));
+    let actions = deputy.permit(AskId(3), permit(1, 3), ms(9), WALL);
+    let about_2 = |a: &Action| matches!(a, Action::Inquire { send, .. } if send.attempt == 2);
+    assert!(actions.iter().any(about_2), "{actions:?}");
+}
+
+/// The parts of the copy that a new owner of `row` sends to its deputy.
+fn install_copy(owner: &mut Ledger, row: &Row) -> Vec<Copy> {
+    *owner = Ledger::new(row.owner.clone(), Options::default(), ms(0));
+    let actions = install(owner, row, ms(0));
+    let copy = |action| match action {
+        Action::Copy { copy, .. } => Some(copy),
+        _ => None,
+    };
+    actions.into_iter().filter_map(copy).collect()
+}
+
+/// Guards against a permit for an attempt that the deputy has not recorded.
+#[test]
+fn a_late_answer_to_an_earlier_grant_permits_nothing() {
+    let first = row("a", "b");
+    let mut owner = ledger("a", &first);
+    let mut deputy = ledger("b", &first);
+    let grant_1 = grants(&owner.permit(AskId(1), permit(1, 1), ms(1), WALL)).remove(0);
+    let send = grant_1.record.send;
+    let settlement = Settlement::NotRun;
+    owner.settle(&Settle { send, settlement }, ms(2), WALL);
+    owner.permit(AskId(2), permit(1, 2), ms(3), WALL);
+    let (answer, _) = deputy.grant(&grant_1, ms(4), WALL);
+    let actions = owner.grant_answered(&answer, ms(5), WALL);
+    assert_eq!(answers(&actions), []);
+}
+
 /// Guards against a permit without a second copy of the grant.
 #[test]
 fn without_its_deputy_an_owner_refuses() {
