--- a/crates/zone/src/dissemination.rs
+++ b/crates/zone/src/dissemination.rs
@@ -21,8 +21,11 @@
 
 /// Number of random members that a node notifies of a version it has applied.
 pub const NOTICE_FANOUT: usize = 4;
-/// Time between pings of relays and gateways to their peers.
+/// Time between pings of relays and gateways to their peers in the region.
 pub const PEER_PING_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between pings of gateways to those of other regions, whose link is
+/// billed by volume.
+pub const REMOTE_PING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between comparisons of the directories of two relays or gateways.
 pub const PEER_COMPARE_INTERVAL: Duration = Duration::from_secs(5);
 /// A relay that hears from no gateway for this time watches the head itself.
@@ -32,6 +35,9 @@
 /// Most members that a relay pings in one [`LAG_INTERVAL`].
 pub const MAX_LAG_PINGS: usize = 64;
 
+/// Most records that a relay or gateway sends on in one tick.
+pub const MAX_OUTBOUND_PER_TICK: usize = 32;
+
 /// What dissemination asks the membership to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Request {
@@ -47,11 +53,15 @@
 /// The directory as seen by the member `own`.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct View<'a> {
-    pub(crate) directory: &'a Directory,
-    pub(crate) own: MemberKey,
+    directory: &'a Directory,
+    own: MemberKey,
 }
 
-impl View<'_> {
+impl<'a> View<'a> {
+    pub(crate) fn new(directory: &'a Directory, own: MemberKey) -> Self {
+        Self { directory, own }
+    }
+
     fn me(&self) -> &MemberRecord {
         self.directory.get(self.own).expect("own record is kept")
     }
@@ -85,6 +95,7 @@
     gateway_heard: Time,
     watches_head: bool,
     next_ping: Time,
+    next_remote_ping: Time,
     next_compare: Time,
     next_lag: Time,
     rng: SmallRng,
@@ -102,6 +113,7 @@
             gateway_heard: now,
             watches_head: false,
             next_ping: now,
+            next_remote_ping: now,
             next_compare: now,
             next_lag: now,
             rng,
@@ -118,11 +130,20 @@
 
 /// Events.
 impl Dissemination {
-    pub(crate) fn set_role(&mut self, now: Time, role: Role) {
+    /// The duties of this node have changed.
+    ///
+    /// A new relay or gateway sends all present records on, because those that changed
+    /// while nobody had the duty are not known in other availability zones.
+    pub(crate) fn set_role(&mut self, now: Time, view: View<'_>, role: Role) {
         if role.is_relay && !self.role.is_relay {
             self.gateway_heard = now;
             self.next_lag = now.after(LAG_INTERVAL);
         }
+        let is_new =
+            (role.is_relay && !self.role.is_relay) || (role.is_gateway && !self.role.is_gateway);
+        if is_new {
+            self.outbound = view.directory.present().map(|(key, _)| key).collect();
+        }
         self.role = role;
         self.peers = None;
     }
@@ -219,6 +240,11 @@
             self.next_ping = now.after(PEER_PING_INTERVAL);
             self.ping_peers(view, &mut requests);
         }
+        if now >= self.next_remote_ping {
+            self.next_remote_ping = now.after(REMOTE_PING_INTERVAL);
+            let gateways = self.peers(view).gateways.best;
+            requests.extend(gateways.into_iter().map(Request::Ping));
+        }
         if now >= self.next_compare {
             self.next_compare = now.after(PEER_COMPARE_INTERVAL);
             requests.extend(self.compare(view));
@@ -252,11 +278,12 @@
     /// Sends changed records to the best candidates for the relays of each other
     /// availability zone and the gateways of each other region.
     fn push_outbound(&mut self, view: View<'_>, requests: &mut Vec<Request>) {
-        if self.outbound.is_empty() {
+        let peers = self.peers(view);
+        if self.outbound.is_empty() || peers.remote().next().is_none() {
             return;
         }
-        let outbound = std::mem::take(&mut self.outbound);
-        let peers = self.peers(view);
+        let count = self.outbound.len().min(MAX_OUTBOUND_PER_TICK);
+        let outbound: Vec<_> = self.outbound.drain(..count).collect();
         let me = view.me();
         let records = outbound.iter().filter_map(|k| view.directory.get(*k));
         // The relays of a region know each other's availability zones.
@@ -271,14 +298,11 @@
 
     fn ping_peers(&mut self, view: View<'_>, requests: &mut Vec<Request>) {
         let peers = self.peers(view);
-        let mut receivers = peers.gateways.best;
-        if self.role.is_gateway {
-            // Any candidate may be the relay that waits for this gateway.
-            receivers.extend(peers.own_relays.all);
-            receivers.extend(peers.relays.all);
-        } else {
-            receivers.extend(peers.relays.best);
-        }
+        // Any candidate may be the relay that waits for this gateway.
+        let receivers = match self.role.is_gateway {
+            true => [peers.own_relays.all, peers.relays.all].concat(),
+            false => peers.relays.best,
+        };
         requests.extend(receivers.into_iter().map(Request::Ping));
     }
 
