fix(node): judge the versions of an availability zone side by side

Cause: each host reported alone. Change: the holder of the duty merges the reports of a zone's hosts per second; the guard takes the failures of the old versions elsewhere as its baseline; a ticket counts as superseded only when all its objects were changed again.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,6 +7,7 @@
 mod floor;
 mod members;
 pub mod query;
+pub mod reports;
 mod results;
 mod rollouts;
 mod status;
--- /dev/null
+++ b/crates/node/src/control/reports.rs
@@ -0,0 +1,71 @@
+//! Counts of hosts on their way to rollout control.
+//!
+//! The judge compares new and old versions of one availability zone in the same
+//! window. One host often runs only one of them, so the reports of a zone's
+//! hosts are merged before control sees them.
+
+use knapweed_rollout::{Counters, ZoneReport};
+use knapweed_world::{Name, Time};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Length of a window.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Counts of one availability zone in the current window.
+#[derive(Debug, Default)]
+struct Window {
+    counters: Counters,
+    guard_trips: u32,
+}
+
+/// Merges reports of hosts into one per service, availability zone and window.
+#[derive(Debug, Default)]
+pub struct Reports {
+    windows: BTreeMap<(Name, Name), Window>,
+    /// Newest report of each host by service, so that none is counted twice.
+    newest: BTreeMap<(Name, Name), (u64, u64)>,
+    sequence: u64,
+    flushed: Time,
+}
+
+impl Reports {
+    /// Takes the report of a host about a service.
+    pub fn add(&mut self, service: &Name, report: &ZoneReport) {
+        let number = (report.incarnation, report.sequence);
+        let newest = self
+            .newest
+            .entry((service.clone(), report.relay.clone()))
+            .or_default();
+        if *newest >= number {
+            return;
+        }
+        *newest = number;
+        let key = (service.clone(), report.zone.clone());
+        let window = self.windows.entry(key).or_default();
+        window.counters.merge(&report.counters);
+        window.guard_trips += report.guard_trips;
+    }
+
+    /// The merged reports, once the window is over; sent in the name of `holder`.
+    pub fn flush(&mut self, now: Time, holder: &Name, incarnation: u64) -> Vec<(Name, ZoneReport)> {
+        if now.since(self.flushed) < WINDOW {
+            return Vec::new();
+        }
+        self.flushed = now;
+        let windows = std::mem::take(&mut self.windows).into_iter();
+        let reports = windows.map(|((service, zone), window)| {
+            self.sequence += 1;
+            let report = ZoneReport {
+                zone,
+                relay: holder.clone(),
+                incarnation,
+                sequence: self.sequence,
+                guard_trips: window.guard_trips,
+                counters: window.counters,
+            };
+            (service, report)
+        });
+        reports.collect()
+    }
+}
--- a/crates/node/src/control/results.rs
+++ b/crates/node/src/control/results.rs
@@ -205,13 +205,22 @@
     Ok(())
 }
 
-/// The later ticket that changed a service of this one before it had a result.
+/// The later ticket that took the place of this one: every object that it
+/// touched has been changed again before it had a result.
 fn overtaken(record: &Record, config: &Config) -> Option<TicketNumber> {
-    let own = record.document.ticket;
-    let changes = record.document.services.iter();
-    let later = changes.filter_map(|change| config.services.get(&change.name));
-    later
-        .map(|service| service.ticket)
-        .filter(|ticket| *ticket > own)
-        .min()
+    let document = &record.document;
+    let services = document.services.iter().map(|change| {
+        let service = config.services.get(&change.name);
+        service.map(|s| s.ticket)
+    });
+    let routes = document.routes.iter().map(|change| {
+        let route = config.routes.get(&change.name);
+        route.map(|r| r.ticket)
+    });
+    let newest: Vec<_> = services.chain(routes).collect();
+    let is_later = |ticket: &Option<TicketNumber>| *ticket != Some(document.ticket);
+    match newest.iter().all(is_later) {
+        true => newest.into_iter().flatten().max(),
+        false => None,
+    }
 }
--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -1,6 +1,7 @@
 //! Rollouts: the states that this node knows, and control of them while it
 //! holds the duty.
 
+use super::reports::Reports;
 use super::{Control, Event};
 use knapweed_observe::part;
 use knapweed_platform::{Condition, Error as PlatformError, Object, ObjectKey};
@@ -32,6 +33,8 @@
     holder: Option<SocketAddr>,
     /// Control of each service, while this node holds the duty.
     controls: BTreeMap<Name, rollout::Control>,
+    /// Reports of hosts to this node, while it holds the duty.
+    reports: Reports,
     /// Number of the last report.
     sequence: u64,
     reported: Time,
@@ -51,7 +54,7 @@
     pub(super) fn rollout_tick(&mut self, now: Time) {
         if now.since(self.rollouts.reported) >= REPORT_INTERVAL {
             self.rollouts.reported = now;
-            self.send_reports(now);
+            self.send_reports();
         }
         if now.since(self.rollouts.repaired) >= REPAIR_INTERVAL {
             self.rollouts.repaired = now;
@@ -73,7 +76,7 @@
     }
 
     /// Sends the counts of this host to the holder of the duty.
-    fn send_reports(&mut self, now: Time) {
+    fn send_reports(&mut self) {
         let Some(holder) = self.rollouts.holder else {
             return;
         };
@@ -92,7 +95,7 @@
                 guard_trips: trial.take_trips(),
             };
             if holder == own.address {
-                self.report(now, &service, report);
+                self.rollouts.reports.add(&service, &report);
             } else {
                 let report = Box::new(report);
                 self.tell(holder, &StreamHead::Report { service, report });
@@ -151,7 +154,8 @@
     fn states_changed(&mut self) {
         self.stale = true;
         let zone = &self.membership.own().zone;
-        self.parts.trials.follow(&self.rollouts.states, zone);
+        let now = self.now();
+        self.parts.trials.follow(&self.rollouts.states, zone, now);
     }
 
     fn push_states(&mut self, states: Vec<RolloutState>, fanout: usize) {
@@ -173,6 +177,7 @@
         }
         self.rollouts.holder = Some(self.membership.own().address);
         self.start_controls();
+        self.flush_reports(now);
         let services: Vec<_> = self.rollouts.controls.keys().cloned().collect();
         for service in services {
             let config = self.configs.config().services.get(&service).cloned();
@@ -229,8 +234,17 @@
     }
 
     /// Takes the counts of a host.
-    pub(super) fn report(&mut self, now: Time, service: &Name, report: ZoneReport) {
-        self.rollout_event(now, service, rollout::Event::Report(report));
+    pub(super) fn report(&mut self, service: &Name, report: &ZoneReport) {
+        self.rollouts.reports.add(service, report);
+    }
+
+    /// Gives rollout control the merged counts of each availability zone.
+    fn flush_reports(&mut self, now: Time) {
+        let own = self.membership.own();
+        let (host, incarnation) = (own.host.clone(), own.incarnation.0);
+        for (service, report) in self.rollouts.reports.flush(now, &host, incarnation) {
+            self.rollout_event(now, &service, rollout::Event::Report(report));
+        }
     }
 
     pub(super) fn rollout_event(&mut self, now: Time, service: &Name, event: rollout::Event) {
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -34,7 +34,7 @@
                 );
             }
             StreamHead::Rollouts { states, holder } => self.states(states, holder),
-            StreamHead::Report { service, report } => self.report(now, &service, *report),
+            StreamHead::Report { service, report } => self.report(&service, &report),
             StreamHead::Floor { host } => self.answer_floor(&host, incoming),
             StreamHead::Request(_) => {}
         }
--- a/crates/node/src/trial.rs
+++ b/crates/node/src/trial.rs
@@ -5,6 +5,7 @@
 use arc_swap::ArcSwap;
 use knapweed_observe::part;
 use knapweed_rollout::counters::{LoadLevel, Sample, SeriesId, Warmth};
+use knapweed_rollout::judge::Tally;
 use knapweed_rollout::{Counters, Guard, RolloutState, guard};
 use knapweed_world::{Name, TicketNumber, Time};
 use parking_lot::Mutex;
@@ -93,9 +94,15 @@
         }
     }
 
-    /// Follows the state of the rollout, which may let the guard try again.
-    pub fn apply(&self, state: &RolloutState) {
-        self.counted.lock().guard.apply(state);
+    /// Follows the state of the rollout, which may let the guard try again, and
+    /// takes the failures of the old versions elsewhere as its baseline.
+    pub fn apply(&self, state: &RolloutState, now: Time) {
+        let mut counted = self.counted.lock();
+        counted.guard.apply(state);
+        for (route, old) in baselines(state) {
+            let route = counted.guard.route(&route);
+            counted.guard.baseline(route, old, now);
+        }
     }
 
     /// Trips of the guard since the last call.
@@ -113,6 +120,25 @@
     }
 }
 
+/// Counts of the old versions by route, from the evidence of a state.
+fn baselines(state: &RolloutState) -> BTreeMap<Name, Tally> {
+    let old = state.old_versions();
+    let rows = state
+        .evidence
+        .rows
+        .iter()
+        .filter(|row| old.contains(&row.version));
+    let mut tallies: BTreeMap<Name, Tally> = BTreeMap::new();
+    for row in rows {
+        let tally = Tally {
+            requests: row.requests,
+            affected: row.failures,
+        };
+        tallies.entry(row.route.clone()).or_default().add(tally);
+    }
+    tallies
+}
+
 /// The trials of a host, replaced as a whole by the control thread.
 #[derive(Debug, Default)]
 pub struct Trials(ArcSwap<HashMap<Name, Arc<Trial>>>);
@@ -133,7 +159,7 @@
     }
 
     /// Keeps the trials of rollouts that go on, and starts those of new ones.
-    pub fn follow(&self, states: &BTreeMap<Name, RolloutState>, zone: &Name) {
+    pub fn follow(&self, states: &BTreeMap<Name, RolloutState>, zone: &Name, now: Time) {
         let old = self.0.load();
         let going_on = states.iter().filter(|(_, state)| !state.phase.is_final());
         let trials = going_on.map(|(service, state)| {
@@ -143,7 +169,7 @@
             let trial = known
                 .cloned()
                 .unwrap_or_else(|| Arc::new(Trial::new(state, zone.clone())));
-            trial.apply(state);
+            trial.apply(state, now);
             (service.clone(), trial)
         });
         self.0.store(Arc::new(trials.collect()));
