fix(transport): notice the restart of a peer at once

Cause: a node killed by SIGKILL and started again was cut off for up to the idle timeout of 30 s: its peers kept sending on the connection of its earlier process, since the keys of stateless resets were random and a newer connection of the peer was not taken over. Change: reset keys and connection ids follow from the node's private key; a connection that a peer opens replaces one that is more than 1 s older. Ruled out: a shorter idle timeout, which would open connections again and again between nodes that rarely talk.

--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -3,9 +3,10 @@
 use crate::arrivals::{Arrivals, Queues};
 use crate::peers::Peers;
 use crate::tls::{self, Identity};
-use quinn::{IdleTimeout, TransportConfig, VarInt};
+use quinn::{IdleTimeout, TokioRuntime, TransportConfig, VarInt};
+use quinn_proto::HashedConnectionIdGenerator;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,8 +58,8 @@
         server.transport_config(Arc::clone(&transport));
         let mut client = identity.client()?;
         client.transport_config(Arc::clone(&transport));
-        let mut inner = quinn::Endpoint::server(server, address)
-            .map_err(|source| Error::Listen { address, source })?;
+        let mut inner =
+            bind(address, identity, server).map_err(|source| Error::Listen { address, source })?;
         inner.set_default_client_config(client);
         let (queues, arrivals) = Queues::new();
         let peers = Arc::new(Peers::new(inner.clone(), queues.clone()));
@@ -109,6 +110,31 @@
     }
 }
 
+fn bind(
+    address: SocketAddr,
+    identity: &Identity,
+    server: quinn::ServerConfig,
+) -> io::Result<quinn::Endpoint> {
+    let socket = UdpSocket::bind(address)?;
+    let runtime = Arc::new(TokioRuntime);
+    quinn::Endpoint::new(reset_config(identity), Some(server), socket, runtime)
+}
+
+/// Keys of connection ids and stateless resets (RFC 9000, section 10.3).
+///
+/// They follow from the private key, so that a restarted node resets the
+/// connections of its earlier process. With random keys its peers would send
+/// into those until the idle timeout.
+fn reset_config(identity: &Identity) -> quinn::EndpointConfig {
+    let key = identity.derive_key("knapweedreach 2026 stateless reset");
+    let (id_key, _) = key.split_first_chunk().expect("a key has 32 bytes");
+    let id_key = u64::from_le_bytes(*id_key);
+    let reset_key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, &key);
+    let mut cfg = quinn::EndpointConfig::new(Arc::new(reset_key));
+    cfg.cid_generator(move || Box::new(HashedConnectionIdGenerator::from_key(id_key)));
+    cfg
+}
+
 fn transport() -> TransportConfig {
     let mut cfg = TransportConfig::default();
     cfg.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -9,11 +9,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Mutex;
 
 /// Longest time to open a connection.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Connections that both ends open within this time are both in use.
+const SIMULTANEOUS: Duration = Duration::from_secs(1);
 
 /// The reason why a peer could not be reached. Nothing was sent to it.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -48,14 +50,26 @@
 }
 
 /// The place of one peer's connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Slot {
     /// The connection in use, replaced as a whole.
     current: ArcSwapOption<Connection>,
+    /// When the connection was opened.
+    opened: ArcSwap<Instant>,
     /// Held while a connection is being opened, so that one is opened at a time.
     dialing: Mutex<()>,
 }
 
+impl Default for Slot {
+    fn default() -> Self {
+        Self {
+            current: ArcSwapOption::default(),
+            opened: ArcSwap::from_pointee(Instant::now()),
+            dialing: Mutex::default(),
+        }
+    }
+}
+
 impl Slot {
     fn open(&self) -> Option<Arc<Connection>> {
         self.current
@@ -208,6 +222,7 @@
     }
 
     fn keep(&self, slot: &Slot, connection: Arc<Connection>) {
+        slot.opened.store(Arc::new(Instant::now()));
         if let Some(old) = slot.current.swap(Some(connection)) {
             self.count_closed(&old);
         }
@@ -217,9 +232,13 @@
     ///
     /// A node listens on the socket it connects from, so the source address of
     /// a connection is the address of the peer's node.
+    ///
+    /// A peer opens a connection when it has none, so an older one is left over
+    /// from its earlier process. Younger ones were opened by both ends at once.
     pub(crate) fn adopt(&self, connection: &Connection) {
         let slot = self.slot(connection.remote_address());
-        if slot.open().is_none() {
+        let is_older = slot.opened.load().elapsed() > SIMULTANEOUS;
+        if slot.open().is_none() || is_older {
             self.keep(&slot, Arc::new(connection.clone()));
         }
     }
--- a/crates/transport/src/tls.rs
+++ b/crates/transport/src/tls.rs
@@ -69,6 +69,12 @@
         })
     }
 
+    /// A key for `purpose` that follows from the private key and is the same in
+    /// each process with this identity.
+    pub(crate) fn derive_key(&self, purpose: &str) -> [u8; 32] {
+        blake3::derive_key(purpose, self.key.secret_der())
+    }
+
     /// The configuration for connections that others open.
     ///
     /// # Errors
--- a/crates/transport/tests/endpoint.rs
+++ b/crates/transport/tests/endpoint.rs
@@ -124,3 +124,59 @@
         a.peers().retire(address);
     }
 }
+
+/// Guards against a node that is cut off for the idle timeout of 30 s after a
+/// restart by SIGKILL, since its peers go on to use the connection of its
+/// earlier process.
+#[tokio::test]
+async fn a_peer_notices_a_restart_at_once() {
+    let authority = Authority::new().expect("an authority");
+    let restarting = identity(&authority);
+    let (a, mut arrivals) = open(&authority);
+    let a_address = a.local_address().expect("an address");
+    let any_port = (Ipv4Addr::LOCALHOST, 0).into();
+
+    // A runtime of its own, so that the first process ends without a farewell.
+    let first = tokio::runtime::Runtime::new().expect("a runtime");
+    let guard = first.enter();
+    let (b, _b_arrivals) = Endpoint::open(any_port, &restarting).expect("an endpoint");
+    drop(guard);
+    let address = b.local_address().expect("an address");
+    let peers = b.peers();
+    let send = async move { peers.send(a_address, Bytes::from("before")).await };
+    first.spawn(send).await.expect("a task").expect("sent");
+    assert_eq!(
+        arrivals.datagrams.recv().await,
+        Some((address, Bytes::from("before")))
+    );
+    first.shutdown_background();
+    drop(b);
+
+    let (_b, mut b_arrivals) = reopen(address, &restarting).await;
+    let peers = a.peers();
+    let arrived = async {
+        loop {
+            let _ = peers.send(address, Bytes::from("after")).await;
+            let wait = std::time::Duration::from_millis(50);
+            if let Ok(Some(datagram)) =
+                tokio::time::timeout(wait, b_arrivals.datagrams.recv()).await
+            {
+                return datagram;
+            }
+        }
+    };
+    let bound = std::time::Duration::from_secs(1);
+    let datagram = tokio::time::timeout(bound, arrived).await.expect("in time");
+    assert_eq!(datagram, (a_address, Bytes::from("after")));
+}
+
+/// Opens an endpoint on an address that the earlier one is about to leave.
+async fn reopen(address: std::net::SocketAddr, identity: &Identity) -> (Endpoint, Arrivals) {
+    for _ in 0..100 {
+        if let Ok(opened) = Endpoint::open(address, identity) {
+            return opened;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    panic!("the address {address} is still in use");
+}
