fix(contract): a lower number never replaces a higher one

Cause: a ticket with a lower number whose base was newer was accepted, but the join of rollout states takes the higher number, so its rollout would never start. A test of the cost of a ticket ran into the write limit that the fake got since. Change: a ticket that touches an object of a higher number is superseded, whatever its base; the cost test uses the fake without limits; a stopping node no longer logs that its own host is missing.

--- a/crates/contract/src/accept/conflict.rs
+++ b/crates/contract/src/accept/conflict.rs
@@ -1,18 +1,19 @@
-//! Changes by other tickets after the base version of a ticket.
+//! Changes by other tickets: after the base version of a ticket, or with a higher number.
 
 use crate::{Head, Item, Problem, Reason, Ticket};
 use knapweed_world::{Config, ConfigVersion, TicketNumber};
 
-/// What other tickets did to the objects of a ticket since its base version.
+/// What other tickets did to the objects of a ticket.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Conflict {
-    /// A ticket with a higher number changed one of them; the highest such number.
+    /// A ticket with a higher number changed one of them, at any time; the highest
+    /// such number.
     Superseded(TicketNumber),
     /// Only tickets with lower numbers did, or the base version is no use.
     Refused(Vec<Problem>),
 }
 
-/// Compares the objects of `ticket` with the changes after `base`.
+/// Compares the objects of `ticket` with the changes by other tickets.
 ///
 /// `config` is the configuration of `head`.
 pub fn conflict(
@@ -31,7 +32,9 @@
     let mut problems = Vec::new();
     for item in ticket.items() {
         match last_change(&item, config, head) {
-            Some((by, version)) if version > base => {
+            // Numbers order what operators want: a rollout with a lower number
+            // than the one before it would lose the join of rollout states.
+            Some((by, version)) if version > base || by > ticket.ticket => {
                 newest = newest.max(Some(by));
                 let ticket = ticket.ticket;
                 let reason = Reason::Conflict {
--- a/crates/contract/tests/cost.rs
+++ b/crates/contract/tests/cost.rs
@@ -7,7 +7,7 @@
 use futures_util::FutureExt;
 use knapweed_contract::{Driver, PartCache, head, parts};
 use knapweed_platform::Platform;
-use knapweed_platform::memory::MemoryPlatform;
+use knapweed_platform::memory::{Limits, MemoryPlatform};
 use serde_json::json;
 use std::fmt::Write;
 use std::time::Instant;
@@ -17,7 +17,8 @@
 
 /// The target size, with a full list of recent tickets.
 fn platform() -> (MemoryPlatform, HandClock) {
-    let (platform, clock) = (MemoryPlatform::new(), HandClock::new());
+    let platform = MemoryPlatform::with_limits(Limits::NONE);
+    let clock = HandClock::new();
     let services: Vec<_> = (0..SERVICES)
         .map(|i| service(&format!("s{i}"), "v1"))
         .collect();
--- a/crates/contract/tests/race.rs
+++ b/crates/contract/tests/race.rs
@@ -91,6 +91,14 @@
             json!({ "ticket": 6, "base": 2, "services": [service("calendar", "v3")] }),
         ],
     );
+    // The rollout of the lower number would lose the join of rollout states.
+    case(
+        "lower number with the base of the higher one",
+        &[
+            change(6, "calendar", "v3"),
+            json!({ "ticket": 5, "base": 2, "services": [service("calendar", "v2")] }),
+        ],
+    );
     insta::assert_snapshot!(out);
 }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -157,6 +157,8 @@
             }
             Event::Stop(done) => {
                 self.member_event(now, membership::Event::Stop);
+                // A stopped host has no place in a snapshot.
+                self.stale = false;
                 let _ = done.send(());
             }
         }
