--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -52,6 +52,9 @@
     /// Moves of traffic to new versions.
     #[command(subcommand)]
     Rollout(Rollout),
+    /// Settings files of nodes.
+    #[command(subcommand)]
+    Settings(Settings),
     /// Certificates for development.
     #[command(subcommand)]
     Certificates(Certificates),
@@ -115,6 +118,16 @@
     List,
 }
 
+/// Commands on settings.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Settings {
+    /// Check the settings file of a node. The other programs check theirs with `--check`.
+    Check {
+        /// The settings file (INI).
+        file: PathBuf,
+    },
+}
+
 /// Commands on certificates.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Certificates {
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -2,6 +2,7 @@
 
 mod certificates;
 mod documentation;
+mod settings;
 mod state;
 mod ticket;
 
@@ -18,6 +19,7 @@
         Command::Config(command) => state::config(&client, command, format).await,
         Command::Node(command) => state::nodes(&client, command, format).await,
         Command::Rollout(command) => state::rollouts(&client, command, format).await,
+        Command::Settings(command) => settings::run(command),
         Command::Certificates(command) => certificates::run(command),
         Command::Completions { shell } => documentation::completions(shell),
         Command::Man { directory } => documentation::man(directory),
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -68,9 +68,6 @@
     /// The time to wait is over.
     #[error("ticket {number} has no final result after {seconds} s")]
     TimedOut { number: u64, seconds: u64 },
-    /// The command is not part of this build.
-    #[error("{0} is not part of this build")]
-    NotBuilt(&'static str),
 }
 
 impl Error {
@@ -79,9 +76,7 @@
         match self {
             Self::Unreachable(_) => Exit::Unreachable,
             Self::TimedOut { .. } => Exit::TimedOut,
-            Self::Read { .. } | Self::Write(_) | Self::NotFiled(_) | Self::NotBuilt(_) => {
-                Exit::Usage
-            }
+            Self::Read { .. } | Self::Write(_) | Self::NotFiled(_) => Exit::Usage,
         }
     }
 }
--- a/crates/transport/src/certificates.rs
+++ b/crates/transport/src/certificates.rs
@@ -1,8 +1,8 @@
 //! Development certificates: one authority and a certificate per host.
 
 use rcgen::{
-    BasicConstraints, CertificateParams, CertifiedIssuer, DnType, ExtendedKeyUsagePurpose, IsCa,
-    KeyPair, KeyUsagePurpose, SanType,
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose, SanType,
 };
 use std::net::IpAddr;
 
@@ -28,9 +28,13 @@
     pub key: String,
 }
 
+/// Common name of the authority.
+const SUBJECT: &str = "knapweedreach development authority";
+
 /// A certificate authority for development and tests.
 pub struct Authority {
-    issuer: CertifiedIssuer<'static, KeyPair>,
+    issuer: Issuer<'static, KeyPair>,
+    own: Pair,
 }
 
 impl Authority {
@@ -40,24 +44,42 @@
     ///
     /// The library refused the parameters.
     pub fn new() -> Result<Self, Error> {
-        let subject = "knapweedreach development authority";
         let make = || -> Result<_, rcgen::Error> {
-            let mut params = CertificateParams::default();
-            params.distinguished_name.push(DnType::CommonName, subject);
-            params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-            params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
-            CertifiedIssuer::self_signed(params, KeyPair::generate()?)
+            let key = KeyPair::generate()?;
+            let certificate = parameters().self_signed(&key)?;
+            let own = Pair {
+                certificate: certificate.pem(),
+                key: key.serialize_pem(),
+            };
+            Ok(Self {
+                issuer: Issuer::new(parameters(), key),
+                own,
+            })
         };
-        let issuer = make().map_err(|source| Error::Generate {
-            subject: subject.into(),
-            source,
-        })?;
-        Ok(Self { issuer })
+        make().map_err(|source| generate(SUBJECT, source))
+    }
+
+    /// An authority that was made before.
+    ///
+    /// # Errors
+    ///
+    /// The key is not a private key in PEM form.
+    pub fn load(own: Pair) -> Result<Self, Error> {
+        let key = KeyPair::from_pem(&own.key).map_err(|source| generate(SUBJECT, source))?;
+        Ok(Self {
+            issuer: Issuer::new(parameters(), key),
+            own,
+        })
     }
 
     /// The certificate of the authority, as PEM text.
     pub fn certificate(&self) -> String {
-        self.issuer.pem()
+        self.own.certificate.clone()
+    }
+
+    /// The certificate and the private key of the authority.
+    pub fn pair(&self) -> &Pair {
+        &self.own
     }
 
     /// Makes a certificate for the node of `host` at `addresses`.
@@ -83,9 +105,21 @@
                 key: key.serialize_pem(),
             })
         };
-        make().map_err(|source| Error::Generate {
-            subject: host.into(),
-            source,
-        })
+        make().map_err(|source| generate(host, source))
+    }
+}
+
+fn parameters() -> CertificateParams {
+    let mut params = CertificateParams::default();
+    params.distinguished_name.push(DnType::CommonName, SUBJECT);
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    params
+}
+
+fn generate(subject: &str, source: rcgen::Error) -> Error {
+    Error::Generate {
+        subject: subject.into(),
+        source,
     }
 }
