perf(world): find a route by the segments of its path

Cause: the search through all routes grew with their number and was most of the cost of a routing decision at 160 routes.

--- a/crates/world/src/snapshot.rs
+++ b/crates/world/src/snapshot.rs
@@ -4,6 +4,7 @@
 
 use crate::backend_server::{Announcement, ServerId};
 use crate::link::Distance;
+use crate::route::RouteTable;
 use crate::{
     BackendServer, BackendServerKey, ConfigVersion, Host, HostKey, Link, LinkKey, Name, Region,
     RegionKey, Route, RouteKey, ServerLoad, Service, ServiceKey, Zone, ZoneKey,
@@ -45,11 +46,9 @@
     pub announcements: Vec<Announcement>,
 }
 
-/// The mesh at one configuration version, with every reference resolved.
-#[derive(Clone, Debug)]
-pub struct Snapshot {
-    version: ConfigVersion,
-    local: HostKey,
+/// The objects of a snapshot.
+#[derive(Clone, Debug, Default)]
+struct Arenas {
     regions: SlotMap<RegionKey, Region>,
     zones: SlotMap<ZoneKey, Zone>,
     links: SlotMap<LinkKey, Link>,
@@ -57,8 +56,15 @@
     services: SlotMap<ServiceKey, Service>,
     backend_servers: SlotMap<BackendServerKey, BackendServer>,
     routes: SlotMap<RouteKey, Route>,
-    /// Routes by length of their prefix, longest first.
-    route_order: Vec<RouteKey>,
+}
+
+/// The mesh at one configuration version, with every reference resolved.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    version: ConfigVersion,
+    local: HostKey,
+    arenas: Arenas,
+    route_table: RouteTable,
     loads: HashMap<ServerId, Arc<ServerLoad>>,
 }
 
@@ -76,32 +82,32 @@
 
     /// The host of `key`.
     pub fn host(&self, key: HostKey) -> &Host {
-        &self.hosts[key]
+        &self.arenas.hosts[key]
     }
 
     /// The availability zone of `key`.
     pub fn zone(&self, key: ZoneKey) -> &Zone {
-        &self.zones[key]
+        &self.arenas.zones[key]
     }
 
     /// The region of `key`.
     pub fn region(&self, key: RegionKey) -> &Region {
-        &self.regions[key]
+        &self.arenas.regions[key]
     }
 
     /// The service of `key`.
     pub fn service(&self, key: ServiceKey) -> &Service {
-        &self.services[key]
+        &self.arenas.services[key]
     }
 
     /// The route of `key`.
     pub fn route(&self, key: RouteKey) -> &Route {
-        &self.routes[key]
+        &self.arenas.routes[key]
     }
 
     /// The backend server of `key`.
     pub fn backend_server(&self, key: BackendServerKey) -> &BackendServer {
-        &self.backend_servers[key]
+        &self.arenas.backend_servers[key]
     }
 }
 
@@ -109,35 +115,32 @@
 impl Snapshot {
     /// The route with the longest prefix that matches `path`.
     pub fn find_route(&self, path: &[u8]) -> Option<RouteKey> {
-        self.route_order
-            .iter()
-            .copied()
-            .find(|k| self.routes[*k].matches(path))
+        self.route_table.find(path)
     }
 
     /// All hosts.
     pub fn hosts(&self) -> impl Iterator<Item = (HostKey, &Host)> {
-        self.hosts.iter()
+        self.arenas.hosts.iter()
     }
 
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = (ServiceKey, &Service)> {
-        self.services.iter()
+        self.arenas.services.iter()
     }
 
     /// All routes, longest prefix first.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
-        self.route_order.iter().map(|k| &self.routes[*k])
+        self.route_table.iter().map(|k| &self.arenas.routes[k])
     }
 
     /// All links from the local availability zone.
     pub fn links(&self) -> impl Iterator<Item = &Link> {
-        self.links.values()
+        self.arenas.links.values()
     }
 
     /// All backend servers.
     pub fn backend_servers(&self) -> impl Iterator<Item = (BackendServerKey, &BackendServer)> {
-        self.backend_servers.iter()
+        self.arenas.backend_servers.iter()
     }
 
     /// The distance from the local host to `host`.
@@ -145,12 +148,12 @@
         if host == self.local {
             return Distance::Host;
         }
-        let here = self.hosts[self.local].zone;
-        let there = self.hosts[host].zone;
+        let here = self.arenas.hosts[self.local].zone;
+        let there = self.arenas.hosts[host].zone;
         if here == there {
             return Distance::Zone;
         }
-        zone_distance(&self.zones, here, there)
+        zone_distance(&self.arenas.zones, here, there)
     }
 }
 
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -1,18 +1,17 @@
 //! The builder of snapshots.
 
-use super::{Error, HostEntry, Snapshot, zone_distance};
+use super::{Arenas, Error, HostEntry, Snapshot, zone_distance};
 use crate::backend_server::{Announcement, ServerId};
 use crate::config::VersionShare;
 use crate::link::Distance;
+use crate::route::RouteTable;
 use crate::service::ServedVersion;
 use crate::{
-    BackendServer, BackendServerKey, Config, ConfigVersion, Host, HostKey, Link, LinkKey, Name,
-    Region, RegionKey, Route, RouteKey, ServerLoad, ServerState, Service, ServiceCounters,
-    ServiceKey, Zone, ZoneKey,
+    BackendServer, BackendServerKey, Config, ConfigVersion, Host, HostKey, Link, Name, Region,
+    RegionKey, Route, ServerLoad, ServerState, Service, ServiceCounters, ServiceKey, Zone, ZoneKey,
 };
 use bytes::Bytes;
-use slotmap::SlotMap;
-use std::cmp::Reverse;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,7 +57,7 @@
     /// Keeps the counters of backend servers and services that `previous` knows too.
     pub fn previous(mut self, previous: &Snapshot) -> Self {
         self.loads.clone_from(&previous.loads);
-        let services = previous.services.values();
+        let services = previous.arenas.services.values();
         self.counters = services
             .map(|s| (s.name.clone(), Arc::clone(&s.counters)))
             .collect();
@@ -89,13 +88,7 @@
 /// Arenas being filled, with the names already seen.
 #[derive(Default)]
 struct Draft {
-    regions: SlotMap<RegionKey, Region>,
-    zones: SlotMap<ZoneKey, Zone>,
-    links: SlotMap<LinkKey, Link>,
-    hosts: SlotMap<HostKey, Host>,
-    services: SlotMap<ServiceKey, Service>,
-    backend_servers: SlotMap<BackendServerKey, BackendServer>,
-    routes: SlotMap<RouteKey, Route>,
+    arenas: Arenas,
     region_names: HashMap<Name, RegionKey>,
     zone_names: HashMap<Name, ZoneKey>,
     host_names: HashMap<Name, HostKey>,
@@ -106,13 +99,13 @@
 impl Draft {
     fn add_host(&mut self, entry: &HostEntry) {
         let zone = self.zone(&entry.zone, &entry.region);
-        let key = self.hosts.insert(Host {
+        let key = self.arenas.hosts.insert(Host {
             name: entry.name.clone(),
             zone,
             address: entry.address,
             backend_servers: Vec::new(),
         });
-        self.zones[zone].hosts.push(key);
+        self.arenas.zones[zone].hosts.push(key);
         self.host_names.insert(entry.name.clone(), key);
     }
 
@@ -129,8 +122,8 @@
             region,
             hosts: Vec::new(),
         };
-        let key = self.zones.insert(zone);
-        self.regions[region].zones.push(key);
+        let key = self.arenas.zones.insert(zone);
+        self.arenas.regions[region].zones.push(key);
         self.zone_names.insert(name.clone(), key);
         key
     }
@@ -140,7 +133,7 @@
             name: name.clone(),
             zones: Vec::new(),
         };
-        let key = self.regions.insert(region);
+        let key = self.arenas.regions.insert(region);
         self.region_names.insert(name.clone(), key);
         key
     }
@@ -151,10 +144,10 @@
     }
 
     fn add_links(&mut self, local: HostKey) {
-        let here = self.hosts[local].zone;
-        for to in self.zones.keys() {
-            let distance = zone_distance(&self.zones, here, to);
-            self.links.insert(Link { to, distance });
+        let here = self.arenas.hosts[local].zone;
+        for to in self.arenas.zones.keys() {
+            let distance = zone_distance(&self.arenas.zones, here, to);
+            self.arenas.links.insert(Link { to, distance });
         }
     }
 
@@ -163,7 +156,7 @@
             let shares = builder.shares.get(name).unwrap_or(&service.versions);
             let counters = builder.counters.get(name).cloned();
             let versions = shares.iter().map(served_version).collect();
-            let key = self.services.insert(Service {
+            let key = self.arenas.services.insert(Service {
                 name: name.clone(),
                 versions,
                 counters: counters.unwrap_or_default(),
@@ -179,8 +172,8 @@
         loads: &HashMap<ServerId, Arc<ServerLoad>>,
     ) {
         let host = self.host_names[&entry.name];
-        let here = self.hosts[local].zone;
-        let distance = zone_distance(&self.zones, here, self.hosts[host].zone);
+        let here = self.arenas.hosts[local].zone;
+        let distance = zone_distance(&self.arenas.zones, here, self.arenas.hosts[host].zone);
         for announcement in &entry.announcements {
             let Some(service) = self.service_names.get(&announcement.service).copied() else {
                 continue;
@@ -189,8 +182,8 @@
             let load = loads.get(&id).cloned().unwrap_or_default();
             self.loads.insert(id, Arc::clone(&load));
             let server = backend_server(announcement, service, host, load);
-            let key = self.backend_servers.insert(server);
-            self.hosts[host].backend_servers.push(key);
+            let key = self.arenas.backend_servers.insert(server);
+            self.arenas.hosts[host].backend_servers.push(key);
             if announcement.state == ServerState::Ready {
                 self.serve(service, &announcement.version, distance, key);
             }
@@ -204,7 +197,7 @@
         distance: Distance,
         key: BackendServerKey,
     ) {
-        let versions = &mut self.services[service].versions;
+        let versions = &mut self.arenas.services[service].versions;
         if let Some(served) = versions.iter_mut().find(|v| v.version == *version) {
             served.servers[ring(distance)].push(key);
         }
@@ -218,7 +211,7 @@
                     service: route.service.clone(),
                 });
             };
-            self.routes.insert(Route {
+            self.arenas.routes.insert(Route {
                 name: name.clone(),
                 path_prefix: Bytes::copy_from_slice(route.path_prefix.as_bytes()),
                 service,
@@ -234,19 +227,13 @@
     }
 
     fn finish(self, version: ConfigVersion, local: HostKey) -> Snapshot {
-        let mut route_order: Vec<_> = self.routes.keys().collect();
-        route_order.sort_by_key(|k| Reverse(self.routes[*k].path_prefix.len()));
+        let routes = self.arenas.routes.iter();
+        let prefixes = routes.map(|(key, route)| (route.path_prefix.clone(), key));
         Snapshot {
             version,
             local,
-            regions: self.regions,
-            zones: self.zones,
-            links: self.links,
-            hosts: self.hosts,
-            services: self.services,
-            backend_servers: self.backend_servers,
-            routes: self.routes,
-            route_order,
+            route_table: RouteTable::new(prefixes),
+            arenas: self.arenas,
             loads: self.loads,
         }
     }
