--- a/crates/rollout/src/planner/deadline.rs
+++ b/crates/rollout/src/planner/deadline.rs
@@ -16,7 +16,7 @@
 /// The part of the ramp time, in percent, by which each of [`STEPS`] is taken
 /// at the latest. The small shares get most of the time, because a fault costs
 /// least there. The margin after the last one covers platform calls that wait.
-const LATEST_PERCENT: [u32; 5] = [18, 32, 46, 62, 82];
+const LATEST_PERCENT: [u32; 5] = [20, 36, 52, 70, 92];
 /// The first share waits at most this part of the ramp time, in percent, for
 /// the rate of requests to be known.
 const RATE_WAIT_PERCENT: u32 = 5;
