test(rollout): measure false alarms over good versions only

Cause: 400 good versions per deployment say little about a bound of 1 in 1,000. Change: the evaluation adds 2,000 replays of good versions per deployment.

--- a/crates/rollout/examples/evaluate.rs
+++ b/crates/rollout/examples/evaluate.rs
@@ -19,6 +19,10 @@
 const THREADS: usize = 5;
 /// False alarms that are printed per deployment and variant.
 const SHOWN_ALARMS: u64 = 3;
+/// Replays of good versions only, per deployment, for the rate of false alarms.
+const GOOD_REPLAYS: usize = 2_000;
+/// Their first seed; the other replays stay below it.
+const GOOD_SEED: u64 = 1_000_000;
 /// Confidence of the bound on false alarms.
 const CONFIDENCE: f64 = 0.95;
 
@@ -69,7 +73,14 @@
     }
 }
 
-fn run_all(deployment: Deployment, variant: Variant, replays: usize, seed: u64) -> Vec<Replayed> {
+/// Replays `version(i)` for each `i` below `replays`.
+fn run_all(
+    deployment: Deployment,
+    variant: Variant,
+    replays: usize,
+    seed: u64,
+    version: fn(usize) -> Version,
+) -> Vec<Replayed> {
     let next = AtomicUsize::new(0);
     let work = || {
         let mut done = Vec::new();
@@ -216,6 +227,32 @@
     }
 }
 
+/// Prints the rate of false alarms over many good versions.
+fn report_good(deployment: Deployment) {
+    let good = |i| Version::Good(GOOD[i % GOOD.len()]);
+    let replayed = run_all(deployment, VARIANTS[0], GOOD_REPLAYS, GOOD_SEED, good);
+    let alarms: Vec<_> = replayed
+        .iter()
+        .filter(|r| r.outcomes.pulled_back())
+        .collect();
+    let in_time = replayed.iter().filter(|r| r.outcomes.in_time()).count();
+    let count = alarms.len() as u64;
+    let bound = 100.0 * upper_bound(count, GOOD_REPLAYS as u64);
+    println!(
+        "good versions only, {}, seeds from {GOOD_SEED}",
+        VARIANTS[0].title
+    );
+    println!("  in time {in_time}/{GOOD_REPLAYS}, false alarms {count} (rate at most {bound:.3}%)");
+    for alarm in alarms {
+        println!(
+            "    replay {}: {:?} {:?}",
+            alarm.i,
+            good(alarm.i),
+            alarm.outcomes.outcome
+        );
+    }
+}
+
 fn main() {
     let mut args = std::env::args().skip(1);
     let replays = args
@@ -232,9 +269,10 @@
             deployment.title
         );
         for (i, variant) in VARIANTS.into_iter().enumerate() {
-            let replayed = run_all(deployment, variant, replays, seed);
+            let replayed = run_all(deployment, variant, replays, seed, version);
             report(variant, &replayed, i < 3);
         }
+        report_good(deployment);
     }
     println!("\n{:.0} s", start.elapsed().as_secs_f64());
 }
