--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -33,9 +33,6 @@
 /// No forward steps for this long after the start, so that copies of the state
 /// on the nodes arrive first.
 pub const TAKEOVER_WAIT: Duration = Duration::from_secs(2);
-/// Counts are not judged for this long after a change of shares: a window, its
-/// way to here, and the queues of servers that had more load before.
-const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 /// Wait before an unconfirmed result is asked for again.
 const RESULT_RETRY: Duration = Duration::from_secs(2);
 /// The state is published again after this long, for nodes that missed it.
@@ -63,9 +60,6 @@
     no_servers_since: Option<Time>,
     guard_tripped: bool,
     guard_rechecks: u32,
-    /// The last share and when it was reached.
-    progress: Option<Share>,
-    share_changed: Option<Time>,
 }
 
 /// Construction.
@@ -91,8 +85,6 @@
             no_servers_since: None,
             guard_tripped: false,
             guard_rechecks: 0,
-            progress: None,
-            share_changed: None,
         }
     }
 }
@@ -137,22 +129,12 @@
             .count(&report.counters, &state.new_versions(), now);
         self.guard_tripped |= report.guard_trips > 0;
         self.evidence.add(&report.counters, wall);
-        if self.is_settling(now) {
-            return;
-        }
         self.judge.observe(&Window {
             counters: &report.counters,
             capacity: self.traffic.capacity(),
         });
     }
 
-    /// Whether counts may still stem from before the last change of shares. They
-    /// mix two times, so that a change of everything looks like one of a version.
-    fn is_settling(&self, now: Time) -> bool {
-        let changed = self.share_changed;
-        changed.is_some_and(|at| now.since(at) < SETTLE_TIME)
-    }
-
     fn read(
         &mut self,
         state: Option<RolloutState>,
@@ -183,11 +165,6 @@
             Some(current) => current.join(state),
             None => state,
         };
-        let progress = joined.phase.progress();
-        if self.progress != Some(progress) {
-            self.progress = Some(progress);
-            self.share_changed = Some(now);
-        }
         if self.tested == Some(joined.ticket) {
             self.traffic.next_step();
         } else {
--- a/crates/rollout/src/control/step.rs
+++ b/crates/rollout/src/control/step.rs
@@ -18,7 +18,7 @@
 /// Most rechecks because of guards; each guard takes part in this many.
 const MAX_GUARD_RECHECKS: u32 = 2;
 /// How long a suspicion is checked side by side at most.
-const RECHECK_TIME: Duration = Duration::from_secs(10);
+const RECHECK_TIME: Duration = Duration::from_secs(8);
 
 impl Control {
     /// Takes every decision that is due.
