fix(rollout): bound the rechecks of a suspicion

Cause: in a long general slowdown the check was repeated every ten seconds, and each repetition added a chance of a false alarm; rechecks because of guards counted as checks in which the old version was as usual. Change: at most four rechecks of suspicions per rollout; only these count. The evaluation takes the number of good versions as an argument.

--- a/crates/rollout/examples/evaluate.rs
+++ b/crates/rollout/examples/evaluate.rs
@@ -1,6 +1,6 @@
 //! Seeded evaluation of judges and planners on simulated rollouts.
 //!
-//! Usage: `cargo run --release -p knapweed-rollout --example evaluate [REPLAYS] [FIRST_SEED]`
+//! Usage: `cargo run --release -p knapweed-rollout --example evaluate [REPLAYS] [FIRST_SEED] [GOOD_REPLAYS]`
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -228,21 +228,21 @@
 }
 
 /// Prints the rate of false alarms over many good versions.
-fn report_good(deployment: Deployment) {
+fn report_good(deployment: Deployment, replays: usize) {
     let good = |i| Version::Good(GOOD[i % GOOD.len()]);
-    let replayed = run_all(deployment, VARIANTS[0], GOOD_REPLAYS, GOOD_SEED, good);
+    let replayed = run_all(deployment, VARIANTS[0], replays, GOOD_SEED, good);
     let alarms: Vec<_> = replayed
         .iter()
         .filter(|r| r.outcomes.pulled_back())
         .collect();
     let in_time = replayed.iter().filter(|r| r.outcomes.in_time()).count();
     let count = alarms.len() as u64;
-    let bound = 100.0 * upper_bound(count, GOOD_REPLAYS as u64);
+    let bound = 100.0 * upper_bound(count, replays as u64);
     println!(
         "good versions only, {}, seeds from {GOOD_SEED}",
         VARIANTS[0].title
     );
-    println!("  in time {in_time}/{GOOD_REPLAYS}, false alarms {count} (rate at most {bound:.3}%)");
+    println!("  in time {in_time}/{replays}, false alarms {count} (rate at most {bound:.3}%)");
     for alarm in alarms {
         println!(
             "    replay {}: {:?} {:?}",
@@ -259,6 +259,9 @@
         .next()
         .map_or(REPLAYS, |a| a.parse().expect("a number"));
     let seed = args.next().map_or(1, |a| a.parse().expect("a number"));
+    let good_replays = args
+        .next()
+        .map_or(GOOD_REPLAYS, |a| a.parse().expect("a number"));
     let start = Instant::now();
     println!(
         "median and worst of requests to a bad version, and of seconds from first fault to zero share"
@@ -272,7 +275,7 @@
             let replayed = run_all(deployment, variant, replays, seed, version);
             report(variant, &replayed, i < 3);
         }
-        report_good(deployment);
+        report_good(deployment, good_replays);
     }
     println!("\n{:.0} s", start.elapsed().as_secs_f64());
 }
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -60,6 +60,8 @@
     no_servers_since: Option<Time>,
     guard_tripped: bool,
     guard_rechecks: u32,
+    rechecks: u32,
+    is_suspicion_checked: bool,
 }
 
 /// Construction.
@@ -85,6 +87,8 @@
             no_servers_since: None,
             guard_tripped: false,
             guard_rechecks: 0,
+            rechecks: 0,
+            is_suspicion_checked: false,
         }
     }
 }
@@ -190,6 +194,8 @@
         self.no_servers_since = None;
         self.guard_tripped = false;
         self.guard_rechecks = 0;
+        self.rechecks = 0;
+        self.is_suspicion_checked = false;
     }
 
     fn publish(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/crates/rollout/src/control/step.rs
+++ b/crates/rollout/src/control/step.rs
@@ -15,6 +15,9 @@
 const MAX_OWED: usize = 8;
 /// New servers that are all gone for this long do not come back in time.
 const SERVERS_GONE: Duration = Duration::from_secs(10);
+/// Most rechecks of suspicions. Two tell a fault that needs full load; in a long
+/// general slowdown each further one adds a chance of a false alarm.
+const MAX_RECHECKS: u32 = 4;
 /// Most rechecks because of guards; each guard takes part in this many.
 const MAX_GUARD_RECHECKS: u32 = 2;
 /// How long a suspicion is checked side by side at most.
@@ -197,7 +200,12 @@
             return self.end_recheck(since, share, now);
         }
         let is_suspect = matches!(self.judge.verdict(), Verdict::Suspect(_));
-        if self.wants_guard_recheck() || (share == Share::ALL && is_suspect) {
+        let wants_recheck = share == Share::ALL && is_suspect && self.rechecks < MAX_RECHECKS;
+        if wants_recheck {
+            self.rechecks += 1;
+            self.is_suspicion_checked = true;
+        }
+        if wants_recheck || self.wants_guard_recheck() {
             return self.start_recheck(state, now);
         }
         let view = self.view(state, now, wall);
@@ -236,7 +244,9 @@
             return None;
         }
         self.rechecked = None;
-        self.judge.acquit();
+        if std::mem::take(&mut self.is_suspicion_checked) {
+            self.judge.acquit();
+        }
         Some(Phase::Ramping(self.resume_at.take().unwrap_or(share)))
     }
 
