feat(demo): say how many nodes are known when joining takes too long

Cause: a run with 60 nodes ended with one node missing and did not say so. Change: the error names the number of nodes seen alive.

--- a/crates/demo/src/mesh.rs
+++ b/crates/demo/src/mesh.rs
@@ -286,16 +286,22 @@
         let start = Instant::now();
         for host in hosts {
             let what = format!("host {host} knows {nodes} nodes");
-            self.until(&what, wait, || async move {
-                let known = self.nodes_of(host).await.ok()?;
-                let alive = known.iter().filter(|n| n["state"] == "alive").count();
-                (alive == nodes).then_some(())
-            })
-            .await?;
+            let joined = self.until(&what, wait, || async move {
+                (self.alive_at(host).await.ok()? == nodes).then_some(())
+            });
+            if let Err(err) = joined.await {
+                return Err(err.context(format!("alive: {:?}", self.alive_at(host).await)));
+            }
         }
         Ok(start.elapsed())
     }
 
+    /// The number of nodes that the node of `host` sees alive.
+    async fn alive_at(&self, host: &str) -> anyhow::Result<usize> {
+        let known = self.nodes_of(host).await?;
+        Ok(known.iter().filter(|n| n["state"] == "alive").count())
+    }
+
     /// The nodes that the node of `host` knows.
     ///
     /// # Errors
