feat(node): retire silent connections and inquire about lost exchanges

Cause: a request on a connection that went silent waited until its deadline and ended as unknown, although the egress had run it or had never got it.

Change: the ingress watches the connections on which requests wait, probes and retires them at the bounds of the design, and asks the egress about the send over a fresh connection. The egress remembers the sends of other nodes, lets a request run on when only its connection is lost, and refuses a send that it has declared as never run. The stand-in path in the tests drops packets of one direction.

--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -1,11 +1,17 @@
 //! How a request gets from the ingress to the egress of the chosen host.
 
+mod inquiry;
+mod silence;
+
 use crate::body::{self, Body, RequestBody};
 use crate::egress::Egress;
 use futures_util::future::BoxFuture;
 use knapweed_host::{NotRun, Outcome, Unknown};
+use knapweed_timer::TimerService;
+use knapweed_transport::stream::Error;
 use knapweed_transport::{Peers, Receiver, Sender};
 use knapweed_wire::{RequestHead, ResponseHead, StreamHead, decode, encode};
+use silence::{Waiting, Watch};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -65,14 +71,23 @@
 }
 
 /// Carries requests over QUIC, one stream for each.
+///
+/// An exchange whose connection is lost or goes silent is resolved by an
+/// inquiry at the same node.
 pub struct LinkCarrier {
     peers: Arc<Peers>,
+    watch: Watch,
+    timer: TimerService,
 }
 
 impl LinkCarrier {
     /// A carrier over the connections of `peers`.
-    pub fn new(peers: Arc<Peers>) -> Self {
-        Self { peers }
+    pub fn new(peers: Arc<Peers>, timer: TimerService) -> Self {
+        Self {
+            watch: Watch::start(Arc::clone(&peers), timer.clone()),
+            peers,
+            timer,
+        }
     }
 
     async fn exchange(
@@ -81,26 +96,45 @@
         head: RequestHead,
         body: &mut RequestBody,
     ) -> Result<Response, Outcome> {
-        let time_left = Duration::from_micros(head.time_left_us);
-        let exchange = async {
-            let buf = encode(&StreamHead::Request(Box::new(head)))
-                .map_err(|_| Outcome::NotRun(NotRun::InvalidHeader))?;
-            let (mut tx, rx) = self
-                .peers
-                .open(node)
-                .await
-                .map_err(|_| Outcome::NotRun(NotRun::ConnectFailed))?;
-            // A part of the head never runs: the egress acts on whole heads only.
-            // Whether all of it arrived is unknown once the write has begun.
-            tx.head(&buf)
-                .await
-                .map_err(|_| Outcome::Unknown(Unknown::ConnectionLost))?;
-            let upload = Upload::start(body, tx);
-            receive(rx, upload).await
+        let buf = encode(&StreamHead::Request(Box::new(head)))
+            .map_err(|_| Outcome::NotRun(NotRun::InvalidHeader))?;
+        let (link, mut tx, rx) = self
+            .peers
+            .open_watched(node)
+            .await
+            .map_err(|_| Outcome::NotRun(NotRun::ConnectFailed))?;
+        let waiting = self.watch.sent(link);
+        // A part of the head never runs: the egress acts on whole heads only.
+        // Whether all of it arrived is unknown once the write has begun.
+        tx.head(&buf).await.map_err(|err| match err {
+            Error::HeadTooLong(_) => Outcome::NotRun(NotRun::InvalidHeader),
+            Error::Cancelled | Error::Lost(_) => Outcome::Unknown(Unknown::ConnectionLost),
+        })?;
+        let upload = Upload::start(body, tx, waiting);
+        receive(rx, upload).await
+    }
+
+    async fn resolve(
+        &self,
+        node: SocketAddr,
+        head: RequestHead,
+        body: &mut RequestBody,
+    ) -> Response {
+        let sent_at = self.timer.now();
+        let left = Duration::from_micros(head.time_left_us);
+        let lost = inquiry::Lost {
+            node,
+            send: head.id,
+            sent_at,
+            deadline: sent_at.after(left),
         };
-        match tokio::time::timeout(time_left, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(Outcome::Unknown(Unknown::DeadlinePassed)),
+        match tokio::time::timeout(left, self.exchange(node, head, body)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(Outcome::Unknown(Unknown::ConnectionLost))) => {
+                inquiry::resolve(&self.peers, &self.timer, &lost).await
+            }
+            Ok(Err(outcome)) => Response::without_answer(outcome),
+            Err(_) => Response::without_answer(Outcome::Unknown(Unknown::DeadlinePassed)),
         }
     }
 }
@@ -112,11 +146,7 @@
         head: RequestHead,
         body: &'a mut RequestBody,
     ) -> BoxFuture<'a, Response> {
-        Box::pin(async move {
-            self.exchange(node, head, body)
-                .await
-                .unwrap_or_else(Response::without_answer)
-        })
+        Box::pin(self.resolve(node, head, body))
     }
 }
 
@@ -128,30 +158,35 @@
     Ok(Response { head, body })
 }
 
-/// A request body being sent beside the response; dropping it resets the stream.
+/// A request whose response is not whole, with its body being sent beside it.
+/// Dropping it resets the stream of a body that was not sent.
 struct Upload {
     task: Option<JoinHandle<()>>,
+    _waiting: Waiting,
 }
 
 impl Upload {
-    fn start(body: &mut RequestBody, mut tx: Sender) -> Self {
+    fn start(body: &mut RequestBody, mut tx: Sender, waiting: Waiting) -> Self {
         if body.is_empty() {
             tx.finish();
-            return Self { task: None };
+            return Self {
+                task: None,
+                _waiting: waiting,
+            };
         }
         let body = body.take();
         let task = tokio::spawn(async move {
             // The other end sees the reset of the stream; the response tells the rest.
             let _ = body::send(body, &mut tx).await;
         });
-        Self { task: Some(task) }
+        Self {
+            task: Some(task),
+            _waiting: waiting,
+        }
     }
 
-    /// Keeps the upload going for as long as the response is being read.
+    /// Keeps the request waiting and its upload going for as long as the response is being read.
     fn attach(self, response: Body) -> Body {
-        if self.task.is_none() {
-            return response;
-        }
         crate::guarded::Guarded::new(response, self).boxed()
     }
 }
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -36,7 +36,8 @@
             StreamHead::Rollouts { states, holder } => self.states(states, holder),
             StreamHead::Report { service, report } => self.report(&service, &report),
             StreamHead::Floor { host } => self.answer_floor(&host, incoming),
-            StreamHead::Request(_) => {}
+            // The egress takes these before they reach the control thread.
+            StreamHead::Request(_) | StreamHead::Inquire { .. } => {}
         }
     }
 }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -1,6 +1,7 @@
 //! The egress: runs requests on the backend servers of the own host.
 
 mod exchange;
+mod exchanges;
 mod lane;
 mod pool;
 pub mod serve;
@@ -9,6 +10,7 @@
 use crate::carrier::Response;
 use crate::trial::Trials;
 use arc_swap::ArcSwap;
+use exchanges::Exchanges;
 use futures_util::future::BoxFuture;
 use knapweed_host::{NotRun, Outcome};
 use knapweed_timer::TimerService;
@@ -27,6 +29,7 @@
 pub struct Egress {
     lanes: ArcSwap<Lanes>,
     trials: Arc<Trials>,
+    exchanges: Arc<Exchanges>,
     timer: TimerService,
 }
 
@@ -37,6 +40,7 @@
         Self {
             lanes: ArcSwap::default(),
             trials,
+            exchanges: Arc::new(Exchanges::new(timer.clone())),
             timer,
         }
     }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -105,7 +105,7 @@
         snapshots,
         choice: Box::new(NearestLeastLoaded::default()),
         local: Box::new(LocalCarrier::new(egress)),
-        link: Box::new(LinkCarrier::new(endpoint.peers())),
+        link: Box::new(LinkCarrier::new(endpoint.peers(), timer.clone())),
         drain: Arc::clone(&drain),
         ready: Arc::clone(&ready),
         timer: timer.clone(),
@@ -217,6 +217,10 @@
     };
     match head {
         Ok(StreamHead::Request(head)) => serve::request(egress, *head, incoming).await,
+        Ok(StreamHead::Inquire { send, age_us }) => {
+            let age = Duration::from_micros(age_us);
+            serve::inquiry(&egress, send, age, incoming).await;
+        }
         Ok(head) => {
             control
                 .send(Event::Stream {
--- /dev/null
+++ b/crates/node/tests/common/cut.rs
@@ -0,0 +1,85 @@
+//! A UDP path to a node that drops packets of one direction for a time.
+
+use parking_lot::Mutex;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+
+/// First two bits of a long-header packet, and its type field (RFC 9000, 17.2).
+const LONG_HEADER_TYPE: u8 = 0b1111_0000;
+/// A long-header packet of the type Initial.
+const INITIAL: u8 = 0b1100_0000;
+
+pub(crate) struct Cut {
+    address: SocketAddr,
+    requests_until: Mutex<Option<Instant>>,
+    responses_until: Mutex<Option<Instant>>,
+    initials: AtomicU32,
+}
+
+impl Cut {
+    /// Starts a path to the node at `node`, for one other node.
+    pub(crate) async fn start(node: SocketAddr) -> Arc<Self> {
+        let near = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let near = near.expect("a port");
+        let far = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let far = far.expect("a port");
+        far.connect(node).await.expect("a connected socket");
+        let cut = Arc::new(Self {
+            address: near.local_addr().expect("an address"),
+            requests_until: Mutex::default(),
+            responses_until: Mutex::default(),
+            initials: AtomicU32::new(0),
+        });
+        tokio::spawn(Arc::clone(&cut).run(near, far));
+        cut
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Drops what goes to the node for `time`.
+    pub(crate) fn drop_requests(&self, time: Duration) {
+        *self.requests_until.lock() = Some(Instant::now() + time);
+    }
+
+    /// Drops what comes from the node for `time`.
+    pub(crate) fn drop_responses(&self, time: Duration) {
+        *self.responses_until.lock() = Some(Instant::now() + time);
+    }
+
+    /// Packets that open a connection, towards the node.
+    pub(crate) fn handshakes(&self) -> u32 {
+        self.initials.load(Ordering::SeqCst)
+    }
+
+    async fn run(self: Arc<Self>, near: UdpSocket, far: UdpSocket) {
+        let (mut out, mut back) = ([0; 2_048], [0; 2_048]);
+        let mut caller = None;
+        loop {
+            tokio::select! {
+                Ok((n, from)) = near.recv_from(&mut out) => {
+                    caller = Some(from);
+                    if out[0] & LONG_HEADER_TYPE == INITIAL {
+                        self.initials.fetch_add(1, Ordering::SeqCst);
+                    }
+                    if is_open(&self.requests_until) {
+                        let _ = far.send(&out[..n]).await;
+                    }
+                }
+                Ok(n) = far.recv(&mut back) => {
+                    if let Some(to) = caller.filter(|_| is_open(&self.responses_until)) {
+                        let _ = near.send_to(&back[..n], to).await;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn is_open(until: &Mutex<Option<Instant>>) -> bool {
+    until.lock().is_none_or(|t| Instant::now() >= t)
+}
--- /dev/null
+++ b/crates/node/tests/common/egress.rs
@@ -0,0 +1,60 @@
+//! The egress of a node, without a control thread.
+
+use super::{End, name};
+use knapweed_node::egress::{Egress, serve};
+use knapweed_node::trial::Trials;
+use knapweed_timer::TimerService;
+use knapweed_transport::certificates::Authority;
+use knapweed_transport::{Arrivals, Endpoint, Incoming};
+use knapweed_wire::{StreamHead, decode};
+use knapweed_world::ServerState;
+use knapweed_world::backend_server::Announcement;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub(crate) struct Node {
+    endpoint: Endpoint,
+}
+
+impl Node {
+    /// Starts an egress in front of one backend server.
+    pub(crate) fn start(authority: &Authority, timer: &TimerService, backend: SocketAddr) -> Self {
+        let End { endpoint, arrivals } = End::open(authority);
+        let egress = Egress::new(timer.clone(), Arc::new(Trials::default()));
+        egress.announce(&Announcement {
+            service: name("calendar"),
+            version: name("v1"),
+            address: backend,
+            slots: 12,
+            max_connections: 110,
+            state: ServerState::Ready,
+        });
+        tokio::spawn(receive(arrivals, Arc::new(egress)));
+        Self { endpoint }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.endpoint.local_address().expect("an address")
+    }
+}
+
+async fn receive(mut arrivals: Arrivals, egress: Arc<Egress>) {
+    while let Some(incoming) = arrivals.streams.recv().await {
+        tokio::spawn(dispatch(incoming, Arc::clone(&egress)));
+    }
+}
+
+async fn dispatch(mut incoming: Incoming, egress: Arc<Egress>) {
+    let Ok(bytes) = incoming.receiver.head().await else {
+        return;
+    };
+    match decode(&bytes).expect("a message") {
+        StreamHead::Request(head) => serve::request(egress, *head, incoming).await,
+        StreamHead::Inquire { send, age_us } => {
+            let age = Duration::from_micros(age_us);
+            serve::inquiry(&egress, send, age, incoming).await;
+        }
+        other => panic!("unexpected message {other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/node/tests/lost_exchanges.rs
@@ -0,0 +1,151 @@
+//! Exchanges between two nodes whose connection goes silent.
+
+mod common;
+
+use common::backend::Backend;
+use common::cut::Cut;
+use common::egress;
+use knapweed_host::inquiry::MAX_TRANSIT;
+use knapweed_host::{Answer, NotRun, Outcome, RequestId, SendId, Unknown};
+use knapweed_node::body::RequestBody;
+use knapweed_node::carrier::{Carrier, LinkCarrier, Response};
+use knapweed_timer::TimerService;
+use knapweed_transport::certificates::Authority;
+use knapweed_wire::RequestHead;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time of one request until its deadline.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// Time after which the egress has nothing left to send on a fresh connection.
+/// Packets that it sends again while requests are cut off show a live connection.
+const SETTLE: Duration = Duration::from_secs(1);
+/// How long the connection stays cut; a retired one is inquired about earlier.
+const CUT_FOR: Duration = Duration::from_millis(600);
+
+fn head(backend: SocketAddr, attempt: u64) -> RequestHead {
+    RequestHead {
+        id: SendId {
+            request: RequestId([7; 16]),
+            attempt,
+        },
+        method: "POST".into(),
+        path: "/calendar".into(),
+        headers: Vec::new(),
+        route: common::name("calendar"),
+        service: common::name("calendar"),
+        version: common::name("v1"),
+        address: backend,
+        time_left_us: DEADLINE.as_micros() as u64,
+        depth: 1,
+        has_body: false,
+    }
+}
+
+/// Two nodes with a link that can be cut, and a backend server at the second.
+struct Pair {
+    carrier: Arc<LinkCarrier>,
+    cut: Arc<Cut>,
+    backend: Backend,
+    _ends: (common::End, egress::Node),
+}
+
+impl Pair {
+    async fn start(work: Duration) -> Self {
+        let authority = Authority::new().expect("an authority");
+        let timer = TimerService::start();
+        let backend = Backend::start(work).await;
+        let node = egress::Node::start(&authority, &timer, backend.address());
+        let cut = Cut::start(node.address()).await;
+        let end = common::End::open(&authority);
+        let carrier = Arc::new(LinkCarrier::new(end.endpoint.peers(), timer));
+        let pair = Self {
+            carrier,
+            cut,
+            backend,
+            _ends: (end, node),
+        };
+        // The connection is open and known to work before it is cut.
+        let first = pair.send(1).await;
+        assert_eq!(first.head.outcome, Outcome::Answered(Answer::Complete));
+        pair
+    }
+
+    async fn send(&self, attempt: u64) -> Response {
+        let head = head(self.backend.address(), attempt);
+        let mut body = RequestBody::Kept(bytes::Bytes::new());
+        let response = self.carrier.carry(self.cut.address(), head, &mut body);
+        response.await
+    }
+}
+
+async fn text(response: Response) -> bytes::Bytes {
+    let body = http_body_util::BodyExt::collect(response.body).await;
+    body.expect("a whole body").to_bytes()
+}
+
+/// Guards against an answer that is lost although the egress has it: the
+/// response is cut off on its way, and the connection stays silent (F8, H5).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_response_cut_off_on_its_way_is_delivered_by_inquiry() {
+    let pair = Pair::start(Duration::ZERO).await;
+    pair.cut.drop_responses(CUT_FOR);
+    let start = Instant::now();
+    let response = pair.send(2).await;
+    assert_eq!(response.head.outcome, Outcome::Answered(Answer::Complete));
+    assert_eq!(text(response).await, "done");
+    assert!(start.elapsed() < DEADLINE / 2, "{:?}", start.elapsed());
+    assert_eq!(pair.backend.runs(), 2);
+}
+
+/// Guards against a run that is cut short, or taken for not run, because its
+/// connection was retired while the backend server worked.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_run_goes_on_when_its_connection_is_lost() {
+    let pair = Pair::start(Duration::from_millis(900)).await;
+    pair.cut.drop_responses(CUT_FOR);
+    let response = pair.send(2).await;
+    assert_eq!(response.head.outcome, Outcome::Answered(Answer::Complete));
+    assert_eq!(text(response).await, "done");
+    assert_eq!(pair.backend.runs(), 2);
+}
+
+/// Guards against `not-run` without proof: the request is cut off on its way,
+/// and a copy of it that arrives later must not run (H6).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_cut_off_on_its_way_never_runs() {
+    let pair = Pair::start(Duration::ZERO).await;
+    // A younger egress cannot exclude that it ran the request before its start.
+    tokio::time::sleep(MAX_TRANSIT).await;
+    pair.cut.drop_requests(CUT_FOR);
+    let never = Outcome::NotRun(NotRun::NeverRan);
+    assert_eq!(pair.send(2).await.head.outcome, never);
+    let late = pair.send(2).await;
+    assert_eq!(late.head.outcome, never);
+    assert_eq!(pair.backend.runs(), 1);
+    let again = pair.send(3).await;
+    assert_eq!(again.head.outcome, Outcome::Answered(Answer::Complete));
+    assert_eq!(pair.backend.runs(), 2);
+}
+
+/// Guards against `not-run` by an egress that may have run the request before
+/// a restart (H6).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_young_egress_does_not_claim_that_a_request_never_ran() {
+    let pair = Pair::start(Duration::ZERO).await;
+    tokio::time::sleep(SETTLE).await;
+    pair.cut.drop_requests(CUT_FOR);
+    let unknown = Outcome::Unknown(Unknown::ConnectionLost);
+    assert_eq!(pair.send(2).await.head.outcome, unknown);
+}
+
+/// Guards against a slow backend server being taken for a silent connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_run_keeps_its_connection() {
+    let pair = Pair::start(Duration::from_millis(900)).await;
+    let before = pair.cut.handshakes();
+    let response = pair.send(2).await;
+    assert_eq!(response.head.outcome, Outcome::Answered(Answer::Complete));
+    assert_eq!(pair.cut.handshakes(), before);
+}
--- a/crates/transport/src/arrivals.rs
+++ b/crates/transport/src/arrivals.rs
@@ -73,6 +73,10 @@
 async fn receive_datagrams(connection: &Connection, queue: mpsc::Sender<(SocketAddr, Bytes)>) {
     let from = connection.remote_address();
     while let Ok(datagram) = connection.read_datagram().await {
+        // An empty datagram is a probe: its acknowledgement is the answer.
+        if datagram.is_empty() {
+            continue;
+        }
         // A full queue drops the datagram: gossip repeats itself.
         if queue.try_send((from, datagram)).is_err() && queue.is_closed() {
             return;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,11 +5,13 @@
 pub mod arrivals;
 pub mod certificates;
 pub mod endpoint;
+pub mod link;
 pub mod peers;
 pub mod stream;
 pub mod tls;
 
 pub use arrivals::{Arrivals, Incoming};
 pub use endpoint::Endpoint;
+pub use link::{Link, LinkId};
 pub use peers::{Peers, Traffic};
 pub use stream::{Receiver, Sender};
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -1,6 +1,7 @@
 //! Connections to other nodes, one for each address, opened on demand.
 
 use crate::arrivals::Queues;
+use crate::link::Link;
 use crate::stream::{Receiver, Sender};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
@@ -98,13 +99,27 @@
     ///
     /// The node cannot be reached; nothing was sent to it.
     pub async fn open(&self, address: SocketAddr) -> Result<(Sender, Receiver), Error> {
+        let (_, tx, rx) = self.open_watched(address).await?;
+        Ok((tx, rx))
+    }
+
+    /// Opens a stream like [`Peers::open`] and tells the connection that carries it.
+    ///
+    /// # Errors
+    ///
+    /// The node cannot be reached; nothing was sent to it.
+    pub async fn open_watched(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(Link, Sender, Receiver), Error> {
         let connection = self.connect(address).await?;
         let streams = connection.open_bi().await;
         let (tx, rx) = streams.map_err(|err| Error::Closed {
             address,
             cause: err.to_string(),
         })?;
-        Ok((Sender::new(tx), Receiver::new(rx)))
+        let link = Link::new(address, connection);
+        Ok((link, Sender::new(tx), Receiver::new(rx)))
     }
 
     /// Sends a datagram to the node at `address`. It may be lost.
@@ -134,6 +149,23 @@
     }
 }
 
+/// Silent connections.
+impl Peers {
+    /// Retires one connection, and no other that has replaced it since.
+    ///
+    /// Streams that are under way on it end with an error.
+    pub fn retire_link(&self, link: &Link) {
+        let connection = link.connection();
+        if let Some(slot) = self.slots.load().get(&link.address()) {
+            let found = slot.current.compare_and_swap(connection, None);
+            if found.as_ref().is_some_and(|c| Arc::ptr_eq(c, connection)) {
+                self.count_closed(connection);
+            }
+        }
+        connection.close(0u32.into(), b"silent");
+    }
+}
+
 /// Access.
 impl Peers {
     /// Bytes sent and received since the start.
--- a/crates/transport/src/stream.rs
+++ b/crates/transport/src/stream.rs
@@ -82,11 +82,14 @@
         let _ = self.inner.finish();
     }
 
-    /// Waits until the other end gives the stream up or the connection ends.
+    /// Waits until the other end gives the stream up. Does not end when the
+    /// connection is lost: the other end may still inquire about the exchange.
     pub fn cancelled(&self) -> impl Future<Output = ()> + Send + use<> {
         let stopped = self.inner.stopped();
         async move {
-            let _ = stopped.await;
+            if !matches!(stopped.await, Ok(Some(_))) {
+                std::future::pending::<()>().await;
+            }
         }
     }
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -1,6 +1,7 @@
 //! What a stream between two nodes is for: the first message on it.
 
 use crate::RequestHead;
+use knapweed_host::SendId;
 use knapweed_link::PartTag;
 use knapweed_rollout::{RolloutState, ZoneReport};
 use knapweed_world::{ConfigVersion, Name};
@@ -40,6 +41,13 @@
         /// The counts.
         report: Box<ZoneReport>,
     },
+    /// Asks what became of a send. Answered by a [`knapweed_host::inquiry::Finding`].
+    Inquire {
+        /// The send.
+        send: SendId,
+        /// Longest time since the send was made, in microseconds.
+        age_us: u64,
+    },
 }
 
 /// The answer to [`StreamHead::Floor`].
