feat(node): remember requests that crash backend servers

Cause: a request that crashes each backend server that runs it took down one after the other, and its crashes counted against the version under rollout.

Change: the egress records a request whose backend server closed the connection and whose port then refuses. Suspects run alone and are refused after two crashes. Records go to members of the availability zone on streams. Such a run gives no sample to the rollout. The ingress sends a request to no third backend server after two lost ones. The tests of lost exchanges move into one program with the new ones, since both use the same nodes; no check changed but the identity of a repeated send, which is now set where it is sent.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -131,6 +131,7 @@
         self.status_tick(now);
         self.rollout_tick(now);
         self.result_tick(now);
+        self.push_crashes();
     }
 
     fn take(&mut self, event: Event) {
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -156,6 +156,23 @@
         others.choose_multiple(&mut rand::rng(), count)
     }
 
+    /// Passes new crash records on to some members of the own availability zone.
+    pub(super) fn push_crashes(&self) {
+        let records = self.parts.egress.take_crashes();
+        if records.is_empty() {
+            return;
+        }
+        let own = self.membership.own();
+        let members = self.membership.directory().present();
+        let others = members
+            .filter(|(_, r)| r.host != own.host && r.zone == own.zone)
+            .map(|(_, r)| r.address);
+        let head = StreamHead::Crashes(records);
+        for to in others.choose_multiple(&mut rand::rng(), PUSH_FANOUT) {
+            self.tell(to, &head);
+        }
+    }
+
     /// Sends a message on a stream without waiting for an answer.
     pub(super) fn tell(&self, to: SocketAddr, head: &StreamHead) {
         let peers = Arc::clone(&self.parts.peers);
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -36,6 +36,7 @@
             StreamHead::Rollouts { states, holder } => self.states(states, holder),
             StreamHead::Report { service, report } => self.report(&service, &report),
             StreamHead::Floor { host } => self.answer_floor(&host, incoming),
+            StreamHead::Crashes(records) => self.parts.egress.learn_crashes(records),
             // The egress takes these before they reach the control thread.
             StreamHead::Request(_) | StreamHead::Inquire { .. } => {}
         }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -1,5 +1,6 @@
 //! The egress: runs requests on the backend servers of the own host.
 
+mod crashes;
 mod exchange;
 mod exchanges;
 mod lane;
@@ -10,8 +11,10 @@
 use crate::carrier::Response;
 use crate::trial::Trials;
 use arc_swap::ArcSwap;
+use crashes::Crashes;
 use exchanges::Exchanges;
 use futures_util::future::BoxFuture;
+use knapweed_host::crash::CrashRecord;
 use knapweed_host::{NotRun, Outcome};
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
@@ -30,6 +33,7 @@
     lanes: ArcSwap<Lanes>,
     trials: Arc<Trials>,
     exchanges: Arc<Exchanges>,
+    crashes: Arc<Crashes>,
     timer: TimerService,
 }
 
@@ -40,6 +44,7 @@
         Self {
             lanes: ArcSwap::default(),
             trials,
+            crashes: Arc::new(Crashes::new(timer.clone())),
             exchanges: Arc::new(Exchanges::new(timer.clone())),
             timer,
         }
@@ -60,6 +65,7 @@
                 let lane = Arc::new(Lane::new(
                     announcement.clone(),
                     Arc::clone(&self.trials),
+                    Arc::clone(&self.crashes),
                     self.timer.clone(),
                 ));
                 lanes.insert(announcement.address, lane);
@@ -72,6 +78,19 @@
     }
 }
 
+/// Crashes.
+impl Egress {
+    /// Takes the crash records that other nodes should be told.
+    pub fn take_crashes(&self) -> Vec<CrashRecord> {
+        self.crashes.take_news()
+    }
+
+    /// Takes crash records of another node.
+    pub fn learn_crashes(&self, records: Vec<CrashRecord>) {
+        self.crashes.merge(records);
+    }
+}
+
 /// Requests.
 impl Egress {
     /// Runs a request on the backend server that its head names.
--- a/crates/node/src/egress/lane.rs
+++ b/crates/node/src/egress/lane.rs
@@ -1,5 +1,6 @@
 //! The lane to one backend server: slots, queue and connections.
 
+use super::crashes::Crashes;
 use super::pool::Pool;
 use super::{exchange, time_left};
 use crate::body::Body;
@@ -35,6 +36,7 @@
     queue: Mutex<Queue>,
     pool: Arc<Pool>,
     trials: Arc<Trials>,
+    crashes: Arc<Crashes>,
     timer: TimerService,
 }
 
@@ -43,6 +45,7 @@
     pub(super) fn new(
         announcement: Announcement,
         trials: Arc<Trials>,
+        crashes: Arc<Crashes>,
         timer: TimerService,
     ) -> Self {
         let admission = FairQueue::new(Options::new(announcement.slots));
@@ -56,6 +59,7 @@
             }),
             pool: Arc::new(pool),
             trials,
+            crashes,
             timer,
         }
     }
@@ -117,29 +121,38 @@
         result
     }
 
-    /// Waits for a slot and runs the request; tells the start when it got a slot.
+    /// Waits for a slot and runs the request; tells the start when it got a slot
+    /// and did not crash the backend server, which is attributed to the request.
     async fn exchange(
         self: Arc<Self>,
         head: RequestHead,
         body: Body,
     ) -> (Option<Start>, Result<Response, Outcome>) {
         let deadline = self.timer.now().after(time_left(&head));
-        let slot = match self.admit(flow(&head), deadline).await {
+        let (case, body) = match self.crashes.examine(&head, body, deadline).await {
+            Ok(examined) => examined,
+            Err(reason) => return (None, Err(Outcome::NotRun(reason))),
+        };
+        let arrival = Arrival {
+            flow: flow(&head),
+            deadline,
+            alone: case.is_alone(),
+        };
+        let slot = match self.admit(arrival).await {
             Ok(slot) => slot,
             Err(reason) => return (None, Err(Outcome::NotRun(reason))),
         };
         let start = slot.start;
         let timer = self.timer.clone();
         let result = exchange::run(&self.pool, slot, head, body, timer, deadline).await;
-        (Some(start), result)
+        let outcome = result.as_ref().map_or_else(|o| *o, |r| r.head.outcome);
+        let crashed = case.close(outcome, self.announcement.address).await;
+        ((!crashed).then_some(start), result)
     }
 
-    async fn admit(self: &Arc<Self>, flow: Flow, deadline: Time) -> Result<Slot, NotRun> {
-        match self.arrive(Arrival {
-            flow,
-            deadline,
-            alone: false,
-        }) {
+    async fn admit(self: &Arc<Self>, arrival: Arrival) -> Result<Slot, NotRun> {
+        let flow = arrival.flow;
+        match self.arrive(arrival) {
             Decision::Admitted { in_use } => return Ok(self.slot(flow, in_use)),
             Decision::Shed(reason) => return Err(reason),
             Decision::Queued(waiter, woken) => {
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -5,9 +5,10 @@
 use crate::carrier::{Carrier, Response};
 use bytes::Bytes;
 use knapweed_host::choice::{Exclusions, Query, Scope};
+use knapweed_host::crash::MAX_CRASHES;
 use knapweed_host::request::Request;
 use knapweed_host::retry::{Body, Decision, Failure};
-use knapweed_host::{NotRun, Outcome, SendId};
+use knapweed_host::{NotRun, Outcome, SendId, Unknown};
 use knapweed_wire::{Header, RequestHead};
 use knapweed_world::{BackendServer, BackendServerKey, Share, Snapshot};
 
@@ -27,6 +28,7 @@
         let mut excluded = Exclusions::default();
         let version_draw = rand::random_range(0..Share::ALL.0);
         let mut last = None;
+        let mut crashes = 0;
         for retries in 0..=u8::MAX {
             let query = Query {
                 service: self.snapshot.route(self.request.route).service,
@@ -46,6 +48,11 @@
                 self.ingress.retries.succeeded(self.request.depth);
                 return Ok(response);
             }
+            // A crash may be the fault of the request: it takes down two at most (B7).
+            crashes += usize::from(outcome == Outcome::Unknown(Unknown::ServerCrashed));
+            if crashes >= MAX_CRASHES {
+                return Ok(response);
+            }
             if self.decide(outcome, retries, &body) != Decision::Retry {
                 return Ok(response);
             }
--- /dev/null
+++ b/crates/node/tests/nodes/common/backend.rs
@@ -0,0 +1,105 @@
+//! A backend server that counts what it ran.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+/// A path that ends the backend server.
+const CRASH: &[u8] = b"/crash";
+const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
+
+pub(crate) struct Backend {
+    address: SocketAddr,
+    ledger: Arc<Ledger>,
+}
+
+/// What a backend server ran.
+#[derive(Default)]
+struct Ledger {
+    runs: AtomicU32,
+    running: AtomicU32,
+    /// Most requests that ran at a time.
+    peak: AtomicU32,
+}
+
+impl Ledger {
+    fn start(&self) {
+        self.runs.fetch_add(1, Ordering::SeqCst);
+        let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
+        self.peak.fetch_max(running, Ordering::SeqCst);
+    }
+
+    fn end(&self) {
+        self.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Backend {
+    /// Starts a backend server that works on each request for `work`.
+    pub(crate) async fn start(work: Duration) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let listener = listener.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let ledger = Arc::new(Ledger::default());
+        let runs = Arc::clone(&ledger);
+        tokio::spawn(async move {
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    Ok((stream, _)) = listener.accept() => {
+                        connections.spawn(serve(stream, work, Arc::clone(&runs)));
+                    }
+                    // Ends like a process: all its sockets are closed.
+                    Some(Ok(End::Crashed)) = connections.join_next() => return,
+                }
+            }
+        });
+        Self { address, ledger }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Requests that ran.
+    pub(crate) fn runs(&self) -> u32 {
+        self.ledger.runs.load(Ordering::SeqCst)
+    }
+
+    /// Most requests that ran at a time.
+    pub(crate) fn peak(&self) -> u32 {
+        self.ledger.peak.load(Ordering::SeqCst)
+    }
+}
+
+/// How a connection ended.
+enum End {
+    Closed,
+    Crashed,
+}
+
+async fn serve(mut stream: TcpStream, work: Duration, ledger: Arc<Ledger>) -> End {
+    let mut request = Vec::new();
+    while let Ok(n) = stream.read_buf(&mut request).await
+        && n > 0
+    {
+        if request.ends_with(b"\r\n\r\n") {
+            let crashes = request.windows(CRASH.len()).any(|w| w == CRASH);
+            request.clear();
+            ledger.start();
+            tokio::time::sleep(work).await;
+            ledger.end();
+            if crashes {
+                return End::Crashed;
+            }
+            if stream.write_all(RESPONSE).await.is_err() {
+                return End::Closed;
+            }
+        }
+    }
+    End::Closed
+}
--- a/crates/node/tests/common/egress.rs
+++ b/crates/node/tests/nodes/common/egress.rs
@@ -21,16 +21,8 @@
     /// Starts an egress in front of one backend server.
     pub(crate) fn start(authority: &Authority, timer: &TimerService, backend: SocketAddr) -> Self {
         let End { endpoint, arrivals } = End::open(authority);
-        let egress = Egress::new(timer.clone(), Arc::new(Trials::default()));
-        egress.announce(&Announcement {
-            service: name("calendar"),
-            version: name("v1"),
-            address: backend,
-            slots: 12,
-            max_connections: 110,
-            state: ServerState::Ready,
-        });
-        tokio::spawn(receive(arrivals, Arc::new(egress)));
+        let egress = with_backend(timer, Arc::default(), backend);
+        tokio::spawn(receive(arrivals, egress));
         Self { endpoint }
     }
 
@@ -39,6 +31,24 @@
     }
 }
 
+/// An egress in front of one backend server, without links.
+pub(crate) fn with_backend(
+    timer: &TimerService,
+    trials: Arc<Trials>,
+    backend: SocketAddr,
+) -> Arc<Egress> {
+    let egress = Egress::new(timer.clone(), trials);
+    egress.announce(&Announcement {
+        service: name("calendar"),
+        version: name("v1"),
+        address: backend,
+        slots: 12,
+        max_connections: 110,
+        state: ServerState::Ready,
+    });
+    Arc::new(egress)
+}
+
 async fn receive(mut arrivals: Arrivals, egress: Arc<Egress>) {
     while let Some(incoming) = arrivals.streams.recv().await {
         tokio::spawn(dispatch(incoming, Arc::clone(&egress)));
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/nodes/common/mod.rs
@@ -4,16 +4,38 @@
 pub(crate) mod cut;
 pub(crate) mod egress;
 
+use knapweed_host::{RequestId, SendId};
 use knapweed_transport::certificates::Authority;
 use knapweed_transport::tls::{Files, Identity};
 use knapweed_transport::{Arrivals, Endpoint};
+use knapweed_wire::RequestHead;
 use knapweed_world::Name;
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 pub(crate) fn name(text: &str) -> Name {
     text.parse().expect("a valid name")
 }
 
+/// The head of a request without a body, with a new identity.
+pub(crate) fn head(backend: SocketAddr, path: &'static str) -> RequestHead {
+    RequestHead {
+        id: SendId {
+            request: RequestId(rand::random()),
+            attempt: rand::random(),
+        },
+        method: "POST".into(),
+        path: path.into(),
+        headers: Vec::new(),
+        route: name("calendar"),
+        service: name("calendar"),
+        version: name("v1"),
+        address: backend,
+        time_left_us: 2_000_000,
+        depth: 1,
+        has_body: false,
+    }
+}
+
 fn identity(authority: &Authority) -> Identity {
     let dir = tempfile::tempdir().expect("a temporary folder");
     let pair = authority
--- /dev/null
+++ b/crates/node/tests/nodes/crashes.rs
@@ -0,0 +1,152 @@
+//! A request that crashes each backend server that runs it.
+
+use crate::common::backend::Backend;
+use crate::common::{egress, head, name};
+use knapweed_host::{Answer, NotRun, Outcome, Unknown};
+use knapweed_node::body::{self, Body};
+use knapweed_node::egress::Egress;
+use knapweed_node::trial::Trials;
+use knapweed_rollout::{Epoch, Evidence, Phase, RolloutState};
+use knapweed_timer::TimerService;
+use knapweed_wire::Header;
+use knapweed_world::config::{Caution, RolloutTerms, VersionShare};
+use knapweed_world::{Share, TicketNumber, UnixMillis};
+use std::sync::Arc;
+use std::time::Duration;
+
+const ANSWERED: Outcome = Outcome::Answered(Answer::Complete);
+const CRASHED: Outcome = Outcome::Unknown(Unknown::ServerCrashed);
+
+/// A host with one backend server.
+struct Host {
+    egress: Arc<Egress>,
+    backend: Backend,
+}
+
+impl Host {
+    async fn start(timer: &TimerService) -> Self {
+        let backend = Backend::start(Duration::ZERO).await;
+        let egress = egress::with_backend(timer, Arc::default(), backend.address());
+        Self { egress, backend }
+    }
+
+    async fn send(&self, path: &'static str) -> Outcome {
+        let head = head(self.backend.address(), path);
+        self.egress.run(head, body::empty()).await.head.outcome
+    }
+
+    async fn send_body(&self, path: &'static str, text: &'static str) -> Outcome {
+        let mut head = head(self.backend.address(), path);
+        head.has_body = true;
+        head.headers.push(Header {
+            name: "content-length".into(),
+            value: text.len().to_string().into(),
+        });
+        let body: Body = body::full(text.into());
+        self.egress.run(head, body).await.head.outcome
+    }
+}
+
+fn rollout() -> RolloutState {
+    let share = |version: &str| VersionShare {
+        version: name(version),
+        share: Share::ALL,
+    };
+    RolloutState {
+        service: name("calendar"),
+        ticket: TicketNumber(1),
+        epoch: Epoch(1),
+        phase: Phase::Warming,
+        changed: UnixMillis(0),
+        terms: RolloutTerms {
+            start: UnixMillis(0),
+            deadline: UnixMillis(600_000),
+            min_old_capacity: 25,
+            caution: Caution::Careful,
+            from: vec![share("v0")],
+        },
+        target: vec![share("v1")],
+        proven: Vec::new(),
+        has_result: true,
+        evidence: Evidence::default(),
+        owed: Vec::new(),
+    }
+}
+
+/// Guards against a third backend server that a request takes down (F7, B7),
+/// when its caller sends it again with a new identity.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_takes_down_two_backend_servers_at_most() {
+    let timer = TimerService::start();
+    let (a, b, c) = tokio::join!(
+        Host::start(&timer),
+        Host::start(&timer),
+        Host::start(&timer)
+    );
+    assert_eq!(a.send("/calendar/crash").await, CRASHED);
+    b.egress.learn_crashes(a.egress.take_crashes());
+    assert_eq!(b.send("/calendar/crash").await, CRASHED);
+    c.egress.learn_crashes(b.egress.take_crashes());
+    let refused = Outcome::NotRun(NotRun::CrashesServers);
+    assert_eq!(c.send("/calendar/crash").await, refused);
+    assert_eq!(c.backend.runs(), 0);
+    assert_eq!(c.send("/calendar").await, ANSWERED);
+    assert_eq!((a.backend.runs(), b.backend.runs()), (1, 1));
+}
+
+/// Guards against a suspect that takes others down with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_suspect_runs_alone() {
+    let timer = TimerService::start();
+    let a = Host::start(&timer).await;
+    let backend = Backend::start(Duration::from_millis(20)).await;
+    let egress = egress::with_backend(&timer, Arc::default(), backend.address());
+    let b = Host { egress, backend };
+    assert_eq!(a.send("/calendar/crash").await, CRASHED);
+    let records = a.egress.take_crashes();
+    assert_eq!(records.len(), 2);
+    b.egress.learn_crashes(records);
+    let (first, second) = tokio::join!(b.send("/calendar"), b.send("/calendar/crash"));
+    assert_eq!((first, second), (ANSWERED, CRASHED));
+    assert_eq!((b.backend.runs(), b.backend.peak()), (2, 1));
+}
+
+/// Guards against a good version that is pulled back for a request that
+/// crashes every version.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashes_are_not_counted_for_a_rollout() {
+    let timer = TimerService::start();
+    let trials = Arc::new(Trials::default());
+    let states = [(name("calendar"), rollout())].into();
+    trials.follow(&states, &name("labasa-a"), timer.now());
+    let trial = trials.find(&name("calendar")).expect("a trial");
+    for path in ["/calendar", "/calendar/crash"] {
+        let backend = Backend::start(Duration::ZERO).await;
+        let egress = egress::with_backend(&timer, Arc::clone(&trials), backend.address());
+        Host { egress, backend }.send(path).await;
+        assert_eq!(
+            trial.take().requests(),
+            u64::from(path == "/calendar"),
+            "{path}"
+        );
+    }
+}
+
+/// Guards against requests with other bodies that are refused with the guilty
+/// one, and against bodies that are changed on their way while suspects are known.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_body_belongs_to_the_content() {
+    let timer = TimerService::start();
+    let (a, b, c) = tokio::join!(
+        Host::start(&timer),
+        Host::start(&timer),
+        Host::start(&timer)
+    );
+    assert_eq!(a.send_body("/calendar/crash", "bad\r\n\r\n").await, CRASHED);
+    b.egress.learn_crashes(a.egress.take_crashes());
+    assert_eq!(b.send_body("/calendar/crash", "bad\r\n\r\n").await, CRASHED);
+    c.egress.learn_crashes(b.egress.take_crashes());
+    let refused = Outcome::NotRun(NotRun::CrashesServers);
+    assert_eq!(c.send_body("/calendar/crash", "bad\r\n\r\n").await, refused);
+    assert_eq!(c.send_body("/calendar", "good\r\n\r\n").await, ANSWERED);
+}
--- a/crates/node/tests/lost_exchanges.rs
+++ b/crates/node/tests/nodes/lost_exchanges.rs
@@ -1,18 +1,14 @@
 //! Exchanges between two nodes whose connection goes silent.
 
-mod common;
-
-use common::backend::Backend;
-use common::cut::Cut;
-use common::egress;
+use crate::common::backend::Backend;
+use crate::common::cut::Cut;
+use crate::common::{self, egress};
 use knapweed_host::inquiry::MAX_TRANSIT;
-use knapweed_host::{Answer, NotRun, Outcome, RequestId, SendId, Unknown};
+use knapweed_host::{Answer, NotRun, Outcome, RequestId, Unknown};
 use knapweed_node::body::RequestBody;
 use knapweed_node::carrier::{Carrier, LinkCarrier, Response};
 use knapweed_timer::TimerService;
 use knapweed_transport::certificates::Authority;
-use knapweed_wire::RequestHead;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -24,25 +20,6 @@
 /// How long the connection stays cut; a retired one is inquired about earlier.
 const CUT_FOR: Duration = Duration::from_millis(600);
 
-fn head(backend: SocketAddr, attempt: u64) -> RequestHead {
-    RequestHead {
-        id: SendId {
-            request: RequestId([7; 16]),
-            attempt,
-        },
-        method: "POST".into(),
-        path: "/calendar".into(),
-        headers: Vec::new(),
-        route: common::name("calendar"),
-        service: common::name("calendar"),
-        version: common::name("v1"),
-        address: backend,
-        time_left_us: DEADLINE.as_micros() as u64,
-        depth: 1,
-        has_body: false,
-    }
-}
-
 /// Two nodes with a link that can be cut, and a backend server at the second.
 struct Pair {
     carrier: Arc<LinkCarrier>,
@@ -73,7 +50,11 @@
     }
 
     async fn send(&self, attempt: u64) -> Response {
-        let head = head(self.backend.address(), attempt);
+        let mut head = common::head(self.backend.address(), "/calendar");
+        // Equal attempts are the same send, arriving again.
+        head.id.request = RequestId([7; 16]);
+        head.id.attempt = attempt;
+        head.time_left_us = DEADLINE.as_micros() as u64;
         let mut body = RequestBody::Kept(bytes::Bytes::new());
         let response = self.carrier.carry(self.cut.address(), head, &mut body);
         response.await
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -2,6 +2,7 @@
 
 use crate::RequestHead;
 use knapweed_host::SendId;
+use knapweed_host::crash::CrashRecord;
 use knapweed_link::PartTag;
 use knapweed_rollout::{RolloutState, ZoneReport};
 use knapweed_world::{ConfigVersion, Name};
@@ -41,6 +42,8 @@
         /// The counts.
         report: Box<ZoneReport>,
     },
+    /// What is known of requests that crashed backend servers. Not answered.
+    Crashes(Vec<CrashRecord>),
     /// Asks what became of a send. Answered by a [`knapweed_host::inquiry::Finding`].
     Inquire {
         /// The send.
