fix(node): look for a crashed backend server through its pool

Change: the look takes a connection of the pool, three times within 120 ms. A test closes connections without a crash and counts the connections taken.

--- a/crates/node/src/egress/crashes.rs
+++ b/crates/node/src/egress/crashes.rs
@@ -1,5 +1,6 @@
 //! Requests whose backend server died while it ran them.
 
+use super::pool::Pool;
 use crate::body::Body;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
@@ -16,12 +17,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 
 /// Part of a body that belongs to the content of a request, in bytes.
 const MAX_CONTENT: usize = 64 * 1024;
-/// Connections tried to learn whether the process of a backend server is gone.
-const LOOKS: u32 = 5;
+/// Looks to learn whether the process of a backend server is gone.
+const LOOKS: u32 = 3;
 /// Time between two of them; a dying process closes its sockets one by one.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -105,11 +105,12 @@
         self.trial.is_some()
     }
 
-    /// Records how the request ended at `server`; `true` when it crashed it.
-    pub(super) async fn close(mut self, outcome: Outcome, server: SocketAddr) -> bool {
+    /// Records how the request ended at the backend server of `pool`; `true` when
+    /// it crashed it.
+    pub(super) async fn close(mut self, outcome: Outcome, pool: &Arc<Pool>) -> bool {
         let lost = outcome == Outcome::Unknown(Unknown::ServerCrashed);
-        if lost && is_gone(server).await {
-            self.crashed(server);
+        if lost && is_gone(pool).await {
+            self.crashed(pool.address());
             return true;
         }
         self.end_trial(matches!(outcome, Outcome::Answered(_)));
@@ -153,12 +154,12 @@
 }
 
 /// Whether the process of a backend server is gone: its port refuses.
-async fn is_gone(server: SocketAddr) -> bool {
+async fn is_gone(pool: &Arc<Pool>) -> bool {
     for _ in 0..LOOKS {
-        match TcpStream::connect(server).await {
-            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => return true,
-            _ => tokio::time::sleep(LOOK_EVERY).await,
+        if pool.is_refused(LOOK_EVERY).await {
+            return true;
         }
+        tokio::time::sleep(LOOK_EVERY).await;
     }
     false
 }
--- a/crates/node/src/egress/lane.rs
+++ b/crates/node/src/egress/lane.rs
@@ -146,7 +146,7 @@
         let timer = self.timer.clone();
         let result = exchange::run(&self.pool, slot, head, body, timer, deadline).await;
         let outcome = result.as_ref().map_or_else(|o| *o, |r| r.head.outcome);
-        let crashed = case.close(outcome, self.announcement.address).await;
+        let crashed = case.close(outcome, &self.pool).await;
         ((!crashed).then_some(start), result)
     }
 
--- a/crates/node/src/egress/pool.rs
+++ b/crates/node/src/egress/pool.rs
@@ -48,6 +48,11 @@
             state: Mutex::new(state),
         }
     }
+
+    /// Address of the backend server.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
 }
 
 /// Use by requests.
@@ -65,6 +70,23 @@
         woken.await.map_err(|_| NotRun::ConnectFailed)
     }
 
+    /// Whether the backend server refuses connections, as told within `wait`.
+    ///
+    /// Looks through the pool, so that the limit of connections holds (B8).
+    pub(super) async fn is_refused(self: &Arc<Self>, wait: Duration) -> bool {
+        match tokio::time::timeout(wait, self.acquire()).await {
+            Ok(Ok(mut pooled)) => {
+                if pooled.handle().ready().await.is_ok() {
+                    pooled.complete();
+                }
+                false
+            }
+            Ok(Err(_)) => true,
+            // All connections are in use, or the backend server is slow.
+            Err(_) => false,
+        }
+    }
+
     fn claim(self: &Arc<Self>) -> Claim {
         let mut state = self.state.lock();
         match state.connections.acquire() {
--- a/crates/node/tests/nodes/common/backend.rs
+++ b/crates/node/tests/nodes/common/backend.rs
@@ -10,6 +10,8 @@
 
 /// A path that ends the backend server.
 const CRASH: &[u8] = b"/crash";
+/// A path whose connection is closed without an answer.
+const CLOSE: &[u8] = b"/close";
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
 
 pub(crate) struct Backend {
@@ -24,6 +26,8 @@
     running: AtomicU32,
     /// Most requests that ran at a time.
     peak: AtomicU32,
+    /// Connections taken since the start.
+    connected: AtomicU32,
 }
 
 impl Ledger {
@@ -51,6 +55,7 @@
             loop {
                 tokio::select! {
                     Ok((stream, _)) = listener.accept() => {
+                        runs.connected.fetch_add(1, Ordering::SeqCst);
                         connections.spawn(serve(stream, work, Arc::clone(&runs)));
                     }
                     // Ends like a process: all its sockets are closed.
@@ -70,6 +75,11 @@
         self.ledger.runs.load(Ordering::SeqCst)
     }
 
+    /// Connections taken since the start.
+    pub(crate) fn connected(&self) -> u32 {
+        self.ledger.connected.load(Ordering::SeqCst)
+    }
+
     /// Most requests that ran at a time.
     pub(crate) fn peak(&self) -> u32 {
         self.ledger.peak.load(Ordering::SeqCst)
@@ -88,7 +98,8 @@
         && n > 0
     {
         if request.ends_with(b"\r\n\r\n") {
-            let crashes = request.windows(CRASH.len()).any(|w| w == CRASH);
+            let asks_for = |path: &[u8]| request.windows(path.len()).any(|w| w == path);
+            let (crashes, closes) = (asks_for(CRASH), asks_for(CLOSE));
             request.clear();
             ledger.start();
             tokio::time::sleep(work).await;
@@ -96,6 +107,9 @@
             if crashes {
                 return End::Crashed;
             }
+            if closes {
+                return End::Closed;
+            }
             if stream.write_all(RESPONSE).await.is_err() {
                 return End::Closed;
             }
--- a/crates/node/tests/nodes/crashes.rs
+++ b/crates/node/tests/nodes/crashes.rs
@@ -111,6 +111,20 @@
     assert_eq!((b.backend.runs(), b.backend.peak()), (2, 1));
 }
 
+/// Guards against requests that are refused for a backend server that only
+/// closed a connection, and against further connections to look at it (B8).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_closed_connection_is_no_crash() {
+    let timer = TimerService::start();
+    let host = Host::start(&timer).await;
+    for _ in 0..3 {
+        assert_eq!(host.send("/calendar/close").await, CRASHED);
+    }
+    assert!(host.egress.take_crashes().is_empty());
+    assert_eq!(host.send("/calendar").await, ANSWERED);
+    assert_eq!(host.backend.connected(), 4);
+}
+
 /// Guards against a good version that is pulled back for a request that
 /// crashes every version.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
