feat(node): run the retry after a crash alone

Cause: the ingress retries an idempotent request within a millisecond of a crash, before the record of it has reached the next egress, so the second run could take down other requests.

Change: the response tells that the backend server died, and the ingress marks the next send as a suspect, which the egress runs alone.

--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -34,6 +34,13 @@
             body: body::empty(),
         }
     }
+
+    /// A response to a request whose backend server died while it ran it.
+    pub fn crashed() -> Self {
+        let mut response = Self::without_answer(Outcome::Unknown(Unknown::ServerCrashed));
+        response.head.crashed = true;
+        response
+    }
 }
 
 /// Carries requests to the node of another host.
--- a/crates/node/src/carrier/inquiry.rs
+++ b/crates/node/src/carrier/inquiry.rs
@@ -89,6 +89,7 @@
     Response {
         head: ResponseHead {
             outcome: Outcome::Answered(Answer::Complete),
+            crashed: false,
             status: response.status,
             headers: headers.collect(),
         },
--- a/crates/node/src/egress/crashes.rs
+++ b/crates/node/src/egress/crashes.rs
@@ -71,6 +71,7 @@
             crashes: Arc::clone(self),
             content: Arc::clone(&copy),
             send: head.id,
+            is_suspect: head.is_suspect,
             trial: None,
         };
         if self.memory.lock().is_empty() {
@@ -95,6 +96,8 @@
     crashes: Arc<Crashes>,
     content: Arc<Content>,
     send: SendId,
+    /// Whether the ingress knows of an earlier crash.
+    is_suspect: bool,
     /// Set while the request is being tried alone.
     trial: Option<Suspect>,
 }
@@ -102,7 +105,7 @@
 impl Case {
     /// Whether nothing may run beside the request.
     pub(super) fn is_alone(&self) -> bool {
-        self.trial.is_some()
+        self.is_suspect || self.trial.is_some()
     }
 
     /// Records how the request ended at the backend server of `pool`; `true` when
--- a/crates/node/src/egress/exchange.rs
+++ b/crates/node/src/egress/exchange.rs
@@ -106,6 +106,7 @@
     }
     let head = ResponseHead {
         outcome: Outcome::Answered(Answer::Complete),
+        crashed: false,
         status: parts.status.as_u16(),
         headers: headers::to_wire(&parts.headers),
     };
--- a/crates/node/src/egress/lane.rs
+++ b/crates/node/src/egress/lane.rs
@@ -146,8 +146,10 @@
         let timer = self.timer.clone();
         let result = exchange::run(&self.pool, slot, head, body, timer, deadline).await;
         let outcome = result.as_ref().map_or_else(|o| *o, |r| r.head.outcome);
-        let crashed = case.close(outcome, &self.pool).await;
-        ((!crashed).then_some(start), result)
+        if case.close(outcome, &self.pool).await {
+            return (None, Ok(Response::crashed()));
+        }
+        (Some(start), result)
     }
 
     async fn admit(self: &Arc<Self>, arrival: Arrival) -> Result<Slot, NotRun> {
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -29,6 +29,7 @@
         let version_draw = rand::random_range(0..Share::ALL.0);
         let mut last = None;
         let mut crashes = 0;
+        let mut is_suspect = false;
         for retries in 0..=u8::MAX {
             let query = Query {
                 service: self.snapshot.route(self.request.route).service,
@@ -42,12 +43,13 @@
                 // With every backend server tried, the last refusal says more.
                 Err(reason) => return Err(last.unwrap_or(Outcome::NotRun(reason))),
             };
-            let response = self.send(server, &mut body).await;
+            let response = self.send(server, &mut body, is_suspect).await;
             let outcome = response.head.outcome;
             if matches!(outcome, Outcome::Answered(_)) {
                 self.ingress.retries.succeeded(self.request.depth);
                 return Ok(response);
             }
+            is_suspect |= response.head.crashed;
             // A crash may be the fault of the request: it takes down two at most (B7).
             crashes += usize::from(outcome == Outcome::Unknown(Unknown::ServerCrashed));
             if crashes >= MAX_CRASHES {
@@ -80,11 +82,17 @@
             .decide(&failure, self.ingress.parts.timer.now())
     }
 
-    async fn send(&self, key: BackendServerKey, body: &mut RequestBody) -> Response {
+    async fn send(
+        &self,
+        key: BackendServerKey,
+        body: &mut RequestBody,
+        is_suspect: bool,
+    ) -> Response {
         let server = self.snapshot.backend_server(key);
         let host = self.snapshot.host(server.host);
         let carrier = self.carrier(server);
-        let head = self.head(server, body);
+        let mut head = self.head(server, body);
+        head.is_suspect = is_suspect;
         let load = InFlight::start(server);
         let start = self.ingress.parts.timer.now();
         let response = carrier.carry(host.address, head, body).await;
@@ -118,6 +126,7 @@
             address: server.address,
             time_left_us: self.request.deadline.since(now).as_micros() as u64,
             depth: self.request.depth,
+            is_suspect: false,
             has_body: !body.is_empty(),
         }
     }
--- a/crates/node/tests/nodes/common/mod.rs
+++ b/crates/node/tests/nodes/common/mod.rs
@@ -32,6 +32,7 @@
         address: backend,
         time_left_us: 2_000_000,
         depth: 1,
+        is_suspect: false,
         has_body: false,
     }
 }
--- a/crates/node/tests/nodes/crashes.rs
+++ b/crates/node/tests/nodes/crashes.rs
@@ -111,6 +111,25 @@
     assert_eq!((b.backend.runs(), b.backend.peak()), (2, 1));
 }
 
+/// Guards against a retry that takes others down because it is faster than the
+/// records of the first crash.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_retry_after_a_crash_runs_alone() {
+    let timer = TimerService::start();
+    let a = Host::start(&timer).await;
+    let first = head(a.backend.address(), "/calendar/crash");
+    assert!(a.egress.run(first, body::empty()).await.head.crashed);
+    let backend = Backend::start(Duration::from_millis(20)).await;
+    let egress = egress::with_backend(&timer, Arc::default(), backend.address());
+    let b = Host { egress, backend };
+    let mut retry = head(b.backend.address(), "/calendar/crash");
+    retry.is_suspect = true;
+    let retry = b.egress.run(retry, body::empty());
+    let (other, retry) = tokio::join!(b.send("/calendar"), retry);
+    assert_eq!((other, retry.head.outcome), (ANSWERED, CRASHED));
+    assert_eq!((b.backend.runs(), b.backend.peak()), (2, 1));
+}
+
 /// Guards against requests that are refused for a backend server that only
 /// closed a connection, and against further connections to look at it (B8).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -38,6 +38,8 @@
     pub time_left_us: u64,
     /// Depth of the call.
     pub depth: u8,
+    /// Whether an earlier send of the request crashed a backend server.
+    pub is_suspect: bool,
     /// Whether a body follows.
     pub has_body: bool,
 }
@@ -47,6 +49,8 @@
 pub struct ResponseHead {
     /// What happened.
     pub outcome: Outcome,
+    /// Whether the backend server died while it ran the request.
+    pub crashed: bool,
     /// Status of the backend server, or 0 without an answer.
     pub status: u16,
     /// Headers, without those of one connection.
@@ -58,6 +62,7 @@
     pub fn without_answer(outcome: Outcome) -> Self {
         Self {
             outcome,
+            crashed: false,
             status: 0,
             headers: Vec::new(),
         }
