test(node): a request that crashes is sent to two backend servers at most

Cause: the bound of the ingress on retries after crashes had no test.

Change: a test with a carrier that reports crashes, at an ingress that has a budget for more retries.

--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -3,3 +3,4 @@
 mod common;
 mod crashes;
 mod lost_exchanges;
+mod retries;
--- /dev/null
+++ b/crates/node/tests/nodes/retries.rs
@@ -0,0 +1,127 @@
+//! What the ingress does after a backend server died.
+
+use crate::common::name;
+use futures_util::future::BoxFuture;
+use http::{HeaderMap, Method};
+use knapweed_host::choice::NearestLeastLoaded;
+use knapweed_host::{Answer, Drain, Outcome};
+use knapweed_node::body::{self, RequestBody};
+use knapweed_node::carrier::{Carrier, Response};
+use knapweed_node::ingress::metrics::IngressMetrics;
+use knapweed_node::ingress::{CallerRequest, Ingress, Parts};
+use knapweed_observe::Metrics;
+use knapweed_timer::TimerService;
+use knapweed_wire::RequestHead;
+use knapweed_world::backend_server::Announcement;
+use knapweed_world::config::{Config, RouteConfig, ServiceConfig, VersionShare};
+use knapweed_world::snapshot::{Builder, HostEntry};
+use knapweed_world::{ConfigVersion, ServerState, Share, SnapshotCell, TicketNumber};
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+/// Sends of the request that crashes: whether each was marked as a suspect.
+type Suspects = Arc<Mutex<Vec<bool>>>;
+
+struct Crashing(Suspects);
+
+impl Carrier for Crashing {
+    fn carry<'a>(
+        &'a self,
+        _node: SocketAddr,
+        head: RequestHead,
+        _body: &'a mut RequestBody,
+    ) -> BoxFuture<'a, Response> {
+        let response = if head.path == "/calendar/crash" {
+            self.0.lock().push(head.is_suspect);
+            Response::crashed()
+        } else {
+            Response::without_answer(Outcome::Answered(Answer::Complete))
+        };
+        Box::pin(async move { response })
+    }
+}
+
+fn config() -> Config {
+    let (ticket, changed_at) = (TicketNumber(1), ConfigVersion(1));
+    let mut config = Config::default();
+    let service = ServiceConfig {
+        versions: vec![VersionShare {
+            version: name("v1"),
+            share: Share::ALL,
+        }],
+        rollout: None,
+        ticket,
+        changed_at,
+    };
+    let route = RouteConfig {
+        path_prefix: "/calendar".into(),
+        service: name("calendar"),
+        timeout_ms: 1_000,
+        idempotent_methods: vec!["GET".into()],
+        ticket,
+        changed_at,
+    };
+    config.services.insert(name("calendar"), service);
+    config.routes.insert(name("calendar"), route);
+    config
+}
+
+fn host(n: u16) -> HostEntry {
+    let address = SocketAddr::from(([127, 0, 0, 1], n));
+    HostEntry {
+        name: name(&format!("a{n}")),
+        zone: name("labasa-a"),
+        region: name("labasa"),
+        address,
+        announcements: vec![Announcement {
+            service: name("calendar"),
+            version: name("v1"),
+            address,
+            slots: 12,
+            max_connections: 110,
+            state: ServerState::Ready,
+        }],
+    }
+}
+
+fn ingress(suspects: &Suspects) -> Ingress {
+    let config = config();
+    let snapshot = Builder::new(name("a1"), &config).hosts((1..=4).map(host));
+    let snapshot = snapshot.build().expect("a whole mesh");
+    Ingress::new(Parts {
+        snapshots: Arc::new(SnapshotCell::new(snapshot)),
+        choice: Box::new(NearestLeastLoaded::default()),
+        local: Box::new(Crashing(Arc::clone(suspects))),
+        link: Box::new(Crashing(Arc::clone(suspects))),
+        drain: Arc::new(Drain::default()),
+        ready: Arc::new(AtomicBool::new(true)),
+        timer: TimerService::start(),
+        metrics: IngressMetrics::register(&Metrics::new()),
+    })
+}
+
+async fn get(ingress: &Ingress, path: &str) -> Outcome {
+    let request = CallerRequest {
+        method: Method::GET,
+        uri: path.parse().expect("a path"),
+        headers: HeaderMap::new(),
+        body: body::empty(),
+    };
+    ingress.run(request).await.head.outcome
+}
+
+/// Guards against retries that take down a third backend server (B7).
+#[tokio::test]
+async fn a_request_that_crashes_is_sent_twice_and_the_second_time_as_a_suspect() {
+    let suspects = Suspects::default();
+    let ingress = ingress(&suspects);
+    // Successes that pay for more retries than one request may have.
+    for _ in 0..50 {
+        get(&ingress, "/calendar").await;
+    }
+    let outcome = get(&ingress, "/calendar/crash").await;
+    assert_eq!(outcome, Response::crashed().head.outcome);
+    assert_eq!(*suspects.lock(), [false, true]);
+}
