--- /dev/null
+++ b/crates/node/tests/nodes/common/mod.rs
@@ -0,0 +1,69 @@
+//! Nodes in this process, with a link between them that can be cut.
+
+pub(crate) mod backend;
+pub(crate) mod cut;
+pub(crate) mod egress;
+
+use knapweed_host::{RequestId, SendId};
+use knapweed_transport::certificates::Authority;
+use knapweed_transport::tls::{Files, Identity};
+use knapweed_transport::{Arrivals, Endpoint};
+use knapweed_wire::RequestHead;
+use knapweed_world::Name;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+pub(crate) fn name(text: &str) -> Name {
+    text.parse().expect("a valid name")
+}
+
+/// The head of a request without a body, with a new identity.
+pub(crate) fn head(backend: SocketAddr, path: &'static str) -> RequestHead {
+    RequestHead {
+        id: SendId {
+            request: RequestId(rand::random()),
+            attempt: rand::random(),
+        },
+        method: "POST".into(),
+        path: path.into(),
+        headers: Vec::new(),
+        route: name("calendar"),
+        service: name("calendar"),
+        version: name("v1"),
+        address: backend,
+        time_left_us: 2_000_000,
+        depth: 1,
+        is_suspect: false,
+        has_body: false,
+    }
+}
+
+fn identity(authority: &Authority) -> Identity {
+    let dir = tempfile::tempdir().expect("a temporary folder");
+    let pair = authority
+        .issue("host", &[IpAddr::V4(Ipv4Addr::LOCALHOST)])
+        .expect("a pair");
+    let files = Files {
+        certificate: dir.path().join("node.pem"),
+        key: dir.path().join("node.key"),
+        authority: dir.path().join("authority.pem"),
+    };
+    std::fs::write(&files.certificate, pair.certificate).expect("a file");
+    std::fs::write(&files.key, pair.key).expect("a file");
+    std::fs::write(&files.authority, authority.certificate()).expect("a file");
+    Identity::load(&files).expect("an identity")
+}
+
+/// The end of a node's links.
+pub(crate) struct End {
+    pub(crate) endpoint: Endpoint,
+    pub(crate) arrivals: Arrivals,
+}
+
+impl End {
+    pub(crate) fn open(authority: &Authority) -> Self {
+        let any_port = (Ipv4Addr::LOCALHOST, 0).into();
+        let opened = Endpoint::open(any_port, &identity(authority));
+        let (endpoint, arrivals) = opened.expect("an endpoint");
+        Self { endpoint, arrivals }
+    }
+}
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -1,6 +1,8 @@
 //! What a stream between two nodes is for: the first message on it.
 
 use crate::RequestHead;
+use knapweed_host::SendId;
+use knapweed_host::crash::CrashRecord;
 use knapweed_link::PartTag;
 use knapweed_rollout::{RolloutState, ZoneReport};
 use knapweed_world::{ConfigVersion, Name};
@@ -40,6 +42,15 @@
         /// The counts.
         report: Box<ZoneReport>,
     },
+    /// What is known of requests that crashed backend servers. Not answered.
+    Crashes(Vec<CrashRecord>),
+    /// Asks what became of a send. Answered by a [`knapweed_host::inquiry::Finding`].
+    Inquire {
+        /// The send.
+        send: SendId,
+        /// Longest time since the send was made, in microseconds.
+        age_us: u64,
+    },
 }
 
 /// The answer to [`StreamHead::Floor`].
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -32,6 +32,7 @@
         address: ([127, 0, 0, 1], 7500).into(),
         time_left_us: 2_000_000,
         depth: 1,
+        is_suspect: false,
         has_body: true,
     }
 }
