test(demo): convergence while nodes die and pause

Change: 8 nodes in the 4 availability zones; 30 tickets while one node is killed and restarted and the holder of a gateway or relay lease is stopped for 5 s.

--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -5,11 +5,15 @@
 //! is stopped when its handle is dropped.
 
 pub mod client;
+pub mod fleet;
 pub mod mesh;
 pub mod ports;
 pub mod process;
 pub mod settings;
+pub mod stand_in;
+pub mod versions;
 
 pub use client::{Client, Reply};
 pub use mesh::{Mesh, NodePlace};
 pub use process::Process;
+pub use versions::VersionWatch;
--- a/crates/demo/src/mesh.rs
+++ b/crates/demo/src/mesh.rs
@@ -16,6 +16,9 @@
 /// Time between looks at something that should become true.
 const POLL: Duration = Duration::from_millis(20);
 
+/// Environment variable that keeps the folder with all logs after the end.
+const KEEP_FOLDER: &str = "KNAPWEED_KEEP_FOLDER";
+
 /// Where a node stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct NodePlace {
@@ -70,7 +73,8 @@
     ///
     /// A program cannot be started or a file not written.
     pub fn new(places: &[NodePlace]) -> anyhow::Result<Self> {
-        let folder = tempfile::tempdir()?;
+        let mut folder = tempfile::tempdir()?;
+        folder.disable_cleanup(std::env::var_os(KEEP_FOLDER).is_some());
         let authority = Authority::new()?;
         std::fs::write(folder.path().join("authority.pem"), authority.certificate())?;
         let mut nodes = Vec::new();
@@ -198,6 +202,19 @@
     ///
     /// The program cannot be started.
     pub fn start_backend(&mut self, place: &BackendPlace) -> anyhow::Result<String> {
+        self.start_backend_with(place, &[])
+    }
+
+    /// Starts a backend server with further settings.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started.
+    pub fn start_backend_with(
+        &mut self,
+        place: &BackendPlace,
+        settings: &[(&str, u64)],
+    ) -> anyhow::Result<String> {
         let name = format!("{}-{}-{}", place.host, place.service, place.version);
         let address = free_address()?;
         let found = self.places.iter().find(|(p, _)| p.host == place.host);
@@ -211,6 +228,9 @@
             .key("version", place.version)
             .key("work_ms", place.work_ms)
             .key("announce", self.node(place.host).operators);
+        let ini = settings
+            .iter()
+            .fold(ini, |ini, (name, value)| ini.key(name, value));
         self.start(&name, "knapweed-fake-backend", &ini)?;
         self.backends.insert(name.clone(), address);
         Ok(name)
