test(demo): restarts of a node and of a zone

Change: a node is killed or stopped, and all nodes of a zone are killed, with the platform up and down; the time until the newest version is served.

--- /dev/null
+++ b/crates/demo/tests/restart.rs
@@ -0,0 +1,164 @@
+//! Restarts of nodes: the time until they serve again, and what they serve.
+
+use anyhow::ensure;
+use http::Method;
+use knapweed_demo::fleet::{self, PLACES, limited, route_name, route_ticket};
+use knapweed_demo::stand_in::outage;
+use knapweed_demo::{Mesh, VersionWatch};
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// Longest time until a node serves that can reach the platform or a peer.
+const SERVES: Duration = Duration::from_secs(3);
+/// Longest time until a node without calls ends on SIGTERM.
+const STOPPED: Duration = Duration::from_secs(10);
+/// Time for which a node that must not serve is observed.
+const OBSERVED: Duration = Duration::from_secs(3);
+/// Time between two looks at a node.
+const INTERVAL: Duration = Duration::from_millis(20);
+/// The last ticket before the restarts. Its route exists in the newest version only.
+const NEWEST: u64 = 4;
+/// Hosts of one availability zone.
+const ZONE: [&str; 2] = ["b1", "b2"];
+
+/// H1, F1: guards against a killed node that stays away or serves an old version.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_node_serves_the_newest_version() -> anyhow::Result<()> {
+    limited(restart_one("KILL", false)).await
+}
+
+/// H1, F2: as above while the platform is down; peers must be enough.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_node_serves_the_newest_version_in_an_outage() -> anyhow::Result<()> {
+    limited(restart_one("KILL", true)).await
+}
+
+/// H1: guards against a node that its peers still hold to have left after it
+/// was stopped gracefully and started again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopped_node_serves_the_newest_version() -> anyhow::Result<()> {
+    limited(restart_one("TERM", false)).await
+}
+
+/// H1, F2: as above while the platform is down.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopped_node_serves_the_newest_version_in_an_outage() -> anyhow::Result<()> {
+    limited(restart_one("TERM", true)).await
+}
+
+/// H1, F1: guards against a zone that loses its configuration when all of its
+/// nodes restart at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_zone_serves_the_newest_version() -> anyhow::Result<()> {
+    limited(async {
+        let mut mesh = start().await?;
+        let watch = VersionWatch::start(&mesh);
+        restart(&mut mesh, &ZONE, "KILL")?;
+        check_serves(&mesh, &ZONE).await?;
+        check_regressions(&watch)
+    })
+    .await
+}
+
+/// H1, F1, F2: guards against a zone that serves without knowing its version
+/// floor: no peer of its own zone serves and the platform is down. It must
+/// serve again when the platform is back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_zone_restarted_in_an_outage_serves_after_it() -> anyhow::Result<()> {
+    limited(async {
+        let mut mesh = start().await?;
+        let watch = VersionWatch::start(&mesh);
+        mesh.set_platform_faults(outage()).await?;
+        restart(&mut mesh, &ZONE, "KILL")?;
+        check_refuses(&mesh, &ZONE).await?;
+        mesh.set_platform_faults(json!({})).await?;
+        check_serves(&mesh, &ZONE).await?;
+        check_regressions(&watch)
+    })
+    .await
+}
+
+async fn start() -> anyhow::Result<Mesh> {
+    let mesh = fleet::start(&PLACES, &["a1", "c1"]).await?;
+    for (ticket, host) in (2..=NEWEST).zip(mesh.hosts()) {
+        let reply = mesh.file(host, &route_ticket(ticket)).await?;
+        ensure!(reply.status == 200, "ticket {ticket}: {:?}", reply.body);
+    }
+    let hosts: Vec<_> = mesh.hosts().collect();
+    mesh.until_in_force(&hosts, NEWEST, SERVES).await?;
+    check_serves(&mesh, &hosts).await?;
+    Ok(mesh)
+}
+
+async fn restart_one(signal: &str, is_outage: bool) -> anyhow::Result<()> {
+    let mut mesh = start().await?;
+    let watch = VersionWatch::start(&mesh);
+    if is_outage {
+        mesh.set_platform_faults(outage()).await?;
+    }
+    restart(&mut mesh, &["b1"], signal)?;
+    check_serves(&mesh, &["b1"]).await?;
+    check_regressions(&watch)
+}
+
+fn restart(mesh: &mut Mesh, hosts: &[&str], signal: &str) -> anyhow::Result<()> {
+    for host in hosts {
+        mesh.process(host).signal(signal)?;
+    }
+    for host in hosts {
+        let status = mesh.process(host).wait(STOPPED)?;
+        let expected = status.success() || signal == "KILL";
+        ensure!(expected, "{host} ended with {status}");
+    }
+    hosts.iter().try_for_each(|host| mesh.start_node(host))
+}
+
+/// Checks that each node answers on the newest version within the bound, and
+/// that it answers nothing before.
+async fn check_serves(mesh: &Mesh, hosts: &[&str]) -> anyhow::Result<()> {
+    let start = Instant::now();
+    for host in hosts {
+        while !serves(mesh, host).await? {
+            ensure!(start.elapsed() < SERVES, "{host} does not serve");
+            tokio::time::sleep(INTERVAL).await;
+        }
+        let version = mesh.version_of(host).await?;
+        ensure!(version == NEWEST, "{host} serves version {version}");
+    }
+    println!("{hosts:?} serve after {:?}", start.elapsed());
+    Ok(())
+}
+
+/// Checks that no node of `hosts` answers callers.
+async fn check_refuses(mesh: &Mesh, hosts: &[&str]) -> anyhow::Result<()> {
+    let start = Instant::now();
+    while start.elapsed() < OBSERVED {
+        for host in hosts {
+            ensure!(!serves(mesh, host).await?, "{host} serves");
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+    Ok(())
+}
+
+/// Whether a node answers callers on the route of the newest version; any other
+/// answer must be a refusal as not-run. An older version would answer 404.
+async fn serves(mesh: &Mesh, host: &str) -> anyhow::Result<bool> {
+    let path = format!("/{}", route_name(NEWEST));
+    let address = mesh.node(host).callers;
+    let sent = mesh.client.send(Method::GET, address, &path, &[], "");
+    // A node that is still starting refuses the connection.
+    let Ok(reply) = sent.await else {
+        return Ok(false);
+    };
+    let outcome = reply.header("knapweed-outcome");
+    let refused = reply.status == 503 && outcome == "not-run";
+    ensure!(reply.status == 200 || refused, "{host}: {reply:?}");
+    Ok(reply.status == 200)
+}
+
+fn check_regressions(watch: &VersionWatch) -> anyhow::Result<()> {
+    let regressions = watch.regressions();
+    ensure!(regressions.is_empty(), "lower versions: {regressions:?}");
+    Ok(())
+}
