--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod fleet;
+pub mod load;
 pub mod mesh;
 pub mod ports;
 pub mod process;
