test(demo): load at twice the capacity

Change: a service with 6 slots and 120 connections per server at 0.8 to 1.2 and 2 times its capacity. Module `open_loop`.

--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod load;
 pub mod mesh;
+pub mod open_loop;
 pub mod ports;
 pub mod process;
 pub mod settings;
--- /dev/null
+++ b/crates/demo/tests/overload.rs
@@ -0,0 +1,136 @@
+//! Load above the capacity of a service.
+
+use anyhow::{Context, ensure};
+use knapweed_demo::Mesh;
+use knapweed_demo::fleet::{self, PLACES, calendar_on, limited};
+use knapweed_demo::load::Outcome;
+use knapweed_demo::open_loop::{OpenLoop, Sample};
+use std::time::Duration;
+
+/// Hosts with a backend server.
+const BACKENDS: [&str; 2] = ["a1", "b1"];
+/// Requests that a backend server runs at a time, its limit of connections, and
+/// the time of a request in milliseconds.
+const SLOTS: u64 = 6;
+const MAX_CONNECTIONS: u64 = 120;
+const WORK_MS: u64 = 40;
+/// Loads in which the peak is sought, as parts of the capacity.
+const PEAK_LOADS: [f64; 3] = [0.8, 1.0, 1.2];
+/// The overload, as a part of the capacity.
+const OVERLOAD: f64 = 2.0;
+/// Time of each load.
+const PEAK_TIME: Duration = Duration::from_secs(3);
+const OVERLOAD_TIME: Duration = Duration::from_secs(6);
+/// Least part of the peak that is answered in overload (B6).
+const LEAST_GOODPUT: f64 = 0.9;
+/// Longest time until a shed request is answered, at p99 (B6).
+const SHED_ANSWER: Duration = Duration::from_millis(50);
+
+/// B6, B8: guards against goodput that collapses in overload, and backend servers
+/// that get more requests or connections at a time than they allow.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn goodput_stays_near_the_peak_at_twice_the_capacity() -> anyhow::Result<()> {
+    limited(async {
+        let mesh = start().await?;
+        let mut peak = 0.0_f64;
+        for part in PEAK_LOADS {
+            let samples = run(&mesh, part, PEAK_TIME).await?;
+            peak = peak.max(goodput(&samples, PEAK_TIME));
+        }
+        let samples = run(&mesh, OVERLOAD, OVERLOAD_TIME).await?;
+        let overload = goodput(&samples, OVERLOAD_TIME);
+        println!("peak {peak:.0}/s, in overload {overload:.0}/s");
+        check_backends(&mesh).await?;
+        ensure!(overload >= LEAST_GOODPUT * peak, "goodput {overload:.0}/s");
+        let unknown = times(&samples, Outcome::Unknown);
+        ensure!(unknown.is_empty(), "{} outcomes are unknown", unknown.len());
+        Ok(())
+    })
+    .await
+}
+
+/// B6: guards against refusals that come so late that the caller has no time
+/// left for another try.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn shed_requests_are_answered_soon() -> anyhow::Result<()> {
+    limited(async {
+        let mesh = start().await?;
+        let samples = run(&mesh, OVERLOAD, OVERLOAD_TIME).await?;
+        let shed = times(&samples, Outcome::NotRun);
+        let at = |percent| shed.get(shed.len() * percent / 100).copied();
+        let p99 = at(99).context("no request was shed")?;
+        println!("{} of {} shed", shed.len(), samples.len());
+        println!("answered within {:?} at p50, {p99:?} at p99", at(50));
+        ensure!(p99 <= SHED_ANSWER, "shed answers after {p99:?} at p99");
+        Ok(())
+    })
+    .await
+}
+
+async fn start() -> anyhow::Result<Mesh> {
+    let mut mesh = fleet::start(&PLACES[..4], &[]).await?;
+    for host in BACKENDS {
+        let mut place = calendar_on(host);
+        place.work_ms = WORK_MS;
+        let settings = [("slots", SLOTS), ("max_connections", MAX_CONNECTIONS)];
+        mesh.start_backend_with(&place, &settings)?;
+    }
+    for host in mesh.hosts() {
+        let address = mesh.node(host).callers;
+        mesh.until("the servers are known", Duration::from_secs(5), || async {
+            let reply = mesh.client.get(address, "/today").await.ok()?;
+            (reply.status == 200).then_some(())
+        })
+        .await?;
+    }
+    Ok(mesh)
+}
+
+/// Sends `part` of the capacity for a time.
+async fn run(mesh: &Mesh, part: f64, time: Duration) -> anyhow::Result<Vec<Sample>> {
+    let capacity = (BACKENDS.len() as u64 * SLOTS * 1_000 / WORK_MS) as f64;
+    let load = OpenLoop {
+        addresses: mesh.hosts().map(|h| mesh.node(h).callers).collect(),
+        path: "/today",
+        rate: part * capacity,
+        time,
+    };
+    load.run(&mesh.client).await
+}
+
+/// Answered requests a second within `time`.
+fn goodput(samples: &[Sample], time: Duration) -> f64 {
+    let answered = samples
+        .iter()
+        .filter(|s| s.outcome == Outcome::Answered && s.ended <= time);
+    answered.count() as f64 / time.as_secs_f64()
+}
+
+/// Times of the requests with `outcome`, in ascending order.
+fn times(samples: &[Sample], outcome: Outcome) -> Vec<Duration> {
+    let ended = samples.iter().filter(|s| s.outcome == outcome);
+    let mut times: Vec<_> = ended.map(|s| s.took).collect();
+    times.sort();
+    times
+}
+
+async fn check_backends(mesh: &Mesh) -> anyhow::Result<()> {
+    for host in BACKENDS {
+        let name = format!("{host}-calendar-v1");
+        let stats = mesh.backend_stats(&name).await?;
+        println!("{name}: {stats}");
+        let connections = stats["connections"]["peak"].as_u64();
+        ensure!(
+            connections.is_some_and(|n| n <= MAX_CONNECTIONS)
+                && stats["connections"]["refused"] == 0,
+            "too many connections to {name}: {stats}"
+        );
+        // The stand-in never runs more than its slots: it sheds what exceeds its queue.
+        let running = stats["peak_running"].as_u64();
+        ensure!(
+            running.is_some_and(|n| n <= SLOTS) && stats["shed"] == 0,
+            "too many requests to {name}: {stats}"
+        );
+    }
+    Ok(())
+}
