fix: answer shed requests and tickets in an outage sooner

Cause: a request that waited 40 ms in one queue was tried again and waited as long in the next; a ticket filed in an outage was answered after up to 6.3 s of jittered waits. Change: a request that was shed after more than 5 ms is not tried again; the waits of a filing add up to at most 2.5 s.

--- a/crates/contract/src/drive/backoff.rs
+++ b/crates/contract/src/drive/backoff.rs
@@ -29,10 +29,12 @@
 impl Default for BackoffOptions {
     fn default() -> Self {
         Self {
-            max_faults: 6,
+            // The waits add up to at most 2.5 s, so that an operator is answered
+            // within 3 s in an outage.
+            max_faults: 5,
             max_conflicts: 100,
             first: Duration::from_millis(100),
-            longest: Duration::from_secs(10),
+            longest: Duration::from_secs(1),
             conflict: Duration::from_millis(20),
             seed: None,
         }
--- a/crates/host/src/retry.rs
+++ b/crates/host/src/retry.rs
@@ -3,6 +3,7 @@
 use crate::{Outcome, Unknown};
 use knapweed_world::Time;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 /// Settings of a [`RetryPolicy`].
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +68,8 @@
     pub idempotent: bool,
     /// Its body.
     pub body: Body,
+    /// When it arrived at this ingress.
+    pub arrived: Time,
     /// Its deadline.
     pub deadline: Time,
 }
@@ -85,6 +88,8 @@
 pub enum Stop {
     /// The outcome does not allow one.
     Outcome,
+    /// It has waited in a queue already.
+    Queued,
     /// Part of the body is gone.
     BodyConsumed,
     /// All retries were made.
@@ -105,6 +110,11 @@
     tokens: AtomicU64,
 }
 
+/// A request that was shed after more than this is not tried again: the wait in
+/// a second queue would let its caller know only after the 50 ms in which shed
+/// requests are answered.
+const OVERLOAD_RETRY: Duration = Duration::from_millis(5);
+
 /// Tokens that one retry costs.
 const RETRY_COST: u64 = 100;
 
@@ -156,6 +166,9 @@
         if now >= failure.deadline {
             return Decision::Stop(Stop::DeadlinePassed);
         }
+        if is_overload(failure.outcome) && now.since(failure.arrived) > OVERLOAD_RETRY {
+            return Decision::Stop(Stop::Queued);
+        }
         if failure.depth > 1 {
             return decide_below(failure.outcome);
         }
@@ -188,6 +201,10 @@
     matches!(reason, Unknown::ConnectionLost | Unknown::ServerCrashed)
 }
 
+fn is_overload(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::NotRun(reason) if reason.is_overload())
+}
+
 fn decide_below(outcome: Outcome) -> Decision {
     match outcome {
         Outcome::NotRun(reason) if !reason.is_overload() => Decision::Retry,
--- a/crates/host/tests/overload/sim.rs
+++ b/crates/host/tests/overload/sim.rs
@@ -281,6 +281,7 @@
             outcome: Outcome::NotRun(reason),
             idempotent: true,
             body: Body::Empty,
+            arrived: state.arrived,
             deadline: state.deadline,
         };
         let policy = &self.policies[state.level];
--- a/crates/host/tests/retry.rs
+++ b/crates/host/tests/retry.rs
@@ -14,6 +14,7 @@
         outcome,
         idempotent: false,
         body: Body::Unread,
+        arrived: Time(0),
         deadline: Time::from_millis(100),
     }
 }
@@ -73,6 +74,11 @@
         ..base
     };
     assert_eq!(at(consumed, 0), Decision::Stop(Stop::BodyConsumed));
+    // Guards against a second wait in a queue before the caller is told (B6).
+    assert_eq!(at(base, 5), Decision::Retry);
+    assert_eq!(at(base, 6), Decision::Stop(Stop::Queued));
+    let refused = failure(Outcome::NotRun(NotRun::Draining));
+    assert_eq!(at(refused, 6), Decision::Retry);
     let third = Failure { retries: 2, ..base };
     assert_eq!(at(third, 0), Decision::Stop(Stop::MaxRetries));
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -115,6 +115,7 @@
             ingress: self,
             snapshot,
             request: taken,
+            arrived: self.parts.timer.now(),
             method: Bytes::copy_from_slice(request.method.as_str().as_bytes()),
             path: path_and_query(&request.uri),
             headers: headers::to_wire(&request.headers),
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -10,13 +10,14 @@
 use knapweed_host::retry::{Body, Decision, Failure};
 use knapweed_host::{NotRun, Outcome, SendId, Unknown};
 use knapweed_wire::{Header, RequestHead};
-use knapweed_world::{BackendServer, BackendServerKey, Share, Snapshot};
+use knapweed_world::{BackendServer, BackendServerKey, Share, Snapshot, Time};
 
 /// One request with everything that its attempts have in common.
 pub(super) struct Attempts<'a> {
     pub(super) ingress: &'a Ingress,
     pub(super) snapshot: &'a Snapshot,
     pub(super) request: Request,
+    pub(super) arrived: Time,
     pub(super) method: Bytes,
     pub(super) path: Bytes,
     pub(super) headers: Vec<Header>,
@@ -75,6 +76,7 @@
                 RequestBody::Kept(_) | RequestBody::Passing(_) => Body::Unread,
                 RequestBody::Gone => Body::Consumed,
             },
+            arrived: self.arrived,
             deadline: self.request.deadline,
         };
         self.ingress
