fix(node): no read of all recent tickets for each result

Cause: each result of a ticket first completed the progress of up to 64 recent tickets, reading each record. Change: writing the result completes the progress of its own ticket, which is enough, since each accepted ticket gets a result.

--- a/crates/node/src/control/results.rs
+++ b/crates/node/src/control/results.rs
@@ -1,10 +1,10 @@
 //! Final results of tickets: written once, and from stored state only.
 
 use super::{Control, Event};
+use knapweed_contract::Driver;
 use knapweed_contract::drive::SystemClock;
 use knapweed_contract::head::Accepted;
 use knapweed_contract::result::{Ending, Evidence, FinalResult, Record, Tally};
-use knapweed_contract::{Driver, Head};
 use knapweed_observe::part;
 use knapweed_platform::Platform;
 use knapweed_rollout::judge::{Fault, FaultKind};
@@ -159,9 +159,9 @@
             unconfirmed: self.unconfirmed(version),
         };
         let (platform, handle) = (self.parts.platform.clone(), self.handle.clone());
-        let (head, config) = (self.configs.head().clone(), self.configs.config().clone());
+        let config = self.configs.config().clone();
         tokio::spawn(async move {
-            match write(&*platform, ticket, result, &head, &config).await {
+            match write(&*platform, ticket, result, &config).await {
                 Ok(()) => handle.send(Event::Concluded(ticket)).await,
                 Err(err) => log::warn!(target: part::TICKET, "no result of {ticket} yet: {err}"),
             }
@@ -184,11 +184,9 @@
     platform: &dyn Platform,
     ticket: TicketNumber,
     mut result: FinalResult,
-    head: &Head,
     config: &Config,
 ) -> Result<(), knapweed_contract::drive::Error> {
     let driver = Driver::new(platform, &SystemClock);
-    driver.finish_progress(head, &mut BTreeSet::new()).await?;
     if result.ending == Ending::InForce {
         let Some(record) = driver.record(ticket).await? else {
             return Ok(());
