feat(node): calls to another region stay in their budget

Change: the ingress takes the bytes of a request to another region out of the budget and refuses as not run beyond it; responses are not counted yet. Result: a new test sends 100 requests: 15 to 25 pass to another region within 200 bytes of savings, all 100 in the own one.

--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -82,6 +82,15 @@
         }
     }
 
+    /// The length, or [`MAX_KEPT_LEN`] for a body whose length is not known yet.
+    pub fn len_or_longest_kept(&self) -> usize {
+        match self {
+            Self::Kept(bytes) => bytes.len(),
+            Self::Passing(_) => MAX_KEPT_LEN as usize,
+            Self::Gone => 0,
+        }
+    }
+
     /// Whether there are no bytes to send.
     pub fn is_empty(&self) -> bool {
         matches!(self, Self::Kept(bytes) if bytes.is_empty())
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -17,6 +17,7 @@
     Arrival, DEADLINE_MS, DEPTH, IDEMPOTENCY_KEY, OUTCOME, REASON, Request,
 };
 use knapweed_host::{Drain, NotRun, Outcome, RetryPolicy, ServerChoice};
+use knapweed_link::Budget;
 use knapweed_timer::TimerService;
 use knapweed_world::{Snapshot, SnapshotCell, Time};
 use metrics::IngressMetrics;
@@ -46,6 +47,8 @@
     pub local: Box<dyn Carrier>,
     /// To other hosts.
     pub link: Box<dyn Carrier>,
+    /// Bytes of calls that this node may send to another region.
+    pub region_budget: Budget,
     /// The life cycle of the node.
     pub drain: Arc<Drain>,
     /// Whether the version floor is known and kept.
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -10,6 +10,7 @@
 use knapweed_host::retry::{Body, Decision, Failure};
 use knapweed_host::{NotRun, Outcome, SendId, Unknown};
 use knapweed_wire::{Header, RequestHead};
+use knapweed_world::link::Distance;
 use knapweed_world::{BackendServer, BackendServerKey, Share, Snapshot, Time};
 
 /// One request with everything that its attempts have in common.
@@ -92,6 +93,9 @@
     ) -> Response {
         let server = self.snapshot.backend_server(key);
         let host = self.snapshot.host(server.host);
+        if !self.fits_the_region_link(server, body) {
+            return Response::without_answer(Outcome::NotRun(NotRun::Overloaded));
+        }
         let carrier = self.carrier(server);
         let mut head = self.head(server, body);
         head.is_suspect = is_suspect;
@@ -103,6 +107,18 @@
         response
     }
 
+    /// Takes the bytes of a request to another region out of the budget, so that
+    /// calls leave room for control on the link that is narrow and billed.
+    fn fits_the_region_link(&self, server: &BackendServer, body: &RequestBody) -> bool {
+        if self.snapshot.distance(server.host) != Distance::Remote {
+            return true;
+        }
+        let headers = self.headers.iter().map(|h| h.name.len() + h.value.len());
+        let len = self.path.len() + headers.sum::<usize>() + body.len_or_longest_kept();
+        let now = self.ingress.parts.timer.now();
+        self.ingress.parts.region_budget.take(len as u64, now)
+    }
+
     fn carrier(&self, server: &BackendServer) -> &dyn Carrier {
         let parts = &self.ingress.parts;
         match server.host == self.snapshot.local() {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -20,6 +20,7 @@
 use knapweed_host::Drain;
 use knapweed_host::choice::NearestLeastLoaded;
 use knapweed_host::drain::{Next, Signal};
+use knapweed_link::Budget;
 use knapweed_observe::{Logs, Metrics, part};
 use knapweed_platform::Platform;
 use knapweed_platform_http::HttpPlatform;
@@ -105,6 +106,7 @@
         snapshots,
         choice: Box::new(NearestLeastLoaded::default()),
         local: Box::new(LocalCarrier::new(egress)),
+        region_budget: Budget::new(options.region_bytes_per_s),
         link: Box::new(LinkCarrier::new(endpoint.peers(), timer.clone())),
         drain: Arc::clone(&drain),
         ready: Arc::clone(&ready),
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -5,6 +5,7 @@
 use knapweed_host::choice::NearestLeastLoaded;
 use knapweed_host::outcome::Answer;
 use knapweed_host::{Drain, NotRun, Outcome, Unknown};
+use knapweed_link::Budget;
 use knapweed_node::body::{self, RequestBody};
 use knapweed_node::carrier::{Carrier, Response};
 use knapweed_node::ingress::metrics::IngressMetrics;
@@ -19,6 +20,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::time::Duration;
 
 /// A carrier that gives the outcome that the path names.
 struct Scripted;
@@ -71,7 +73,8 @@
     config
 }
 
-fn snapshots() -> Arc<SnapshotCell> {
+/// A snapshot as the host `local` sees it, with the one server in labasa.
+fn snapshots(local: HostEntry) -> Arc<SnapshotCell> {
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let host = HostEntry {
         name: name("a1"),
@@ -87,25 +90,68 @@
             state: ServerState::Ready,
         }],
     };
-    let snapshot = Builder::new(name("a1"), &config()).hosts([host]).build();
+    let config = config();
+    let builder = Builder::new(local.name.clone(), &config);
+    let builder = match local.name == host.name {
+        true => builder.hosts([host]),
+        false => builder.hosts([host, local]),
+    };
+    let snapshot = builder.build();
     Arc::new(SnapshotCell::new(snapshot.expect("a whole mesh")))
 }
 
-/// Guards against server errors, refusals and requests without a route that
-/// are counted for the wrong service or not at all.
-#[tokio::test]
-async fn requests_are_counted_by_service_and_outcome() {
-    let (snapshots, metrics) = (snapshots(), Metrics::new());
-    let ingress = Ingress::new(Parts {
-        snapshots: Arc::clone(&snapshots),
+fn local(host: &str, zone: &str, region: &str) -> HostEntry {
+    HostEntry {
+        name: name(host),
+        zone: name(zone),
+        region: name(region),
+        address: SocketAddr::from(([127, 0, 0, 1], 2)),
+        announcements: Vec::new(),
+    }
+}
+
+fn ingress(snapshots: Arc<SnapshotCell>, metrics: &Metrics) -> Ingress {
+    Ingress::new(Parts {
+        snapshots,
         choice: Box::new(NearestLeastLoaded::default()),
         local: Box::new(Scripted),
         link: Box::new(Scripted),
+        region_budget: Budget::new(1_000),
         drain: Arc::new(Drain::default()),
         ready: Arc::new(AtomicBool::new(true)),
         timer: TimerService::start(),
-        metrics: IngressMetrics::register(&metrics),
-    });
+        metrics: IngressMetrics::register(metrics),
+    })
+}
+
+/// Guards against calls that fill the link between regions, which is narrow,
+/// billed by volume, and needed for control.
+#[tokio::test]
+async fn calls_to_another_region_stay_in_their_budget() {
+    let metrics = Metrics::new();
+    let remote = snapshots(local("s1", "savusavu-a", "savusavu"));
+    let near = snapshots(local("a1", "labasa-a", "labasa"));
+    // The budget of 1,000 bytes/s saves up 200 bytes; each path has 12.
+    let mut answered = [0, 0];
+    for (snapshots, answered) in [remote, near].into_iter().zip(&mut answered) {
+        let ingress = ingress(snapshots, &metrics);
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        for _ in 0..100 {
+            let outcome = run(&ingress, "/calendar/ok", &[]).await;
+            *answered += u32::from(matches!(outcome, Outcome::Answered(_)));
+        }
+    }
+    assert!((15..=25).contains(&answered[0]), "{answered:?}");
+    assert_eq!(answered[1], 100);
+}
+
+/// Guards against server errors, refusals and requests without a route that
+/// are counted for the wrong service or not at all.
+#[tokio::test]
+async fn requests_are_counted_by_service_and_outcome() {
+    let metrics = Metrics::new();
+    let snapshots = snapshots(local("a1", "labasa-a", "labasa"));
+    let ingress = ingress(Arc::clone(&snapshots), &metrics);
     for path in ["ok", "ok", "broken", "shed", "reused", "crash"] {
         run(&ingress, &format!("/calendar/{path}"), &[]).await;
     }
@@ -123,7 +169,7 @@
     insta::assert_snapshot!(format!("{}\n{counts:#?}", node.join("\n")));
 }
 
-async fn run(ingress: &Ingress, path: &str, headers: &[(&'static str, &str)]) {
+async fn run(ingress: &Ingress, path: &str, headers: &[(&'static str, &str)]) -> Outcome {
     let mut fields = HeaderMap::new();
     for (name, value) in headers {
         fields.insert(*name, value.parse().expect("a header value"));
@@ -134,5 +180,5 @@
         headers: fields,
         body: body::empty(),
     };
-    ingress.run(request).await;
+    ingress.run(request).await.head.outcome
 }
