refactor(demo): one piece of code for each repeated step

Cause: the steps of the demonstration repeated how versions are started, tickets filed and answers checked.

--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod process;
 pub mod settings;
 pub mod stand_in;
+pub mod traffic;
 pub mod versions;
 
 pub use client::{Client, Reply};
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -3,6 +3,7 @@
 use anyhow::ensure;
 use http::Method;
 use knapweed_demo::mesh::BackendPlace;
+use knapweed_demo::traffic::Traffic;
 use knapweed_demo::{Mesh, NodePlace, Reply};
 use serde_json::json;
 use std::process::ExitCode;
@@ -38,8 +39,6 @@
 const RESULT: Duration = Duration::from_secs(40);
 /// The bound on the time until a node without calls has stopped.
 const STOPPED: Duration = Duration::from_secs(10);
-/// Bound on the calls made during the rollouts.
-const MAX_CALLS: usize = 100_000;
 /// The bound on the time until all nodes know each other.
 const JOINED: Duration = Duration::from_secs(15);
 
@@ -89,15 +88,7 @@
 
 async fn join(mesh: &mut Mesh, hosts: &[&str]) -> anyhow::Result<()> {
     mesh.start_nodes()?;
-    for host in ["a1", "b1"] {
-        let place = BackendPlace {
-            host,
-            service: "calendar",
-            version: "v1",
-            work_ms: 2,
-        };
-        mesh.start_backend(&place)?;
-    }
+    start_version(mesh, ["a1", "b1"], "v1")?;
     let took = mesh.until_joined(hosts, hosts.len(), JOINED).await?;
     println!(
         "1. {} nodes in two availability zones know each other after {took:?}",
@@ -113,12 +104,7 @@
         "routes": [{ "name": "calendar", "path_prefix": "/calendar", "service": "calendar",
                      "timeout_ms": 2000, "idempotent_methods": ["GET", "HEAD"] }],
     });
-    let reply = mesh.file("a1", &ticket).await?;
-    ensure!(
-        reply.status == 200,
-        "ticket 1 was not accepted: {}",
-        text(&reply)
-    );
+    file_accepted(mesh, "a1", &ticket).await?;
     let took = mesh.until_in_force(hosts, 1, IN_FORCE).await?;
     println!("2. ticket 1 is in force on all nodes {took:?} after its acceptance");
     Ok(())
@@ -181,46 +167,17 @@
 }
 
 async fn complete_rollout(mesh: &mut Mesh) -> anyhow::Result<()> {
-    for host in ["a2", "b2"] {
-        let place = BackendPlace {
-            host,
-            service: "calendar",
-            version: "v2",
-            work_ms: 2,
-        };
-        mesh.start_backend(&place)?;
-    }
-    let reply = mesh.file("b1", &move_to(3, "v2", 20)).await?;
-    ensure!(
-        reply.status == 200,
-        "ticket 3 was not accepted: {}",
-        text(&reply)
-    );
+    start_version(mesh, ["a2", "b2"], "v2")?;
+    file_accepted(mesh, "b1", &move_to(3, "v2", 20)).await?;
     let (ticket, took) = result_of(mesh, "a1", 3).await?;
     let kind = &ticket["record"]["result"]["ending"]["kind"];
     ensure!(kind == "completed", "ticket 3 ended otherwise: {ticket}");
     println!("6. after {took:?}: {}", ticket["sentence"]);
-    let reply = mesh
-        .client
-        .get(mesh.node("a1").callers, "/calendar/today")
-        .await?;
-    ensure!(
-        reply.json()?["version"] == "v2",
-        "a call went elsewhere: {}",
-        text(&reply)
-    );
-    Ok(())
+    check_served_by(mesh, "a1", "v2").await
 }
 
 async fn pull_back_bad_version(mesh: &mut Mesh) -> anyhow::Result<()> {
-    for host in ["a1", "b1"] {
-        let place = BackendPlace {
-            host,
-            service: "calendar",
-            version: "v3",
-            work_ms: 2,
-        };
-        let name = mesh.start_backend(&place)?;
+    for name in start_version(mesh, ["a1", "b1"], "v3")? {
         let address = mesh.backend(&name);
         mesh.until("the backend server takes its fault", JOINED, || async {
             let body = json!({ "fail_percent": 50 }).to_string();
@@ -233,30 +190,59 @@
         })
         .await?;
     }
-    let reply = mesh.file("a2", &move_to(4, "v3", 30)).await?;
-    ensure!(
-        reply.status == 200,
-        "ticket 4 was not accepted: {}",
-        text(&reply)
-    );
+    file_accepted(mesh, "a2", &move_to(4, "v3", 30)).await?;
     let (ticket, took) = result_of(mesh, "b1", 4).await?;
     let kind = &ticket["record"]["result"]["ending"]["kind"];
     ensure!(kind == "pulled-back", "ticket 4 ended otherwise: {ticket}");
     println!("7. after {took:?}: {}", ticket["sentence"]);
     for _ in 0..100 {
-        let reply = mesh
-            .client
-            .get(mesh.node("b1").callers, "/calendar/today")
-            .await?;
-        ensure!(
-            reply.json()?["version"] == "v2",
-            "a call went elsewhere: {}",
-            text(&reply)
-        );
+        check_served_by(mesh, "b1", "v2").await?;
     }
     Ok(())
 }
 
+/// Starts a backend server of a version on each host, and returns their names.
+fn start_version(
+    mesh: &mut Mesh,
+    hosts: [&'static str; 2],
+    version: &'static str,
+) -> anyhow::Result<Vec<String>> {
+    let places = hosts.map(|host| BackendPlace {
+        host,
+        service: "calendar",
+        version,
+        work_ms: 2,
+    });
+    places
+        .iter()
+        .map(|place| mesh.start_backend(place))
+        .collect()
+}
+
+/// Files a ticket that must be accepted.
+async fn file_accepted(mesh: &Mesh, host: &str, ticket: &serde_json::Value) -> anyhow::Result<()> {
+    let reply = mesh.file(host, ticket).await?;
+    let number = &ticket["ticket"];
+    ensure!(
+        reply.status == 200,
+        "ticket {number} was not accepted: {}",
+        text(&reply)
+    );
+    Ok(())
+}
+
+/// Makes a call through the node of `host` that `version` must answer.
+async fn check_served_by(mesh: &Mesh, host: &str, version: &str) -> anyhow::Result<()> {
+    let address = mesh.node(host).callers;
+    let reply = mesh.client.get(address, "/calendar/today").await?;
+    ensure!(
+        reply.json()?["version"] == version,
+        "a call went elsewhere: {}",
+        text(&reply)
+    );
+    Ok(())
+}
+
 async fn stop_gracefully(mesh: &mut Mesh) -> anyhow::Result<()> {
     let node = mesh.process("b2");
     node.signal("TERM")?;
@@ -290,59 +276,6 @@
     .await
 }
 
-/// Outcomes of calls.
-#[derive(Clone, Copy, Debug, Default)]
-struct Counts {
-    answered: u64,
-    failed: u64,
-    not_run: u64,
-    unknown: u64,
-}
-
-/// Calls through all nodes, one after the other, until stopped.
-struct Traffic {
-    stop: tokio::sync::watch::Sender<bool>,
-    task: tokio::task::JoinHandle<Counts>,
-}
-
-impl Traffic {
-    fn start(mesh: &Mesh, hosts: &[&str]) -> Self {
-        let (stop, stopped) = tokio::sync::watch::channel(false);
-        let nodes: Vec<_> = hosts.iter().map(|host| mesh.node(host).callers).collect();
-        let client = mesh.client.clone();
-        let task = tokio::spawn(async move {
-            let mut counts = Counts::default();
-            for address in nodes.iter().cycle().take(MAX_CALLS) {
-                if *stopped.borrow() {
-                    break;
-                }
-                if let Ok(reply) = client.get(*address, "/calendar/today").await {
-                    counts.add(&reply);
-                }
-                tokio::time::sleep(Duration::from_millis(2)).await;
-            }
-            counts
-        });
-        Self { stop, task }
-    }
-
-    async fn stop(self) -> anyhow::Result<Counts> {
-        self.stop.send_replace(true);
-        Ok(self.task.await?)
-    }
-}
-
-impl Counts {
-    fn add(&mut self, reply: &Reply) {
-        match reply.header("knapweed-outcome") {
-            "answered" if reply.status.is_server_error() => self.failed += 1,
-            "answered" => self.answered += 1,
-            "not-run" => self.not_run += 1,
-            _ => self.unknown += 1,
-        }
-    }
-}
-
 fn text(reply: &Reply) -> String {
     let body = String::from_utf8_lossy(&reply.body);
     body.chars().take(300).collect()
