test(demo): 200 MB both ways in bounded memory, and cancellation

Cause: that bodies are streamed and that a caller who leaves frees its slot was stated and not shown with real processes. Change: a test sends 200 MB through two nodes and back and reads the peak memory of both; another leaves a request of 10 s after 0.5 s and reads the stand-in.

--- /dev/null
+++ b/crates/demo/tests/cancellation.rs
@@ -0,0 +1,33 @@
+//! A caller that leaves cancels its request at the backend server.
+
+use bytes::Bytes;
+use http::Method;
+use knapweed_demo::fleet::{self, PLACES, limited};
+use std::time::Duration;
+
+/// P1: guards against slots that are held for callers that have left, through two nodes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_leaves_cancels_its_request() -> anyhow::Result<()> {
+    limited(async {
+        let mesh = fleet::start(&PLACES[..2], &["a1"]).await?;
+        let address = mesh.node("a2").callers;
+        mesh.until("the server is known", Duration::from_secs(5), || async {
+            let reply = mesh.client.get(address, "/today").await.ok()?;
+            (reply.status == 200).then_some(())
+        })
+        .await?;
+        let headers = [("x-work-ms", "10000")];
+        let call = mesh
+            .client
+            .send(Method::GET, address, "/slow", &headers, Bytes::new());
+        let left = tokio::time::timeout(Duration::from_millis(500), call).await;
+        anyhow::ensure!(left.is_err(), "the call ended early");
+        mesh.until("the server notices", Duration::from_secs(2), || async {
+            let stats = mesh.backend_stats("a1-calendar-v1").await.ok()?;
+            (stats["cancelled"] == 1 && stats["running"] == 0).then_some(())
+        })
+        .await?;
+        Ok(())
+    })
+    .await
+}
--- /dev/null
+++ b/crates/demo/tests/streaming.rs
@@ -0,0 +1,65 @@
+//! Long bodies pass through two nodes without being gathered.
+
+use anyhow::{Context, ensure};
+use http::Method;
+use knapweed_demo::Mesh;
+use knapweed_demo::fleet::{self, PLACES, limited};
+
+/// Length of the body, that of a long video.
+const BODY_LEN: usize = 200 * 1024 * 1024;
+/// Most memory that a node may use beyond what it used before, in KB: the flow
+/// control windows of both directions, many times over.
+const MAX_GROWTH_KB: u64 = 48 * 1024;
+
+/// H5: guards against bodies that are cut, and against nodes that gather them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_body_of_200_mb_passes_both_ways_in_bounded_memory() -> anyhow::Result<()> {
+    limited(async {
+        let mut mesh = fleet::start(&PLACES[..2], &["a1"]).await?;
+        let address = mesh.node("a2").callers;
+        let small = mesh
+            .client
+            .send(Method::POST, address, "/echo", &[], "small")
+            .await?;
+        ensure!(
+            small.status == 200,
+            "the echo does not answer: {}",
+            small.status
+        );
+        let before = peaks(&mut mesh)?;
+        let body = vec![b'v'; BODY_LEN];
+        let reply = mesh
+            .client
+            .send(Method::POST, address, "/echo", &[], body.clone())
+            .await?;
+        ensure!(reply.status == 200, "the upload failed: {}", reply.status);
+        ensure!(
+            reply.body == body,
+            "{} bytes came back changed",
+            reply.body.len()
+        );
+        for ((host, after), before) in ["a1", "a2"].iter().zip(peaks(&mut mesh)?).zip(before) {
+            println!("peak memory of {host}: {before} KB before, {after} KB after");
+            let growth = after.saturating_sub(before);
+            ensure!(growth <= MAX_GROWTH_KB, "{host} grew by {growth} KB");
+        }
+        Ok(())
+    })
+    .await
+}
+
+/// Peak resident memory of both nodes so far, in KB.
+fn peaks(mesh: &mut Mesh) -> anyhow::Result<[u64; 2]> {
+    Ok([peak(mesh, "a1")?, peak(mesh, "a2")?])
+}
+
+fn peak(mesh: &mut Mesh, host: &str) -> anyhow::Result<u64> {
+    let id = mesh.process(host).id();
+    let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+    let line = status
+        .lines()
+        .find(|l| l.starts_with("VmHWM:"))
+        .context("a peak")?;
+    let value = line.split_whitespace().nth(1).context("a value")?;
+    Ok(value.parse()?)
+}
