fix(transport): bytes of closed connections still count

Cause: a connection that closed by its idle timeout left the totals until it was replaced, so the counters of sent and received bytes decreased: a measurement of 60 nodes over 60 s showed -2,059 bytes/s. Change: the totals hold each connection until it is replaced.

--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -190,11 +190,13 @@
             connections: 0,
         };
         for slot in self.slots.load().values() {
-            if let Some(connection) = slot.open() {
+            if let Some(connection) = slot.current.load_full() {
                 let stats = connection.stats();
                 total.sent += stats.udp_tx.bytes;
                 total.received += stats.udp_rx.bytes;
-                total.connections += 1;
+                // A connection that has closed itself counts until it is replaced,
+                // so that the totals never decrease.
+                total.connections += u64::from(connection.close_reason().is_none());
             }
         }
         total
--- a/crates/transport/tests/endpoint.rs
+++ b/crates/transport/tests/endpoint.rs
@@ -180,3 +180,31 @@
     }
     panic!("the address {address} is still in use");
 }
+
+/// Guards against totals that decrease when the other end closes a connection,
+/// which showed negative rates in the metrics.
+#[tokio::test]
+async fn traffic_of_closed_connections_still_counts() {
+    let authority = Authority::new().expect("an authority");
+    let (a, _arrivals) = open(&authority);
+    let (b, mut arrivals) = open(&authority);
+    let address = b.local_address().expect("an address");
+    let peers = a.peers();
+    peers
+        .send(address, Bytes::from("ping"))
+        .await
+        .expect("sent");
+    arrivals.datagrams.recv().await.expect("a datagram");
+    let before = peers.traffic();
+    b.close().await;
+    for _ in 0..100 {
+        if peers.traffic().connections == 0 {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    let after = peers.traffic();
+    assert_eq!(after.connections, 0);
+    assert!(after.sent >= before.sent, "{before:?} {after:?}");
+    assert!(after.received >= before.received, "{before:?} {after:?}");
+}
