fix(host): a late heartbeat does not bring back a server that left

The node had restarted since: the process that acknowledged was gone, and a heartbeat sent before the leaving arrived late at the new process, which knew nothing and took the server.

Change: in its first 10 s a node does not take a server that started before it on the word of one heartbeat. It asks the server at the health path of its service; without an answer, the next heartbeat decides. A server that reports its leaving to a node that does not know it is remembered as gone.

Ruled out: waiting for the second heartbeat alone.

--- a/crates/contract/src/check.rs
+++ b/crates/contract/src/check.rs
@@ -184,6 +184,7 @@
                 ticket: ticket.ticket,
                 changed_at: self.next.version,
                 max_connections: None,
+                health_path: None,
             };
             self.next.services.insert(change.name.clone(), service);
         }
--- a/crates/host/examples/measure.rs
+++ b/crates/host/examples/measure.rs
@@ -70,6 +70,7 @@
             ticket: TicketNumber(1),
             changed_at: ConfigVersion(1),
             max_connections: None,
+            health_path: None,
         };
         config.routes.insert(service.clone(), route);
         config.services.insert(service, service_config);
--- a/crates/host/src/registration.rs
+++ b/crates/host/src/registration.rs
@@ -4,7 +4,7 @@
 //! ended and another process has taken its address.
 
 use knapweed_world::backend_server::{Announcement, ServerState};
-use knapweed_world::{Name, Time};
+use knapweed_world::{Name, Time, UnixMillis};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,6 +13,11 @@
 /// heartbeat does not bring it back.
 pub const RETENTION: Duration = Duration::from_secs(60);
 
+/// Time after the start of the node in which a process that is older needs two
+/// heartbeats: an earlier process of the node may have acknowledged that it
+/// leaves, and heartbeats were seen to arrive up to four seconds late.
+const START_DOUBT: Duration = Duration::from_secs(10);
+
 /// What a process says of itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Sign {
@@ -51,6 +56,8 @@
     Unchanged,
     /// It is older than what is known.
     Outdated,
+    /// It may have left before this node started; its next heartbeat tells.
+    Unconfirmed,
 }
 
 #[derive(Clone, Debug)]
@@ -64,25 +71,49 @@
 }
 
 /// The processes of the backend servers of one host.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registrations {
+    /// When the node started, by the wall clock.
+    started: UnixMillis,
     by_address: HashMap<SocketAddr, Registered>,
     /// Processes that have left, and when.
     gone: HashMap<Life, Time>,
+    /// Names of processes that left without being known, and when by both clocks.
+    gone_unknown: HashMap<Name, (UnixMillis, Time)>,
+    /// Processes that need a second heartbeat, and the number of the first.
+    unconfirmed: HashMap<Life, u64>,
+}
+
+/// Construction.
+impl Registrations {
+    /// No process is known on a node that started at `started`, which is zero of
+    /// the other times.
+    pub fn new(started: UnixMillis) -> Self {
+        Self {
+            started,
+            by_address: HashMap::new(),
+            gone: HashMap::new(),
+            gone_unknown: HashMap::new(),
+            unconfirmed: HashMap::new(),
+        }
+    }
 }
 
 /// Events.
 impl Registrations {
     /// A heartbeat has arrived.
     pub fn heartbeat(&mut self, sign: Sign, now: Time) -> Taken {
-        self.gone.retain(|_, at| now.since(*at) < RETENTION);
+        self.forget(now);
         let life = sign.life();
-        if self.gone.contains_key(&life) {
+        if self.has_left(&life) {
             return Taken::Outdated;
         }
         let address = sign.announcement.address;
         let Some(known) = self.by_address.get_mut(&address) else {
-            return self.register(sign, life);
+            return match self.is_confirmed(&life, sign.sequence, now) {
+                true => self.register(sign, life),
+                false => Taken::Unconfirmed,
+            };
         };
         if known.life == life {
             if sign.sequence <= known.sequence {
@@ -98,11 +129,27 @@
         self.register(sign, life)
     }
 
+    /// The process of a sign that was [`Taken::Unconfirmed`] is there to stay.
+    pub fn confirm(&mut self, sign: &Sign) -> Taken {
+        let life = sign.life();
+        // A sign that has come since may have more to say.
+        let is_latest = self.unconfirmed.get(&life) == Some(&sign.sequence);
+        let is_taken = self.by_address.contains_key(&sign.announcement.address);
+        if !is_latest || is_taken || self.has_left(&life) {
+            return Taken::Outdated;
+        }
+        self.unconfirmed.remove(&life);
+        self.register(sign.clone(), life)
+    }
+
     /// The process named `instance` has left; returns its last announcement.
-    pub fn left(&mut self, instance: &Name, now: Time) -> Option<Announcement> {
+    pub fn left(&mut self, instance: &Name, now: Time, wall: UnixMillis) -> Option<Announcement> {
         let mut all = self.by_address.iter();
         let found = all.find(|(_, r)| r.life.instance == *instance);
-        let address = *found?.0;
+        let Some(address) = found.map(|(address, _)| *address) else {
+            self.gone_unknown.insert(instance.clone(), (wall, now));
+            return None;
+        };
         let registered = self.by_address.remove(&address)?;
         self.gone.insert(registered.life, now);
         Some(Announcement {
@@ -113,6 +160,31 @@
 }
 
 impl Registrations {
+    fn forget(&mut self, now: Time) {
+        self.gone.retain(|_, at| now.since(*at) < RETENTION);
+        let is_recent = |_: &Name, (_, at): &mut (UnixMillis, Time)| now.since(*at) < RETENTION;
+        self.gone_unknown.retain(is_recent);
+        if now.since(Time(0)) >= START_DOUBT {
+            self.unconfirmed.clear();
+        }
+    }
+
+    fn has_left(&self, life: &Life) -> bool {
+        let unknown = self.gone_unknown.get(&life.instance);
+        self.gone.contains_key(life)
+            || unknown.is_some_and(|(left_at, _)| life.started_ms <= left_at.0)
+    }
+
+    /// Whether a process that is not known cannot have left already.
+    fn is_confirmed(&mut self, life: &Life, sequence: u64, now: Time) -> bool {
+        let is_newer = life.started_ms >= self.started.0;
+        if is_newer || now.since(Time(0)) >= START_DOUBT {
+            return true;
+        }
+        let before = self.unconfirmed.insert(life.clone(), sequence);
+        before.is_some_and(|before| before < sequence)
+    }
+
     fn register(&mut self, sign: Sign, life: Life) -> Taken {
         let announcement = sign.announcement;
         let registered = Registered {
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -46,6 +46,7 @@
         ticket: TicketNumber(1),
         changed_at: ConfigVersion(1),
         max_connections: None,
+        health_path: None,
     };
     let route = RouteConfig {
         path_prefix: "/calendar".into(),
--- a/crates/model/src/mesh.rs
+++ b/crates/model/src/mesh.rs
@@ -179,6 +179,7 @@
         ticket: TicketNumber(1),
         changed_at: ConfigVersion(1),
         max_connections: None,
+        health_path: None,
     }
 }
 
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -147,6 +147,7 @@
             ticket,
             changed_at: ConfigVersion(ticket.0),
             max_connections: None,
+            health_path: None,
         }
     }
 
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// The headers of backend servers.
+    pub fn protocol(&self) -> &dyn ServerProtocol {
+        &*self.protocol
+    }
+
     /// Takes over what a backend server of this host announces.
     ///
     /// When this returns, a leaving backend server gets no new request.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod egress;
 pub mod guarded;
 pub mod headers;
+pub mod health;
 pub mod history;
 pub mod ingress;
 pub mod node;
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -67,6 +67,10 @@
         headers: &mut HeaderMap,
     );
 
+    /// Whether `server` is leaving, by its answer at the health path of its
+    /// service; `None` when the answer does not say so.
+    fn is_leaving(&self, server: &Announcement, response: &response::Parts) -> Option<bool>;
+
     /// Reads what became of a request.
     fn interpret(&self, head: &RequestHead, response: &response::Parts) -> ServerAnswer;
 }
--- a/crates/node/src/protocol/own.rs
+++ b/crates/node/src/protocol/own.rs
@@ -62,6 +62,10 @@
         headers.insert(REQUEST_ID, id.expect("digits are a header value"));
     }
 
+    fn is_leaving(&self, _server: &Announcement, _response: &response::Parts) -> Option<bool> {
+        None
+    }
+
     fn interpret(&self, _head: &RequestHead, response: &response::Parts) -> ServerAnswer {
         let is_refusal = response.status == StatusCode::SERVICE_UNAVAILABLE;
         match is_refusal && response.headers.contains_key(SHED) {
--- /dev/null
+++ b/crates/node/tests/health.rs
@@ -0,0 +1,37 @@
+//! Questions to a backend server about itself.
+
+use knapweed_node::health::ask;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// A server that gives one answer to each connection and closes it.
+async fn server(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 1024];
+            let _ = stream.read(&mut buf).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// Guards against an answer that is lost because the server closes the connection
+/// with it: asked often, since the order of both events varies.
+#[tokio::test]
+async fn an_answer_before_the_close_counts() {
+    let address = server("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+    for _ in 0..50 {
+        let response = ask(address, "/health").await.expect("an answer");
+        assert_eq!(response.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn a_close_without_an_answer_is_an_error() {
+    let address = server("").await;
+    ask(address, "/health").await.expect_err("no answer");
+}
--- a/crates/node/tests/history.rs
+++ b/crates/node/tests/history.rs
@@ -35,6 +35,7 @@
             ticket: TicketNumber(1),
             changed_at: ConfigVersion(1),
             max_connections: None,
+            health_path: None,
         };
         config.services.insert(name(&format!("s{i:03}")), service);
     }
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -63,6 +63,7 @@
         ticket: TicketNumber(1),
         changed_at: ConfigVersion(1),
         max_connections: None,
+        health_path: None,
     };
     let route = RouteConfig {
         path_prefix: "/calendar".into(),
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -32,6 +32,7 @@
             ticket: knapweed_world::TicketNumber(1),
             changed_at: knapweed_world::ConfigVersion(1),
             max_connections: None,
+            health_path: None,
         };
         config.services.insert(name(&format!("s{i:03}")), service);
     }
--- a/crates/node/tests/nodes/retries.rs
+++ b/crates/node/tests/nodes/retries.rs
@@ -59,6 +59,7 @@
         ticket,
         changed_at,
         max_connections: None,
+        health_path: None,
     };
     let route = RouteConfig {
         path_prefix: "/calendar".into(),
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -41,6 +41,7 @@
         ticket: TicketNumber(ticket),
         changed_at: ConfigVersion(ticket),
         max_connections: None,
+        health_path: None,
     }
 }
 
--- a/crates/rollout/tests/guard_tripped.rs
+++ b/crates/rollout/tests/guard_tripped.rs
@@ -38,6 +38,7 @@
         ticket: TicketNumber(7),
         changed_at: ConfigVersion(2),
         max_connections: None,
+        health_path: None,
     }
 }
 
--- a/crates/trace/examples/generate/model.rs
+++ b/crates/trace/examples/generate/model.rs
@@ -241,6 +241,7 @@
         ticket: TicketNumber(ticket),
         changed_at: ConfigVersion(ticket),
         max_connections: None,
+        health_path: None,
     }
 }
 
--- a/crates/world/src/config.rs
+++ b/crates/world/src/config.rs
@@ -88,6 +88,9 @@
     /// announce it themselves.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub max_connections: Option<u16>,
+    /// Path at which its backend servers tell how they do, when they do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<String>,
 }
 
 /// Which requests of a route may run more than once.
--- a/crates/world/src/service.rs
+++ b/crates/world/src/service.rs
@@ -98,6 +98,8 @@
     pub name: Name,
     /// Its versions with their shares.
     pub versions: Vec<ServedVersion>,
+    /// Path at which its backend servers tell how they do, when they do.
+    pub health_path: Option<Arc<str>>,
     /// Its requests at the local ingress.
     pub counters: Arc<ServiceCounters>,
     /// Its retries at the local ingress.
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -172,6 +172,7 @@
             let key = self.arenas.services.insert(Service {
                 name: name.clone(),
                 versions,
+                health_path: service.health_path.as_deref().map(Arc::from),
                 counters: known.counters,
                 retry_tokens: known.retry_tokens,
             });
--- a/crates/world/tests/common/mod.rs
+++ b/crates/world/tests/common/mod.rs
@@ -55,6 +55,7 @@
         ticket: TicketNumber(version),
         changed_at: ConfigVersion(version),
         max_connections: None,
+        health_path: None,
     };
     config.services.insert(name("calendar"), service);
     for (route, prefix) in [("all", "/"), ("calendar", "/calendar")] {
