feat(observe): a log line for each decision about a request, never blocking

Only changes of state were logged, as text on standard error, and a slow reader of it held up the thread that logged.

Change: log lines carry fields (request, configuration version, what was known of the backend server and how old that was, decision, outcome) and go to standard output, as JSON on the users' platform. A bounded queue leads to a thread that writes; what finds it full is left out and counted. Requests that went as usual get one line, within 100 lines a second; all other decisions at ingress and egress get one each, within 200. The loss and return of the store get a line.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -90,6 +90,8 @@
     results: Results,
     /// Recent tickets that are known to have a final result.
     concluded: BTreeSet<TicketNumber>,
+    /// Whether the last call to the store was answered; `None` before the first.
+    store_reached_before: Option<bool>,
     /// Whether the snapshot no longer fits the members or the configuration.
     stale: bool,
 }
@@ -113,6 +115,7 @@
             orders: OrderBook::default(),
             results: Results::default(),
             concluded: BTreeSet::new(),
+            store_reached_before: None,
             stale: true,
         }
     }
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -101,6 +101,12 @@
 impl Control {
     /// The store has answered a call of this node, or has not.
     pub(super) fn store_reached(&mut self, now: Time, reached: bool) {
+        if self.store_reached_before.replace(reached) != Some(reached) {
+            match reached {
+                true => log::info!(target: part::PLATFORM, "the store answers"),
+                false => log::warn!(target: part::PLATFORM, "the store does not answer"),
+            }
+        }
         self.member_event(now, membership::Event::StoreReached(reached));
     }
 
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -10,6 +10,7 @@
 use crate::body::Body;
 use crate::carrier::Response;
 use crate::protocol::ServerProtocol;
+use crate::request_log::Egressed;
 use crate::trial::Trials;
 use arc_swap::ArcSwap;
 use crashes::Crashes;
@@ -121,7 +122,11 @@
         Box::pin(async move {
             match lane.filter(|l| l.serves(&head)) {
                 Some(lane) => lane.run(head, body).await,
-                None => Response::without_answer(Outcome::NotRun(NotRun::NoServer)),
+                None => {
+                    let response = Response::without_answer(Outcome::NotRun(NotRun::NoServer));
+                    Egressed::new(&head, None).ended(&response.head, Duration::ZERO);
+                    response
+                }
             }
         })
     }
--- a/crates/node/src/egress/lane.rs
+++ b/crates/node/src/egress/lane.rs
@@ -6,6 +6,7 @@
 use crate::body::Body;
 use crate::carrier::Response;
 use crate::protocol::ServerProtocol;
+use crate::request_log::{Egressed, QueueState};
 use crate::trial::{Run, Trial, Trials};
 use knapweed_host::admission::{
     Arrival, ObjectiveQueue, Options, Refusal, Released, Verdict, WaiterKey,
@@ -110,6 +111,8 @@
     /// Runs a request: waits for a slot and a connection, then exchanges.
     pub(super) async fn run(self: Arc<Self>, head: RequestHead, body: Body) -> Response {
         let flow = Flow::named(&head.route);
+        let start = self.timer.now();
+        let log = Egressed::new(&head, Some(self.queue_state()));
         let result = match self.trials.find(&head.service) {
             _ if self.trials.is_pulled_back(&head.service, &head.version) => {
                 Err(NotRun::Guarded.into())
@@ -122,9 +125,19 @@
         };
         let mut response = result.unwrap_or_else(Failure::into_response);
         response.head.load = Some(self.queue.lock().admission.load(flow));
+        let took = self.timer.now().since(start);
+        log.ended(&response.head, took);
         response
     }
 
+    fn queue_state(&self) -> QueueState {
+        let queue = self.queue.lock();
+        QueueState {
+            running: queue.admission.running(),
+            queued: queue.admission.queued(),
+        }
+    }
+
     /// Runs a request of a service whose traffic is being moved, and counts it.
     async fn run_trial(
         self: Arc<Self>,
--- a/crates/node/src/egress/serve.rs
+++ b/crates/node/src/egress/serve.rs
@@ -4,6 +4,7 @@
 use super::{Egress, time_left};
 use crate::body::{self, Body};
 use crate::carrier::Response;
+use crate::request_log::{self, RequestId};
 use http_body_util::BodyExt;
 use knapweed_host::inquiry::{Begin, End};
 use knapweed_host::{NotRun, Outcome, SendId, Unknown};
@@ -36,6 +37,7 @@
         body::empty()
     };
     let cancelled = sender.cancelled();
+    let id = head.caller_id.clone();
     let deadline = egress.timer.now().after(time_left(&head));
     let exchange = async {
         let response = egress.run(head, body).await;
@@ -46,11 +48,15 @@
     tokio::select! {
         result = exchange => {
             if let Err(err) = result {
-                log::debug!(target: part::EGRESS, "response to {from} was cut short: {err}");
+                log::info!(
+                    target: part::EGRESS,
+                    request:% = RequestId(id.as_ref());
+                    "response to {from} was cut short: {err}"
+                );
             }
         }
         // Dropping the exchange cancels the request at the backend server.
-        () = cancelled => {}
+        () = cancelled => request_log::cancelled(id.as_ref(), &from),
     }
 }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -9,6 +9,7 @@
 use crate::carrier::{Carrier, Response};
 use crate::headers;
 use crate::protocol::{CallerFields, CallerProtocol};
+use crate::request_log::Ingressed;
 use attempt::Attempts;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
@@ -95,14 +96,20 @@
         }
         // The snapshot is kept for the whole request, so that it sees one version.
         let snapshot = self.parts.snapshots.load_full();
+        let mut log = Ingressed::new(&snapshot, &self.parts.timer);
         let taken = self.take(&snapshot, &request, start);
         let service = taken.as_ref().ok().map(|(taken, _)| taken.service);
         let result = match taken {
-            Ok((taken, fields)) => self.try_run(&snapshot, taken, fields, request).await,
+            Ok((taken, fields)) => {
+                log.taken(&taken, fields.id.clone());
+                self.try_run(&snapshot, taken, fields, request, &mut log)
+                    .await
+            }
             Err(outcome) => Err(outcome),
         };
         let mut response = result.unwrap_or_else(Response::without_answer);
         suggest_retry(&mut response);
+        log.ended(&response.head);
         let took = self.parts.timer.now().since(start);
         self.parts.metrics.count(response.head.outcome, took);
         if let Some(service) = service {
@@ -118,6 +125,7 @@
         taken: Request,
         fields: CallerFields,
         request: CallerRequest,
+        log: &mut Ingressed<'_>,
     ) -> Result<Response, Outcome> {
         let cut_short = |_| Outcome::NotRun(NotRun::InvalidHeader);
         let body = body::gather(request.body, MAX_KEPT_LEN).await;
@@ -135,7 +143,7 @@
             path: path_and_query(&request.uri),
             headers: headers::to_wire(&request.headers, passes),
         };
-        attempts.run(body).await
+        attempts.run(body, log).await
     }
 
     /// Takes a request: what its headers say, its route and its deadline.
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -3,11 +3,12 @@
 use super::Ingress;
 use crate::body::RequestBody;
 use crate::carrier::{Carrier, Response};
+use crate::request_log::{Ingressed, Known, Try};
 use bytes::Bytes;
 use knapweed_host::choice::{Exclusions, Query, Scope};
 use knapweed_host::crash::MAX_CRASHES;
 use knapweed_host::request::Request;
-use knapweed_host::retry::{Body, Decision, Failure, may_have_arrived};
+use knapweed_host::retry::{Body, Decision, Failure, Stop, may_have_arrived};
 use knapweed_host::{NotRun, Outcome, SendId, Unknown};
 use knapweed_wire::{Header, RequestHead, ResponseHead};
 use knapweed_world::link::Distance;
@@ -29,7 +30,11 @@
 
 impl Attempts<'_> {
     /// Sends the request until it has an outcome that is not retried.
-    pub(super) async fn run(self, mut body: RequestBody) -> Result<Response, Outcome> {
+    pub(super) async fn run(
+        self,
+        mut body: RequestBody,
+        log: &mut Ingressed<'_>,
+    ) -> Result<Response, Outcome> {
         let mut excluded = Exclusions::default();
         let version_draw = rand::random_range(0..Share::ALL.0);
         let mut last = None;
@@ -51,15 +56,19 @@
                 excluded: &excluded,
             };
             let choice = self.ingress.parts.choice.choose(self.snapshot, &query);
-            let server = match choice {
-                Ok(choice) => choice.server,
+            let choice = match choice {
+                Ok(choice) => choice,
                 // With every backend server tried, the last refusal says more.
                 Err(reason) => {
+                    log.unplaced(reason);
                     let outcome = last.unwrap_or(Outcome::NotRun(reason));
                     return Ok(with_retry_after(Response::without_answer(outcome), room));
                 }
             };
-            let response = self.send(server, &mut body, is_suspect).await;
+            let server = self.snapshot.backend_server(choice.server);
+            let known = Known::of(server, self.request.rank, query.now);
+            log.sent();
+            let response = self.send(choice.server, &mut body, is_suspect).await;
             let outcome = response.head.outcome;
             if matches!(outcome, Outcome::Answered(_)) {
                 return Ok(response);
@@ -68,16 +77,24 @@
             is_suspect |= response.head.crashed;
             // A crash may be the fault of the request: it takes down two at most (B7).
             crashes += usize::from(outcome == Outcome::Unknown(Unknown::ServerCrashed));
-            if crashes >= MAX_CRASHES {
-                return Ok(with_retry_after(response, room));
-            }
             sends += u8::from(may_have_arrived(outcome));
             let failure = self.failure(outcome, tries, sends, &body);
             let now = self.ingress.parts.timer.now();
-            if policy.decide(&failure, &service.retry_tokens, now) != Decision::Retry {
+            let decision = match crashes >= MAX_CRASHES {
+                true => Decision::Stop(Stop::Outcome),
+                false => policy.decide(&failure, &service.retry_tokens, now),
+            };
+            log.tried(&Try {
+                server,
+                reason: choice.reason,
+                known,
+                response: &response.head,
+                decision,
+            });
+            if decision != Decision::Retry {
                 return Ok(with_retry_after(response, room));
             }
-            excluded.add(server, scope(outcome));
+            excluded.add(choice.server, scope(outcome));
             last = Some(outcome);
         }
         Err(Outcome::NotRun(NotRun::NoServer))
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod operators;
 pub mod orders;
 pub mod protocol;
+pub mod request_log;
 pub mod source;
 pub mod trial;
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod metrics;
 pub mod part;
 pub mod settings;
+pub mod sink;
 
 pub use history::History;
 pub use limit::{RateLimit, Suppressed};
--- a/crates/observe/src/limit.rs
+++ b/crates/observe/src/limit.rs
@@ -1,4 +1,4 @@
-//! Rate limiter for repeated log messages.
+//! Rate limiter for log messages.
 
 use std::fmt;
 use std::sync::OnceLock;
@@ -7,8 +7,12 @@
 
 /// Marks a limiter that has passed nothing yet.
 const NEVER: u64 = u64::MAX;
+/// Bits of the state that hold the messages passed in the interval; the others
+/// hold its start.
+const COUNT_BITS: u32 = 16;
+const COUNT_MASK: u64 = (1 << COUNT_BITS) - 1;
 
-/// Passes one message per interval and counts the ones in between.
+/// Passes a number of messages per interval and counts the others.
 ///
 /// ```
 /// use knapweed_observe::RateLimit;
@@ -19,8 +23,10 @@
 /// ```
 #[derive(Debug)]
 pub struct RateLimit {
+    messages: u16,
     interval_ms: u64,
-    last_ms: AtomicU64,
+    /// Start of the interval in milliseconds and messages passed in it, or [`NEVER`].
+    state: AtomicU64,
     suppressed: AtomicU64,
 }
 
@@ -31,9 +37,19 @@
 impl RateLimit {
     /// A limiter for one message per `interval_ms` milliseconds.
     pub const fn every_ms(interval_ms: u64) -> Self {
+        Self::new(1, interval_ms)
+    }
+
+    /// A limiter for `messages` messages per second.
+    pub const fn per_second(messages: u16) -> Self {
+        Self::new(messages, 1_000)
+    }
+
+    const fn new(messages: u16, interval_ms: u64) -> Self {
         Self {
+            messages,
             interval_ms,
-            last_ms: AtomicU64::new(NEVER),
+            state: AtomicU64::new(NEVER),
             suppressed: AtomicU64::new(0),
         }
     }
@@ -47,21 +63,24 @@
     /// Whether a message may be written at the time `now` of a monotonic clock.
     pub fn permit_at(&self, now: Duration) -> Option<Suppressed> {
         let now = now.as_millis() as u64;
-        let last = self.last_ms.load(Ordering::Relaxed);
-        let due = last == NEVER || now.saturating_sub(last) >= self.interval_ms;
-        if due && self.take_turn(last, now) {
-            return Some(Suppressed(self.suppressed.swap(0, Ordering::Relaxed)));
+        let relaxed = Ordering::Relaxed;
+        let take = |state| self.next(state, now);
+        match self.state.fetch_update(relaxed, relaxed, take) {
+            Ok(_) => Some(Suppressed(self.suppressed.swap(0, relaxed))),
+            Err(_) => {
+                self.suppressed.fetch_add(1, relaxed);
+                None
+            }
         }
-        self.suppressed.fetch_add(1, Ordering::Relaxed);
-        None
     }
 
-    /// Only one of several threads that are due at once succeeds.
-    fn take_turn(&self, last: u64, now: u64) -> bool {
-        let relaxed = Ordering::Relaxed;
-        self.last_ms
-            .compare_exchange(last, now, relaxed, relaxed)
-            .is_ok()
+    /// The state after one more message; `None` when it must not pass.
+    fn next(&self, state: u64, now: u64) -> Option<u64> {
+        let (start, count) = (state >> COUNT_BITS, state & COUNT_MASK);
+        if state == NEVER || now.saturating_sub(start) >= self.interval_ms {
+            return Some(now << COUNT_BITS | 1);
+        }
+        (count < u64::from(self.messages)).then_some(state + 1)
     }
 }
 
--- a/crates/observe/src/logs.rs
+++ b/crates/observe/src/logs.rs
@@ -1,6 +1,7 @@
 //! Start of the logger and its level at run time.
 
 use crate::format;
+use crate::sink::Sink;
 use flexi_logger::{FlexiLoggerError, FormatFunction, LogSpecification, Logger, LoggerHandle};
 use log::LevelFilter;
 use std::str::FromStr;
@@ -33,6 +34,9 @@
     /// The logger cannot start.
     #[error("cannot start the logger: {0}")]
     Start(#[from] FlexiLoggerError),
+    /// The thread that writes lines cannot start.
+    #[error("cannot start the thread that writes log lines: {0}")]
+    Thread(#[from] std::io::Error),
 }
 
 /// Form of log lines.
@@ -46,7 +50,8 @@
 }
 
 impl Form {
-    fn function(self) -> FormatFunction {
+    /// The function that writes lines of this form.
+    pub fn function(self) -> FormatFunction {
         match self {
             Self::Json => format::json,
             Self::Text => format::text,
@@ -66,7 +71,7 @@
     }
 }
 
-/// The logger of this process, which writes to standard error until this is dropped.
+/// The logger of this process, which writes to standard output until this is dropped.
 pub struct Logs {
     handle: LoggerHandle,
 }
@@ -76,11 +81,10 @@
     ///
     /// # Errors
     ///
-    /// [`Error::BadLevel`], or [`Error::Start`] when a logger is running.
+    /// [`Error::BadLevel`], [`Error::Start`] when a logger is running, or [`Error::Thread`].
     pub fn start(form: Form, level: &str) -> Result<Self, Error> {
         let handle = Logger::with(parse_level(level)?)
-            .format(form.function())
-            .log_to_stderr()
+            .log_to_writer(Box::new(Sink::start(form.function(), std::io::stdout())?))
             .start()?;
         Ok(Self { handle })
     }
--- a/crates/observe/src/settings.rs
+++ b/crates/observe/src/settings.rs
@@ -19,7 +19,7 @@
 pub fn add_section(schema: Schema) -> Schema {
     schema.section(
         SECTION,
-        "Logs, written to standard error.",
+        "Logs, written to standard output.",
         &[LEVEL.spec, FORM.spec],
     )
 }
--- a/crates/observe/tests/logs.rs
+++ b/crates/observe/tests/logs.rs
@@ -1,13 +1,16 @@
 //! Log lines have a fixed form, and repeated messages are limited.
 
 use assert_matches::assert_matches;
+use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, Record};
+use knapweed_observe::sink::Sink;
 use knapweed_observe::{Error, Form, Logs, RateLimit, Suppressed, format, part, settings};
 use knapweed_settings::Schema;
 use log::Level;
+use std::io::Write;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn with_record(check: impl Fn(&Record<'_>)) {
     let mut builder = Record::builder();
@@ -99,3 +102,100 @@
     // The thread that passed already reports what others suppressed meanwhile.
     assert_eq!(suppressed.into_inner() + rest, 7_999);
 }
+
+/// Guards against fields that are lost, or numbers that become text.
+#[test]
+fn fields_are_part_of_a_line() {
+    let fields: [(&str, log::kv::Value<'_>); 3] = [
+        ("request", "r-1".into()),
+        ("tries", 2.into()),
+        ("retry_after_ms", log::kv::Value::from_serde(&None::<u64>)),
+    ];
+    let mut builder = Record::builder();
+    builder.level(Level::Info).target(part::INGRESS);
+    builder.key_values(&fields);
+    let args = format_args!("not run");
+    let record = builder.args(args).build();
+    let mut line = Vec::new();
+    format::json(&mut line, &mut DeferredNow::new(), &record).expect("a buffer");
+    let mut json: serde_json::Value = serde_json::from_slice(&line).expect("JSON");
+    json["time"] = "T".into();
+    insta::assert_snapshot!(json, @r#"{"level":"INFO","part":"ingress","request":"r-1","retry_after_ms":null,"text":"not run","time":"T","tries":2}"#);
+    line.clear();
+    format::message(&mut line, &record).expect("a buffer");
+    insta::assert_snapshot!(String::from_utf8(line).expect("text"), @"ingress: not run request=r-1 tries=2 retry_after_ms=None");
+}
+
+/// Guards against a limit that lets more pass in an interval, or never passes again.
+#[test]
+fn some_messages_pass_in_each_second() {
+    let limit = RateLimit::per_second(2);
+    let permits: Vec<_> = [0, 1, 2, 999, 1_000, 1_001, 1_002]
+        .map(|ms| limit.permit_at(Duration::from_millis(ms)))
+        .into();
+    let passed = |n| Some(Suppressed(n));
+    assert_eq!(
+        permits,
+        [passed(0), passed(0), None, None, passed(2), passed(0), None]
+    );
+}
+
+/// An output whose reader has stopped until it is let go on.
+struct Stopped {
+    go: std::sync::mpsc::Receiver<()>,
+    written: std::sync::Arc<parking_lot::Mutex<Vec<u8>>>,
+}
+
+impl Write for Stopped {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        // Ends with an error once the test lets all writes pass.
+        let _ = self.go.recv();
+        self.written.lock().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a process that waits for the reader of its log, whose memory
+/// grows meanwhile, or that leaves out lines without saying so.
+#[test]
+fn a_reader_that_stops_holds_nobody_up() {
+    const LINES: usize = 10_000;
+    let (go, wait) = std::sync::mpsc::channel();
+    let written = std::sync::Arc::default();
+    let out = Stopped {
+        go: wait,
+        written: std::sync::Arc::clone(&written),
+    };
+    let sink = Sink::start(Form::Json.function(), out).expect("a thread");
+    let start = Instant::now();
+    with_record(|record| {
+        for _ in 0..LINES {
+            sink.write(&mut DeferredNow::new(), record).expect("taken");
+        }
+    });
+    assert!(
+        start.elapsed() < Duration::from_secs(2),
+        "the writer waited"
+    );
+    drop(go);
+    sink.flush().expect("no error");
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let (lines, left_out) = loop {
+        sink.flush().expect("no error");
+        let text = String::from_utf8(written.lock().clone()).expect("text");
+        let parsed = text.lines().map(|line| {
+            serde_json::from_str::<serde_json::Value>(line).expect("a whole line of JSON")
+        });
+        let (told, lines): (Vec<_>, Vec<_>) = parsed.partition(|line| line["lines"].is_u64());
+        let left_out: u64 = told.iter().filter_map(|line| line["lines"].as_u64()).sum();
+        if lines.len() + left_out as usize == LINES || Instant::now() > deadline {
+            break (lines.len(), left_out);
+        }
+    };
+    assert_eq!(lines + left_out as usize, LINES);
+    assert!(left_out > 0, "the queue has no bound");
+}
