--- a/crates/host/src/retry.rs
+++ b/crates/host/src/retry.rs
@@ -73,10 +73,6 @@
     pub max_sends: u8,
     /// How the try ended.
     pub outcome: Outcome,
-    /// Whether the backend server answered with a failure of its own.
-    pub is_server_error: bool,
-    /// When the try began.
-    pub tried_at: Time,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Its body.
@@ -193,13 +189,7 @@
         if failure.tries >= self.max_tries.load(Ordering::Relaxed) || is_sent_to_all {
             return Decision::Stop(Stop::MaxTries);
         }
-        // A server that fails at once leaves time for another; one that fails
-        // late would be followed by an answer that comes too late.
-        let needed = match failure.is_server_error {
-            true => now.since(failure.tried_at),
-            false => Duration::ZERO,
-        };
-        if now.after(needed) >= failure.deadline {
+        if now >= failure.deadline {
             return Decision::Stop(Stop::DeadlinePassed);
         }
         if is_overload(failure.outcome) && has_waited(failure, now) {
@@ -232,7 +222,7 @@
 
 fn may_run_again(failure: &Failure) -> bool {
     match failure.outcome {
-        Outcome::Answered(_) => failure.idempotent && failure.is_server_error,
+        Outcome::Answered(_) => false,
         Outcome::NotRun(reason) => reason.is_retryable(),
         Outcome::Unknown(reason) => failure.idempotent && is_lost(reason),
     }
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -16,8 +16,6 @@
 
 /// Lowest status that tells a fault of the backend server.
 const SERVER_ERROR: u16 = 500;
-/// Status of a backend server whose time for the request was over.
-const GATEWAY_TIMEOUT: u16 = 504;
 
 /// One request with everything that its attempts have in common.
 pub(super) struct Attempts<'a> {
@@ -46,7 +44,6 @@
         let (mut crashes, mut sends) = (0, 0);
         let mut is_suspect = false;
         let mut room = None;
-        let mut failed = None;
         for tries in 1..=u8::MAX {
             let query = Query {
                 route: self.request.route,
@@ -65,8 +62,7 @@
                 Err(reason) => {
                     log.unplaced(reason);
                     let outcome = last.unwrap_or(Outcome::NotRun(reason));
-                    let refusal = with_retry_after(Response::without_answer(outcome), room);
-                    return Ok(answer_or(failed, refusal));
+                    return Ok(with_retry_after(Response::without_answer(outcome), room));
                 }
             };
             let server = self.snapshot.backend_server(choice.server);
@@ -74,9 +70,7 @@
             log.sent();
             let response = self.send(choice.server, &mut body, is_suspect).await;
             let outcome = response.head.outcome;
-            let is_answered = matches!(outcome, Outcome::Answered(_));
-            let is_server_error = is_answered && is_server_error(response.head.status);
-            if is_answered && !is_server_error {
+            if matches!(outcome, Outcome::Answered(_)) {
                 return Ok(response);
             }
             room = room.into_iter().chain(response.head.retry_after_us).min();
@@ -84,11 +78,7 @@
             // A crash may be the fault of the request: it takes down two at most (B7).
             crashes += usize::from(outcome == Outcome::Unknown(Unknown::ServerCrashed));
             sends += u8::from(may_have_arrived(outcome));
-            let failure = Failure {
-                is_server_error,
-                tried_at: query.now,
-                ..self.failure(outcome, tries, sends, &body)
-            };
+            let failure = self.failure(outcome, tries, sends, &body);
             let now = self.ingress.parts.timer.now();
             let decision = match crashes >= MAX_CRASHES {
                 true => Decision::Stop(Stop::Outcome),
@@ -102,31 +92,14 @@
                 decision,
             });
             if decision != Decision::Retry {
-                return Ok(answer_or(failed, with_retry_after(response, room)));
+                return Ok(with_retry_after(response, room));
             }
-            excluded.add(choice.server, self.scope(server, outcome));
+            excluded.add(choice.server, scope(outcome));
             last = Some(outcome);
-            if is_server_error {
-                failed = Some(response);
-            }
         }
         Err(Outcome::NotRun(NotRun::NoServer))
     }
 
-    /// What a retry avoids after this outcome. A version with a small share may
-    /// be under test: its failures are no reason to send it more requests.
-    fn scope(&self, server: &BackendServer, outcome: Outcome) -> Scope {
-        let service = self.snapshot.service(server.service);
-        let mut versions = service.versions.iter();
-        let served = versions.find(|v| v.version == server.version);
-        let is_minor = served.is_some_and(|v| v.share.0 < Share::ALL.0 / 2);
-        match outcome {
-            Outcome::NotRun(NotRun::Guarded) => Scope::Version,
-            Outcome::Answered(_) if is_minor => Scope::Version,
-            _ => Scope::Server,
-        }
-    }
-
     fn failure(&self, outcome: Outcome, tries: u8, sends: u8, body: &RequestBody) -> Failure {
         Failure {
             depth: self.request.depth,
@@ -134,8 +107,6 @@
             sends,
             max_sends: self.snapshot.route(self.request.route).max_attempts,
             outcome,
-            is_server_error: false,
-            tried_at: self.request.arrived,
             idempotent: self.request.idempotent,
             body: match body {
                 RequestBody::Kept(bytes) if bytes.is_empty() => Body::Empty,
@@ -224,21 +195,14 @@
     response
 }
 
-/// The response to the caller after a try that was not answered: what a backend
-/// server answered before says more than that no other could be reached.
-fn answer_or(failed: Option<Response>, response: Response) -> Response {
-    match response.head.outcome {
-        Outcome::Answered(_) => response,
-        _ => failed.unwrap_or(response),
+/// What a retry avoids after this outcome.
+fn scope(outcome: Outcome) -> Scope {
+    match outcome {
+        Outcome::NotRun(NotRun::Guarded) => Scope::Version,
+        _ => Scope::Server,
     }
 }
 
-/// Whether a status tells a failure of the backend server that another may not
-/// have. At 504 the time of the request was over.
-fn is_server_error(status: u16) -> bool {
-    status >= SERVER_ERROR && status != GATEWAY_TIMEOUT
-}
-
 /// Counts a request as running on a backend server until its head has arrived.
 struct InFlight<'a>(&'a BackendServer);
 
