--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -197,6 +197,7 @@
             reported_wait_ms = reported.map(|(r, _)| ms(r.wait)),
             reported_free = reported.map(|(r, _)| r.free),
             report_age_ms = reported.map(|(_, at)| ms(known.sent_at.since(*at))),
+            status = end.response.status,
             took_ms = ms(now.since(known.sent_at)),
             retry_after_ms = end.response.retry_after_us.map(|us| us / 1_000),
             decision:? = end.decision,
