perf(zone): no duty in the first 0.8 s of a node

Cause: a node that has met nobody ranks first for all duties.

Change: a node takes no duty in its first 0.8 s; it still loads the configuration once by itself.

--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -46,6 +46,10 @@
 /// Number of comparisons at the short interval. The first ones may meet nodes
 /// that have just started themselves.
 pub const FAST_COMPARISONS: u32 = 8;
+/// Time after its start in which a node takes no duty. Until it has met the others
+/// it ranks first for all of them, and a mesh that starts as a whole would make as
+/// many calls to the store as it has nodes.
+const SETTLE_TIME: Duration = Duration::from_millis(800);
 /// Time between sweeps for expired tombstones.
 pub const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of neighbours that are told each version this node applies, and that
@@ -145,6 +149,8 @@
     members_changed: bool,
     /// Whether the duties must be computed again.
     roles_stale: bool,
+    /// The node takes no duty before this time.
+    duties_from: Time,
 }
 
 /// Times of the next periodic steps.
@@ -182,6 +188,7 @@
             actions: Vec::new(),
             members_changed: false,
             roles_stale: true,
+            duties_from: now.after(SETTLE_TIME),
         };
         membership.gossip.add(own);
         membership.spread_timers(now);
@@ -335,7 +342,7 @@
 
     /// Computes the duties of this node after records have changed.
     fn refresh_role(&mut self, now: Time) {
-        if !std::mem::take(&mut self.roles_stale) {
+        if now < self.duties_from || !std::mem::take(&mut self.roles_stale) {
             return;
         }
         let role = Role::of(&self.directory, self.own);
--- a/crates/zone/tests/membership.rs
+++ b/crates/zone/tests/membership.rs
@@ -21,6 +21,8 @@
 /// Bound B2 of the design.
 const LEAVE_BOUND: Duration = Duration::from_secs(3);
 const SEEDS: u64 = 20;
+/// Time in which 87 nodes that started together had met.
+const MET: Duration = ms(600);
 /// Longest time from a ping that was lost to the death of its target.
 const OPEN_SUSPICIONS: Duration = ms(3_100);
 
@@ -282,3 +284,21 @@
     }
     assert!(has_left.iter().flatten().all(|left| *left));
 }
+
+/// Guards against a mesh that starts as a whole and in which every node takes the
+/// duties of the store before it could meet the others.
+#[test]
+fn a_node_takes_no_duty_before_it_could_meet_others() {
+    let mut sim = Sim::new(&[1], 7);
+    let mut taken_at = None;
+    for step in 1..=100 {
+        sim.run(ms(20));
+        let membership = sim.nodes[0].membership.as_ref().expect("a running node");
+        if membership.role().controls_rollouts {
+            taken_at = Some(ms(20) * step);
+            break;
+        }
+    }
+    let taken_at = taken_at.expect("a node without others takes all duties");
+    assert!(taken_at >= MET, "duties after {taken_at:?}");
+}
