feat(soak): randomized faults on the real programs

Change: crate knapweed-soak, on the mesh of knapweed-demo. A seed gives a series of overlapping steps: nodes killed, stopped, paused; backend servers killed; the store down or losing answers; loopback proxies before the store and before the callers' ports that delay, reset, cut one way or silence; tickets filed meanwhile. Checked: at most once, refused means not run, each answer belongs to its request, no version goes back, the newest accepted ticket in force and 90% of requests answered within 15 s after the last fault.

Weighed: a proxy between nodes. They speak QUIC to addresses that gossip tells, so it would need a change of the programs; pauses and kills stand for silence there.

--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -41,6 +41,16 @@
 /// A program cannot be started, or a step takes too long.
 pub async fn start(places: &[NodePlace], backends: &[&'static str]) -> anyhow::Result<Mesh> {
     let mut mesh = Mesh::new(places)?;
+    launch(&mut mesh, backends).await?;
+    Ok(mesh)
+}
+
+/// Starts the nodes of a mesh like [`start`].
+///
+/// # Errors
+///
+/// A program cannot be started, or a step takes too long.
+pub async fn launch(mesh: &mut Mesh, backends: &[&'static str]) -> anyhow::Result<()> {
     mesh.start_nodes()?;
     let hosts: Vec<_> = mesh.hosts().collect();
     mesh.until_joined(&hosts, hosts.len(), JOINED).await?;
@@ -50,7 +60,7 @@
     let reply = mesh.file(hosts[0], &first_ticket()).await?;
     anyhow::ensure!(reply.status == 200, "ticket 1: {:?}", reply.body);
     mesh.until_in_force(&hosts, 1, FIRST_TICKET).await?;
-    Ok(mesh)
+    Ok(())
 }
 
 /// Runs the body of a test, which fails when it takes longer than [`TEST_LIMIT`].
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -20,6 +20,8 @@
 pub struct Load {
     /// Addresses to send to, in turn.
     pub addresses: Vec<SocketAddr>,
+    /// Number of the first request, which its identity has.
+    pub first: usize,
     /// Requests in all.
     pub requests: usize,
     /// Callers, each of which has one request under way at a time.
@@ -117,7 +119,7 @@
         if number >= load.requests {
             return ended;
         }
-        ended.push(load.request(&client, number).await);
+        ended.push(load.request(&client, load.first + number).await);
         tokio::time::sleep(load.pause).await;
     }
 }
--- a/crates/demo/src/mesh.rs
+++ b/crates/demo/src/mesh.rs
@@ -58,6 +58,8 @@
 pub struct Mesh {
     folder: TempDir,
     platform: SocketAddr,
+    /// Where nodes reach the platform's stand-in.
+    platform_for_nodes: SocketAddr,
     places: Vec<(NodePlace, NodeAddresses)>,
     processes: BTreeMap<String, Process>,
     backends: BTreeMap<String, SocketAddr>,
@@ -90,9 +92,11 @@
             std::fs::write(file("key"), pair.key)?;
             nodes.push((*place, found));
         }
+        let platform = free_address()?;
         let mut mesh = Self {
             folder,
-            platform: free_address()?,
+            platform,
+            platform_for_nodes: platform,
             places: nodes,
             processes: BTreeMap::new(),
             backends: BTreeMap::new(),
@@ -153,6 +157,12 @@
         self.start("platform", "knapweed-fake-platform", &ini)
     }
 
+    /// Lets nodes that are started from now on reach the platform's stand-in at
+    /// another address, such as that of a proxy.
+    pub fn reach_platform_at(&mut self, address: SocketAddr) {
+        self.platform_for_nodes = address;
+    }
+
     /// Starts the nodes of all hosts.
     ///
     /// # Errors
@@ -193,7 +203,7 @@
             .key("key", self.path(host, "key").display())
             .key("authority", self.path("authority", "pem").display())
             .section("platform")
-            .key("address", self.platform)
+            .key("address", self.platform_for_nodes)
     }
 
     /// Starts a backend server.
--- a/crates/demo/tests/answers.rs
+++ b/crates/demo/tests/answers.rs
@@ -56,6 +56,7 @@
 fn load(mesh: &Mesh) -> Load {
     Load {
         addresses: mesh.hosts().map(|h| mesh.node(h).callers).collect(),
+        first: 0,
         requests: 2_000,
         callers: 16,
         body_len: 10_000,
--- a/crates/demo/tests/drain.rs
+++ b/crates/demo/tests/drain.rs
@@ -115,6 +115,7 @@
 fn start_load(mesh: &Mesh, hosts: &[&str]) -> JoinHandle<anyhow::Result<Vec<Ended>>> {
     let load = Load {
         addresses: hosts.iter().map(|h| mesh.node(h).callers).collect(),
+        first: 0,
         requests: 1_500,
         callers: 8,
         body_len: 50_000,
--- /dev/null
+++ b/crates/soak/src/bin/knapweed-soak.rs
@@ -0,0 +1,46 @@
+//! Runs seeds of the soak one after the other.
+
+use clap::Parser;
+use knapweed_soak::run;
+use serde_json::Value;
+use std::process::ExitCode;
+
+/// Most seeds of one call; each takes half a minute.
+const MAX_SEEDS: u64 = 200;
+
+/// Randomized fault soak of the real programs, which must be built and stand
+/// beside this one.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// First seed; without one, a fresh one is drawn.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Number of seeds.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=MAX_SEEDS))]
+    seeds: u64,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = Args::parse();
+    let first = args
+        .seed
+        .unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let mut code = ExitCode::SUCCESS;
+    for seed in first..first.saturating_add(args.seeds) {
+        match run(seed).await {
+            Ok(report) => {
+                println!("{}", Value::from(&report));
+                if !report.broken.is_empty() {
+                    code = ExitCode::FAILURE;
+                }
+            }
+            Err(err) => {
+                println!("seed {seed}: {err:#}");
+                code = ExitCode::FAILURE;
+            }
+        }
+    }
+    code
+}
