--- a/crates/soak/src/bin/knapweed-soak.rs
+++ b/crates/soak/src/bin/knapweed-soak.rs
@@ -4,6 +4,7 @@
 use knapweed_soak::run;
 use serde_json::Value;
 use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Most seeds of one call; each takes half a minute.
 const MAX_SEEDS: u64 = 200;
@@ -22,8 +23,19 @@
 }
 
 #[tokio::main]
-async fn main() -> ExitCode {
+async fn main() -> anyhow::Result<ExitCode> {
     let args = Args::parse();
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        code = run_all(&args) => Ok(code),
+        // Dropping the run ends the processes that it started.
+        _ = terminate.recv() => Ok(ExitCode::FAILURE),
+        _ = interrupt.recv() => Ok(ExitCode::FAILURE),
+    }
+}
+
+async fn run_all(args: &Args) -> ExitCode {
     let first = args
         .seed
         .unwrap_or_else(|| u64::from(rand::random::<u32>()));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -35,8 +35,13 @@
 /// Longest time until the mesh works again after the last fault, and until the
 /// newest accepted ticket is in force everywhere.
 const RECOVERY: Duration = Duration::from_secs(15);
-/// Longest time until a node that was told to stop has ended.
-const STOPPED: Duration = Duration::from_secs(12);
+/// Time after which a node that was told to stop is started again.
+const RESTART: Duration = Duration::from_secs(3);
+/// Longest time until such a node has ended. Callers that keep their connections
+/// hold it for `max_wait` of the settings, 30 s, and then for their deadline.
+const STOPPED: Duration = Duration::from_secs(33);
+/// Longest time until a backend server that was started answers.
+const STARTED: Duration = Duration::from_secs(3);
 /// Writes whose answers the store loses in one fault.
 const LOST_ANSWERS: u64 = 5;
 
@@ -215,7 +220,7 @@
             }
             Step::StopNode(host) => {
                 self.node(host).signal("TERM")?;
-                self.later(STOPPED, Undo::StartNode(host));
+                self.later(RESTART, Undo::StartNode(host));
             }
             Step::KillServer(server, time) => self.kill_server(server, time).await?,
             Step::Store(fault, time) => {
@@ -274,7 +279,11 @@
     }
 
     async fn read_ledger(&mut self, server: usize) -> anyhow::Result<()> {
-        for identity in identities(&self.mesh.ledger(&server_name(server)).await?) {
+        let (mesh, name) = (&self.mesh, server_name(server));
+        let ledger = mesh.until("the server answers", STARTED, || async {
+            mesh.ledger(&name).await.ok()
+        });
+        for identity in identities(&ledger.await?.0) {
             *self.runs.entry(identity).or_default() += 1;
         }
         Ok(())
