fix(transport): closing does not wait for peers that were slow

Their logs end after the farewell and before `stopped`: closing waited until the library had drained every connection, three of its timeouts, which follow the estimated round trip. After a freeze of a peer that estimate is seconds.

Change: closing ends after 250 ms; the peers have their notice by then.

Ruled out: a peer that does not answer at all; closing took 0.1 s then.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -90,6 +90,8 @@
     results: Results,
     /// Recent tickets that are known to have a final result.
     concluded: BTreeSet<TicketNumber>,
+    /// Whether this host has told the others that it is gone.
+    is_stopped: bool,
     /// Whether the last call to the store was answered; `None` before the first.
     store_reached_before: Option<bool>,
     /// Whether the snapshot no longer fits the members or the configuration.
@@ -115,6 +117,7 @@
             orders: OrderBook::default(),
             results: Results::default(),
             concluded: BTreeSet::new(),
+            is_stopped: false,
             store_reached_before: None,
             stale: true,
         }
@@ -177,8 +180,7 @@
             Event::Leave => self.member_event(now, membership::Event::Leave),
             Event::Stop(done) => {
                 self.member_event(now, membership::Event::Stop);
-                // A stopped host has no place in a snapshot.
-                self.stale = false;
+                self.is_stopped = true;
                 let _ = done.send(());
             }
         }
@@ -186,7 +188,8 @@
 
     /// Builds a new snapshot when anything it depends on has changed.
     fn refresh(&mut self) {
-        if !std::mem::take(&mut self.stale) {
+        // A stopped host has no place in a snapshot.
+        if self.is_stopped || !std::mem::take(&mut self.stale) {
             return;
         }
         match self.build_snapshot() {
--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -18,6 +18,9 @@
 /// Must exceed the requests that a backend server works on and keeps waiting, since
 /// a request that finds no free stream waits at the ingress unseen.
 const MAX_STREAMS: u32 = 64;
+/// Longest wait for peers when the endpoint closes: a few round trips to the
+/// other region.
+pub const CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Bytes of one stream that may wait to be read.
 const STREAM_WINDOW: u32 = 256 * 1024;
 /// Bytes of one connection that may wait to be read or to be acknowledged.
@@ -107,10 +110,13 @@
         Ok(())
     }
 
-    /// Closes all connections and waits until peers have been told.
+    /// Closes all connections and waits until peers have been told, or do not
+    /// answer for [`CLOSE_TIMEOUT`].
     pub async fn close(&self) {
         self.inner.close(0u32.into(), b"stopping");
-        self.inner.wait_idle().await;
+        // A peer that answers within it has been told by then; the library would
+        // wait for the others for three of their doubled timeouts.
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.inner.wait_idle()).await;
     }
 }
 
--- a/crates/transport/tests/endpoint.rs
+++ b/crates/transport/tests/endpoint.rs
@@ -6,7 +6,11 @@
 use knapweed_transport::stream::Error;
 use knapweed_transport::tls::{Files, Identity};
 use knapweed_transport::{Arrivals, Endpoint, Incoming};
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
 
 fn identity(authority: &Authority) -> Identity {
     let dir = tempfile::tempdir().expect("a temporary folder");
@@ -208,3 +212,59 @@
     assert!(after.sent >= before.sent, "{before:?} {after:?}");
     assert!(after.received >= before.received, "{before:?} {after:?}");
 }
+
+/// Passes datagrams between one client and `target`, and holds them back while
+/// `held` is set.
+async fn relay(target: SocketAddr, held: Arc<AtomicBool>) -> SocketAddr {
+    let any_port = (Ipv4Addr::LOCALHOST, 0);
+    let near = UdpSocket::bind(any_port).await.expect("a socket");
+    let far = UdpSocket::bind(any_port).await.expect("a socket");
+    let address = near.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut there, mut back) = ([0; 2_048], [0; 2_048]);
+        let mut client = None;
+        loop {
+            let (socket, to, packet) = tokio::select! {
+                Ok((len, from)) = near.recv_from(&mut there) => {
+                    client = Some(from);
+                    (&far, Some(target), &there[..len])
+                }
+                Ok((len, _)) = far.recv_from(&mut back) => (&near, client, &back[..len]),
+            };
+            while held.load(Ordering::Relaxed) {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            if let Some(to) = to {
+                let _ = socket.send_to(packet, to).await;
+            }
+        }
+    });
+    address
+}
+
+/// Guards against a node that is killed at the end of its grace time: after a
+/// freeze of a peer the library estimates round trips of seconds, and closing
+/// waited for several of them.
+#[tokio::test]
+async fn closing_does_not_wait_for_a_peer_that_was_slow() {
+    let authority = Authority::new().expect("an authority");
+    let (a, _a_arrivals) = open(&authority);
+    let (b, mut b_arrivals) = open(&authority);
+    let held = Arc::new(AtomicBool::new(false));
+    let address = relay(b.local_address().expect("b"), Arc::clone(&held)).await;
+    let (mut tx, _rx) = a.peers().open(address).await.expect("a stream");
+    tx.head(b"question").await.expect("sent");
+    let mut incoming = next(&mut b_arrivals).await;
+    for _ in 0..2 {
+        held.store(true, Ordering::Relaxed);
+        tx.body(Bytes::from("late")).await.expect("taken");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        held.store(false, Ordering::Relaxed);
+        incoming.receiver.body().await.expect("received");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let start = Instant::now();
+    a.close().await;
+    let took = start.elapsed();
+    assert!(took < Duration::from_millis(500), "{took:?}");
+}
