--- a/crates/demo/src/versions.rs
+++ b/crates/demo/src/versions.rs
@@ -1,6 +1,6 @@
 //! Observation of the configuration versions that nodes have in force.
 
-use crate::client::Client;
+use crate::client::{Client, Reply};
 use crate::mesh::Mesh;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -109,15 +109,40 @@
 
 async fn observe(client: Client, host: &'static str, address: SocketAddr, seen: Arc<Mutex<Seen>>) {
     let start = Instant::now();
+    let highest = || {
+        let seen = seen.lock().expect("no reader panics");
+        seen.rises.last().map_or(0, |(v, _)| *v)
+    };
     while start.elapsed() < MAX_TIME {
-        let read = client.get(address, "/v1/config");
-        if let Ok(Ok(reply)) = tokio::time::timeout(READ_TIMEOUT, read).await {
-            let doc = reply.json().unwrap_or_default();
-            if let Some(version) = doc["config"]["version"].as_u64() {
-                let mut seen = seen.lock().expect("no reader panics");
-                seen.add(host, version, Instant::now());
-            }
+        let mut version = read_version(&client, address).await;
+        // A node that has started may hold an older version until it knows the
+        // version floor; it refuses all requests meanwhile. One that is ready and
+        // still has the older version serves it.
+        if version.is_some_and(|v| v < highest()) {
+            version = match is_ready(&client, address).await {
+                true => read_version(&client, address).await,
+                false => None,
+            };
+        }
+        if let Some(version) = version {
+            let mut seen = seen.lock().expect("no reader panics");
+            seen.add(host, version, Instant::now());
         }
         tokio::time::sleep(INTERVAL).await;
     }
 }
+
+async fn read(client: &Client, address: SocketAddr, path: &str) -> Option<Reply> {
+    let read = tokio::time::timeout(READ_TIMEOUT, client.get(address, path));
+    read.await.ok()?.ok()
+}
+
+async fn read_version(client: &Client, address: SocketAddr) -> Option<u64> {
+    let reply = read(client, address, "/v1/config").await?;
+    reply.json().ok()?["config"]["version"].as_u64()
+}
+
+async fn is_ready(client: &Client, address: SocketAddr) -> bool {
+    let reply = read(client, address, "/health/ready").await;
+    reply.is_some_and(|reply| reply.status == 200)
+}
