feat(ctl): settings check takes the files of all programs

Cause: `knapweedctl settings check` took every file for that of a node and refused the four others in etc/ with a list of missing keys.

Change: the sections of a file tell which program it is for, the message names it, and a file that none of them knows is refused with the sections that were looked for.

Result: the new test covers all five files and an unknown one.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -121,7 +121,7 @@
 /// Commands on settings.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Settings {
-    /// Check the settings file of a node. The other programs check theirs with `--check`.
+    /// Check the settings file of any program of the project.
     Check {
         /// The settings file (INI).
         file: PathBuf,
--- a/crates/ctl/src/command/settings.rs
+++ b/crates/ctl/src/command/settings.rs
@@ -2,13 +2,72 @@
 
 use crate::args::Settings;
 use crate::error::{Error, Exit};
+use knapweed_settings::{Errors, section_names};
+use std::path::Path;
+
+/// A program with a settings file.
+struct Program {
+    name: &'static str,
+    /// The section that only its files have. The stand-in of the platform shares
+    /// its section with the node, so the node comes first.
+    section: &'static str,
+    check: fn(&Path) -> Result<(), Errors>,
+}
+
+const PROGRAMS: [Program; 5] = [
+    Program {
+        name: "knapweed-node",
+        section: "node",
+        check: |file| knapweed_daemon::settings::load(file).map(drop),
+    },
+    Program {
+        name: "knapweed-fake-backend",
+        section: "backend",
+        check: |file| knapweed_fake_backend::settings::load(file).map(drop),
+    },
+    Program {
+        name: "knapweed-load",
+        section: "load",
+        check: |file| knapweed_load::settings::load(file).map(drop),
+    },
+    Program {
+        name: "knapweed-report",
+        section: "report",
+        check: |file| knapweed_report::settings::load(file).map(drop),
+    },
+    Program {
+        name: "knapweed-fake-platform",
+        section: "platform",
+        check: |file| knapweed_platform::stand_in::settings::load(file).map(drop),
+    },
+];
 
 /// Runs a command on settings. Errors are told with file, line and key.
 pub(crate) fn run(command: Settings) -> Result<Exit, Error> {
     let Settings::Check { file } = command;
-    match knapweed_daemon::settings::load(&file) {
-        Ok(_) => {
-            println!("{}: the settings are valid", file.display());
+    let text = match std::fs::read_to_string(&file) {
+        Ok(text) => text,
+        Err(err) => {
+            eprintln!("{}: cannot read the file: {err}", file.display());
+            return Ok(Exit::Usage);
+        }
+    };
+    let Some(program) = program_of(&text) else {
+        let sections = PROGRAMS.map(|program| format!("[{}]", program.section));
+        eprintln!(
+            "{}: cannot tell which program the file is for: it has none of the sections {}",
+            file.display(),
+            sections.join(", ")
+        );
+        return Ok(Exit::Usage);
+    };
+    match (program.check)(&file) {
+        Ok(()) => {
+            println!(
+                "{}: the settings of {} are valid",
+                file.display(),
+                program.name
+            );
             Ok(Exit::Done)
         }
         Err(errors) => {
@@ -17,3 +76,9 @@
         }
     }
 }
+
+fn program_of(text: &str) -> Option<&'static Program> {
+    let sections = section_names(text);
+    let mut programs = PROGRAMS.iter();
+    programs.find(|program| sections.contains(&program.section))
+}
--- a/crates/ctl/tests/state.rs
+++ b/crates/ctl/tests/state.rs
@@ -116,3 +116,29 @@
     assert_eq!(run(&["man", "--directory", path], "").await.code, Some(0));
     assert!(directory.path().join("knapweedctl-ticket-wait.1").exists());
 }
+
+/// Guards against a check that refuses valid files of other programs, or that
+/// does not say what it takes a file for.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_of_each_program_are_checked() {
+    let etc = concat!(env!("CARGO_MANIFEST_DIR"), "/../../etc/");
+    let mut out = Vec::new();
+    for file in [
+        "fake-backend.ini",
+        "fake-platform.ini",
+        "knapweed-node.ini",
+        "load.ini",
+        "report.ini",
+    ] {
+        let path = format!("{etc}{file}");
+        let run = run(&["settings", "check", &path], "").await;
+        out.push(format!("{}{}", run.stdout, run.stderr).replace(etc, ""));
+    }
+    let folder = tempfile::tempdir().expect("a folder");
+    let odd = folder.path().join("odd.ini");
+    std::fs::write(&odd, "[cellar]\nlevel = 1\n").expect("written");
+    let odd = odd.to_str().expect("a path of text");
+    let run = run(&["settings", "check", odd], "").await;
+    out.push(run.stderr.replace(odd, "odd.ini"));
+    insta::assert_snapshot!(out.join(""));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,5 +14,5 @@
 pub use error::{Cause, Error, Errors};
 pub use key::{Key, Kind, Presence, Spec};
 pub use report::{EXIT_BAD_SETTINGS, print_errors};
-pub use schema::{Schema, Section, Settings};
+pub use schema::{Schema, Section, Settings, section_names};
 pub use value::FromValue;
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -140,6 +140,16 @@
     }
 }
 
+/// Names of the sections in the text of a settings file, in their order.
+pub fn section_names(text: &str) -> Vec<&str> {
+    let sections = Parser::new(text).auto_trim(true);
+    let sections = sections.filter_map(|item| match item {
+        Item::Section(name) => Some(name),
+        _ => None,
+    });
+    sections.collect()
+}
+
 type Place = (&'static str, &'static str);
 
 /// Settings of a program, complete and within their ranges.
