fix(node): requests refused while a node starts or stops leave a trace too

Cause: reading the change as a newcomer: a request that came while the node did not serve, or had stopped taking requests, was refused without a log line and without a time to come back.

Change: one method refuses such requests, with their name in the log and the usual Retry-After. The types of the request log are named after what they are (IngressLog, EgressLog).

--- a/crates/host/src/registration.rs
+++ b/crates/host/src/registration.rs
@@ -16,7 +16,7 @@
 /// Time after the start of the node in which a process that is older needs two
 /// heartbeats: an earlier process of the node may have acknowledged that it
 /// leaves, and heartbeats were seen to arrive up to four seconds late.
-const START_DOUBT: Duration = Duration::from_secs(10);
+const CONFIRMATION_PERIOD: Duration = Duration::from_secs(10);
 
 /// What a process says of itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -164,7 +164,7 @@
         self.gone.retain(|_, at| now.since(*at) < RETENTION);
         let is_recent = |_: &Name, (_, at): &mut (UnixMillis, Time)| now.since(*at) < RETENTION;
         self.gone_unknown.retain(is_recent);
-        if now.since(Time(0)) >= START_DOUBT {
+        if now.since(Time(0)) >= CONFIRMATION_PERIOD {
             self.unconfirmed.clear();
         }
     }
@@ -178,7 +178,7 @@
     /// Whether a process that is not known cannot have left already.
     fn is_confirmed(&mut self, life: &Life, sequence: u64, now: Time) -> bool {
         let is_newer = life.started_ms >= self.started.0;
-        if is_newer || now.since(Time(0)) >= START_DOUBT {
+        if is_newer || now.since(Time(0)) >= CONFIRMATION_PERIOD {
             return true;
         }
         let before = self.unconfirmed.insert(life.clone(), sequence);
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -10,7 +10,7 @@
 use crate::body::Body;
 use crate::carrier::Response;
 use crate::protocol::ServerProtocol;
-use crate::request_log::Egressed;
+use crate::request_log::EgressLog;
 use crate::trial::Trials;
 use arc_swap::ArcSwap;
 use crashes::Crashes;
@@ -124,7 +124,7 @@
                 Some(lane) => lane.run(head, body).await,
                 None => {
                     let response = Response::without_answer(Outcome::NotRun(NotRun::NoServer));
-                    Egressed::new(&head, None).ended(&response.head, Duration::ZERO);
+                    EgressLog::new(&head, None).ended(&response.head, Duration::ZERO);
                     response
                 }
             }
--- a/crates/node/src/egress/lane.rs
+++ b/crates/node/src/egress/lane.rs
@@ -6,7 +6,7 @@
 use crate::body::Body;
 use crate::carrier::Response;
 use crate::protocol::ServerProtocol;
-use crate::request_log::{Egressed, QueueState};
+use crate::request_log::{EgressLog, QueueState};
 use crate::trial::{Run, Trial, Trials};
 use knapweed_host::admission::{
     Arrival, ObjectiveQueue, Options, Refusal, Released, Verdict, WaiterKey,
@@ -112,7 +112,7 @@
     pub(super) async fn run(self: Arc<Self>, head: RequestHead, body: Body) -> Response {
         let flow = Flow::named(&head.route);
         let start = self.timer.now();
-        let log = Egressed::new(&head, Some(self.queue_state()));
+        let log = EgressLog::new(&head, Some(self.queue_state()));
         let result = match self.trials.find(&head.service) {
             _ if self.trials.is_pulled_back(&head.service, &head.version) => {
                 Err(NotRun::Guarded.into())
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -9,7 +9,7 @@
 use crate::carrier::{Carrier, Response};
 use crate::headers;
 use crate::protocol::{CallerFields, CallerProtocol};
-use crate::request_log::Ingressed;
+use crate::request_log::IngressLog;
 use attempt::Attempts;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
@@ -92,16 +92,17 @@
     pub async fn run(&self, request: CallerRequest) -> Response {
         let start = self.parts.timer.now();
         if !self.parts.ready.load(Ordering::Relaxed) {
-            return Response::without_answer(Outcome::NotRun(NotRun::NotServing));
+            return self.refuse(&request, NotRun::NotServing);
         }
         // The snapshot is kept for the whole request, so that it sees one version.
         let snapshot = self.parts.snapshots.load_full();
-        let mut log = Ingressed::new(&snapshot, &self.parts.timer);
+        let mut log = IngressLog::new(&snapshot, &self.parts.timer);
         let taken = self.take(&snapshot, &request, start);
         let service = taken.as_ref().ok().map(|(taken, _)| taken.service);
         let result = match taken {
             Ok((taken, fields)) => {
-                log.taken(&taken, fields.id.clone());
+                log.named(fields.id.clone());
+                log.taken(&taken);
                 self.try_run(&snapshot, taken, fields, request, &mut log)
                     .await
             }
@@ -119,13 +120,25 @@
         response
     }
 
+    /// Refuses a request that is not looked at any further.
+    pub(crate) fn refuse(&self, request: &CallerRequest, reason: NotRun) -> Response {
+        let mut response = Response::without_answer(Outcome::NotRun(reason));
+        suggest_retry(&mut response);
+        let snapshot = self.parts.snapshots.load();
+        let fields = self.parts.protocol.read(&request.headers);
+        let mut log = IngressLog::new(&snapshot, &self.parts.timer);
+        log.named(fields.ok().and_then(|fields| fields.id));
+        log.ended(&response.head);
+        response
+    }
+
     async fn try_run(
         &self,
         snapshot: &Snapshot,
         taken: Request,
         fields: CallerFields,
         request: CallerRequest,
-        log: &mut Ingressed<'_>,
+        log: &mut IngressLog<'_>,
     ) -> Result<Response, Outcome> {
         let cut_short = |_| Outcome::NotRun(NotRun::InvalidHeader);
         let body = body::gather(request.body, MAX_KEPT_LEN).await;
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -3,7 +3,7 @@
 use super::Ingress;
 use crate::body::RequestBody;
 use crate::carrier::{Carrier, Response};
-use crate::request_log::{Ingressed, Known, Try};
+use crate::request_log::{IngressLog, Known, Try};
 use bytes::Bytes;
 use knapweed_host::choice::{Exclusions, Query, Scope};
 use knapweed_host::crash::MAX_CRASHES;
@@ -33,7 +33,7 @@
     pub(super) async fn run(
         self,
         mut body: RequestBody,
-        log: &mut Ingressed<'_>,
+        log: &mut IngressLog<'_>,
     ) -> Result<Response, Outcome> {
         let mut excluded = Exclusions::default();
         let version_draw = rand::random_range(0..Share::ALL.0);
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -9,7 +9,7 @@
 use gotham::state::{FromState, State};
 use http::header::{CONNECTION, HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Uri};
-use knapweed_host::{Drain, NotRun, Outcome};
+use knapweed_host::{Drain, NotRun};
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -63,7 +63,7 @@
     let running = match Running::start(drain, ingress) {
         Ok(running) => running,
         Err(reason) => {
-            let refused = Response::without_answer(Outcome::NotRun(reason));
+            let refused = ingress.refuse(&request, reason);
             return to_http(ingress, refused, true);
         }
     };
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -64,7 +64,7 @@
 /// A request at its ingress, from its arrival to its end. One that is dropped
 /// before its end was given up by its caller.
 #[derive(Debug)]
-pub(crate) struct Ingressed<'a> {
+pub(crate) struct IngressLog<'a> {
     snapshot: &'a Snapshot,
     timer: &'a TimerService,
     arrived: Time,
@@ -74,7 +74,7 @@
     is_over: bool,
 }
 
-impl<'a> Ingressed<'a> {
+impl<'a> IngressLog<'a> {
     pub(crate) fn new(snapshot: &'a Snapshot, timer: &'a TimerService) -> Self {
         Self {
             snapshot,
@@ -87,10 +87,14 @@
         }
     }
 
+    /// The caller has named the request.
+    pub(crate) fn named(&mut self, id: Option<Bytes>) {
+        self.id = id;
+    }
+
     /// The request has a route and a deadline.
-    pub(crate) fn taken(&mut self, request: &Request, id: Option<Bytes>) {
+    pub(crate) fn taken(&mut self, request: &Request) {
         self.request = Some(request.clone());
-        self.id = id;
     }
 
     /// The request ended with this response.
@@ -130,7 +134,7 @@
     }
 }
 
-impl Drop for Ingressed<'_> {
+impl Drop for IngressLog<'_> {
     fn drop(&mut self) {
         if !self.is_over {
             let outcome = Outcome::Unknown(Unknown::CallerLeft);
@@ -170,7 +174,7 @@
 }
 
 /// Tries.
-impl Ingressed<'_> {
+impl IngressLog<'_> {
     /// A backend server was chosen.
     pub(crate) fn sent(&mut self) {
         self.tries = self.tries.saturating_add(1);
@@ -231,7 +235,7 @@
 }
 
 /// A request at its egress.
-pub(crate) struct Egressed {
+pub(crate) struct EgressLog {
     id: Option<Bytes>,
     route: Name,
     version: Name,
@@ -242,7 +246,7 @@
     queue: Option<QueueState>,
 }
 
-impl Egressed {
+impl EgressLog {
     /// The request with this head, which came to a queue or found none.
     pub(crate) fn new(head: &RequestHead, queue: Option<QueueState>) -> Self {
         Self {
