feat(egress): log what becomes of a crash, and count suspects

Change: one line for each of these decisions with the digest of the content, and the gauges knapweed_crash_suspects and knapweed_crash_convictions. No decision changes.

--- a/crates/host/src/crash.rs
+++ b/crates/host/src/crash.rs
@@ -5,6 +5,7 @@
 use knapweed_world::{Name, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::fmt;
 use std::time::Duration;
 
 /// How long evidence is kept after the last crash.
@@ -36,6 +37,15 @@
     }
 }
 
+impl fmt::Display for Subject {
+    /// Writes the first 8 bytes in hexadecimal, which is enough to tell log lines apart.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0[..8]
+            .iter()
+            .try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
 /// Identifier of a crash, the same on every node that learns of it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct CrashId(pub u32);
@@ -174,6 +184,25 @@
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
+
+    /// Number of subjects by verdict; those whose crashes are all cleared are not counted.
+    pub fn counts(&self) -> CrashCounts {
+        let mut counts = CrashCounts::default();
+        for entry in self.entries.values() {
+            counts.convicted += usize::from(entry.evidence.convicted);
+            counts.suspects += usize::from(!entry.evidence.convicted && entry.evidence.count() > 0);
+        }
+        counts
+    }
+}
+
+/// Number of subjects in a [`CrashMemory`], by verdict.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CrashCounts {
+    /// Subjects that are refused.
+    pub convicted: usize,
+    /// Subjects that are tried exclusively.
+    pub suspects: usize,
 }
 
 /// Events that the node reports.
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -17,7 +17,7 @@
 use dispatcher::Dispatcher;
 use exchanges::Exchanges;
 use futures_util::future::BoxFuture;
-use knapweed_host::crash::CrashRecord;
+use knapweed_host::crash::{CrashCounts, CrashRecord};
 use knapweed_host::{NotRun, Outcome};
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
@@ -113,6 +113,12 @@
     pub fn merge_crashes(&self, records: Vec<CrashRecord>) {
         self.crashes.merge(records);
     }
+
+    /// Number of requests that this node suspects of crashing backend servers, and of
+    /// those that it refuses.
+    pub fn crash_counts(&self) -> CrashCounts {
+        self.crashes.counts()
+    }
 }
 
 /// Dispatch of requests to the backend servers.
--- a/crates/node/src/egress/crashes.rs
+++ b/crates/node/src/egress/crashes.rs
@@ -2,11 +2,12 @@
 
 use super::pool::Pool;
 use crate::body::Body;
+use crate::request_log::RequestId;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http_body::Frame;
 use http_body_util::{BodyExt, BodyStream, StreamBody};
-use knapweed_host::crash::{CrashId, CrashRecord, CrashSubjects, Subject, Verdict};
+use knapweed_host::crash::{CrashCounts, CrashId, CrashRecord, CrashSubjects, Subject, Verdict};
 use knapweed_host::{CrashMemory, NotRun, Outcome, SendId, Unknown};
 use knapweed_observe::part;
 use knapweed_timer::TimerService;
@@ -55,9 +56,24 @@
         let new = records.into_iter().filter(|r| memory.merge(r, now));
         let new: Vec<_> = new.collect();
         drop(memory);
+        for record in &new {
+            log::info!(
+                target: part::EGRESS,
+                subject:% = record.subject,
+                crashes = record.evidence.count(),
+                convicted = record.evidence.convicted,
+                age_s = record.age_s;
+                "learned of a request that crashes backend servers"
+            );
+        }
         self.unsent.lock().extend(new);
     }
 
+    /// Number of suspected and of refused requests.
+    pub(super) fn counts(&self) -> CrashCounts {
+        self.memory.lock().counts()
+    }
+
     /// Decides whether a request may run. The returned body also copies the prefix
     /// that identifies the content of the request while it is read.
     pub(super) async fn examine(
@@ -72,6 +88,7 @@
             crashes: Arc::clone(self),
             content: Arc::clone(&copy),
             send: head.id,
+            caller_id: head.caller_id.clone(),
             is_suspect: head.is_suspect,
             exclusive_run: None,
         };
@@ -86,7 +103,16 @@
         match self.memory.lock().check(&crash_subjects, deadline, now) {
             Verdict::Clear => {}
             Verdict::Exclusive => crash_check.exclusive_run = Some(crash_subjects),
-            Verdict::Refuse(reason) => return Err(reason),
+            Verdict::Refuse(reason) => {
+                log::info!(
+                    target: part::EGRESS,
+                    request:% = RequestId(head.caller_id.as_ref()),
+                    server:% = head.address,
+                    subject:% = crash_subjects.content;
+                    "refused: {}", reason.text()
+                );
+                return Err(reason);
+            }
         }
         Ok((crash_check, body))
     }
@@ -97,6 +123,8 @@
     crashes: Arc<CrashTracker>,
     content: Arc<Content>,
     send: SendId,
+    /// The caller's identifier of the request, for the log.
+    caller_id: Option<Bytes>,
     /// Whether the ingress reported an earlier crash of this request.
     is_suspect: bool,
     /// Set while the request runs exclusively because of an earlier crash.
@@ -113,9 +141,17 @@
     /// whether the request crashed the backend server.
     pub(super) async fn conclude(mut self, outcome: Outcome, pool: &Arc<Pool>) -> bool {
         let is_connection_lost = outcome == Outcome::Unknown(Unknown::ServerCrashed);
-        if is_connection_lost && has_exited(pool).await {
-            self.crashed(pool.address());
-            return true;
+        if is_connection_lost {
+            if has_exited(pool).await {
+                self.crashed(pool.address());
+                return true;
+            }
+            log::info!(
+                target: part::EGRESS,
+                request:% = RequestId(self.caller_id.as_ref()),
+                server:% = pool.address();
+                "the connection was lost, and the backend server accepts others: no crash is recorded"
+            );
         }
         self.end_exclusive_run(matches!(outcome, Outcome::Answered(_)));
         false
@@ -133,11 +169,17 @@
             .memory
             .lock()
             .crashed(&crash_subjects, crash, now);
-        log::warn!(
-            target: part::EGRESS,
-            "backend server {server} died while it ran request {:032x}",
-            u128::from_be_bytes(self.send.request.0)
-        );
+        for record in &records {
+            log::warn!(
+                target: part::EGRESS,
+                request:% = RequestId(self.caller_id.as_ref()),
+                server:% = server,
+                subject:% = record.subject,
+                crashes = record.evidence.count(),
+                convicted = record.evidence.convicted;
+                "the backend server died while it ran the request"
+            );
+        }
         self.crashes.unsent.lock().extend(records);
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -203,6 +203,7 @@
             snapshots: Arc::clone(&snapshots),
             view: Arc::clone(&view),
             drain: Arc::clone(&drain),
+            egress: Arc::clone(&egress),
             peers: endpoint.peers(),
         });
         let history_owner = history::HistoryOwner {
--- a/crates/node/src/operators/node_metrics.rs
+++ b/crates/node/src/operators/node_metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the node itself, computed on each scrape.
 
 use crate::control::View;
+use crate::egress::Egress;
 use arc_swap::ArcSwap;
 use knapweed_contract::api::NodeState;
 use knapweed_host::Drain;
@@ -25,6 +26,8 @@
     pub view: Arc<ArcSwap<View>>,
     /// Counts the running requests.
     pub drain: Arc<Drain>,
+    /// Knows which requests crash backend servers.
+    pub egress: Arc<Egress>,
     /// Connections to other nodes.
     pub peers: Arc<Peers>,
 }
@@ -67,6 +70,17 @@
             "Open connections to other nodes",
             traffic.connections,
         )?;
+        let crashes = self.egress.crash_counts();
+        gauge(
+            "knapweed_crash_suspects",
+            "Requests that crashed one backend server and run alone when they come again",
+            crashes.suspects as u64,
+        )?;
+        gauge(
+            "knapweed_crash_convictions",
+            "Requests that crashed several backend servers and are refused",
+            crashes.convicted as u64,
+        )?;
         if let Some(bytes) = resident_bytes() {
             gauge(
                 "process_resident_memory_bytes",
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -3,10 +3,13 @@
 use arc_swap::ArcSwap;
 use knapweed_host::Drain;
 use knapweed_node::control::View;
+use knapweed_node::egress::Egress;
 use knapweed_node::ingress::metrics::IngressMetrics;
 use knapweed_node::ingress::service_metrics::ServiceMetrics;
 use knapweed_node::operators::node_metrics::NodeMetrics;
+use knapweed_node::protocol::native::NativeHeaders;
 use knapweed_observe::Metrics;
+use knapweed_timer::TimerService;
 use knapweed_transport::Endpoint;
 use knapweed_transport::certificates::Authority;
 use knapweed_transport::tls::{Files, Identity};
@@ -80,6 +83,11 @@
         snapshots,
         view: Arc::new(ArcSwap::from_pointee(View::default())),
         drain: Arc::new(Drain::default()),
+        egress: Arc::new(Egress::new(
+            TimerService::start(),
+            Arc::default(),
+            Arc::new(NativeHeaders),
+        )),
         peers: endpoint().peers(),
     });
     assert_eq!(rows_of_page(), rows_of_registry(&metrics.to_text()));
