fix(node): carry crash records to every host and repair lost pushes

Callers saw a request that had crashed two servers of one availability zone crash servers of the next zone, and those of hosts that had just started.

Cause: a new record was pushed once to four random members of the own zone.

Evidence: two tests with real processes in four zones failed before: 4 s after the second crash, c1: 'the backend server closed the connection', once without and once with a restart of its node.

Change: knapweed_zone::Epidemic chooses the receivers. A comparison also goes along with each comparison of member directories, so after a start and after a partition. A verdict replaces its crashes and ages are in milliseconds, rounded up, so that copies become equal and do not get younger.

Result: both tests pass.

--- /dev/null
+++ b/crates/demo/tests/crashes.rs
@@ -0,0 +1,85 @@
+//! Requests that crash every backend server that runs them, across availability zones.
+
+use anyhow::ensure;
+use http::Method;
+use knapweed_demo::Mesh;
+use knapweed_demo::fleet::{self, NODES, limited};
+use std::time::{Duration, Instant};
+
+/// Longest time until all nodes know a request that has crashed its backend servers.
+const DISSEMINATION_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest time until a restarted node serves.
+const SERVING_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time between two checks of a node.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Path of a request that crashes the backend server; the route is `/today`.
+const CRASH_PATH: &str = "/today/crash";
+/// Reason of a refusal because of earlier crashes.
+const REASON: &str = "the request crashed two backend servers";
+
+/// Sends the crashing request through `host`; returns the reason of its outcome.
+async fn send_crash(mesh: &Mesh, host: &str) -> anyhow::Result<String> {
+    let address = mesh.node(host).callers;
+    let sent = mesh
+        .client
+        .send(Method::POST, address, CRASH_PATH, &[], "x");
+    Ok(sent.await?.header("knapweed-reason").to_owned())
+}
+
+/// Crashes the two backend servers of the zone labasa-a.
+async fn crash_first_zone(mesh: &Mesh) -> anyhow::Result<()> {
+    for _ in 0..2 {
+        let reason = send_crash(mesh, "a1").await?;
+        ensure!(
+            reason == "the backend server closed the connection",
+            "{reason}"
+        );
+    }
+    tokio::time::sleep(DISSEMINATION_TIMEOUT).await;
+    Ok(())
+}
+
+fn ensure_runs(mesh: &mut Mesh, process: &str) -> anyhow::Result<()> {
+    let has_exited = mesh.process(process).wait(Duration::ZERO).is_ok();
+    ensure!(!has_exited, "{process} has exited");
+    Ok(())
+}
+
+/// Guards against a request that crashes the backend servers of one availability zone after
+/// the other, because each zone learns of it only from its own crashes (requirement B7).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_crashed_two_servers_is_refused_in_every_zone() -> anyhow::Result<()> {
+    limited(async {
+        let mut mesh = fleet::start(&NODES, &["a1", "a2", "c1"]).await?;
+        crash_first_zone(&mesh).await?;
+        for host in ["b1", "c1", "c2", "d2"] {
+            let reason = send_crash(&mesh, host).await?;
+            ensure!(reason == REASON, "{host}: {reason}");
+        }
+        ensure_runs(&mut mesh, "c1-calendar-v1")
+    })
+    .await
+}
+
+/// Guards against a node that forgets with its process which requests crash backend servers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restarted_node_learns_which_requests_crash_servers() -> anyhow::Result<()> {
+    limited(async {
+        let mut mesh = fleet::start(&NODES, &["a1", "a2", "c1"]).await?;
+        crash_first_zone(&mesh).await?;
+        mesh.process("c1").signal("KILL")?;
+        mesh.process("c1").wait(SERVING_TIMEOUT)?;
+        mesh.start_node("c1")?;
+        let start = Instant::now();
+        let serves = async || mesh.client.get(mesh.node("c1").callers, "/today").await;
+        while !serves().await.is_ok_and(|reply| reply.status == 200) {
+            ensure!(start.elapsed() < SERVING_TIMEOUT, "c1 does not serve");
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        tokio::time::sleep(DISSEMINATION_TIMEOUT).await;
+        let reason = send_crash(&mesh, "c1").await?;
+        ensure!(reason == REASON, "{reason}");
+        ensure_runs(&mut mesh, "c1-calendar-v1")
+    })
+    .await
+}
--- a/crates/host/src/crash.rs
+++ b/crates/host/src/crash.rs
@@ -87,9 +87,18 @@
         *self != before
     }
 
-    /// Bounds the sets. Cleared crashes are dropped first, since the subject is
-    /// refused already when more than [`MAX_CRASHES`] others remain.
+    /// Whether a request of the subject is refused or tried exclusively.
+    fn is_held_against(&self) -> bool {
+        self.convicted || self.count() > 0
+    }
+
+    /// Bounds the sets. A verdict replaces its crashes, so that all copies of it are
+    /// equal; cleared crashes are dropped before others.
     fn limit(&mut self) {
+        if self.convicted {
+            self.crashes.clear();
+            self.cleared.clear();
+        }
         while self.crashes.len() > MAX_IDS {
             let cleared = self.crashes.intersection(&self.cleared).next().copied();
             let drop = cleared.or(self.crashes.first().copied());
@@ -108,10 +117,16 @@
     pub subject: Subject,
     /// Crashes and verdict so far.
     pub evidence: Evidence,
-    /// Seconds since the last crash.
-    pub age_s: u16,
+    /// Milliseconds since the last crash, rounded up, so that evidence does not get
+    /// younger on its way through many nodes.
+    pub age_ms: u32,
 }
 
+/// Digest of the evidence in a [`CrashMemory`]; equal in two memories that refuse and
+/// suspect the same requests for the same crashes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashDigest(pub u64);
+
 /// Whether a request may run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -273,7 +288,7 @@
 
     /// Merges a record of another node; returns `true` when it should be passed on.
     pub fn merge(&mut self, record: &CrashRecord, now: Time) -> bool {
-        let age = Duration::from_secs(u64::from(record.age_s));
+        let age = Duration::from_millis(u64::from(record.age_ms));
         if age >= RETENTION {
             return false;
         }
@@ -302,8 +317,12 @@
             last_crash_at,
             trial_until: None,
         });
-        entry.last_crash_at = entry.last_crash_at.max(last_crash_at);
-        entry.evidence.merge_from(evidence)
+        let is_new = entry.evidence.merge_from(evidence);
+        // Evidence that is known already does not prolong the retention.
+        if is_new {
+            entry.last_crash_at = entry.last_crash_at.max(last_crash_at);
+        }
+        is_new
     }
 
     fn evict_oldest(&mut self) {
@@ -325,11 +344,39 @@
 
     fn record(&self, subject: Subject, now: Time) -> Option<CrashRecord> {
         let entry = self.entries.get(&subject)?;
-        let age_s = u16::try_from(now.since(entry.last_crash_at).as_secs()).unwrap_or(u16::MAX);
+        let age_ms = now.since(entry.last_crash_at).as_micros().div_ceil(1_000);
         Some(CrashRecord {
             subject,
             evidence: entry.evidence.clone(),
-            age_s,
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
         })
     }
 }
+
+/// Comparison with the memory of another node.
+impl CrashMemory {
+    /// Digest of the evidence that is held against requests.
+    pub fn digest(&self) -> CrashDigest {
+        let held = self.entries.iter();
+        let held = held.filter(|(_, e)| e.evidence.is_held_against());
+        CrashDigest(held.fold(0, |digest, (s, e)| digest ^ checksum(s, &e.evidence)))
+    }
+
+    /// Records of all subjects.
+    pub fn records(&self, now: Time) -> Vec<CrashRecord> {
+        let subjects = self.order.iter();
+        subjects.filter_map(|s| self.record(*s, now)).collect()
+    }
+}
+
+fn checksum(subject: &Subject, evidence: &Evidence) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&subject.0);
+    hasher.update(&[u8::from(evidence.convicted)]);
+    for crash in evidence.crashes.difference(&evidence.cleared) {
+        hasher.update(&crash.0.to_le_bytes());
+    }
+    let mut checksum = [0; 8];
+    checksum.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(checksum)
+}
--- a/crates/host/tests/crash.rs
+++ b/crates/host/tests/crash.rs
@@ -176,7 +176,7 @@
     }
     let mut other = CrashMemory::default();
     let late = ms(RETENTION.as_millis() as u64);
-    last[0].age_s = RETENTION.as_secs() as u16;
+    last[0].age_ms = RETENTION.as_millis() as u32;
     assert!(!other.merge(&last[0], late));
     assert!(other.is_empty());
 }
@@ -190,3 +190,50 @@
     assert_ne!(of(b"GET", b"/a", b""), of(b"GET", b"/b", b""));
     assert_eq!(of(b"GET", b"/a", b""), of(b"GET", b"/a", b""));
 }
+
+/// Guards against nodes that compare their records for ever: after an exchange in both
+/// directions the digests are equal, also when a crash is cleared or convicted meanwhile.
+#[test]
+fn an_exchange_of_all_records_makes_digests_equal() {
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (mut a, mut b) = (CrashMemory::default(), CrashMemory::default());
+        for n in 0..40u64 {
+            let request = crash_subjects(rng.random_range(0..6), &[rng.random_range(0..3)]);
+            let node = if rng.random() { &mut a } else { &mut b };
+            match rng.random_range(0..3) {
+                0 => drop(node.ended(&request, true, ms(n * 10))),
+                _ => drop(node.crashed(&request, crash(n), ms(n * 10))),
+            }
+        }
+        let now = ms(1_000);
+        for record in a.records(now) {
+            b.merge(&record, now);
+        }
+        for record in b.records(now) {
+            a.merge(&record, now);
+        }
+        assert_eq!(a.digest(), b.digest(), "seed {seed}");
+    }
+}
+
+/// Guards against evidence that comparisons between nodes keep alive beyond its retention.
+#[test]
+fn an_exchange_does_not_prolong_the_retention() {
+    let (mut a, mut b) = (CrashMemory::default(), CrashMemory::default());
+    a.crashed(&crash_subjects(1, b"bad"), crash(1), ms(0));
+    let mut now = ms(0);
+    while !(a.is_empty() && b.is_empty()) {
+        for record in a.records(now) {
+            b.merge(&record, now);
+        }
+        for record in b.records(now) {
+            a.merge(&record, now);
+        }
+        now = now.after(std::time::Duration::from_millis(900));
+        a.tick(now);
+        b.tick(now);
+        assert!(now.since(ms(0)) < RETENTION * 2, "never dropped");
+    }
+    assert!(now.since(ms(0)) <= RETENTION + std::time::Duration::from_secs(1));
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -2,6 +2,7 @@
 //! of this node, and the only writer of snapshots.
 
 pub mod config;
+mod crashes;
 pub mod event;
 mod floor;
 mod members;
@@ -32,7 +33,7 @@
 use knapweed_transport::Peers;
 use knapweed_world::{Name, SnapshotCell, TicketNumber, Time};
 use knapweed_zone::floor::{self as floor_decision, VersionFloor};
-use knapweed_zone::{Membership, membership};
+use knapweed_zone::{Epidemic, Membership, membership};
 use orders::OrderBook;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -88,6 +89,8 @@
     rollouts: Rollouts,
     orders: OrderBook,
     results: PendingResults,
+    /// Chooses the members that get crash records.
+    crash_peers: Epidemic,
     /// Recent tickets that are known to have a final result.
     finished_tickets: BTreeSet<TicketNumber>,
     /// Whether this node has left the gossip.
@@ -116,6 +119,7 @@
             rollouts: Rollouts::default(),
             orders: OrderBook::default(),
             results: PendingResults::default(),
+            crash_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             finished_tickets: BTreeSet::new(),
             is_stopped: false,
             store_was_reachable: None,
@@ -152,7 +156,7 @@
         self.order_tick();
         self.rollout_tick(now);
         self.result_tick(now);
-        self.push_crashes();
+        self.spread_crashes(now);
     }
 
     fn handle_event(&mut self, event: Event) {
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Number of random members that receive new rollout states and crash records.
+/// Number of random members that receive new rollout states.
 pub(super) const PUSH_FANOUT: usize = 4;
 /// Longest reply with the differing membership records, in bytes.
 const MAX_RECORDS_LEN: usize = 4 * 1024 * 1024;
@@ -47,7 +47,10 @@
             }
             Action::WatchHead(on) => self.watch_head(on),
             Action::FetchConfig { from } => self.fetch_config(from),
-            Action::FetchMembers { from } => self.fetch_members(from),
+            Action::FetchMembers { from } => {
+                self.fetch_members(from);
+                self.compare_crashes(from);
+            }
             Action::AnnouncementRefused(announcement) => {
                 let Announcement {
                     service, version, ..
@@ -137,19 +140,6 @@
             .choose_multiple(&mut rand::rng(), count)
     }
 
-    /// Sends new crash records to some members of this availability zone.
-    pub(super) fn push_crashes(&self) {
-        let records = self.dependencies.egress.take_crashes();
-        if records.is_empty() {
-            return;
-        }
-        let zone = &self.membership.own().zone;
-        let head = StreamHead::Crashes(records);
-        for to in self.some_members(PUSH_FANOUT, |r| r.zone == *zone) {
-            self.send_one_way(to, &head);
-        }
-    }
-
     /// Sends a message on a stream without waiting for a reply.
     pub(super) fn send_one_way(&self, to: SocketAddr, head: &StreamHead) {
         send_one_way(&self.dependencies.peers, to, head);
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -36,6 +36,7 @@
             StreamHead::Report { service, report } => self.report_received(&service, &report),
             StreamHead::Floor { host } => self.reply_with_floor(&host, incoming),
             StreamHead::Crashes(records) => self.dependencies.egress.merge_crashes(records),
+            StreamHead::CompareCrashes(digest) => self.reply_with_crashes(incoming, digest),
             // Passed to the egress before they reach the control thread.
             StreamHead::Request(_) | StreamHead::Inquire { .. } => {}
         }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -14,10 +14,11 @@
 use crate::trial::Trials;
 use arc_swap::ArcSwap;
 use crashes::CrashTracker;
+pub use crashes::NewCrashes;
 use dispatcher::Dispatcher;
 use exchanges::Exchanges;
 use futures_util::future::BoxFuture;
-use knapweed_host::crash::{CrashCounts, CrashRecord};
+use knapweed_host::crash::{CrashCounts, CrashDigest, CrashRecord};
 use knapweed_host::{NotRun, Outcome};
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
@@ -105,10 +106,20 @@
 /// Exchange of crash records with other nodes.
 impl Egress {
     /// Takes the crash records that have not been sent to other nodes yet.
-    pub fn take_crashes(&self) -> Vec<CrashRecord> {
+    pub fn take_crashes(&self) -> NewCrashes {
         self.crashes.take_unsent()
     }
 
+    /// Digest of the crash records that are held against requests.
+    pub fn crash_digest(&self) -> CrashDigest {
+        self.crashes.digest()
+    }
+
+    /// All crash records.
+    pub fn crash_records(&self) -> Vec<CrashRecord> {
+        self.crashes.records()
+    }
+
     /// Merges crash records received from another node.
     pub fn merge_crashes(&self, records: Vec<CrashRecord>) {
         self.crashes.merge(records);
--- a/crates/node/src/egress/crashes.rs
+++ b/crates/node/src/egress/crashes.rs
@@ -7,7 +7,9 @@
 use futures_util::{StreamExt, stream};
 use http_body::Frame;
 use http_body_util::{BodyExt, BodyStream, StreamBody};
-use knapweed_host::crash::{CrashCounts, CrashId, CrashRecord, CrashSubjects, Subject, Verdict};
+use knapweed_host::crash::{
+    CrashCounts, CrashDigest, CrashId, CrashRecord, CrashSubjects, Subject, Verdict,
+};
 use knapweed_host::{CrashMemory, NotRun, Outcome, SendId, Unknown};
 use knapweed_observe::part;
 use knapweed_timer::TimerService;
@@ -29,11 +31,19 @@
 /// The crash memory of a host, shared by its dispatchers.
 pub(super) struct CrashTracker {
     memory: Mutex<CrashMemory>,
-    /// Records that have not been sent to other nodes yet.
-    unsent: Mutex<Vec<CrashRecord>>,
+    unsent: Mutex<NewCrashes>,
     timer: TimerService,
 }
 
+/// Crash records that have not been sent to other nodes yet.
+#[derive(Debug, Default)]
+pub struct NewCrashes {
+    /// Records of crashes and of trials on this host.
+    pub observed: Vec<CrashRecord>,
+    /// Records that other nodes sent.
+    pub learned: Vec<CrashRecord>,
+}
+
 impl CrashTracker {
     pub(super) fn new(timer: TimerService) -> Self {
         Self {
@@ -44,7 +54,7 @@
     }
 
     /// Takes the records that have not been sent to other nodes yet.
-    pub(super) fn take_unsent(&self) -> Vec<CrashRecord> {
+    pub(super) fn take_unsent(&self) -> NewCrashes {
         self.memory.lock().tick(self.timer.now());
         std::mem::take(&mut *self.unsent.lock())
     }
@@ -62,11 +72,21 @@
                 subject:% = record.subject,
                 crashes = record.evidence.count(),
                 convicted = record.evidence.convicted,
-                age_s = record.age_s;
+                age_ms = record.age_ms;
                 "learned of a request that crashes backend servers"
             );
         }
-        self.unsent.lock().extend(new);
+        self.unsent.lock().learned.extend(new);
+    }
+
+    /// Digest of the records that are held against requests.
+    pub(super) fn digest(&self) -> CrashDigest {
+        self.memory.lock().digest()
+    }
+
+    /// All records.
+    pub(super) fn records(&self) -> Vec<CrashRecord> {
+        self.memory.lock().records(self.timer.now())
     }
 
     /// Number of suspected and of refused requests.
@@ -180,7 +200,7 @@
                 "the backend server died while it ran the request"
             );
         }
-        self.crashes.unsent.lock().extend(records);
+        self.crashes.unsent.lock().observed.extend(records);
     }
 
     fn end_exclusive_run(&mut self, answered: bool) {
@@ -191,7 +211,7 @@
                 .memory
                 .lock()
                 .ended(&crash_subjects, answered, now);
-            self.crashes.unsent.lock().extend(records);
+            self.crashes.unsent.lock().observed.extend(records);
         }
     }
 
--- a/crates/node/tests/nodes/crashes.rs
+++ b/crates/node/tests/nodes/crashes.rs
@@ -84,9 +84,9 @@
         Host::start(&timer)
     );
     assert_eq!(a.send("/calendar/crash").await, CRASHED);
-    b.egress.merge_crashes(a.egress.take_crashes());
+    b.egress.merge_crashes(a.egress.take_crashes().observed);
     assert_eq!(b.send("/calendar/crash").await, CRASHED);
-    c.egress.merge_crashes(b.egress.take_crashes());
+    c.egress.merge_crashes(b.egress.take_crashes().observed);
     let refused = Outcome::NotRun(NotRun::CrashesServers);
     assert_eq!(c.send("/calendar/crash").await, refused);
     assert_eq!(c.backend.runs(), 0);
@@ -104,7 +104,7 @@
     let egress = egress::with_backend(&timer, Arc::default(), backend.address());
     let b = Host { egress, backend };
     assert_eq!(a.send("/calendar/crash").await, CRASHED);
-    let records = a.egress.take_crashes();
+    let records = a.egress.take_crashes().observed;
     assert_eq!(records.len(), 2);
     b.egress.merge_crashes(records);
     let (first, second) = tokio::join!(b.send("/calendar"), b.send("/calendar/crash"));
@@ -141,7 +141,7 @@
     for _ in 0..3 {
         assert_eq!(host.send("/calendar/close").await, CRASHED);
     }
-    assert!(host.egress.take_crashes().is_empty());
+    assert!(host.egress.take_crashes().observed.is_empty());
     assert_eq!(host.send("/calendar").await, ANSWERED);
     assert_eq!(host.backend.connected(), 4);
 }
@@ -178,9 +178,9 @@
         Host::start(&timer)
     );
     assert_eq!(a.send_body("/calendar/crash", "bad\r\n\r\n").await, CRASHED);
-    b.egress.merge_crashes(a.egress.take_crashes());
+    b.egress.merge_crashes(a.egress.take_crashes().observed);
     assert_eq!(b.send_body("/calendar/crash", "bad\r\n\r\n").await, CRASHED);
-    c.egress.merge_crashes(b.egress.take_crashes());
+    c.egress.merge_crashes(b.egress.take_crashes().observed);
     let refused = Outcome::NotRun(NotRun::CrashesServers);
     assert_eq!(c.send_body("/calendar/crash", "bad\r\n\r\n").await, refused);
     assert_eq!(c.send_body("/calendar", "good\r\n\r\n").await, ANSWERED);
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -2,7 +2,7 @@
 
 use crate::RequestHead;
 use knapweed_host::SendId;
-use knapweed_host::crash::CrashRecord;
+use knapweed_host::crash::{CrashDigest, CrashRecord};
 use knapweed_link::PartTag;
 use knapweed_rollout::{RolloutState, ZoneReport};
 use knapweed_world::{ConfigVersion, Name};
@@ -50,6 +50,9 @@
     /// Distributes records of requests that crashed backend servers. There is no
     /// reply.
     Crashes(Vec<CrashRecord>),
+    /// Compares the records of crashes with those of the receiver. The reply is a
+    /// [`CrashReply`].
+    CompareCrashes(CrashDigest),
     /// Asks for the outcome of an earlier send. The reply is a
     /// [`knapweed_host::inquiry::SendStatus`].
     Inquire {
@@ -60,6 +63,15 @@
     },
 }
 
+/// Reply to [`StreamHead::CompareCrashes`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashReply {
+    /// Digest of the replying node's records.
+    pub digest: CrashDigest,
+    /// All of its records; empty when the digests are equal.
+    pub records: Vec<CrashRecord>,
+}
+
 /// Reply to [`StreamHead::Floor`].
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FloorReply {
--- a/crates/zone/src/lib.rs
+++ b/crates/zone/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod directory;
 pub mod dissemination;
 pub mod duty;
+pub mod epidemic;
 pub mod floor;
 pub mod membership;
 pub mod message;
@@ -17,6 +18,7 @@
 pub use directory::{Directory, MemberKey};
 pub use dissemination::peers::Role;
 pub use duty::Duty;
+pub use epidemic::Epidemic;
 pub use membership::Membership;
 pub use message::Message;
 pub use record::{Incarnation, MemberRecord, MemberState, Sequence};
