fix(egress): record a crash when the port does not show it

Callers could see a request crash one server after the other without a record: a server whose idle connections seem open, that is back when the node looks, or that falls silent.

Cause: a crash counted only when the pool could not open a connection within three looks of 20 ms, and a look was content with an idle connection, whose end may not have arrived.

A flapping server accepts connections and closes them; neither counts that.

Change: the look opens a new connection, which stays in the pool, and a refusal closes the idle ones. A request that was sent after the first one was lost met a process that had ended and is not blamed. Announcements carry name and start of a run.

--- a/crates/host/src/connections.rs
+++ b/crates/host/src/connections.rs
@@ -93,6 +93,11 @@
     pub fn count(&self) -> usize {
         self.connections.len() + usize::from(self.opening)
     }
+
+    /// Whether a connection is being opened.
+    pub fn is_opening(&self) -> bool {
+        self.opening
+    }
 }
 
 /// Events that the node reports.
@@ -115,6 +120,24 @@
         self.claims.remove(claim).is_some()
     }
 
+    /// Whether the server accepts connections is to be found out by opening one that no
+    /// request waits for. Returns `false` when one is being opened already, or when the
+    /// limit is reached.
+    pub fn open_spare(&mut self) -> bool {
+        let start = !self.opening && self.count() < self.limit;
+        self.opening |= start;
+        start
+    }
+
+    /// The process of the server has ended: no idle connection is used again. Their
+    /// handles must be dropped.
+    pub fn discard_idle(&mut self) -> Vec<ConnectionKey> {
+        for key in &self.idle {
+            self.connections[*key] = State::Closing;
+        }
+        std::mem::take(&mut self.idle)
+    }
+
     /// The connection that was being opened is ready.
     pub fn opened(&mut self) -> Action {
         self.opening = false;
--- a/crates/host/src/registration.rs
+++ b/crates/host/src/registration.rs
@@ -3,7 +3,7 @@
 //! Heartbeats may arrive late and out of order, even after their sender has
 //! exited and another process has taken its address.
 
-use knapweed_world::backend_server::{Announcement, ServerState};
+use knapweed_world::backend_server::{Announcement, Instance, ServerState};
 use knapweed_world::{Name, Time, UnixMillis};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -32,21 +32,14 @@
 }
 
 impl ServerHeartbeat {
-    fn process(&self) -> ProcessRun {
-        ProcessRun {
-            instance: self.instance.clone(),
+    fn process(&self) -> Instance {
+        Instance {
+            name: self.instance.clone(),
             started_ms: self.started_ms,
         }
     }
 }
 
-/// One run of a backend server process.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct ProcessRun {
-    instance: Name,
-    started_ms: u64,
-}
-
 /// Effect of a heartbeat on the registrations.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum HeartbeatOutcome {
@@ -63,12 +56,12 @@
 
 #[derive(Clone, Debug)]
 struct Registered {
-    process: ProcessRun,
+    process: Instance,
     sequence: u64,
     announcement: Announcement,
     /// A process that announces the same address with an earlier start, and the
     /// sequence number of its last heartbeat.
-    challenger: Option<(ProcessRun, u64)>,
+    challenger: Option<(Instance, u64)>,
 }
 
 /// The processes of the backend servers of one host.
@@ -78,11 +71,11 @@
     started: UnixMillis,
     by_address: HashMap<SocketAddr, Registered>,
     /// Registered processes that have left, and when.
-    departed: HashMap<ProcessRun, Time>,
+    departed: HashMap<Instance, Time>,
     /// Names of processes that left unregistered, and when by both clocks.
     departed_unregistered: HashMap<Name, (UnixMillis, Time)>,
     /// Processes that need a second heartbeat, and the sequence number of the first.
-    unconfirmed: HashMap<ProcessRun, u64>,
+    unconfirmed: HashMap<Instance, u64>,
 }
 
 impl Registrations {
@@ -153,7 +146,7 @@
     /// not registered.
     pub fn left(&mut self, instance: &Name, now: Time, wall: UnixMillis) -> Option<Announcement> {
         let mut all = self.by_address.iter();
-        let found = all.find(|(_, r)| r.process.instance == *instance);
+        let found = all.find(|(_, r)| r.process.name == *instance);
         let Some(address) = found.map(|(address, _)| *address) else {
             self.departed_unregistered
                 .insert(instance.clone(), (wall, now));
@@ -178,14 +171,14 @@
         }
     }
 
-    fn has_left(&self, process: &ProcessRun) -> bool {
-        let unknown = self.departed_unregistered.get(&process.instance);
+    fn has_left(&self, process: &Instance) -> bool {
+        let unknown = self.departed_unregistered.get(&process.name);
         self.departed.contains_key(process)
             || unknown.is_some_and(|(left_at, _)| process.started_ms <= left_at.0)
     }
 
     /// Whether it is certain that an unregistered process has not left already.
-    fn is_confirmed(&mut self, process: &ProcessRun, sequence: u64, now: Time) -> bool {
+    fn is_confirmed(&mut self, process: &Instance, sequence: u64, now: Time) -> bool {
         let is_newer = process.started_ms >= self.started.0;
         if is_newer || now.since(Time(0)) >= CONFIRMATION_PERIOD {
             return true;
@@ -194,7 +187,7 @@
         before.is_some_and(|before| before < sequence)
     }
 
-    fn register(&mut self, heartbeat: ServerHeartbeat, process: ProcessRun) -> HeartbeatOutcome {
+    fn register(&mut self, heartbeat: ServerHeartbeat, process: Instance) -> HeartbeatOutcome {
         let announcement = heartbeat.announcement;
         let registered = Registered {
             process,
@@ -225,7 +218,7 @@
     ///
     /// Its clock may be wrong. Two heartbeats in a row prove that it is running;
     /// a single one may just be late.
-    fn is_challenged(&mut self, process: &ProcessRun, sequence: u64) -> bool {
+    fn is_challenged(&mut self, process: &Instance, sequence: u64) -> bool {
         let before = self.challenger.replace((process.clone(), sequence));
         before.is_some_and(|(run, s)| run == *process && s < sequence)
     }
--- a/crates/host/tests/connections.rs
+++ b/crates/host/tests/connections.rs
@@ -67,7 +67,7 @@
 
 fn step(connections: &mut Connections, model: &mut Model, rng: &mut SmallRng) {
     let busy = model.busy.iter().min().copied();
-    match rng.random_range(0..7) {
+    match rng.random_range(0..9) {
         0 | 1 => match connections.acquire() {
             Acquired::Reuse(key) => model.assign(key),
             Acquired::Wait { claim, open } => {
@@ -98,6 +98,11 @@
                 model.apply(action);
             }
         }
+        6 => model.opening += usize::from(connections.open_spare()),
+        7 => {
+            // The backend server counts them until they are closed.
+            model.aborted.extend(connections.discard_idle());
+        }
         _ => {
             if let Some(claim) = model.claims.keys().min().copied() {
                 assert!(connections.cancel(claim));
--- a/crates/host/tests/registration.rs
+++ b/crates/host/tests/registration.rs
@@ -1,7 +1,7 @@
 //! The owner of an address is tracked from heartbeats that arrive in any order.
 
 use knapweed_host::registration::{HeartbeatOutcome, RETENTION, Registrations, ServerHeartbeat};
-use knapweed_world::backend_server::{Announcement, ServerState};
+use knapweed_world::backend_server::{Announcement, Instance, ServerState};
 use knapweed_world::{Name, Time, UnixMillis};
 use std::time::Duration;
 
@@ -34,7 +34,10 @@
             slots: 6,
             max_connections: 12,
             state,
-            instance: Some(name(instance)),
+            instance: Some(Instance {
+                name: name(instance),
+                started_ms: NODE_START.0.saturating_add_signed(started_ms),
+            }),
             is_cold: false,
         },
     }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -4,6 +4,7 @@
 mod dispatcher;
 mod exchange;
 mod exchanges;
+mod lost;
 mod pool;
 pub mod serve;
 
@@ -84,7 +85,7 @@
             (None, _) => {
                 // A new server at this address means that the earlier process has ended.
                 if let Some(earlier) = known {
-                    earlier.drain();
+                    earlier.replaced_by(announcement);
                 }
                 let dispatcher = Arc::new(Dispatcher::new(
                     announcement.clone(),
--- a/crates/node/src/egress/crashes.rs
+++ b/crates/node/src/egress/crashes.rs
@@ -1,6 +1,7 @@
 //! Tracks requests whose backend server crashed while it ran them.
 
-use super::pool::Pool;
+use super::lost::{Loss, LostRequest, LostRequests};
+use super::pool::{Pool, Probe};
 use crate::body::Body;
 use crate::request_log::RequestId;
 use bytes::Bytes;
@@ -19,14 +20,17 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Length of the body prefix that identifies the content of a request, in bytes.
 const MAX_PREFIX_LEN: usize = 64 * 1024;
-/// Connection attempts to find out whether the process of a backend server has ended.
-const REFUSAL_CHECKS: u32 = 3;
-/// Time between two attempts; an exiting process closes its sockets one by one.
-const REFUSAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time in which an exiting process closes its sockets, one by one.
+const EXIT_DURATION: Duration = Duration::from_millis(20);
+/// Time limit of the connection attempt that finds out whether the process of a backend
+/// server has ended. The server is on the same host, but the node may have to wait for
+/// processor time.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The crash memory of a host, shared by its dispatchers.
 pub(super) struct CrashTracker {
@@ -89,6 +93,37 @@
         self.memory.lock().records(self.timer.now())
     }
 
+    /// The process of the backend server at `server` has ended: records a crash for each
+    /// request of `lost` that was running then. `next_started` is the start of the next
+    /// process, if there is one.
+    pub(super) fn process_ended(
+        &self,
+        lost: &LostRequests,
+        server: SocketAddr,
+        next_started: Option<Time>,
+    ) {
+        let now = self.timer.now();
+        for request in lost.process_ended(next_started, now) {
+            request.crashed.store(true, Ordering::Relaxed);
+            let records = self
+                .memory
+                .lock()
+                .crashed(&request.subjects, request.crash, now);
+            for record in &records {
+                log::warn!(
+                    target: part::EGRESS,
+                    request:% = RequestId(request.caller_id.as_ref()),
+                    server:% = server,
+                    subject:% = record.subject,
+                    crashes = record.evidence.count(),
+                    convicted = record.evidence.convicted;
+                    "the backend server died while it ran the request"
+                );
+            }
+            self.unsent.lock().observed.extend(records);
+        }
+    }
+
     /// Number of suspected and of refused requests.
     pub(super) fn counts(&self) -> CrashCounts {
         self.memory.lock().counts()
@@ -111,6 +146,7 @@
             caller_id: head.caller_id.clone(),
             is_suspect: head.is_suspect,
             exclusive_run: None,
+            run: None,
         };
         if self.memory.lock().is_empty() {
             return Ok((crash_check, body));
@@ -149,6 +185,14 @@
     is_suspect: bool,
     /// Set while the request runs exclusively because of an earlier crash.
     exclusive_run: Option<CrashSubjects>,
+    /// The run on the backend server, from its start until its outcome.
+    run: Option<Run>,
+}
+
+/// A request that may be running on a backend server.
+struct Run {
+    lost: Arc<LostRequests>,
+    started: Time,
 }
 
 impl CrashCheck {
@@ -157,50 +201,63 @@
         self.is_suspect || self.exclusive_run.is_some()
     }
 
+    /// The request is sent to the backend server of `lost` now.
+    pub(super) fn start(&mut self, lost: &Arc<LostRequests>, now: Time) {
+        self.run = Some(Run {
+            lost: Arc::clone(lost),
+            started: now,
+        });
+    }
+
     /// Records the outcome of the request on the backend server of `pool`. Returns
     /// whether the request crashed the backend server.
     pub(super) async fn conclude(mut self, outcome: Outcome, pool: &Arc<Pool>) -> bool {
-        let is_connection_lost = outcome == Outcome::Unknown(Unknown::ServerCrashed);
-        if is_connection_lost {
-            if has_exited(pool).await {
-                self.crashed(pool.address());
-                return true;
+        let Some(run) = self.run.take() else {
+            self.end_exclusive_run(false);
+            return false;
+        };
+        match outcome {
+            Outcome::Unknown(Unknown::ServerCrashed) => {
+                let crashed = self.add_lost(&run, Loss::Closed);
+                if has_exited(pool).await {
+                    self.crashes.process_ended(&run.lost, pool.address(), None);
+                }
+                let crashed = crashed.load(Ordering::Relaxed);
+                self.end_exclusive_run(false);
+                crashed
+            }
+            Outcome::Unknown(Unknown::DeadlinePassed | Unknown::Truncated) => {
+                self.add_lost(&run, Loss::Silent);
+                self.end_exclusive_run(false);
+                false
+            }
+            Outcome::Answered(_) => {
+                run.lost.answered(run.started, self.crashes.timer.now());
+                self.end_exclusive_run(true);
+                false
+            }
+            Outcome::NotRun(_) | Outcome::Unknown(_) => {
+                self.end_exclusive_run(false);
+                false
             }
-            log::info!(
-                target: part::EGRESS,
-                request:% = RequestId(self.caller_id.as_ref()),
-                server:% = pool.address();
-                "the connection was lost, and the backend server accepts others: no crash is recorded"
-            );
         }
-        self.end_exclusive_run(matches!(outcome, Outcome::Answered(_)));
-        false
     }
 
-    fn crashed(&mut self, server: SocketAddr) {
-        let now = self.crashes.timer.now();
-        let crash_subjects = self
-            .exclusive_run
-            .take()
-            .unwrap_or_else(|| self.crash_subjects());
-        let crash = CrashId::of(self.send);
-        let records = self
-            .crashes
-            .memory
-            .lock()
-            .crashed(&crash_subjects, crash, now);
-        for record in &records {
-            log::warn!(
-                target: part::EGRESS,
-                request:% = RequestId(self.caller_id.as_ref()),
-                server:% = server,
-                subject:% = record.subject,
-                crashes = record.evidence.count(),
-                convicted = record.evidence.convicted;
-                "the backend server died while it ran the request"
-            );
-        }
-        self.crashes.unsent.lock().observed.extend(records);
+    /// Keeps the request as one during which the backend server may have crashed. The
+    /// returned flag is set when that turns out to be so.
+    fn add_lost(&self, run: &Run, loss: Loss) -> Arc<AtomicBool> {
+        let crashed = Arc::<AtomicBool>::default();
+        run.lost.add(LostRequest {
+            subjects: self.crash_subjects(),
+            crash: CrashId::of(self.send),
+            caller_id: self.caller_id.clone(),
+            loss,
+            started: run.started,
+            lost_at: self.crashes.timer.now(),
+            answered_at: None,
+            crashed: Arc::clone(&crashed),
+        });
+        crashed
     }
 
     fn end_exclusive_run(&mut self, answered: bool) {
@@ -226,20 +283,22 @@
 
 impl Drop for CrashCheck {
     fn drop(&mut self) {
+        // The caller left while the backend server had the request.
+        if let Some(run) = self.run.take() {
+            self.add_lost(&run, Loss::Silent);
+        }
         self.end_exclusive_run(false);
     }
 }
 
-/// Whether the process of a backend server has ended, that is, connections to its
-/// port fail.
+/// Whether the process of a backend server has ended, that is, it refuses connections.
 async fn has_exited(pool: &Arc<Pool>) -> bool {
-    for _ in 0..REFUSAL_CHECKS {
-        if pool.refuses_connections(REFUSAL_CHECK_INTERVAL).await {
-            return true;
-        }
-        tokio::time::sleep(REFUSAL_CHECK_INTERVAL).await;
+    tokio::time::sleep(EXIT_DURATION).await;
+    let has_exited = pool.probe(PROBE_TIMEOUT).await == Probe::Refused;
+    if has_exited {
+        pool.discard_idle();
     }
-    false
+    has_exited
 }
 
 /// What identifies the content of a request: route, method, path and a prefix of
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Dispatch of requests to one backend server: its slots, queue and connections.
 
 use super::crashes::CrashTracker;
+use super::lost::LostRequests;
 use super::pool::Pool;
 use super::{exchange, time_left};
 use crate::body::Body;
@@ -41,6 +42,9 @@
     is_cold: AtomicBool,
     queue: Mutex<Queue>,
     pool: Arc<Pool>,
+    lost: Arc<LostRequests>,
+    /// Whether the backend server has announced that it is shutting down.
+    is_draining: AtomicBool,
     protocol: Arc<dyn ServerProtocol>,
     trials: Arc<Trials>,
     crashes: Arc<CrashTracker>,
@@ -68,6 +72,8 @@
                 waiting: SecondaryMap::new(),
             }),
             pool: Arc::new(pool),
+            lost: Arc::default(),
+            is_draining: AtomicBool::new(false),
             protocol,
             trials,
             crashes,
@@ -183,7 +189,7 @@
     ) -> (bool, Result<Response, Failure>) {
         let now = self.timer.now();
         let deadline = now.after(time_left(&head));
-        let (crash_check, body) = match self.crashes.examine(&head, body, deadline).await {
+        let (mut crash_check, body) = match self.crashes.examine(&head, body, deadline).await {
             Ok(examined) => examined,
             Err(reason) => return (false, Err(reason.into())),
         };
@@ -200,6 +206,7 @@
             Err(refusal) => return (false, Err(refusal.into())),
         };
         started.get_or_init(|| slot.start);
+        crash_check.start(&self.lost, slot.start.at);
         let timer = self.timer.clone();
         let exchange = exchange::Exchange {
             pool: &self.pool,
@@ -275,9 +282,37 @@
         queue.notify(released);
     }
 
+    /// `next` has announced itself at the address of this process. Unless this one was
+    /// shutting down, the requests that it did not answer may have crashed it.
+    pub(super) fn replaced_by(&self, next: &Announcement) {
+        if !self.is_draining.load(Ordering::Relaxed) {
+            let started = next
+                .instance
+                .as_ref()
+                .map(|i| self.local_time(i.started_ms));
+            self.crashes
+                .process_ended(&self.lost, self.announcement.address, started);
+        }
+        self.drain();
+    }
+
+    /// The time of this node at which the wall clock of the host showed `unix_ms`.
+    fn local_time(&self, unix_ms: u64) -> Time {
+        let ago_ms = self.timer.wall_clock().0.saturating_sub(unix_ms);
+        let ago = Duration::from_millis(ago_ms);
+        Time(
+            self.timer
+                .now()
+                .since(Time(0))
+                .saturating_sub(ago)
+                .as_micros() as u64,
+        )
+    }
+
     /// Refuses the queued and all new requests, because the backend server is shutting
     /// down.
     pub(super) fn drain(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
         let mut queue = self.queue.lock();
         let shed = queue.admission.drain();
         queue.notify(Released {
--- a/crates/node/src/egress/pool.rs
+++ b/crates/node/src/egress/pool.rs
@@ -27,6 +27,19 @@
     connections: Connections,
     idle: SecondaryMap<ConnectionKey, Handle>,
     waiting: SecondaryMap<ClaimKey, oneshot::Sender<PooledConnection>>,
+    /// Senders that learn whether the connection that is being opened was accepted.
+    probes: Vec<oneshot::Sender<Probe>>,
+}
+
+/// Whether the backend server accepts connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Probe {
+    /// A new connection was opened.
+    Accepted,
+    /// The attempt to open a connection failed.
+    Refused,
+    /// There was no result in time, or no connection may be opened.
+    Unknown,
 }
 
 /// Connections to one backend server; [`Connections`] decides about their use.
@@ -42,6 +55,7 @@
             connections: Connections::new(limit),
             idle: SecondaryMap::new(),
             waiting: SecondaryMap::new(),
+            probes: Vec::new(),
         };
         Self {
             address,
@@ -69,24 +83,41 @@
         receiver.await.map_err(|_| NotRun::ConnectFailed)
     }
 
-    /// Whether opening a connection to the backend server fails within `wait`.
+    /// Finds out within `wait` whether the backend server accepts connections.
     ///
-    /// The attempt goes through the pool, so that it counts against the limit of
-    /// connections (requirement B8).
-    pub(super) async fn refuses_connections(self: &Arc<Self>, wait: Duration) -> bool {
-        match tokio::time::timeout(wait, self.acquire()).await {
-            Ok(Ok(mut pooled)) => {
-                if pooled.handle().ready().await.is_ok() {
-                    pooled.complete();
-                }
-                false
+    /// An idle connection tells nothing, since its end may not have arrived. The new
+    /// connection counts against the limit of connections (requirement B8) and stays in
+    /// the pool.
+    pub(super) async fn probe(self: &Arc<Self>, wait: Duration) -> Probe {
+        let rx = {
+            let mut state = self.state.lock();
+            let open = state.connections.open_spare();
+            if !open && !state.connections.is_opening() {
+                return Probe::Unknown;
             }
-            Ok(Err(_)) => true,
-            // Timed out: all connections are in use, or the backend server is slow.
-            Err(_) => false,
+            let (tx, rx) = oneshot::channel();
+            state.probes.push(tx);
+            self.open_if(open);
+            rx
+        };
+        match tokio::time::timeout(wait, rx).await {
+            Ok(Ok(probe)) => probe,
+            Ok(Err(_)) | Err(_) => Probe::Unknown,
         }
     }
 
+    /// Closes the idle connections: the process of the backend server has ended.
+    pub(super) fn discard_idle(self: &Arc<Self>) {
+        let mut state = self.state.lock();
+        let discarded = state.connections.discard_idle();
+        let handles: Vec<_> = discarded
+            .into_iter()
+            .filter_map(|key| state.idle.remove(key))
+            .collect();
+        drop(state);
+        drop(handles);
+    }
+
     fn claim(self: &Arc<Self>) -> Claim {
         let mut state = self.state.lock();
         match state.connections.acquire() {
@@ -136,6 +167,7 @@
 
     fn opened(self: &Arc<Self>, handle: Handle) -> Option<ConnectionKey> {
         let mut state = self.state.lock();
+        notify(&mut state.probes, Probe::Accepted);
         let action = state.connections.opened();
         let key = action.keep.or(action.assigned.map(|(_, key)| key));
         self.apply(&mut state, action, Some(handle));
@@ -144,6 +176,7 @@
 
     fn open_failed(self: &Arc<Self>) {
         let mut state = self.state.lock();
+        notify(&mut state.probes, Probe::Refused);
         let action = state.connections.open_failed();
         self.apply(&mut state, action, None);
     }
@@ -190,6 +223,13 @@
     }
 }
 
+fn notify(probes: &mut Vec<oneshot::Sender<Probe>>, probe: Probe) {
+    for tx in probes.drain(..) {
+        // The request that waited for the result may have been cancelled.
+        let _ = tx.send(probe);
+    }
+}
+
 async fn open_connection(pool: Arc<Pool>) {
     match connect(pool.address).await {
         Ok((handle, connection_driver)) => {
--- a/crates/node/tests/nodes/common/backend.rs
+++ b/crates/node/tests/nodes/common/backend.rs
@@ -10,8 +10,13 @@
 
 /// Path of a request that crashes the backend server.
 const CRASH_PATH: &[u8] = b"/crash";
+/// Path of a request that ends the backend server without an end of its idle connections,
+/// as the loss of a host's network stack does.
+const VANISH_PATH: &[u8] = b"/vanish";
 /// Path of a request whose connection is closed without a response.
 const CLOSE_PATH: &[u8] = b"/close";
+/// Path of a request that gets no answer.
+const HANG_PATH: &[u8] = b"/hang";
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
 
 pub(crate) struct Backend {
@@ -58,8 +63,12 @@
                         runs.connected.fetch_add(1, Ordering::SeqCst);
                         connections.spawn(serve(stream, work, Arc::clone(&runs)));
                     }
-                    // Closes all sockets, as the end of a process does.
-                    Some(Ok(ConnectionEnd::Crashed)) = connections.join_next() => return,
+                    Some(Ok(end)) = connections.join_next() => match end {
+                        ConnectionEnd::Closed => {}
+                        // Closes all sockets, as the end of a process does.
+                        ConnectionEnd::Crashed => return,
+                        ConnectionEnd::Vanished => return connections.detach_all(),
+                    },
                 }
             }
         });
@@ -90,6 +99,7 @@
 enum ConnectionEnd {
     Closed,
     Crashed,
+    Vanished,
 }
 
 async fn serve(mut stream: TcpStream, work: Duration, counts: Arc<Counts>) -> ConnectionEnd {
@@ -100,6 +110,7 @@
         if request.ends_with(b"\r\n\r\n") {
             let contains = |path: &[u8]| request.windows(path.len()).any(|w| w == path);
             let (crashes, closes) = (contains(CRASH_PATH), contains(CLOSE_PATH));
+            let (vanishes, hangs) = (contains(VANISH_PATH), contains(HANG_PATH));
             request.clear();
             counts.start();
             tokio::time::sleep(work).await;
@@ -110,6 +121,12 @@
             if closes {
                 return ConnectionEnd::Closed;
             }
+            if hangs {
+                continue;
+            }
+            if vanishes {
+                return ConnectionEnd::Vanished;
+            }
             if stream.write_all(RESPONSE).await.is_err() {
                 return ConnectionEnd::Closed;
             }
--- a/crates/node/tests/nodes/common/egress.rs
+++ b/crates/node/tests/nodes/common/egress.rs
@@ -39,7 +39,13 @@
     backend: SocketAddr,
 ) -> Arc<Egress> {
     let egress = Egress::new(timer.clone(), trials, Arc::new(NativeHeaders));
-    egress.announce(&Announcement {
+    egress.announce(&announcement(backend));
+    Arc::new(egress)
+}
+
+/// The announcement of a ready backend server.
+pub(crate) fn announcement(backend: SocketAddr) -> Announcement {
+    Announcement {
         service: name("calendar"),
         version: name("v1"),
         address: backend,
@@ -48,8 +54,7 @@
         state: ServerState::Ready,
         instance: None,
         is_cold: false,
-    });
-    Arc::new(egress)
+    }
 }
 
 async fn receive(mut inbound: Inbound, egress: Arc<Egress>) {
--- a/crates/node/tests/nodes/crashes.rs
+++ b/crates/node/tests/nodes/crashes.rs
@@ -9,8 +9,9 @@
 use knapweed_rollout::{Epoch, Evidence, Phase, RolloutState};
 use knapweed_timer::TimerService;
 use knapweed_wire::Header;
+use knapweed_world::backend_server::{Announcement, Instance};
 use knapweed_world::config::{Caution, RolloutTerms, VersionShare};
-use knapweed_world::{Share, TicketNumber, UnixMillis};
+use knapweed_world::{ServerState, Share, TicketNumber, UnixMillis};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -146,6 +147,83 @@
     assert_eq!(host.backend.connected(), 4);
 }
 
+/// Guards against a crash that is not recorded because an idle connection, whose end has not
+/// arrived, passes for a sign of life.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_crash_is_recorded_while_idle_connections_seem_open() {
+    let timer = TimerService::start();
+    let backend = Backend::start(Duration::from_millis(20)).await;
+    let egress = egress::with_backend(&timer, Arc::default(), backend.address());
+    let host = Host { egress, backend };
+    let idle = tokio::join!(
+        host.send("/calendar"),
+        host.send("/calendar"),
+        host.send("/calendar")
+    );
+    assert_eq!(idle, (ANSWERED, ANSWERED, ANSWERED));
+    assert_eq!(host.send("/calendar/vanish").await, CRASHED);
+    assert_eq!(host.egress.take_crashes().observed.len(), 2);
+    assert_eq!(
+        host.send("/calendar").await,
+        Outcome::NotRun(NotRun::ConnectFailed)
+    );
+}
+
+/// The announcement of another run of a backend server under the same name.
+fn restarted(backend: &Backend, started_ms: u64) -> Announcement {
+    Announcement {
+        instance: Some(Instance {
+            name: name("calendar-1"),
+            started_ms,
+        }),
+        ..egress::announcement(backend.address())
+    }
+}
+
+/// Guards against a crash that is not recorded because the port of the backend server is open
+/// again, or was never closed, when the node looks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_that_is_back_at_once_has_crashed() {
+    let timer = TimerService::start();
+    for path in ["/calendar/close", "/calendar/hang"] {
+        let host = Host::start(&timer).await;
+        host.egress.announce(&restarted(&host.backend, 1));
+        assert_eq!(host.send("/calendar").await, ANSWERED);
+        assert_ne!(host.send(path).await, ANSWERED);
+        assert!(host.egress.take_crashes().observed.is_empty(), "{path}");
+        // The next process has the name of the first and answers before it announces itself.
+        let restarted_ms = timer.wall_clock().0;
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        assert_eq!(host.send("/calendar").await, ANSWERED);
+        host.egress
+            .announce(&restarted(&host.backend, restarted_ms));
+        assert_eq!(host.egress.take_crashes().observed.len(), 2, "{path}");
+        assert_eq!(host.send("/calendar").await, ANSWERED);
+    }
+}
+
+/// Guards against requests that are blamed for the end of a backend server that answered others
+/// after them, or that was shutting down.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restart_is_no_crash_of_earlier_requests() {
+    let timer = TimerService::start();
+    let host = Host::start(&timer).await;
+    host.egress.announce(&restarted(&host.backend, 1));
+    assert_eq!(host.send("/calendar/close").await, CRASHED);
+    assert_eq!(host.send("/calendar").await, ANSWERED);
+    let now_ms = timer.wall_clock().0 + 1;
+    host.egress.announce(&restarted(&host.backend, now_ms));
+    assert!(host.egress.take_crashes().observed.is_empty());
+
+    assert_eq!(host.send("/calendar/close").await, CRASHED);
+    host.egress.announce(&Announcement {
+        state: ServerState::Draining,
+        ..restarted(&host.backend, now_ms)
+    });
+    host.egress.announce(&restarted(&host.backend, now_ms + 1));
+    assert!(host.egress.take_crashes().observed.is_empty());
+}
+
 /// Guards against pulling back a good version because of a request that crashes every
 /// version.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/world/src/backend_server.rs
+++ b/crates/world/src/backend_server.rs
@@ -20,6 +20,15 @@
     Gone,
 }
 
+/// One run of a backend server process.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Instance {
+    /// Name of the process; a later process may have the same one.
+    pub name: Name,
+    /// Start of the process, in Unix milliseconds of its own clock.
+    pub started_ms: u64,
+}
+
 /// Announcement of a backend server to the node on its host.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Announcement {
@@ -35,10 +44,10 @@
     pub max_connections: u16,
     /// Lifecycle state as announced.
     pub state: ServerState,
-    /// Identifies one run of the server process, so that a restart is noticed;
-    /// `None` when the server does not send it.
+    /// The run of the server process, so that a restart is noticed; `None` when the
+    /// server does not send it.
     #[serde(default)]
-    pub instance: Option<Name>,
+    pub instance: Option<Instance>,
     /// Whether it still responds slowly after its start.
     #[serde(default)]
     pub is_cold: bool,
--- a/crates/zone/src/record.rs
+++ b/crates/zone/src/record.rs
@@ -241,7 +241,10 @@
 }
 
 fn announcement_len(announcement: &Announcement) -> usize {
-    // Slots and connections take at most 3 bytes each, the state 1 byte.
+    let instance = announcement.instance.as_ref();
+    let instance = instance.map_or(0, |i| name_len(&i.name) + MAX_VARINT_LEN);
+    // Slots and connections take at most 3 bytes each, the state, the cold start and
+    // the presence of an instance 1 byte each.
     let names = name_len(&announcement.service) + name_len(&announcement.version);
-    names + MAX_ADDRESS_LEN + 7
+    names + instance + MAX_ADDRESS_LEN + 9
 }
