fix(ingress): recognise a request by what its caller sent

Callers saw servers crash under the same request again and again although its crashes were recorded.

Cause: the egress took the digest of the content from the body as it passed it on.

Evidence: a_request_with_a_body_in_chunks_is_refused_after_two_crashes, with real processes, failed on: 'c1: HTTP/1.1 504 Gateway Timeout'.

It takes the digest of the host of the route, method, path with query and the first 64 KB, and sends it in the request head. The egress no longer copies bodies or reads ahead.

Result: the test passes. An ingress test shows the same digest for other chunks, another case of the host and a renamed route, and others for other requests.

--- a/crates/demo/tests/crashes.rs
+++ b/crates/demo/tests/crashes.rs
@@ -5,6 +5,8 @@
 use knapweed_demo::Mesh;
 use knapweed_demo::fleet::{self, NODES, limited};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Longest time until all nodes know a request that has crashed its backend servers.
 const DISSEMINATION_TIMEOUT: Duration = Duration::from_secs(4);
@@ -39,6 +41,21 @@
     Ok(())
 }
 
+/// Sends the crashing request with a body in chunks, without an announced length; returns the
+/// first line of the response.
+async fn send_crash_in_chunks(mesh: &Mesh, host: &str) -> anyhow::Result<String> {
+    let mut stream = TcpStream::connect(mesh.node(host).callers).await?;
+    let request = format!(
+        "POST {CRASH_PATH} HTTP/1.1\r\nhost: calendar\r\ntransfer-encoding: chunked\r\n\
+         connection: close\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await?;
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await?;
+    let text = String::from_utf8_lossy(&response);
+    Ok(text.lines().next().unwrap_or_default().to_owned())
+}
+
 fn ensure_runs(mesh: &mut Mesh, process: &str) -> anyhow::Result<()> {
     let has_exited = mesh.process(process).wait(Duration::ZERO).is_ok();
     ensure!(!has_exited, "{process} has exited");
@@ -61,6 +78,26 @@
     .await
 }
 
+/// Guards against a request that is not recognised when it comes again, because its body has no
+/// announced length.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_with_a_body_in_chunks_is_refused_after_two_crashes() -> anyhow::Result<()> {
+    limited(async {
+        let mut mesh = fleet::start(&NODES, &["a1", "a2", "c1"]).await?;
+        for _ in 0..2 {
+            let status = send_crash_in_chunks(&mesh, "a1").await?;
+            ensure!(status.contains("504"), "{status}");
+        }
+        tokio::time::sleep(DISSEMINATION_TIMEOUT).await;
+        for host in ["c1", "c2"] {
+            let status = send_crash_in_chunks(&mesh, host).await?;
+            ensure!(status.contains("503"), "{host}: {status}");
+        }
+        ensure_runs(&mut mesh, "c1-calendar-v1")
+    })
+    .await
+}
+
 /// Guards against a node that forgets with its process which requests crash backend servers.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_restarted_node_learns_which_requests_crash_servers() -> anyhow::Result<()> {
--- a/crates/host/src/crash.rs
+++ b/crates/host/src/crash.rs
@@ -2,7 +2,7 @@
 
 use crate::request::short_digest;
 use crate::{NotRun, RequestId, SendId};
-use knapweed_world::{Name, Time};
+use knapweed_world::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::fmt;
@@ -12,6 +12,8 @@
 pub const RETENTION: Duration = Duration::from_secs(600);
 /// Number of crashes after which a request is refused.
 pub const MAX_CRASHES: usize = 2;
+/// Length of the body prefix that belongs to the content of a request, in bytes.
+pub const MAX_CONTENT_LEN: usize = 64 * 1024;
 /// Maximum number of crash ids in each set of one record.
 const MAX_IDS: usize = 4;
 
@@ -25,11 +27,14 @@
         Self(id.0)
     }
 
-    /// The subject for the content of a request: route, method, path with query,
-    /// and body, of which the first 64 KB are passed.
-    pub fn content(route: &Name, method: &[u8], path: &[u8], body: &[u8]) -> Self {
+    /// The subject for the content of a request: what its caller sent, and nothing that
+    /// depends on the configuration or on how the body arrived. Of `body`, the first
+    /// [`MAX_CONTENT_LEN`] bytes count; `host` is compared without case.
+    pub fn content(host: &[u8], method: &[u8], path_and_query: &[u8], body: &[u8]) -> Self {
+        let body = &body[..body.len().min(MAX_CONTENT_LEN)];
+        let host = host.to_ascii_lowercase();
         let mut hasher = blake3::Hasher::new();
-        for part in [route.as_bytes(), method, path, body] {
+        for part in [&host, method, path_and_query, body] {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
--- a/crates/host/tests/crash.rs
+++ b/crates/host/tests/crash.rs
@@ -4,7 +4,7 @@
     CrashId, CrashMemory, CrashRecord, CrashSubjects, RETENTION, Subject, Verdict,
 };
 use knapweed_host::{NotRun, RequestId, SendId};
-use knapweed_world::{Name, Time};
+use knapweed_world::Time;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::fmt::Write;
@@ -13,14 +13,10 @@
     Time::from_millis(ms)
 }
 
-fn route() -> Name {
-    "calendar".parse().expect("a valid name")
-}
-
 fn crash_subjects(identity: u8, body: &[u8]) -> CrashSubjects {
     CrashSubjects {
         identity: Subject::identity(RequestId([identity; 16])),
-        content: Subject::content(&route(), b"POST", b"/calendar", body),
+        content: Subject::content(b"calendar.example", b"POST", b"/calendar", body),
     }
 }
 
@@ -184,8 +180,9 @@
 /// Guards against different requests with equal content digests.
 #[test]
 fn parts_of_the_content_are_kept_apart() {
-    let of =
-        |method: &[u8], path: &[u8], body: &[u8]| Subject::content(&route(), method, path, body);
+    let of = |method: &[u8], path: &[u8], body: &[u8]| {
+        Subject::content(b"calendar.example", method, path, body)
+    };
     assert_ne!(of(b"POST", b"/a", b"b"), of(b"POST", b"/ab", b""));
     assert_ne!(of(b"GET", b"/a", b""), of(b"GET", b"/b", b""));
     assert_eq!(of(b"GET", b"/a", b""), of(b"GET", b"/a", b""));
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -81,9 +81,13 @@
 pub enum LimitedRead {
     /// The complete body.
     Whole(Bytes),
-    /// A body that is longer than the limit. It yields what was read already,
-    /// then the rest.
-    Longer(Body),
+    /// A body that is longer than the limit.
+    Longer {
+        /// What was read already: a bit more than the limit.
+        prefix: Bytes,
+        /// The whole body: the prefix, then the rest.
+        body: Body,
+    },
 }
 
 /// Buffers a body of at most `limit` bytes; a longer one stays a stream.
@@ -103,7 +107,9 @@
         }
         read.extend_from_slice(&chunk);
         if read.len() > limit {
-            return Ok(LimitedRead::Longer(prepend(read.freeze(), body)));
+            let prefix = read.freeze();
+            let body = prepend(prefix.clone(), body);
+            return Ok(LimitedRead::Longer { prefix, body });
         }
     }
     Ok(LimitedRead::Whole(read.freeze()))
--- a/crates/node/src/egress/crashes.rs
+++ b/crates/node/src/egress/crashes.rs
@@ -2,29 +2,22 @@
 
 use super::lost::{Loss, LostRequest, LostRequests};
 use super::pool::{Pool, Probe};
-use crate::body::Body;
 use crate::request_log::RequestId;
 use bytes::Bytes;
-use futures_util::{StreamExt, stream};
-use http_body::Frame;
-use http_body_util::{BodyExt, BodyStream, StreamBody};
 use knapweed_host::crash::{
     CrashCounts, CrashDigest, CrashId, CrashRecord, CrashSubjects, Subject, Verdict,
 };
-use knapweed_host::{CrashMemory, NotRun, Outcome, SendId, Unknown};
+use knapweed_host::{CrashMemory, NotRun, Outcome, Unknown};
 use knapweed_observe::part;
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
-use knapweed_world::{Name, Time};
+use knapweed_world::Time;
 use parking_lot::Mutex;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-/// Length of the body prefix that identifies the content of a request, in bytes.
-const MAX_PREFIX_LEN: usize = 64 * 1024;
 /// Time in which an exiting process closes its sockets, one by one.
 const EXIT_DURATION: Duration = Duration::from_millis(20);
 /// Time limit of the connection attempt that finds out whether the process of a backend
@@ -129,62 +122,59 @@
         self.memory.lock().counts()
     }
 
-    /// Decides whether a request may run. The returned body also copies the prefix
-    /// that identifies the content of the request while it is read.
-    pub(super) async fn examine(
+    /// Decides whether a request may run.
+    pub(super) fn examine(
         self: &Arc<Self>,
         head: &RequestHead,
-        body: Body,
         deadline: Time,
-    ) -> Result<(CrashCheck, Body), NotRun> {
-        let copy = Arc::new(Content::new(head));
-        let body = copy.copy_prefix(body);
+    ) -> Result<CrashCheck, NotRun> {
         let mut crash_check = CrashCheck {
             crashes: Arc::clone(self),
-            content: Arc::clone(&copy),
-            send: head.id,
+            subjects: CrashSubjects {
+                identity: Subject::identity(head.id.request),
+                content: head.content,
+            },
+            crash: CrashId::of(head.id),
             caller_id: head.caller_id.clone(),
             is_suspect: head.is_suspect,
-            exclusive_run: None,
+            exclusive_run: false,
             run: None,
         };
-        if self.memory.lock().is_empty() {
-            return Ok((crash_check, body));
-        }
-        let time_left = deadline.since(self.timer.now());
-        let read = tokio::time::timeout(time_left, copy.read_prefix(body));
-        let body = read.await.map_err(|_| NotRun::DeadlinePassed)?;
-        let crash_subjects = crash_check.crash_subjects();
         let now = self.timer.now();
-        match self.memory.lock().check(&crash_subjects, deadline, now) {
+        let verdict = {
+            let mut memory = self.memory.lock();
+            memory.check(&crash_check.subjects, deadline, now)
+        };
+        match verdict {
             Verdict::Clear => {}
-            Verdict::Exclusive => crash_check.exclusive_run = Some(crash_subjects),
+            Verdict::Exclusive => crash_check.exclusive_run = true,
             Verdict::Refuse(reason) => {
                 log::info!(
                     target: part::EGRESS,
                     request:% = RequestId(head.caller_id.as_ref()),
                     server:% = head.address,
-                    subject:% = crash_subjects.content;
+                    subject:% = head.content;
                     "refused: {}", reason.text()
                 );
                 return Err(reason);
             }
         }
-        Ok((crash_check, body))
+        Ok(crash_check)
     }
 }
 
 /// Crash check of one request, from before it runs until its outcome.
 pub(super) struct CrashCheck {
     crashes: Arc<CrashTracker>,
-    content: Arc<Content>,
-    send: SendId,
+    subjects: CrashSubjects,
+    /// Identifies the crash if the request causes one.
+    crash: CrashId,
     /// The caller's identifier of the request, for the log.
     caller_id: Option<Bytes>,
     /// Whether the ingress reported an earlier crash of this request.
     is_suspect: bool,
-    /// Set while the request runs exclusively because of an earlier crash.
-    exclusive_run: Option<CrashSubjects>,
+    /// Whether the request is on trial because of an earlier crash.
+    exclusive_run: bool,
     /// The run on the backend server, from its start until its outcome.
     run: Option<Run>,
 }
@@ -198,7 +188,7 @@
 impl CrashCheck {
     /// Whether no other request may run on the backend server at the same time.
     pub(super) fn is_exclusive(&self) -> bool {
-        self.is_suspect || self.exclusive_run.is_some()
+        self.is_suspect || self.exclusive_run
     }
 
     /// The request is sent to the backend server of `lost` now.
@@ -248,8 +238,8 @@
     fn add_lost(&self, run: &Run, loss: Loss) -> Arc<AtomicBool> {
         let crashed = Arc::<AtomicBool>::default();
         run.lost.add(LostRequest {
-            subjects: self.crash_subjects(),
-            crash: CrashId::of(self.send),
+            subjects: self.subjects,
+            crash: self.crash,
             caller_id: self.caller_id.clone(),
             loss,
             started: run.started,
@@ -261,24 +251,15 @@
     }
 
     fn end_exclusive_run(&mut self, answered: bool) {
-        if let Some(crash_subjects) = self.exclusive_run.take() {
+        if std::mem::take(&mut self.exclusive_run) {
             let now = self.crashes.timer.now();
-            let records = self
-                .crashes
-                .memory
-                .lock()
-                .ended(&crash_subjects, answered, now);
+            let records = {
+                let mut memory = self.crashes.memory.lock();
+                memory.ended(&self.subjects, answered, now)
+            };
             self.crashes.unsent.lock().observed.extend(records);
         }
     }
-
-    fn crash_subjects(&self) -> CrashSubjects {
-        let identity = Subject::identity(self.send.request);
-        CrashSubjects {
-            identity,
-            content: self.content.subject().unwrap_or(identity),
-        }
-    }
 }
 
 impl Drop for CrashCheck {
@@ -300,83 +281,3 @@
     }
     has_exited
 }
-
-/// What identifies the content of a request: route, method, path and a prefix of
-/// its body.
-struct Content {
-    route: Name,
-    method: Bytes,
-    path: Bytes,
-    /// Length of the prefix; `None` when the request has no valid content length.
-    len: Option<usize>,
-    read: Mutex<Vec<u8>>,
-}
-
-impl Content {
-    fn new(head: &RequestHead) -> Self {
-        Self {
-            route: head.route.clone(),
-            method: head.method.clone(),
-            path: head.path.clone(),
-            len: content_length(head).map(|len| len.min(MAX_PREFIX_LEN)),
-            read: Mutex::default(),
-        }
-    }
-
-    /// The content as a subject; `None` until the complete prefix was read.
-    fn subject(&self) -> Option<Subject> {
-        let read = self.read.lock();
-        let has_full_prefix = self.len == Some(read.len());
-        has_full_prefix.then(|| Subject::content(&self.route, &self.method, &self.path, &read))
-    }
-
-    fn add(&self, chunk: &Bytes) {
-        let mut read = self.read.lock();
-        let room = self.len.unwrap_or(0).saturating_sub(read.len());
-        read.extend_from_slice(&chunk[..chunk.len().min(room)]);
-    }
-
-    fn is_complete(&self) -> bool {
-        self.len.is_none_or(|len| self.read.lock().len() >= len)
-    }
-
-    /// Wraps `body` so that its prefix is copied while it is read.
-    fn copy_prefix(self: &Arc<Self>, body: Body) -> Body {
-        if self.len.is_none_or(|len| len == 0) {
-            return body;
-        }
-        let content = Arc::clone(self);
-        let copied = body.map_frame(move |frame| {
-            if let Some(chunk) = frame.data_ref() {
-                content.add(chunk);
-            }
-            frame
-        });
-        copied.boxed_unsync()
-    }
-
-    /// Reads the body until the complete prefix is known. The returned body yields
-    /// the frames that were read, then the rest.
-    async fn read_prefix(&self, mut body: Body) -> Body {
-        if self.is_complete() {
-            return body;
-        }
-        let mut frames: Vec<io::Result<Frame<Bytes>>> = Vec::new();
-        while !self.is_complete() {
-            match body.frame().await {
-                Some(frame) => frames.push(frame),
-                None => break,
-            }
-        }
-        let whole = stream::iter(frames).chain(BodyStream::new(body));
-        BodyExt::boxed_unsync(StreamBody::new(whole))
-    }
-}
-
-fn content_length(head: &RequestHead) -> Option<usize> {
-    if !head.has_body {
-        return Some(0);
-    }
-    let header = head.headers.iter().find(|h| h.name == "content-length")?;
-    std::str::from_utf8(&header.value).ok()?.parse().ok()
-}
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -189,8 +189,8 @@
     ) -> (bool, Result<Response, Failure>) {
         let now = self.timer.now();
         let deadline = now.after(time_left(&head));
-        let (mut crash_check, body) = match self.crashes.examine(&head, body, deadline).await {
-            Ok(examined) => examined,
+        let mut crash_check = match self.crashes.examine(&head, deadline) {
+            Ok(crash_check) => crash_check,
             Err(reason) => return (false, Err(reason.into())),
         };
         let objective = head.objective_left_us.map(Duration::from_micros);
--- a/crates/node/src/egress/exchange.rs
+++ b/crates/node/src/egress/exchange.rs
@@ -145,7 +145,7 @@
             running.complete();
             Ok(body::full(bytes))
         }
-        Ok(LimitedRead::Longer(rest)) => Ok(GuardedBody::new(rest, running).boxed()),
+        Ok(LimitedRead::Longer { body, .. }) => Ok(GuardedBody::new(body, running).boxed()),
         Err(_) => Err(Outcome::Unknown(Unknown::Truncated)),
     }
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -13,6 +13,7 @@
 use attempt::Attempts;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use knapweed_host::crash::Subject;
 use knapweed_host::request::{IncomingRequest, Request};
 use knapweed_host::{Drain, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator};
 use knapweed_link::LinkBudget;
@@ -147,18 +148,23 @@
     ) -> Result<Response, Outcome> {
         let truncated = |_| Outcome::NotRun(NotRun::InvalidHeader);
         let body = body::read_up_to(request.body, MAX_BUFFERED_LEN).await;
-        let body = match body.map_err(truncated)? {
-            LimitedRead::Whole(bytes) => RequestBody::Buffered(bytes),
-            LimitedRead::Longer(body) => RequestBody::Streaming(body),
+        let (prefix, body) = match body.map_err(truncated)? {
+            LimitedRead::Whole(bytes) => (bytes.clone(), RequestBody::Buffered(bytes)),
+            LimitedRead::Longer { prefix, body } => (prefix, RequestBody::Streaming(body)),
         };
+        let method = Bytes::copy_from_slice(request.method.as_str().as_bytes());
+        let path = path_and_query(&request.uri);
+        // Callers address a route without a host under the name of any node.
+        let host = snapshot.route(parsed.route).host.as_deref();
         let is_forwarded = |name: &_| self.dependencies.protocol.is_forwarded(name);
         let attempts = Attempts {
             ingress: self,
             snapshot,
             request: parsed,
             caller_id: fields.id,
-            method: Bytes::copy_from_slice(request.method.as_str().as_bytes()),
-            path: path_and_query(&request.uri),
+            content: Subject::content(host.unwrap_or_default(), &method, &path, &prefix),
+            method,
+            path,
             headers: headers::to_wire(&request.headers, is_forwarded),
         };
         attempts.run(body, log).await
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -7,7 +7,7 @@
 use crate::request_log::{FailedAttempt, IngressLog, LoadAtSend};
 use bytes::Bytes;
 use knapweed_host::choice::{Exclusions, Query, Scope};
-use knapweed_host::crash::MAX_CRASHES;
+use knapweed_host::crash::{MAX_CRASHES, Subject};
 use knapweed_host::request::Request;
 use knapweed_host::retry::{Body, Decision, Failure, Stop, may_have_arrived};
 use knapweed_host::{NotRun, Outcome, SendId, Unknown};
@@ -24,6 +24,8 @@
     pub(super) snapshot: &'a Snapshot,
     pub(super) request: Request,
     pub(super) caller_id: Option<Bytes>,
+    /// Digest of what the caller sent.
+    pub(super) content: Subject,
     pub(super) method: Bytes,
     pub(super) path: Bytes,
     pub(super) headers: Vec<Header>,
@@ -199,6 +201,7 @@
             caller_id: self.caller_id.clone(),
             origin: self.ingress.dependencies.origin.clone(),
             depth: self.request.depth,
+            content: self.content,
             is_suspect: false,
             has_body: !body.is_empty(),
         }
--- a/crates/node/tests/nodes/common/mod.rs
+++ b/crates/node/tests/nodes/common/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod egress;
 pub(crate) mod lossy_proxy;
 
+use knapweed_host::crash::Subject;
 use knapweed_host::{RequestId, SendId};
 use knapweed_transport::certificates::Authority;
 use knapweed_transport::tls::{Files, Identity};
@@ -36,6 +37,7 @@
         caller_id: None,
         origin: None,
         depth: 1,
+        content: Subject::content(b"", b"POST", path.as_bytes(), b""),
         is_suspect: false,
         has_body: false,
     }
--- a/crates/node/tests/nodes/crashes.rs
+++ b/crates/node/tests/nodes/crashes.rs
@@ -2,6 +2,7 @@
 
 use crate::common::backend::Backend;
 use crate::common::{egress, head, name};
+use knapweed_host::crash::Subject;
 use knapweed_host::{Answer, NotRun, Outcome, Unknown};
 use knapweed_node::body::{self, Body};
 use knapweed_node::egress::Egress;
@@ -39,6 +40,7 @@
     async fn send_body(&self, path: &'static str, text: &'static str) -> Outcome {
         let mut head = head(self.backend.address(), path);
         head.has_body = true;
+        head.content = Subject::content(b"", &head.method, &head.path, text.as_bytes());
         head.headers.push(Header {
             name: "content-length".into(),
             value: text.len().to_string().into(),
--- a/crates/node/tests/nodes/retries.rs
+++ b/crates/node/tests/nodes/retries.rs
@@ -1,9 +1,14 @@
 //! Retries of the ingress after a backend server crashed.
 
 use crate::common::name;
+use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::{HeaderMap, Method};
+use futures_util::stream;
+use http::{HeaderMap, HeaderValue, Method, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
 use knapweed_host::choice::ExpectedTime;
+use knapweed_host::crash::Subject;
 use knapweed_host::{Answer, Drain, Outcome, WaitEstimator};
 use knapweed_link::LinkBudget;
 use knapweed_node::body::{self, RequestBody};
@@ -27,6 +32,8 @@
 
 /// For each send of the crashing request, whether it was marked as a suspect.
 type SuspectFlags = Arc<Mutex<Vec<bool>>>;
+/// Content digest of each request.
+type Contents = Arc<Mutex<Vec<Subject>>>;
 
 struct CrashingCarrier(SuspectFlags);
 
@@ -47,6 +54,21 @@
     }
 }
 
+struct ContentCarrier(Contents);
+
+impl Carrier for ContentCarrier {
+    fn carry<'a>(
+        &'a self,
+        _node: SocketAddr,
+        head: RequestHead,
+        _body: &'a mut RequestBody,
+    ) -> BoxFuture<'a, Response> {
+        self.0.lock().push(head.content);
+        let response = Response::without_answer(Outcome::Answered(Answer::Complete));
+        Box::pin(async move { response })
+    }
+}
+
 fn config() -> Config {
     let (ticket, changed_at) = (TicketNumber(1), ConfigVersion(1));
     let mut config = Config::default();
@@ -103,16 +125,20 @@
 }
 
 fn ingress(suspect_flags: &SuspectFlags) -> Ingress {
-    let config = config();
-    let snapshot = Builder::new(name("a1"), &config).hosts((1..=4).map(host));
+    let carrier = || Box::new(CrashingCarrier(Arc::clone(suspect_flags)));
+    ingress_with(&config(), carrier(), carrier())
+}
+
+fn ingress_with(config: &Config, local: Box<dyn Carrier>, link: Box<dyn Carrier>) -> Ingress {
+    let snapshot = Builder::new(name("a1"), config).hosts((1..=4).map(host));
     let snapshot = snapshot.build().expect("a valid mesh");
     Ingress::new(Dependencies {
         snapshots: Arc::new(SnapshotCell::new(snapshot)),
         protocol: Box::new(NativeHeaders),
         origin: None,
         choice: Box::new(ExpectedTime::default()),
-        local: Box::new(CrashingCarrier(Arc::clone(suspect_flags))),
-        link: Box::new(CrashingCarrier(Arc::clone(suspect_flags))),
+        local,
+        link,
         region_budget: LinkBudget::new(1_000),
         drain: Arc::new(Drain::default()),
         ready: Arc::new(AtomicBool::new(true)),
@@ -146,3 +172,72 @@
     assert_eq!(outcome, Response::crashed().head.outcome);
     assert_eq!(*suspect_flags.lock(), [false, true]);
 }
+
+/// A request whose body arrives in the given chunks.
+fn post(host: &'static str, path: &str, chunks: &[&'static str]) -> CallerRequest {
+    let frames = chunks.iter().map(|c| Ok(Frame::data(Bytes::from(*c))));
+    let frames: Vec<_> = frames.collect();
+    let mut headers = HeaderMap::new();
+    headers.insert(header::HOST, HeaderValue::from_static(host));
+    CallerRequest {
+        method: Method::POST,
+        uri: path.parse().expect("a path"),
+        headers,
+        body: StreamBody::new(stream::iter(frames)).boxed_unsync(),
+    }
+}
+
+/// Two hosts with the same path.
+fn two_hosts() -> Config {
+    let mut config = config();
+    let route = config.routes.remove(&name("calendar")).expect("a route");
+    for host in ["h.example", "i.example"] {
+        let route = RouteConfig {
+            host: Some(host.to_owned()),
+            ..route.clone()
+        };
+        config.routes.insert(name(&host.replace('.', "-")), route);
+    }
+    config
+}
+
+/// Guards against a request that is not recognised when it comes again: in other chunks, with a
+/// changed case of the host, or under a configuration that renamed its route; and against different
+/// requests that are taken for the same.
+#[tokio::test]
+async fn the_content_is_what_the_caller_sent() {
+    let contents = Contents::default();
+    let mut renamed = two_hosts();
+    let route = renamed.routes.remove(&name("h-example")).expect("a route");
+    renamed.routes.insert(name("h-example-2"), route);
+    for config in [two_hosts(), renamed] {
+        let carrier = || Box::new(ContentCarrier(Arc::clone(&contents)));
+        let ingress = ingress_with(&config, carrier(), carrier());
+        ingress
+            .run(post("h.example", "/calendar?a=1", &["one body"]))
+            .await;
+        ingress
+            .run(post("H.EXAMPLE", "/calendar?a=1", &["one", " ", "body"]))
+            .await;
+    }
+    let same = std::mem::take(&mut *contents.lock());
+    assert_eq!(same.len(), 4);
+    assert!(same.iter().all(|c| *c == same[0]), "{same:?}");
+
+    let carrier = || Box::new(ContentCarrier(Arc::clone(&contents)));
+    let ingress = ingress_with(&config(), carrier(), carrier());
+    ingress
+        .run(post("h.example", "/calendar?a=1", &["another body"]))
+        .await;
+    ingress
+        .run(post("h.example", "/calendar?a=2", &["one body"]))
+        .await;
+    ingress
+        .run(post("i.example", "/calendar?a=1", &["one body"]))
+        .await;
+    let mut different: Vec<_> = contents.lock().clone();
+    different.extend(same.first());
+    different.sort_unstable();
+    different.dedup();
+    assert_eq!(different.len(), 4);
+}
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -1,6 +1,7 @@
 //! Heads of requests and responses between an ingress and an egress.
 
 use bytes::Bytes;
+use knapweed_host::crash::Subject;
 use knapweed_host::{Outcome, SendId};
 use knapweed_world::{LoadReport, Name, Rank};
 use serde::{Deserialize, Serialize};
@@ -49,6 +50,8 @@
     /// Nesting depth of the request: 1 for a request of a caller, one more for each
     /// request that a backend server makes to handle another one.
     pub depth: u8,
+    /// Digest of the request as its caller sent it, by which its crashes are known.
+    pub content: Subject,
     /// Whether an earlier send of the request crashed a backend server.
     pub is_suspect: bool,
     /// Whether a request body follows.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -2,6 +2,7 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
+use knapweed_host::crash::Subject;
 use knapweed_host::{NotRun, Outcome, RequestId, SendId};
 use knapweed_wire::{
     Error, Header, RequestHead, ResponseHead, StreamHead, codec::VERSION, decode, encode,
@@ -36,6 +37,7 @@
         caller_id: None,
         origin: Some(name("calendar")),
         depth: 1,
+        content: Subject([5; 16]),
         is_suspect: false,
         has_body: true,
     }
