fix(node): look up the verdict on a request before every send

Callers could see a request crash a further server although its crashes were known: it waited for a slot when the verdict arrived, or it went from a host that knew of them to one that did not.

Cause: the egress read its own memory once, before the wait, and the ingress read none.

Evidence: a_verdict_counts_for_a_request_that_waits fails before: the request was sent after the verdict and crashed its server.

Change: the ingress looks the request up before each try, refuses a convicted one at once and marks a suspect, and records a crash that another host reports. The egress looks again when the request has its slot. Only an answer below status 500 clears crashes. Requests take no lock while there are no records.

--- a/crates/host/src/crash.rs
+++ b/crates/host/src/crash.rs
@@ -127,11 +127,37 @@
     pub age_ms: u32,
 }
 
+impl CrashRecord {
+    /// The record of a crash that has just happened.
+    pub fn of_crash(subject: Subject, crash: CrashId) -> Self {
+        let evidence = Evidence {
+            crashes: [crash].into(),
+            ..Evidence::default()
+        };
+        Self {
+            subject,
+            evidence,
+            age_ms: 0,
+        }
+    }
+}
+
 /// Digest of the evidence in a [`CrashMemory`]; equal in two memories that refuse and
 /// suspect the same requests for the same crashes.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashDigest(pub u64);
 
+/// What is held against a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Suspicion {
+    /// Nothing.
+    None,
+    /// It crashed a backend server and may run exclusively.
+    Suspected,
+    /// It crashed several backend servers and is refused.
+    Convicted,
+}
+
 /// Whether a request may run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -230,21 +256,33 @@
     /// Decides whether a request may run now; [`Verdict::Exclusive`] starts its trial,
     /// which ends at `deadline` at the latest.
     pub fn check(&mut self, crash_subjects: &CrashSubjects, deadline: Time, now: Time) -> Verdict {
-        let subjects = crash_subjects.subjects();
-        let known = || subjects.iter().filter_map(|s| self.entries.get(s));
-        if known().any(|e| e.evidence.convicted) {
-            return Verdict::Refuse(NotRun::CrashesServers);
+        match self.suspicion(crash_subjects) {
+            Suspicion::None => return Verdict::Clear,
+            Suspicion::Suspected => {}
+            Suspicion::Convicted => return Verdict::Refuse(NotRun::CrashesServers),
         }
-        if known().all(|e| e.evidence.count() == 0) {
-            return Verdict::Clear;
-        }
-        if known().any(|e| e.trial_until.is_some_and(|until| now < until)) {
+        let subjects = crash_subjects.subjects();
+        let mut known = subjects.iter().filter_map(|s| self.entries.get(s));
+        if known.any(|e| e.trial_until.is_some_and(|until| now < until)) {
             return Verdict::Refuse(NotRun::CrashSuspect);
         }
         self.set_trial(crash_subjects, Some(deadline));
         Verdict::Exclusive
     }
 
+    /// What is held against a request, without starting a trial.
+    pub fn suspicion(&self, crash_subjects: &CrashSubjects) -> Suspicion {
+        let subjects = crash_subjects.subjects();
+        let known = || subjects.iter().filter_map(|s| self.entries.get(s));
+        if known().any(|e| e.evidence.convicted) {
+            return Suspicion::Convicted;
+        }
+        match known().any(|e| e.evidence.count() > 0) {
+            true => Suspicion::Suspected,
+            false => Suspicion::None,
+        }
+    }
+
     /// A backend server crashed while it ran the request.
     ///
     /// Returns the records to disseminate.
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -14,8 +14,7 @@
 use crate::request_log::EgressLog;
 use crate::trial::Trials;
 use arc_swap::ArcSwap;
-use crashes::CrashTracker;
-pub use crashes::NewCrashes;
+pub use crashes::{CrashRecorder, CrashTracker, NewCrashes};
 use dispatcher::Dispatcher;
 use exchanges::Exchanges;
 use futures_util::future::BoxFuture;
@@ -65,6 +64,11 @@
         }
     }
 
+    /// What this host knows of requests that crash backend servers.
+    pub fn crashes(&self) -> &Arc<CrashTracker> {
+        &self.crashes
+    }
+
     /// The header format of the backend servers.
     pub fn protocol(&self) -> &dyn ServerProtocol {
         &*self.protocol
--- a/crates/node/src/egress/crashes.rs
+++ b/crates/node/src/egress/crashes.rs
@@ -5,7 +5,7 @@
 use crate::request_log::RequestId;
 use bytes::Bytes;
 use knapweed_host::crash::{
-    CrashCounts, CrashDigest, CrashId, CrashRecord, CrashSubjects, Subject, Verdict,
+    CrashCounts, CrashDigest, CrashId, CrashRecord, CrashSubjects, Subject, Suspicion, Verdict,
 };
 use knapweed_host::{CrashMemory, NotRun, Outcome, Unknown};
 use knapweed_observe::part;
@@ -18,6 +18,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+/// Lowest HTTP status that counts as a failure of the backend server.
+const SERVER_ERROR: u16 = 500;
 /// Time in which an exiting process closes its sockets, one by one.
 const EXIT_DURATION: Duration = Duration::from_millis(20);
 /// Time limit of the connection attempt that finds out whether the process of a backend
@@ -25,9 +27,20 @@
 /// processor time.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The crash memory of a host, shared by its dispatchers.
-pub(super) struct CrashTracker {
+/// What a host knows of requests that crash backend servers.
+pub trait CrashRecorder: Send + Sync {
+    /// What is held against a request.
+    fn suspicion(&self, subjects: &CrashSubjects) -> Suspicion;
+
+    /// Another host reported that the request crashed a backend server.
+    fn record(&self, subjects: &CrashSubjects, crash: CrashId);
+}
+
+/// The crash memory of a host, shared by its ingress and its dispatchers.
+pub struct CrashTracker {
     memory: Mutex<CrashMemory>,
+    /// Whether there are records, so that requests take no lock while there are none.
+    has_records: AtomicBool,
     unsent: Mutex<NewCrashes>,
     timer: TimerService,
 }
@@ -41,28 +54,51 @@
     pub learned: Vec<CrashRecord>,
 }
 
+impl CrashRecorder for CrashTracker {
+    fn suspicion(&self, subjects: &CrashSubjects) -> Suspicion {
+        match self.has_records.load(Ordering::Relaxed) {
+            true => self.memory.lock().suspicion(subjects),
+            false => Suspicion::None,
+        }
+    }
+
+    fn record(&self, subjects: &CrashSubjects, crash: CrashId) {
+        let record = |subject| CrashRecord::of_crash(subject, crash);
+        self.merge([subjects.identity, subjects.content].map(record).into());
+    }
+}
+
 impl CrashTracker {
-    pub(super) fn new(timer: TimerService) -> Self {
+    /// Creates a tracker without records.
+    pub fn new(timer: TimerService) -> Self {
         Self {
             memory: Mutex::default(),
+            has_records: AtomicBool::new(false),
             unsent: Mutex::default(),
             timer,
         }
     }
 
+    fn update<T>(&self, change: impl FnOnce(&mut CrashMemory, Time) -> T) -> T {
+        let mut memory = self.memory.lock();
+        let result = change(&mut memory, self.timer.now());
+        self.has_records
+            .store(!memory.is_empty(), Ordering::Relaxed);
+        result
+    }
+
     /// Takes the records that have not been sent to other nodes yet.
     pub(super) fn take_unsent(&self) -> NewCrashes {
-        self.memory.lock().tick(self.timer.now());
+        self.update(|memory, now| memory.tick(now));
         std::mem::take(&mut *self.unsent.lock())
     }
 
     /// Merges records of another node; those that are new here are sent on.
     pub(super) fn merge(&self, records: Vec<CrashRecord>) {
-        let now = self.timer.now();
-        let mut memory = self.memory.lock();
-        let new = records.into_iter().filter(|r| memory.merge(r, now));
-        let new: Vec<_> = new.collect();
-        drop(memory);
+        let new: Vec<_> = self.update(|memory, now| {
+            let new = records.into_iter().filter(|r| memory.merge(r, now));
+            new.collect()
+        });
         for record in &new {
             log::info!(
                 target: part::EGRESS,
@@ -98,10 +134,8 @@
         let now = self.timer.now();
         for request in lost.process_ended(next_started, now) {
             request.crashed.store(true, Ordering::Relaxed);
-            let records = self
-                .memory
-                .lock()
-                .crashed(&request.subjects, request.crash, now);
+            let records =
+                self.update(|memory, now| memory.crashed(&request.subjects, request.crash, now));
             for record in &records {
                 log::warn!(
                     target: part::EGRESS,
@@ -140,10 +174,9 @@
             exclusive_run: false,
             run: None,
         };
-        let now = self.timer.now();
-        let verdict = {
-            let mut memory = self.memory.lock();
-            memory.check(&crash_check.subjects, deadline, now)
+        let verdict = match self.has_records.load(Ordering::Relaxed) {
+            true => self.update(|memory, now| memory.check(&crash_check.subjects, deadline, now)),
+            false => Verdict::Clear,
         };
         match verdict {
             Verdict::Clear => {}
@@ -192,16 +225,32 @@
     }
 
     /// The request is sent to the backend server of `lost` now.
-    pub(super) fn start(&mut self, lost: &Arc<LostRequests>, now: Time) {
+    ///
+    /// # Errors
+    ///
+    /// A record that arrived while the request waited does not allow it.
+    pub(super) fn start(&mut self, lost: &Arc<LostRequests>, now: Time) -> Result<(), NotRun> {
+        match self.crashes.suspicion(&self.subjects) {
+            Suspicion::Convicted => return Err(NotRun::CrashesServers),
+            Suspicion::Suspected if !self.is_exclusive() => return Err(NotRun::CrashSuspect),
+            Suspicion::Suspected | Suspicion::None => {}
+        }
         self.run = Some(Run {
             lost: Arc::clone(lost),
             started: now,
         });
+        Ok(())
     }
 
-    /// Records the outcome of the request on the backend server of `pool`. Returns
+    /// Records the outcome of the request on the backend server of `pool`, and the status
+    /// of its answer, which is 0 without one. Returns
     /// whether the request crashed the backend server.
-    pub(super) async fn conclude(mut self, outcome: Outcome, pool: &Arc<Pool>) -> bool {
+    pub(super) async fn conclude(
+        mut self,
+        outcome: Outcome,
+        status: u16,
+        pool: &Arc<Pool>,
+    ) -> bool {
         let Some(run) = self.run.take() else {
             self.end_exclusive_run(false);
             return false;
@@ -223,7 +272,8 @@
             }
             Outcome::Answered(_) => {
                 run.lost.answered(run.started, self.crashes.timer.now());
-                self.end_exclusive_run(true);
+                // A failure is no evidence that the request is harmless.
+                self.end_exclusive_run(status < SERVER_ERROR);
                 false
             }
             Outcome::NotRun(_) | Outcome::Unknown(_) => {
@@ -252,11 +302,8 @@
 
     fn end_exclusive_run(&mut self, answered: bool) {
         if std::mem::take(&mut self.exclusive_run) {
-            let now = self.crashes.timer.now();
-            let records = {
-                let mut memory = self.crashes.memory.lock();
-                memory.ended(&self.subjects, answered, now)
-            };
+            let crashes = &self.crashes;
+            let records = crashes.update(|memory, now| memory.ended(&self.subjects, answered, now));
             self.crashes.unsent.lock().observed.extend(records);
         }
     }
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -205,8 +205,10 @@
             Ok(slot) => slot,
             Err(refusal) => return (false, Err(refusal.into())),
         };
+        if let Err(reason) = crash_check.start(&self.lost, slot.start.at) {
+            return (false, Err(reason.into()));
+        }
         started.get_or_init(|| slot.start);
-        crash_check.start(&self.lost, slot.start.at);
         let timer = self.timer.clone();
         let exchange = exchange::Exchange {
             pool: &self.pool,
@@ -218,7 +220,8 @@
         };
         let result = exchange.run(slot, body).await;
         let outcome = result.as_ref().map_or_else(|o| *o, |r| r.head.outcome);
-        if crash_check.conclude(outcome, &self.pool).await {
+        let status = result.as_ref().map_or(0, |r| r.head.status);
+        if crash_check.conclude(outcome, status, &self.pool).await {
             return (true, Ok(Response::crashed()));
         }
         (false, result.map_err(Failure::from))
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -7,13 +7,14 @@
 
 use crate::body::{self, Body, LimitedRead, MAX_BUFFERED_LEN, RequestBody};
 use crate::carrier::{Carrier, Response};
+use crate::egress::CrashRecorder;
 use crate::headers;
 use crate::protocol::{CallerFields, CallerProtocol};
 use crate::request_log::IngressLog;
 use attempt::Attempts;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use knapweed_host::crash::Subject;
+use knapweed_host::crash::{CrashSubjects, Subject};
 use knapweed_host::request::{IncomingRequest, Request};
 use knapweed_host::{Drain, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator};
 use knapweed_link::LinkBudget;
@@ -49,6 +50,8 @@
     pub origin: Option<Name>,
     /// Chooses a backend server for each attempt.
     pub choice: Box<dyn ServerChoice>,
+    /// Knows which requests crash backend servers.
+    pub crashes: Arc<dyn CrashRecorder>,
     /// Sends requests to the backend servers of this host.
     pub local: Box<dyn Carrier>,
     /// Sends requests to other hosts.
@@ -156,13 +159,17 @@
         let path = path_and_query(&request.uri);
         // Callers address a route without a host under the name of any node.
         let host = snapshot.route(parsed.route).host.as_deref();
+        let subjects = CrashSubjects {
+            identity: Subject::identity(parsed.identity),
+            content: Subject::content(host.unwrap_or_default(), &method, &path, &prefix),
+        };
         let is_forwarded = |name: &_| self.dependencies.protocol.is_forwarded(name);
         let attempts = Attempts {
             ingress: self,
             snapshot,
             request: parsed,
             caller_id: fields.id,
-            content: Subject::content(host.unwrap_or_default(), &method, &path, &prefix),
+            subjects,
             method,
             path,
             headers: headers::to_wire(&request.headers, is_forwarded),
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -7,7 +7,7 @@
 use crate::request_log::{FailedAttempt, IngressLog, LoadAtSend};
 use bytes::Bytes;
 use knapweed_host::choice::{Exclusions, Query, Scope};
-use knapweed_host::crash::{MAX_CRASHES, Subject};
+use knapweed_host::crash::{CrashId, CrashSubjects, MAX_CRASHES, Suspicion};
 use knapweed_host::request::Request;
 use knapweed_host::retry::{Body, Decision, Failure, Stop, may_have_arrived};
 use knapweed_host::{NotRun, Outcome, SendId, Unknown};
@@ -24,8 +24,8 @@
     pub(super) snapshot: &'a Snapshot,
     pub(super) request: Request,
     pub(super) caller_id: Option<Bytes>,
-    /// Digest of what the caller sent.
-    pub(super) content: Subject,
+    /// What the crashes of the request are attributed to.
+    pub(super) subjects: CrashSubjects,
     pub(super) method: Bytes,
     pub(super) path: Bytes,
     pub(super) headers: Vec<Header>,
@@ -48,6 +48,14 @@
         let mut is_suspect = false;
         let mut soonest_retry_us = None;
         for tries in 1..=u8::MAX {
+            match self.ingress.dependencies.crashes.suspicion(&self.subjects) {
+                Suspicion::None => {}
+                Suspicion::Suspected => is_suspect = true,
+                Suspicion::Convicted => {
+                    let refused = Outcome::NotRun(NotRun::CrashesServers);
+                    return Err(last_outcome.unwrap_or(refused));
+                }
+            }
             let query = Query {
                 route: self.request.route,
                 service: self.request.service,
@@ -149,7 +157,14 @@
         let mut head = self.head(server, body);
         head.is_suspect = is_suspect;
         let in_flight = InFlight::start(server);
+        let crash = CrashId::of(head.id);
         let response = carrier.carry(host.address, head, body).await;
+        if response.head.crashed {
+            self.ingress
+                .dependencies
+                .crashes
+                .record(&self.subjects, crash);
+        }
         let flow = self.snapshot.route(self.request.route).flow;
         in_flight.finish(&response.head, flow, self.ingress.dependencies.timer.now());
         response
@@ -201,7 +216,7 @@
             caller_id: self.caller_id.clone(),
             origin: self.ingress.dependencies.origin.clone(),
             depth: self.request.depth,
-            content: self.content,
+            content: self.subjects.content,
             is_suspect: false,
             has_body: !body.is_empty(),
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -216,6 +216,7 @@
             protocol: adapters.callers,
             origin: node_identity.service.clone(),
             choice: Box::new(ExpectedTime::default()),
+            crashes: Arc::clone(egress.crashes()) as _,
             local: Box::new(LocalCarrier::new(Arc::clone(&egress))),
             region_budget: LinkBudget::new(settings.region_bytes_per_s),
             link: Box::new(LinkCarrier::new(endpoint.peers(), timer.clone())),
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -9,6 +9,7 @@
 use knapweed_link::LinkBudget;
 use knapweed_node::body::{self, RequestBody};
 use knapweed_node::carrier::{Carrier, Response};
+use knapweed_node::egress::CrashTracker;
 use knapweed_node::ingress::metrics::IngressMetrics;
 use knapweed_node::ingress::{CallerRequest, Dependencies, Ingress};
 use knapweed_node::protocol::native::NativeHeaders;
@@ -133,6 +134,7 @@
         protocol: Box::new(NativeHeaders),
         origin: None,
         choice: Box::new(ExpectedTime::default()),
+        crashes: Arc::new(CrashTracker::new(TimerService::start())),
         local: Box::new(ScriptedCarrier),
         link: Box::new(ScriptedCarrier),
         region_budget: LinkBudget::new(1_000),
--- a/crates/node/tests/nodes/crashes.rs
+++ b/crates/node/tests/nodes/crashes.rs
@@ -226,6 +226,34 @@
     assert!(host.egress.take_crashes().observed.is_empty());
 }
 
+/// Guards against a request that is sent although its crashes became known while it waited for
+/// a slot.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_verdict_counts_for_a_request_that_waits() {
+    let timer = TimerService::start();
+    let backend = Backend::start(Duration::from_millis(300)).await;
+    let egress = egress::with_backend(&timer, Arc::default(), backend.address());
+    let host = Host { egress, backend };
+    let (a, b) = tokio::join!(Host::start(&timer), Host::start(&timer));
+    assert_eq!(a.send("/calendar/crash").await, CRASHED);
+    assert_eq!(b.send("/calendar/crash").await, CRASHED);
+    host.egress.merge_crashes(a.egress.take_crashes().observed);
+    let waiting = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let mut head = head(host.backend.address(), "/calendar/crash");
+        head.objective_left_us = Some(1_500_000);
+        host.egress.run(head, body::empty()).await.head.outcome
+    };
+    let meanwhile = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        host.egress.merge_crashes(b.egress.take_crashes().observed);
+    };
+    let (running, waited, ()) = tokio::join!(host.send("/calendar"), waiting, meanwhile);
+    assert_eq!(running, ANSWERED);
+    assert_eq!(waited, Outcome::NotRun(NotRun::CrashesServers));
+    assert_eq!(host.backend.runs(), 1);
+}
+
 /// Guards against pulling back a good version because of a request that crashes every
 /// version.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/node/tests/nodes/retries.rs
+++ b/crates/node/tests/nodes/retries.rs
@@ -9,10 +9,11 @@
 use http_body_util::{BodyExt, StreamBody};
 use knapweed_host::choice::ExpectedTime;
 use knapweed_host::crash::Subject;
-use knapweed_host::{Answer, Drain, Outcome, WaitEstimator};
+use knapweed_host::{Answer, Drain, NotRun, Outcome, WaitEstimator};
 use knapweed_link::LinkBudget;
 use knapweed_node::body::{self, RequestBody};
 use knapweed_node::carrier::{Carrier, Response};
+use knapweed_node::egress::CrashTracker;
 use knapweed_node::ingress::metrics::IngressMetrics;
 use knapweed_node::ingress::{CallerRequest, Dependencies, Ingress};
 use knapweed_node::protocol::native::NativeHeaders;
@@ -137,6 +138,7 @@
         protocol: Box::new(NativeHeaders),
         origin: None,
         choice: Box::new(ExpectedTime::default()),
+        crashes: Arc::new(CrashTracker::new(TimerService::start())),
         local,
         link,
         region_budget: LinkBudget::new(1_000),
@@ -241,3 +243,18 @@
     different.dedup();
     assert_eq!(different.len(), 4);
 }
+
+/// Guards against a request that is sent on by a node that knows its crashes, to an egress that may
+/// not know them.
+#[tokio::test]
+async fn an_ingress_refuses_a_request_that_crashed_two_servers() {
+    let suspect_flags = SuspectFlags::default();
+    let ingress = ingress(&suspect_flags);
+    for _ in 0..50 {
+        get(&ingress, "/calendar").await;
+    }
+    get(&ingress, "/calendar/crash").await;
+    let refused = Outcome::NotRun(NotRun::CrashesServers);
+    assert_eq!(get(&ingress, "/calendar/crash").await, refused);
+    assert_eq!(suspect_flags.lock().len(), 2);
+}
