fix(egress): keep to the limit that a backend server names

Change: all requests of a server pass the egress of its host, so one token bucket there bounds them for all hosts without a share for each. A request takes a token with its slot, waits for one like for a slot while it can meet its objective, and is refused at once otherwise, with a time to return. Load reports tell ingresses the wait. A limit ends with an answer that names none to a request that was sent after the last one that did. Ingresses keep the limit from load reports and send it along, so that a restarted egress keeps to it.

--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -6,8 +6,10 @@
 mod flows;
 pub mod objective_queue;
 mod queue_position;
+pub mod rate_limit;
 
 pub use objective_queue::{ObjectiveQueue, Options};
+pub use rate_limit::{LimitChange, NamedLimit};
 
 use crate::NotRun;
 use knapweed_world::{Flow, LoadReport, Rank, Time};
@@ -100,16 +102,21 @@
     /// longer queued.
     fn cancel(&mut self, waiter: WaiterKey, now: Time) -> Option<Released>;
 
-    /// Sheds requests that have waited too long; must be called at [`Admission::next_expiry`].
+    /// Sheds requests that have waited too long, and releases those whose turn has come;
+    /// must be called at [`Admission::next_expiry`].
     fn expire(&mut self, now: Time) -> Released;
 
-    /// When to call [`Admission::expire`] next; `None` while nothing can expire.
+    /// When to call [`Admission::expire`] next; `None` while no request is queued.
     fn next_expiry(&self) -> Option<Time>;
 
     /// The backend server is shutting down: sheds the queue and all later arrivals.
     fn drain(&mut self) -> Vec<Shed>;
 
-    /// Current load, as reported to ingresses, with the service time of `flow`.
+    /// The backend server has changed the limit on the rate of its requests. Until then,
+    /// and after its end, only the slots bound them.
+    fn limit_rate(&mut self, change: LimitChange, now: Time) -> Released;
+
+    /// Load as of the last event, as reported to ingresses, with the service time of `flow`.
     fn load(&self, flow: Flow) -> LoadReport;
 
     /// Number of requests that hold a slot.
--- a/crates/host/src/admission/objective_queue.rs
+++ b/crates/host/src/admission/objective_queue.rs
@@ -13,10 +13,13 @@
 //!   scheduled round-robin, so a route that demands less than its fair share gets
 //!   all it demands.
 //! - Slots that would stay free: they go to requests that are late already.
+//! - A backend server that limits its requests per second: a request waits for its turn
+//!   like for a slot, and ingresses learn of the longer wait.
 
 use super::flows::Flows;
 use super::queue_position::{Class, FIRST_LATE, QueuePosition};
-use super::{Admission, Arrival, Refusal, Released, Shed, Verdict, WaiterKey};
+use super::rate_limit::TokenBucket;
+use super::{Admission, Arrival, LimitChange, Refusal, Released, Shed, Verdict, WaiterKey};
 use crate::NotRun;
 use knapweed_world::load::RANKS;
 use knapweed_world::{Flow, LoadReport, Rank, Time};
@@ -103,6 +106,8 @@
     rounds: [u64; RANKS],
     /// By rank, the earliest time at which the next refused caller is told to retry.
     retry_times: [Time; RANKS],
+    /// Limits the rate of the requests; `None` without a limit.
+    bucket: Option<TokenBucket>,
 }
 
 impl ObjectiveQueue {
@@ -120,6 +125,7 @@
             arrivals: 0,
             rounds: [0; RANKS],
             retry_times: [Time(0); RANKS],
+            bucket: None,
         }
     }
 }
@@ -132,10 +138,11 @@
         if arrival.deadline <= now {
             return Verdict::Shed(NotRun::DeadlinePassed.into());
         }
+        self.refill(now);
         if arrival.exclusive {
             return self.arrive_exclusive(arrival, now);
         }
-        if self.has_free_slot() && self.waiters.is_empty() {
+        if self.may_start() && self.waiters.is_empty() {
             self.start(arrival.flow);
             return Verdict::Admit;
         }
@@ -153,6 +160,7 @@
     }
 
     fn expire(&mut self, now: Time) -> Released {
+        self.refill(now);
         let mut run = self.fill_slots();
         let mut shed = Vec::new();
         while let Some((due, waiter)) = self.expiries.first().copied() {
@@ -167,7 +175,13 @@
     }
 
     fn next_expiry(&self) -> Option<Time> {
-        self.expiries.first().map(|(due, _)| *due)
+        let (due, _) = self.expiries.first()?;
+        let next_token = self.bucket.as_ref().map(TokenBucket::next_token);
+        // Without a free slot, the end of a request releases the next one.
+        match next_token.filter(|_| self.has_free_slot()) {
+            Some(token) => Some(token.min(*due)),
+            None => Some(*due),
+        }
     }
 
     fn drain(&mut self) -> Vec<Shed> {
@@ -181,10 +195,25 @@
         shed.collect()
     }
 
+    fn limit_rate(&mut self, change: LimitChange, now: Time) -> Released {
+        self.bucket = match (change, self.bucket) {
+            (LimitChange::Unlimited, _) => None,
+            (LimitChange::Limited(rate), None) => Some(TokenBucket::new(rate, now)),
+            (LimitChange::Limited(rate), Some(mut bucket)) => {
+                bucket.set_rate(rate, now);
+                Some(bucket)
+            }
+        };
+        self.expire(now)
+    }
+
     fn load(&self, flow: Flow) -> LoadReport {
         let slots = u32::from(self.options.slots);
         let mut wait_us = [0; RANKS];
-        if self.running >= slots {
+        let free = slots
+            .saturating_sub(self.running)
+            .min(self.available_tokens());
+        if free == 0 {
             let mut ahead = [1; RANKS];
             for waiter in self.waiters.values() {
                 let first = match waiter.position.class {
@@ -200,7 +229,8 @@
             wait_us,
             slot_us: self.slot_time_us() as u32,
             service_us: self.flows.high_estimate_us(flow) as u32,
-            free: slots.saturating_sub(self.running) as u16,
+            free: free as u16,
+            rate_limit: self.bucket.map(|bucket| bucket.rate()),
         }
     }
 
@@ -219,7 +249,26 @@
         self.exclusive != Exclusive::Running && self.running < u32::from(self.options.slots)
     }
 
+    fn refill(&mut self, now: Time) {
+        if let Some(bucket) = &mut self.bucket {
+            bucket.refill(now);
+        }
+    }
+
+    /// Requests that may be sent now under the rate limit.
+    fn available_tokens(&self) -> u32 {
+        self.bucket.map_or(u32::MAX, |bucket| bucket.available())
+    }
+
+    /// Whether a request may be sent now.
+    fn may_start(&self) -> bool {
+        self.has_free_slot() && self.available_tokens() > 0
+    }
+
     fn start(&mut self, flow: Flow) {
+        if let Some(bucket) = &mut self.bucket {
+            bucket.take();
+        }
         self.running += 1;
         self.flows.start(flow);
     }
@@ -235,9 +284,11 @@
 
 /// Estimates of waiting times.
 impl ObjectiveQueue {
-    /// Average time between two slots becoming free while all are in use.
+    /// Average time between two starts of a request while others wait.
     fn slot_time_us(&self) -> u64 {
-        self.flows.mean_us() / u64::from(self.options.slots.max(1))
+        let slot_us = self.flows.mean_us() / u64::from(self.options.slots.max(1));
+        let token_us = self.bucket.map_or(0, |bucket| bucket.interval_us());
+        slot_us.max(token_us)
     }
 
     /// Expected wait of a request with `ahead` others before it.
@@ -425,7 +476,7 @@
     }
 
     fn start_next(&mut self) -> Option<WaiterKey> {
-        if !self.has_free_slot() {
+        if !self.may_start() {
             return None;
         }
         if let Exclusive::Queued(waiter) = self.exclusive {
@@ -447,7 +498,7 @@
         if self.exclusive != Exclusive::None || self.waiters.len() >= self.options.max_queued {
             return Verdict::Shed(NotRun::Overloaded.into());
         }
-        if self.running == 0 && self.options.slots > 0 {
+        if self.running == 0 && self.options.slots > 0 && self.available_tokens() > 0 {
             self.exclusive = Exclusive::Running;
             self.start(arrival.flow);
             return Verdict::Admit;
--- a/crates/host/tests/choice.rs
+++ b/crates/host/tests/choice.rs
@@ -54,6 +54,7 @@
         slot_us: service_ms * 1_000 / 12,
         service_us: service_ms * 1_000,
         free,
+        rate_limit: None,
     };
     snapshot
         .backend_server(key)
--- a/crates/model/src/baseline.rs
+++ b/crates/model/src/baseline.rs
@@ -1,7 +1,9 @@
 //! Baseline policies that the product is compared with.
 
 use knapweed_host::NotRun;
-use knapweed_host::admission::{Admission, Arrival, Refusal, Released, Shed, Verdict, WaiterKey};
+use knapweed_host::admission::{
+    Admission, Arrival, LimitChange, Refusal, Released, Shed, Verdict, WaiterKey,
+};
 use knapweed_host::choice::{Choice, Query, Reason, ServerChoice};
 use knapweed_world::{Flow, LoadReport, Snapshot, Time};
 use rand::rngs::SmallRng;
@@ -97,6 +99,10 @@
         all.map(|(waiter, _)| Shed { waiter, refusal }).collect()
     }
 
+    fn limit_rate(&mut self, _change: LimitChange, _now: Time) -> Released {
+        Released::default()
+    }
+
     fn load(&self, _flow: Flow) -> LoadReport {
         LoadReport::default()
     }
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -6,13 +6,15 @@
 use super::{exchange, time_left};
 use crate::body::Body;
 use crate::carrier::Response;
-use crate::protocol::ServerProtocol;
+use crate::protocol::{ServerNotice, ServerProtocol};
 use crate::request_log::{EgressLog, QueueState};
 use crate::trial::{RequestRun, Trial, Trials};
 use knapweed_host::admission::{
-    Arrival, ObjectiveQueue, Options, Refusal, Released, Verdict, WaiterKey,
+    Arrival, LimitChange, NamedLimit, ObjectiveQueue, Options, Refusal, Released, Verdict,
+    WaiterKey,
 };
 use knapweed_host::{Admission, NotRun, Outcome};
+use knapweed_observe::part;
 use knapweed_rollout::counters::{Sample, Warmth};
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
@@ -32,6 +34,7 @@
 struct Queue {
     admission: Box<dyn Admission>,
     waiting: SecondaryMap<WaiterKey, oneshot::Sender<Result<(), Refusal>>>,
+    limit: NamedLimit,
 }
 
 /// State of one backend server on this host, and the dispatch of requests to it.
@@ -41,6 +44,11 @@
     /// Whether the backend server last announced that it is in its cold start.
     is_cold: AtomicBool,
     queue: Mutex<Queue>,
+    /// Whether the backend server limits the rate of its requests, so that other answers
+    /// take no lock.
+    has_limit: AtomicBool,
+    /// Whether the backend server has answered a request of this process.
+    has_answered: AtomicBool,
     pool: Arc<Pool>,
     lost: Arc<LostRequests>,
     /// Whether the backend server has announced that it is shutting down.
@@ -70,7 +78,10 @@
             queue: Mutex::new(Queue {
                 admission: Box::new(admission),
                 waiting: SecondaryMap::new(),
+                limit: NamedLimit::default(),
             }),
+            has_limit: AtomicBool::new(false),
+            has_answered: AtomicBool::new(false),
             pool: Arc::new(pool),
             lost: Arc::default(),
             is_draining: AtomicBool::new(false),
@@ -193,6 +204,7 @@
             Ok(crash_check) => crash_check,
             Err(reason) => return (false, Err(reason.into())),
         };
+        self.adopt_limit(&head);
         let objective = head.objective_left_us.map(Duration::from_micros);
         let arrival = Arrival {
             flow: Flow::named(&head.route),
@@ -210,7 +222,10 @@
         }
         started.get_or_init(|| slot.start);
         let timer = self.timer.clone();
+        let sent = slot.start.at;
+        let observe = |notice| self.observe(notice, sent);
         let exchange = exchange::Exchange {
+            observe: &observe,
             pool: &self.pool,
             server: &self.announcement,
             protocol: &*self.protocol,
@@ -227,6 +242,53 @@
         (false, result.map_err(Failure::from))
     }
 
+    /// Handles what the backend server stated in its answer to a request sent at `sent`.
+    fn observe(&self, notice: ServerNotice, sent: Time) {
+        self.has_answered.store(true, Ordering::Relaxed);
+        if notice.rate_limit.is_none() && !self.has_limit.load(Ordering::Relaxed) {
+            return;
+        }
+        let now = self.timer.now();
+        let mut queue = self.queue.lock();
+        let change = queue.limit.answered(notice.rate_limit, sent, now);
+        self.apply_limit(&mut queue, change, now);
+    }
+
+    /// Follows the limit that the ingress of a request knows, until the backend server
+    /// answers. The previous process of this node may have followed it.
+    fn adopt_limit(&self, head: &RequestHead) {
+        let Some(rate) = head.rate_limit else { return };
+        if self.has_answered.load(Ordering::Relaxed) {
+            return;
+        }
+        let now = self.timer.now();
+        let mut queue = self.queue.lock();
+        let change = queue.limit.reported(rate, now);
+        self.apply_limit(&mut queue, change, now);
+    }
+
+    fn apply_limit(&self, queue: &mut Queue, change: Option<LimitChange>, now: Time) {
+        let Some(change) = change else { return };
+        let is_limited = matches!(change, LimitChange::Limited(_));
+        self.has_limit.store(is_limited, Ordering::Relaxed);
+        let released = queue.admission.limit_rate(change, now);
+        queue.notify(released);
+        let server = self.announcement.address;
+        match change {
+            LimitChange::Limited(rate) => log::info!(
+                target: part::EGRESS,
+                server:% = server,
+                limit_per_s = rate.as_f64();
+                "the backend server limits its requests"
+            ),
+            LimitChange::Unlimited => log::info!(
+                target: part::EGRESS,
+                server:% = server;
+                "the backend server limits its requests no longer"
+            ),
+        }
+    }
+
     async fn admit(self: &Arc<Self>, arrival: Arrival) -> Result<Slot, Refusal> {
         let flow = arrival.flow;
         match self.arrive(arrival) {
--- a/crates/node/src/egress/exchange.rs
+++ b/crates/node/src/egress/exchange.rs
@@ -6,7 +6,7 @@
 use crate::carrier::Response;
 use crate::guarded::{CompletionGuard, GuardedBody};
 use crate::headers;
-use crate::protocol::{ServerAnswer, ServerProtocol};
+use crate::protocol::{ServerAnswer, ServerNotice, ServerProtocol};
 use http::{Method, Request, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -34,6 +34,8 @@
     pub(super) pool: &'a Arc<Pool>,
     pub(super) server: &'a Announcement,
     pub(super) protocol: &'a dyn ServerProtocol,
+    /// Receives what the backend server states about itself in an answer.
+    pub(super) observe: &'a (dyn Fn(ServerNotice) + Send + Sync),
     pub(super) timer: TimerService,
     pub(super) head: RequestHead,
     pub(super) deadline: Time,
@@ -111,8 +113,9 @@
     ) -> Result<Response, Outcome> {
         let (parts, incoming) = response.into_parts();
         match self.protocol.interpret(&self.head, &parts) {
-            ServerAnswer::Answered => {}
+            ServerAnswer::Answered => (self.observe)(self.protocol.notice(&parts)),
             ServerAnswer::Refused(reason) => {
+                (self.observe)(self.protocol.notice(&parts));
                 drain_refusal(incoming, running).await;
                 return Err(Outcome::NotRun(reason));
             }
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -217,6 +217,7 @@
             origin: self.ingress.dependencies.origin.clone(),
             depth: self.request.depth,
             content: self.subjects.content,
+            rate_limit: server.load.rate_limit(),
             is_suspect: false,
             has_body: !body.is_empty(),
         }
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -7,12 +7,13 @@
 pub mod native;
 
 use bytes::Bytes;
-use http::header::{HeaderMap, HeaderName};
+use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::response;
 use knapweed_host::request::Error;
 use knapweed_host::{NotRun, Outcome, Unknown};
 use knapweed_wire::RequestHead;
 use knapweed_world::backend_server::Announcement;
+use knapweed_world::load::RequestRate;
 use std::time::Duration;
 
 /// What a caller states about its request.
@@ -57,6 +58,13 @@
     Mismatched(Unknown),
 }
 
+/// What a backend server states about itself in an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServerNotice {
+    /// Requests per second that it takes from all hosts together; `None` without a limit.
+    pub rate_limit: Option<RequestRate>,
+}
+
 /// Header format of backend servers.
 pub trait ServerProtocol: Send + Sync {
     /// Adds the headers that a backend server needs, among them the remaining
@@ -73,6 +81,23 @@
     /// path of its service; `None` when the response does not state it.
     fn is_leaving(&self, server: &Announcement, response: &response::Parts) -> Option<bool>;
 
+    /// What the backend server states about itself in a response to a request. A value
+    /// that cannot be read states nothing.
+    fn notice(&self, response: &response::Parts) -> ServerNotice;
+
     /// Interprets the response of a backend server to a request.
     fn interpret(&self, head: &RequestHead, response: &response::Parts) -> ServerAnswer;
 }
+
+/// Parses a rate limit in requests per second, as a decimal number; `None` unless it is a
+/// number of at least 0. Of several values, the lowest counts.
+pub fn parse_rate_limit<'a>(
+    values: impl IntoIterator<Item = &'a HeaderValue>,
+) -> Option<RequestRate> {
+    let parse = |value: &HeaderValue| {
+        let per_second: f64 = value.to_str().ok()?.trim().parse().ok()?;
+        let rate = RequestRate::per_second(per_second);
+        rate.filter(|_| per_second.is_finite())
+    };
+    values.into_iter().filter_map(parse).min()
+}
--- a/crates/node/src/protocol/native.rs
+++ b/crates/node/src/protocol/native.rs
@@ -1,6 +1,8 @@
 //! Knapweed's native headers: those in `knapweed_host::request` and the request ID.
 
-use super::{CallerFields, CallerProtocol, ServerAnswer, ServerProtocol};
+use super::{
+    CallerFields, CallerProtocol, ServerAnswer, ServerNotice, ServerProtocol, parse_rate_limit,
+};
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{StatusCode, response};
@@ -16,6 +18,9 @@
 /// can write it to their logs.
 const REQUEST_ID: &str = "knapweed-request-id";
 
+/// Header with the requests per second that a backend server takes from all hosts together.
+const RATE_LIMIT: &str = "knapweed-rate-limit";
+
 /// Knapweed's native headers, for callers and for backend servers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeHeaders;
@@ -68,6 +73,12 @@
         None
     }
 
+    fn notice(&self, response: &response::Parts) -> ServerNotice {
+        ServerNotice {
+            rate_limit: parse_rate_limit(response.headers.get_all(RATE_LIMIT)),
+        }
+    }
+
     fn interpret(&self, _head: &RequestHead, response: &response::Parts) -> ServerAnswer {
         let is_refusal = response.status == StatusCode::SERVICE_UNAVAILABLE;
         match is_refusal && response.headers.contains_key(SHED) {
--- a/crates/node/tests/nodes/common/backend.rs
+++ b/crates/node/tests/nodes/common/backend.rs
@@ -15,6 +15,10 @@
 const VANISH_PATH: &[u8] = b"/vanish";
 /// Path of a request whose connection is closed without a response.
 const CLOSE_PATH: &[u8] = b"/close";
+/// Path of a request whose answer limits the requests of the backend server to 5 per second.
+const LIMITED_PATH: &[u8] = b"/limited";
+const LIMITED_RESPONSE: &[u8] =
+    b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\nknapweed-rate-limit: 5\r\n\r\ndone";
 /// Path of a request that gets no answer.
 const HANG_PATH: &[u8] = b"/hang";
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
@@ -110,6 +114,10 @@
         if request.ends_with(b"\r\n\r\n") {
             let contains = |path: &[u8]| request.windows(path.len()).any(|w| w == path);
             let (crashes, closes) = (contains(CRASH_PATH), contains(CLOSE_PATH));
+            let response = match contains(LIMITED_PATH) {
+                true => LIMITED_RESPONSE,
+                false => RESPONSE,
+            };
             let (vanishes, hangs) = (contains(VANISH_PATH), contains(HANG_PATH));
             request.clear();
             counts.start();
@@ -127,7 +135,7 @@
             if vanishes {
                 return ConnectionEnd::Vanished;
             }
-            if stream.write_all(RESPONSE).await.is_err() {
+            if stream.write_all(response).await.is_err() {
                 return ConnectionEnd::Closed;
             }
         }
--- a/crates/node/tests/nodes/common/mod.rs
+++ b/crates/node/tests/nodes/common/mod.rs
@@ -38,6 +38,7 @@
         origin: None,
         depth: 1,
         content: Subject::content(b"", b"POST", path.as_bytes(), b""),
+        rate_limit: None,
         is_suspect: false,
         has_body: false,
     }
--- /dev/null
+++ b/crates/node/tests/nodes/limits.rs
@@ -0,0 +1,69 @@
+//! Backend servers that limit the rate of their requests.
+
+use crate::common::backend::Backend;
+use crate::common::{egress, head};
+use futures_util::future::join_all;
+use knapweed_host::{Answer, Outcome};
+use knapweed_node::body;
+use knapweed_node::egress::Egress;
+use knapweed_timer::TimerService;
+use knapweed_world::load::RequestRate;
+use std::sync::Arc;
+use std::time::Duration;
+
+const ANSWERED: Outcome = Outcome::Answered(Answer::Complete);
+/// The limit that the backend server names.
+const LIMIT: RequestRate = RequestRate(5_000);
+
+/// Sends a request that may wait for a second; returns its outcome and the rate limit that its
+/// ingress learns of.
+async fn send(
+    egress: &Egress,
+    backend: &Backend,
+    path: &'static str,
+    known: Option<RequestRate>,
+) -> (Outcome, Option<RequestRate>) {
+    let mut head = head(backend.address(), path);
+    head.objective_left_us = Some(1_000_000);
+    head.rate_limit = known;
+    let response = egress.run(head, body::empty()).await.head;
+    let load = response.load.expect("a load report");
+    (response.outcome, load.rate_limit)
+}
+
+/// Guards against requests beyond the limit that a backend server has named, and against a limit
+/// that does not end with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limited_server_gets_no_more_than_it_takes() {
+    let timer = TimerService::start();
+    let backend = Backend::start(Duration::ZERO).await;
+    let egress = egress::with_backend(&timer, Arc::default(), backend.address());
+    let first = send(&egress, &backend, "/calendar/limited", None).await;
+    assert_eq!(first, (ANSWERED, Some(LIMIT)));
+
+    let many = (0..40).map(|_| send(&egress, &backend, "/calendar/limited", None));
+    let answered = join_all(many).await;
+    let answered = answered.iter().filter(|(o, _)| *o == ANSWERED).count();
+    // Within the second that they may wait.
+    assert!((2..=6).contains(&answered), "{answered} answered");
+    assert_eq!(backend.runs(), 1 + answered as u32);
+
+    let (outcome, limit) = send(&egress, &backend, "/calendar", None).await;
+    assert_eq!((outcome, limit), (ANSWERED, None));
+    let many = (0..12).map(|_| send(&egress, &backend, "/calendar", None));
+    assert!(join_all(many).await.iter().all(|(o, _)| *o == ANSWERED));
+}
+
+/// Guards against a limit that is lost with the process of the node beside the backend server,
+/// while the hosts that send it requests know the limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restarted_egress_learns_the_limit_from_an_ingress() {
+    let timer = TimerService::start();
+    let backend = Backend::start(Duration::ZERO).await;
+    let egress = egress::with_backend(&timer, Arc::default(), backend.address());
+    let many = (0..40).map(|_| send(&egress, &backend, "/calendar/limited", Some(LIMIT)));
+    let answered = join_all(many).await;
+    let answered = answered.iter().filter(|(o, _)| *o == ANSWERED).count();
+    assert!((2..=6).contains(&answered), "{answered} answered");
+    assert_eq!(backend.runs(), answered as u32);
+}
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -2,5 +2,6 @@
 
 mod common;
 mod crashes;
+mod limits;
 mod lost_exchanges;
 mod retries;
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use knapweed_host::crash::Subject;
 use knapweed_host::{Outcome, SendId};
+use knapweed_world::load::RequestRate;
 use knapweed_world::{LoadReport, Name, Rank};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -52,6 +53,9 @@
     pub depth: u8,
     /// Digest of the request as its caller sent it, by which its crashes are known.
     pub content: Subject,
+    /// Rate limit of the backend server that the ingress last learned of; `None` without
+    /// one. An egress that has just started does not know it.
+    pub rate_limit: Option<RequestRate>,
     /// Whether an earlier send of the request crashed a backend server.
     pub is_suspect: bool,
     /// Whether a request body follows.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -38,6 +38,7 @@
         origin: Some(name("calendar")),
         depth: 1,
         content: Subject([5; 16]),
+        rate_limit: None,
         is_suspect: false,
         has_body: true,
     }
--- a/crates/world/src/load.rs
+++ b/crates/world/src/load.rs
@@ -33,6 +33,25 @@
     }
 }
 
+/// Number of requests that a backend server takes per second, in thousandths.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct RequestRate(pub u32);
+
+impl RequestRate {
+    /// The rate of `n` requests per second; `None` unless that is a number of at least 0.
+    pub fn per_second(n: f64) -> Option<Self> {
+        // The conversion saturates.
+        (n >= 0.0).then_some(Self((n * 1_000.0) as u32))
+    }
+
+    /// Requests per second.
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
+
 /// Load of a backend server, which its egress attaches to each response.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadReport {
@@ -46,6 +65,8 @@
     pub service_us: u32,
     /// Number of free slots.
     pub free: u16,
+    /// Rate that the backend server has limited its requests to; `None` without a limit.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// Class of requests with similar service times in a backend server: those of one route.
@@ -101,6 +122,21 @@
     /// Consecutive attempts at which its host was unreachable.
     unreachable_count: AtomicU32,
     blocked_until: AtomicU64,
+    /// Rate limit in the last report.
+    rate_limit: RateLimitCell,
+}
+
+/// A rate limit that threads share.
+#[derive(Debug)]
+struct RateLimitCell(AtomicU32);
+
+/// Value of a [`RateLimitCell`] without a limit.
+const NO_RATE_LIMIT: u32 = u32::MAX;
+
+impl Default for RateLimitCell {
+    fn default() -> Self {
+        Self(AtomicU32::new(NO_RATE_LIMIT))
+    }
 }
 
 /// Statistics that choose a backend server.
@@ -126,6 +162,14 @@
         (at > Time(0)).then_some((reported, at))
     }
 
+    /// The rate limit in the last report; `None` without one.
+    pub fn rate_limit(&self) -> Option<RequestRate> {
+        match self.rate_limit.0.load(Relaxed) {
+            NO_RATE_LIMIT => None,
+            rate => Some(RequestRate(rate)),
+        }
+    }
+
     /// Typical service time of a flow in the server; `None` when it is not known.
     pub fn service_time(&self, flow: Flow) -> Option<Duration> {
         let entry = self.service_times[entry_index(flow)].load(Relaxed);
@@ -182,6 +226,8 @@
         self.free.store(u32::from(report.free), Relaxed);
         self.reported_at.store(now.0.max(1), Relaxed);
         self.sent.store(0, Relaxed);
+        let rate_limit = report.rate_limit.map_or(NO_RATE_LIMIT, |rate| rate.0);
+        self.rate_limit.0.store(rate_limit, Relaxed);
         if report.service_us > 0 {
             let entry = u64::from(flow_tag(flow)) << 32 | u64::from(report.service_us);
             self.service_times[entry_index(flow)].store(entry, Relaxed);
