fix(world): keep a named limit while the node beside its server restarts

Operators would see a limited server get more than its limit after its host's node restarted (LIMIT): the new process learns the limit from the hosts that send requests, and these forgot it.

Cause: a restarting node announces its backend server again only with the next heartbeat. They were also kept for another process at the same address.

Evidence: a_named_limit_outlives_the_absence_of_its_server fails before.

Change: statistics belong to one run of a server, and those of an absent one that has named a limit are kept, of 4,096 servers at most.

A new run of a server now starts without the service times and failures of the one before.

--- a/crates/world/src/backend_server.rs
+++ b/crates/world/src/backend_server.rs
@@ -54,7 +54,7 @@
 }
 
 /// Identity of a backend server; stable across snapshots.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct ServerId {
     /// Name of its host.
     pub host: Name,
@@ -64,6 +64,8 @@
     pub version: Name,
     /// TCP address on which it accepts requests.
     pub address: SocketAddr,
+    /// The run of its process; another run starts without statistics.
+    pub instance: Option<Instance>,
 }
 
 /// A backend server as an object of a snapshot.
--- a/crates/world/src/load.rs
+++ b/crates/world/src/load.rs
@@ -162,6 +162,12 @@
         (at > Time(0)).then_some((reported, at))
     }
 
+    /// Whether the server has stated something about itself that holds until it says
+    /// otherwise.
+    pub fn has_notice(&self) -> bool {
+        self.rate_limit().is_some()
+    }
+
     /// The rate limit in the last report; `None` without one.
     pub fn rate_limit(&self) -> Option<RequestRate> {
         match self.rate_limit.0.load(Relaxed) {
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -20,6 +20,10 @@
 /// and two retries.
 const DEFAULT_MAX_ATTEMPTS: u8 = 3;
 
+/// Maximum number of backend servers, present and absent ones, whose statistics are kept
+/// Number of backend servers with statistics above which those of absent ones are dropped.
+const MAX_LOADS: usize = 4_096;
+
 /// Builds a complete snapshot while another one is being served.
 #[derive(Debug)]
 pub struct Builder<'a> {
@@ -94,6 +98,7 @@
         for entry in &self.hosts {
             draft.add_backend_servers(entry, local, &self.loads);
         }
+        draft.retain_notices(self.loads);
         draft.add_routes(self.config)?;
         Ok(draft.finish(self.config, local))
     }
@@ -207,6 +212,19 @@
         }
     }
 
+    /// Keeps what absent backend servers have stated about themselves. The node of their
+    /// host may have restarted and announces them again soon.
+    fn retain_notices(&mut self, loads: HashMap<ServerId, Arc<ServerLoad>>) {
+        for (id, load) in loads {
+            if self.loads.len() >= MAX_LOADS {
+                return;
+            }
+            if load.has_notice() {
+                self.loads.entry(id).or_insert(load);
+            }
+        }
+    }
+
     /// Adds a ready backend server to the version that it runs, if that version
     /// has a share.
     fn add_ready_server(
@@ -285,6 +303,7 @@
         service: announcement.service.clone(),
         version: announcement.version.clone(),
         address: announcement.address,
+        instance: announcement.instance.clone(),
     }
 }
 
--- a/crates/world/tests/snapshot.rs
+++ b/crates/world/tests/snapshot.rs
@@ -4,8 +4,10 @@
 
 use assert_matches::assert_matches;
 use common::{config, hosts, name};
+use knapweed_world::backend_server::Instance;
+use knapweed_world::load::RequestRate;
 use knapweed_world::snapshot::{Builder, Error};
-use knapweed_world::{Snapshot, SnapshotCell, cell};
+use knapweed_world::{BackendServer, Flow, LoadReport, Snapshot, SnapshotCell, Time, cell};
 use std::fmt::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -147,3 +149,48 @@
         reads.fetch_add(1, Ordering::Relaxed);
     }
 }
+
+/// Guards against a rate limit that is forgotten while the node beside the backend server
+/// restarts, and against one that is held against the next process at the address.
+#[test]
+fn a_named_limit_outlives_the_absence_of_its_server() {
+    let limit = Some(RequestRate(2_000));
+    let hosts_with = |started_ms: Option<u64>| {
+        let mut hosts = hosts();
+        match started_ms {
+            Some(started_ms) => {
+                hosts[1].announcements[0].instance = Some(Instance {
+                    name: name("i-1"),
+                    started_ms,
+                });
+            }
+            None => hosts[1].announcements.clear(),
+        }
+        hosts
+    };
+    let next = |previous: &Snapshot, started_ms| {
+        let config = config(1);
+        let builder = Builder::new(name("a1"), &config).previous(previous);
+        let snapshot = builder.hosts(hosts_with(started_ms)).build();
+        snapshot.expect("a valid mesh")
+    };
+    let limit_of_a2 = |snapshot: &Snapshot| {
+        let host = |s: &BackendServer| snapshot.host(s.host).name.clone();
+        let mut servers = snapshot.backend_servers();
+        let found = servers.find(|(_, s)| host(s) == name("a2"));
+        found.and_then(|(_, server)| server.load.rate_limit())
+    };
+
+    let named = next(&build(1), Some(1));
+    for (_, server) in named.backend_servers() {
+        let report = LoadReport {
+            rate_limit: limit,
+            ..LoadReport::default()
+        };
+        server.load.record_report(&report, Flow(1), Time(1));
+    }
+    let absent = next(&named, None);
+    assert_eq!(limit_of_a2(&absent), None);
+    assert_eq!(limit_of_a2(&next(&absent, Some(1))), limit);
+    assert_eq!(limit_of_a2(&next(&absent, Some(2))), None);
+}
