fix(node): send nothing to a server that says it leaves

Cause: only heartbeats and deregistrations were read; a server that is cut off from its node's control address, or whose heartbeat is late, says so in its answers alone.

The new tests use what this commit adds, so they do not compile without it.

Change: such an answer drains the server at its egress, queued requests included, and the node announces the server as draining. Load reports tell ingresses, which do not choose that run of the server again, as a last resort either, so that the statement outlives the process of the egress. Only another run of the server lifts it.

--- a/crates/host/src/admission/objective_queue.rs
+++ b/crates/host/src/admission/objective_queue.rs
@@ -231,6 +231,7 @@
             service_us: self.flows.high_estimate_us(flow) as u32,
             free: free as u16,
             rate_limit: self.bucket.map(|bucket| bucket.rate()),
+            is_leaving: false,
         }
     }
 
--- a/crates/host/src/choice/expected_time.rs
+++ b/crates/host/src/choice/expected_time.rs
@@ -13,6 +13,8 @@
 //!   passes: they get fewer requests, and more again as the failures age.
 //! - A host that does not answer: its backend servers get no requests for a
 //!   period, which doubles each time, and then a single probe.
+//! - A backend server that has said in an answer that it is shutting down gets no more
+//!   requests from the hosts that passed on the answer, whatever its host announces.
 //! - Many ingresses that see the same load report: each adds what it has sent since,
 //!   and random jitter spreads the load over backend servers with similar times.
 
@@ -353,7 +355,8 @@
     }
 
     fn is_allowed(&self, server: BackendServerKey) -> bool {
-        !self.query.excluded.contains(self.snapshot, server)
+        let load = &self.snapshot.backend_server(server).load;
+        !load.is_leaving() && !self.query.excluded.contains(self.snapshot, server)
     }
 }
 
--- a/crates/host/tests/choice.rs
+++ b/crates/host/tests/choice.rs
@@ -55,6 +55,7 @@
         service_us: service_ms * 1_000,
         free,
         rate_limit: None,
+        is_leaving: false,
     };
     snapshot
         .backend_server(key)
@@ -282,3 +283,32 @@
     let result = ExpectedTime::default().choose(&snapshot, &query(&snapshot, &excluded));
     assert_eq!(result, Err(NotRun::NoServer));
 }
+
+/// Guards against requests to a backend server that has said that it is shutting down, as the
+/// last resort too, while its host still announces it as ready.
+#[test]
+fn a_leaving_server_is_not_chosen() {
+    let snapshot = free_mesh();
+    let route = snapshot.route(calendar_route(&snapshot));
+    let leaving = LoadReport {
+        is_leaving: true,
+        ..LoadReport::default()
+    };
+    let leaves = |host: &str| {
+        let load = &snapshot.backend_server(server(&snapshot, host)).load;
+        load.record_report(&leaving, route.flow, NOW);
+        // A later report without the statement, which was overtaken, does not take it back.
+        load.record_report(&LoadReport::default(), route.flow, NOW);
+    };
+    leaves("a1-v1");
+    let excluded = Exclusions::default();
+    let chosen = choices(&snapshot, Options::default(), &excluded);
+    let left = server(&snapshot, "a1-v1");
+    assert!(chosen.iter().all(|choice| choice.server != left));
+
+    ["a2-v1", "b1-v1", "b2-v1", "s1-v1"]
+        .into_iter()
+        .for_each(leaves);
+    let choice = ExpectedTime::default().choose(&snapshot, &query(&snapshot, &excluded));
+    assert_eq!(choice, Err(NotRun::NoServer));
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -157,6 +157,9 @@
         self.rollout_tick(now);
         self.result_tick(now);
         self.spread_crashes(now);
+        for announcement in self.dependencies.egress.take_leaving() {
+            self.announcement_received(now, announcement);
+        }
     }
 
     fn handle_event(&mut self, event: Event) {
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -41,6 +41,9 @@
     trials: Arc<Trials>,
     exchanges: Arc<Exchanges>,
     crashes: Arc<CrashTracker>,
+    /// Backend servers that said in an answer that they are shutting down, until
+    /// [`Egress::take_leaving`].
+    leaving: Arc<Mutex<Vec<Announcement>>>,
     timer: TimerService,
 }
 
@@ -59,6 +62,7 @@
             protocol,
             trials,
             crashes: Arc::new(CrashTracker::new(timer.clone())),
+            leaving: Arc::default(),
             exchanges: Arc::new(Exchanges::new(timer.clone())),
             timer,
         }
@@ -96,6 +100,7 @@
                     Arc::clone(&self.protocol),
                     Arc::clone(&self.trials),
                     Arc::clone(&self.crashes),
+                    Arc::clone(&self.leaving),
                     self.timer.clone(),
                 ));
                 dispatchers.insert(announcement.address, dispatcher);
@@ -108,6 +113,15 @@
     }
 }
 
+/// Backend servers that are shutting down.
+impl Egress {
+    /// Takes the announcements of backend servers that said in an answer that they are
+    /// shutting down.
+    pub fn take_leaving(&self) -> Vec<Announcement> {
+        std::mem::take(&mut *self.leaving.lock())
+    }
+}
+
 /// Exchange of crash records with other nodes.
 impl Egress {
     /// Takes the crash records that have not been sent to other nodes yet.
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -19,7 +19,7 @@
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
 use knapweed_world::backend_server::Announcement;
-use knapweed_world::{Flow, Name, Time};
+use knapweed_world::{Flow, LoadReport, Name, ServerState, Time};
 use parking_lot::Mutex;
 use slotmap::SecondaryMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -56,6 +56,8 @@
     protocol: Arc<dyn ServerProtocol>,
     trials: Arc<Trials>,
     crashes: Arc<CrashTracker>,
+    /// Receives the announcement of a backend server that says that it is shutting down.
+    leaving: Arc<Mutex<Vec<Announcement>>>,
     timer: TimerService,
 }
 
@@ -66,6 +68,7 @@
         protocol: Arc<dyn ServerProtocol>,
         trials: Arc<Trials>,
         crashes: Arc<CrashTracker>,
+        leaving: Arc<Mutex<Vec<Announcement>>>,
         timer: TimerService,
     ) -> Self {
         let admission = ObjectiveQueue::new(Options::new(announcement.slots));
@@ -88,6 +91,7 @@
             protocol,
             trials,
             crashes,
+            leaving,
             timer,
         }
     }
@@ -144,12 +148,22 @@
             }
         };
         let mut response = result.unwrap_or_else(Failure::into_response);
-        response.head.load = Some(self.queue.lock().admission.load(flow));
+        response.head.load = Some(self.load(flow));
         let duration = self.timer.now().since(start);
         log.record_outcome(&response.head, duration);
         response
     }
 
+    /// The load report for ingresses. They remember that a run of a backend server is
+    /// shutting down, so that is reported only where the run is known.
+    fn load(&self, flow: Flow) -> LoadReport {
+        let is_leaving = self.is_draining.load(Ordering::Relaxed);
+        LoadReport {
+            is_leaving: is_leaving && self.announcement.instance.is_some(),
+            ..self.queue.lock().admission.load(flow)
+        }
+    }
+
     fn queue_state(&self) -> QueueState {
         let queue = self.queue.lock();
         QueueState {
@@ -245,6 +259,9 @@
     /// Handles what the backend server stated in its answer to a request sent at `sent`.
     fn observe(&self, notice: ServerNotice, sent: Time) {
         self.has_answered.store(true, Ordering::Relaxed);
+        if notice.is_leaving && !self.is_draining.load(Ordering::Relaxed) {
+            self.leave();
+        }
         if notice.rate_limit.is_none() && !self.has_limit.load(Ordering::Relaxed) {
             return;
         }
@@ -254,6 +271,21 @@
         self.apply_limit(&mut queue, change, now);
     }
 
+    /// The backend server has said in an answer that it is shutting down: as if it had
+    /// announced so.
+    fn leave(&self) {
+        log::info!(
+            target: part::EGRESS,
+            server:% = self.announcement.address;
+            "the backend server says in an answer that it is leaving"
+        );
+        self.drain();
+        self.leaving.lock().push(Announcement {
+            state: ServerState::Draining,
+            ..self.announcement.clone()
+        });
+    }
+
     /// Follows the limit that the ingress of a request knows, until the backend server
     /// answers. The previous process of this node may have followed it.
     fn adopt_limit(&self, head: &RequestHead) {
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -63,6 +63,8 @@
 pub struct ServerNotice {
     /// Requests per second that it takes from all hosts together; `None` without a limit.
     pub rate_limit: Option<RequestRate>,
+    /// Whether it is shutting down.
+    pub is_leaving: bool,
 }
 
 /// Header format of backend servers.
--- a/crates/node/src/protocol/native.rs
+++ b/crates/node/src/protocol/native.rs
@@ -21,6 +21,9 @@
 /// Header with the requests per second that a backend server takes from all hosts together.
 const RATE_LIMIT: &str = "knapweed-rate-limit";
 
+/// Header of the answers of a backend server that is shutting down.
+const LEAVING: &str = "knapweed-leaving";
+
 /// Knapweed's native headers, for callers and for backend servers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeHeaders;
@@ -76,6 +79,7 @@
     fn notice(&self, response: &response::Parts) -> ServerNotice {
         ServerNotice {
             rate_limit: parse_rate_limit(response.headers.get_all(RATE_LIMIT)),
+            is_leaving: response.headers.contains_key(LEAVING),
         }
     }
 
--- a/crates/node/tests/nodes/common/backend.rs
+++ b/crates/node/tests/nodes/common/backend.rs
@@ -19,6 +19,10 @@
 const LIMITED_PATH: &[u8] = b"/limited";
 const LIMITED_RESPONSE: &[u8] =
     b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\nknapweed-rate-limit: 5\r\n\r\ndone";
+/// Path of a request whose answer says that the backend server is shutting down.
+const LEAVING_PATH: &[u8] = b"/leaving";
+const LEAVING_RESPONSE: &[u8] =
+    b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\nknapweed-leaving: 1\r\n\r\ndone";
 /// Path of a request that gets no answer.
 const HANG_PATH: &[u8] = b"/hang";
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
@@ -114,9 +118,10 @@
         if request.ends_with(b"\r\n\r\n") {
             let contains = |path: &[u8]| request.windows(path.len()).any(|w| w == path);
             let (crashes, closes) = (contains(CRASH_PATH), contains(CLOSE_PATH));
-            let response = match contains(LIMITED_PATH) {
-                true => LIMITED_RESPONSE,
-                false => RESPONSE,
+            let response = match () {
+                () if contains(LIMITED_PATH) => LIMITED_RESPONSE,
+                () if contains(LEAVING_PATH) => LEAVING_RESPONSE,
+                () => RESPONSE,
             };
             let (vanishes, hangs) = (contains(VANISH_PATH), contains(HANG_PATH));
             request.clear();
--- a/crates/node/tests/nodes/limits.rs
+++ b/crates/node/tests/nodes/limits.rs
@@ -1,12 +1,14 @@
-//! Backend servers that limit the rate of their requests.
+//! Backend servers that limit the rate of their requests, or say that they are shutting down.
 
 use crate::common::backend::Backend;
-use crate::common::{egress, head};
+use crate::common::{egress, head, name};
 use futures_util::future::join_all;
-use knapweed_host::{Answer, Outcome};
+use knapweed_host::{Answer, NotRun, Outcome};
 use knapweed_node::body;
 use knapweed_node::egress::Egress;
 use knapweed_timer::TimerService;
+use knapweed_world::ServerState;
+use knapweed_world::backend_server::{Announcement, Instance};
 use knapweed_world::load::RequestRate;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,3 +69,51 @@
     assert!((2..=6).contains(&answered), "{answered} answered");
     assert_eq!(backend.runs(), answered as u32);
 }
+
+/// Guards against requests to a backend server that has said in an answer that it is shutting
+/// down, queued ones included, while its heartbeats still say that it is ready.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_that_says_it_leaves_gets_no_request() {
+    let timer = TimerService::start();
+    let backend = Backend::start(Duration::from_millis(50)).await;
+    let egress = egress::with_backend(&timer, Arc::default(), backend.address());
+    let ready = Announcement {
+        instance: Some(Instance {
+            name: name("calendar-1"),
+            started_ms: 1,
+        }),
+        ..egress::announcement(backend.address())
+    };
+    egress.announce(&ready);
+    assert_eq!(send(&egress, &backend, "/calendar", None).await.0, ANSWERED);
+
+    // Of 30 requests, 12 run at the same time and the others wait.
+    let many = (0..30).map(|_| send(&egress, &backend, "/calendar/leaving", None));
+    let outcomes = join_all(many).await;
+    let answered = outcomes.iter().filter(|(o, _)| *o == ANSWERED).count();
+    assert_eq!(answered, 12);
+    egress.announce(&Announcement {
+        is_cold: true,
+        ..ready.clone()
+    });
+    let mut head = head(backend.address(), "/calendar");
+    head.objective_left_us = Some(1_000_000);
+    let refused = egress.run(head, body::empty()).await.head;
+    assert_eq!(refused.outcome, Outcome::NotRun(NotRun::Draining));
+    assert!(refused.load.expect("a load report").is_leaving);
+    assert_eq!(backend.runs(), 13);
+    let draining = Announcement {
+        state: ServerState::Draining,
+        ..ready.clone()
+    };
+    assert_eq!(egress.take_leaving(), [draining]);
+
+    egress.announce(&Announcement {
+        instance: Some(Instance {
+            name: name("calendar-1"),
+            started_ms: 2,
+        }),
+        ..ready
+    });
+    assert_eq!(send(&egress, &backend, "/calendar", None).await.0, ANSWERED);
+}
--- a/crates/world/src/load.rs
+++ b/crates/world/src/load.rs
@@ -4,7 +4,7 @@
 use crate::{Name, Time};
 use serde::{Deserialize, Serialize};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
 /// Admission priority of a request under overload; lower ranks are admitted first.
@@ -67,6 +67,8 @@
     pub free: u16,
     /// Rate that the backend server has limited its requests to; `None` without a limit.
     pub rate_limit: Option<RequestRate>,
+    /// Whether this run of the backend server is shutting down.
+    pub is_leaving: bool,
 }
 
 /// Class of requests with similar service times in a backend server: those of one route.
@@ -122,6 +124,8 @@
     /// Consecutive attempts at which its host was unreachable.
     unreachable_count: AtomicU32,
     blocked_until: AtomicU64,
+    /// Whether a report has stated that the server is shutting down, which is final.
+    is_leaving: AtomicBool,
     /// Rate limit in the last report.
     rate_limit: RateLimitCell,
 }
@@ -165,7 +169,12 @@
     /// Whether the server has stated something about itself that holds until it says
     /// otherwise.
     pub fn has_notice(&self) -> bool {
-        self.rate_limit().is_some()
+        self.rate_limit().is_some() || self.is_leaving()
+    }
+
+    /// Whether the server has stated that it is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Relaxed)
     }
 
     /// The rate limit in the last report; `None` without one.
@@ -232,6 +241,9 @@
         self.free.store(u32::from(report.free), Relaxed);
         self.reported_at.store(now.0.max(1), Relaxed);
         self.sent.store(0, Relaxed);
+        if report.is_leaving {
+            self.is_leaving.store(true, Relaxed);
+        }
         let rate_limit = report.rate_limit.map_or(NO_RATE_LIMIT, |rate| rate.0);
         self.rate_limit.0.store(rate_limit, Relaxed);
         if report.service_us > 0 {
