fix(egress): take a refusal only for the request that it names

Callers could be told 'not run, try again' for a request that a server had run, or have it run at a second server (REFUSED, TWICE): a faulty server wrote an earlier refusal once more on a kept connection.

The native format names no request at all.

One that names none counts only as the first response on a connection, which is closed then.

--- a/crates/node/src/egress/exchange.rs
+++ b/crates/node/src/egress/exchange.rs
@@ -79,11 +79,11 @@
     ) -> Result<Response, Outcome> {
         for _ in 0..MAX_STALE_CONNECTIONS {
             let mut pooled = self.pool.acquire().await.map_err(Outcome::NotRun)?;
-            if pooled.handle().ready().await.is_err() {
+            if pooled.sender().ready().await.is_err() {
                 continue;
             }
             *sent = true;
-            match pooled.handle().try_send_request(request).await {
+            match pooled.sender().try_send_request(request).await {
                 Ok(response) => {
                     slot.mark_answered();
                     let running = RunningExchange {
@@ -119,6 +119,13 @@
                 drain_refusal(incoming, running).await;
                 return Err(Outcome::NotRun(reason));
             }
+            ServerAnswer::RefusedUnnamed(reason) if !running.is_connection_used() => {
+                (self.observe)(self.protocol.notice(&parts));
+                return Err(Outcome::NotRun(reason));
+            }
+            ServerAnswer::RefusedUnnamed(_) => {
+                return Err(Outcome::Unknown(Unknown::ForeignResponse));
+            }
             // Dropping `running` closes the connection: anything else that arrives on
             // it belongs to no known request.
             ServerAnswer::Mismatched(reason) => return Err(Outcome::Unknown(reason)),
@@ -172,6 +179,12 @@
     request_end: ReadToEnd,
 }
 
+impl RunningExchange {
+    fn is_connection_used(&self) -> bool {
+        self.pooled.as_ref().is_some_and(PooledConnection::is_used)
+    }
+}
+
 impl CompletionGuard for RunningExchange {
     fn complete(&mut self) {
         let Some(pooled) = self.pooled.take() else {
--- a/crates/node/src/egress/pool.rs
+++ b/crates/node/src/egress/pool.rs
@@ -20,9 +20,15 @@
 /// Timeout for opening a connection over loopback.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-type Handle = SendRequest<Body>;
 type ConnectionDriver = http1::Connection<TokioIo<TcpStream>, Body>;
 
+/// The sending half of an open connection.
+struct Handle {
+    sender: SendRequest<Body>,
+    /// Whether a response has arrived on the connection.
+    is_used: bool,
+}
+
 struct State {
     connections: Connections,
     idle: SecondaryMap<ConnectionKey, Handle>,
@@ -250,9 +256,10 @@
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
     stream.set_nodelay(true)?;
-    http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(io::Error::other)
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, driver) = handshake.map_err(io::Error::other)?;
+    let is_used = false;
+    Ok((Handle { sender, is_used }, driver))
 }
 
 /// A connection in use by one request; dropping it closes the connection.
@@ -263,16 +270,24 @@
 }
 
 impl PooledConnection {
-    /// The handle for sending a request.
-    pub(super) fn handle(&mut self) -> &mut Handle {
-        self.handle
-            .as_mut()
-            .expect("a connection in use has a handle")
+    /// The sender of requests.
+    pub(super) fn sender(&mut self) -> &mut SendRequest<Body> {
+        let handle = self.handle.as_mut();
+        &mut handle.expect("a connection in use has a handle").sender
+    }
+
+    /// Whether a response to an earlier request has arrived on the connection.
+    pub(super) fn is_used(&self) -> bool {
+        self.handle.as_ref().is_some_and(|handle| handle.is_used)
     }
 
     /// Returns the connection to the pool after a complete exchange.
     pub(super) fn complete(mut self) {
         if let Some(handle) = self.handle.take() {
+            let handle = Handle {
+                is_used: true,
+                ..handle
+            };
             self.pool.release(self.key, handle, Exchange::Complete);
         }
     }
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -51,8 +51,13 @@
 pub enum ServerAnswer {
     /// The response answers the request.
     Answered,
-    /// The backend server did not run the request.
+    /// The backend server did not run the request, which the response names.
     Refused(NotRun),
+    /// The backend server did not run a request, and the response does not say which one.
+    ///
+    /// It may repeat an earlier refusal on the connection. It counts only as the first
+    /// response on a connection, which is then not used again.
+    RefusedUnnamed(NotRun),
     /// The response belongs to another request, or comes from another process than
     /// the expected backend server.
     Mismatched(Unknown),
--- a/crates/node/src/protocol/native.rs
+++ b/crates/node/src/protocol/native.rs
@@ -86,7 +86,7 @@
     fn interpret(&self, _head: &RequestHead, response: &response::Parts) -> ServerAnswer {
         let is_refusal = response.status == StatusCode::SERVICE_UNAVAILABLE;
         match is_refusal && response.headers.contains_key(SHED) {
-            true => ServerAnswer::Refused(NotRun::ShedByServer),
+            true => ServerAnswer::RefusedUnnamed(NotRun::ShedByServer),
             false => ServerAnswer::Answered,
         }
     }
--- a/crates/node/tests/nodes/common/backend.rs
+++ b/crates/node/tests/nodes/common/backend.rs
@@ -23,6 +23,11 @@
 const LEAVING_PATH: &[u8] = b"/leaving";
 const LEAVING_RESPONSE: &[u8] =
     b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\nknapweed-leaving: 1\r\n\r\ndone";
+/// Path of a request that is refused; the next request on the connection runs, and gets the
+/// refusal once more before its answer.
+const REFUSE_PATH: &[u8] = b"/refuse";
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nknapweed-shed: true\r\n\r\n";
 /// Path of a request that gets no answer.
 const HANG_PATH: &[u8] = b"/hang";
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
@@ -112,6 +117,7 @@
 
 async fn serve(mut stream: TcpStream, work: Duration, counts: Arc<Counts>) -> ConnectionEnd {
     let mut request = Vec::new();
+    let mut has_refused = false;
     while let Ok(n) = stream.read_buf(&mut request).await
         && n > 0
     {
@@ -124,7 +130,17 @@
                 () => RESPONSE,
             };
             let (vanishes, hangs) = (contains(VANISH_PATH), contains(HANG_PATH));
+            let refuses = contains(REFUSE_PATH);
             request.clear();
+            if refuses || has_refused {
+                has_refused = refuses;
+                if stream.write_all(REFUSAL).await.is_err() {
+                    return ConnectionEnd::Closed;
+                }
+            }
+            if refuses {
+                continue;
+            }
             counts.start();
             tokio::time::sleep(work).await;
             counts.end();
