fix(egress): bound the head of a response and the wait for a refusal's body

Callers waited until their deadline for a refusal whose body did not end; bytes of a head without end filled 400 KB for each connection.

Cause: the body of a refusal was read up to 4 KB without a time limit, so that the connection could be used again. The head was bounded by the default of the HTTP library.

Evidence: endless_bytes_end_with_the_request, six kinds of bytes without end, fails before: 'the body of a refusal: unknown: the deadline passed'. The other five kinds ended with the request before, too.

Change: 100 ms for the body of a refusal, then the connection is closed; 32 KB for a head, for health queries too.

--- a/crates/node/src/egress/exchange.rs
+++ b/crates/node/src/egress/exchange.rs
@@ -22,6 +22,8 @@
 /// Longest body of a refusal, in bytes, that is read so that the connection can be
 /// reused.
 const MAX_REFUSAL_LEN: usize = 4 * 1024;
+/// Time limit for reading it; the caller waits for the refusal meanwhile.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest response, in bytes, that is buffered before any of it is forwarded.
 /// A buffered response that turns out to be truncated can still be replaced.
 const MAX_BUFFERED_RESPONSE_LEN: usize = 256 * 1024;
@@ -160,13 +162,11 @@
     }
 }
 
-/// Reads the body of a refusal, so that the connection can be reused.
+/// Reads the body of a refusal, so that the connection can be reused. A body that is long
+/// or slow ends with the connection.
 async fn drain_refusal(incoming: Incoming, mut running: RunningExchange) {
-    if Limited::new(incoming, MAX_REFUSAL_LEN)
-        .collect()
-        .await
-        .is_ok()
-    {
+    let body = Limited::new(incoming, MAX_REFUSAL_LEN).collect();
+    if let Ok(Ok(_)) = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body).await {
         running.complete();
     }
 }
--- a/crates/node/src/egress/pool.rs
+++ b/crates/node/src/egress/pool.rs
@@ -1,8 +1,8 @@
 //! Pool of the HTTP connections to one backend server.
 
 use crate::body::Body;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use crate::client;
+use hyper::client::conn::http1::SendRequest;
 use knapweed_host::NotRun;
 use knapweed_host::connections::{
     Acquired, Action, ClaimKey, ConnectionKey, Connections, Exchange,
@@ -20,8 +20,6 @@
 /// Timeout for opening a connection over loopback.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-type ConnectionDriver = http1::Connection<TokioIo<TcpStream>, Body>;
-
 /// The sending half of an open connection.
 struct Handle {
     sender: SendRequest<Body>,
@@ -252,11 +250,11 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> io::Result<(Handle, ConnectionDriver)> {
+async fn connect(address: SocketAddr) -> io::Result<(Handle, client::Driver)> {
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
     stream.set_nodelay(true)?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = client::handshake(stream).await;
     let (sender, driver) = handshake.map_err(io::Error::other)?;
     let is_used = false;
     Ok((Handle { sender, is_used }, driver))
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -1,9 +1,7 @@
 //! Health queries to backend servers.
 
-use crate::body;
+use crate::{body, client};
 use http::{HeaderValue, Request, Uri, header, response};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -24,7 +22,7 @@
 
 async fn exchange(address: SocketAddr, path: &str) -> anyhow::Result<response::Parts> {
     let stream = TcpStream::connect(address).await?;
-    let (mut tx, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (mut tx, connection) = client::handshake(stream).await?;
     let request = Request::builder()
         .uri(path.parse::<Uri>()?)
         .header(header::HOST, HeaderValue::try_from(address.to_string())?)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod body;
 pub mod callers;
 pub mod carrier;
+mod client;
 pub mod control;
 pub mod egress;
 pub mod guarded;
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod crashes;
+mod endless;
 mod foreign_answers;
 mod limits;
 mod lost_exchanges;
