fix(node): keep verdicts on crashing requests in the store

Callers could see a convicted request crash servers again after all nodes had been killed at once, or on a host that is cut off from all others but not from the platform.

Cause: the records lived in the processes of the nodes only.

Evidence: a_verdict_outlives_all_nodes, eight real nodes killed at once, fails before: 'c1: the backend server closed the connection'.

Change: the node that keeps objects in the store writes new verdicts into one document by conditional writes, 256 at most, for the 10 minutes that they hold. A node reads it once after its start, and each second while it sees fewer than half of the other hosts alive. Suspects are not stored. Without verdicts the cost is one read for each start.

Result: the test passes, with the three others of its file. A host that is cut off has been tested only by the decision for all killed; no run with a cut was made.

--- a/crates/demo/tests/crashes.rs
+++ b/crates/demo/tests/crashes.rs
@@ -56,6 +56,29 @@
     Ok(text.lines().next().unwrap_or_default().to_owned())
 }
 
+/// Kills the nodes of `hosts` at once, starts them again, and waits until the first one serves.
+async fn restart(mesh: &mut Mesh, hosts: &[&str]) -> anyhow::Result<()> {
+    for host in hosts {
+        mesh.process(host).signal("KILL")?;
+    }
+    for host in hosts {
+        mesh.process(host).wait(SERVING_TIMEOUT)?;
+        mesh.start_node(host)?;
+    }
+    let start = Instant::now();
+    let address = mesh.node(hosts[0]).callers;
+    let serves = async || mesh.client.get(address, "/today").await;
+    while !serves().await.is_ok_and(|reply| reply.status == 200) {
+        ensure!(
+            start.elapsed() < SERVING_TIMEOUT,
+            "{} does not serve",
+            hosts[0]
+        );
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    Ok(())
+}
+
 fn ensure_runs(mesh: &mut Mesh, process: &str) -> anyhow::Result<()> {
     let has_exited = mesh.process(process).wait(Duration::ZERO).is_ok();
     ensure!(!has_exited, "{process} has exited");
@@ -104,15 +127,7 @@
     limited(async {
         let mut mesh = fleet::start(&NODES, &["a1", "a2", "c1"]).await?;
         crash_first_zone(&mesh).await?;
-        mesh.process("c1").signal("KILL")?;
-        mesh.process("c1").wait(SERVING_TIMEOUT)?;
-        mesh.start_node("c1")?;
-        let start = Instant::now();
-        let serves = async || mesh.client.get(mesh.node("c1").callers, "/today").await;
-        while !serves().await.is_ok_and(|reply| reply.status == 200) {
-            ensure!(start.elapsed() < SERVING_TIMEOUT, "c1 does not serve");
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
+        restart(&mut mesh, &["c1"]).await?;
         tokio::time::sleep(DISSEMINATION_TIMEOUT).await;
         let reason = send_crash(&mesh, "c1").await?;
         ensure!(reason == REASON, "{reason}");
@@ -120,3 +135,21 @@
     })
     .await
 }
+
+/// Guards against a mesh that forgets which requests crash backend servers when all of its nodes
+/// are killed at the same moment.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_verdict_outlives_all_nodes() -> anyhow::Result<()> {
+    limited(async {
+        let mut mesh = fleet::start(&NODES, &["a1", "a2", "c1"]).await?;
+        crash_first_zone(&mesh).await?;
+        restart(&mut mesh, &["c1", "c2", "a1", "a2", "b1", "b2", "d1", "d2"]).await?;
+        tokio::time::sleep(DISSEMINATION_TIMEOUT).await;
+        for host in ["c1", "d1"] {
+            let reason = send_crash(&mesh, host).await?;
+            ensure!(reason == REASON, "{host}: {reason}");
+        }
+        ensure_runs(&mut mesh, "c1-calendar-v1")
+    })
+    .await
+}
--- a/crates/host/src/crash.rs
+++ b/crates/host/src/crash.rs
@@ -1,5 +1,7 @@
 //! Remembers which requests crashed a backend server and decides whether they may run.
 
+pub mod verdicts;
+
 use crate::request::short_digest;
 use crate::{NotRun, RequestId, SendId};
 use knapweed_world::Time;
--- a/crates/host/tests/crash.rs
+++ b/crates/host/tests/crash.rs
@@ -1,10 +1,11 @@
 //! A request that crashes backend servers crashes at most two.
 
+use knapweed_host::crash::verdicts::Verdicts;
 use knapweed_host::crash::{
     CrashId, CrashMemory, CrashRecord, CrashSubjects, RETENTION, Subject, Verdict,
 };
 use knapweed_host::{NotRun, RequestId, SendId};
-use knapweed_world::Time;
+use knapweed_world::{Time, UnixMillis};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::fmt::Write;
@@ -234,3 +235,47 @@
     }
     assert!(now.since(ms(0)) <= RETENTION + std::time::Duration::from_secs(1));
 }
+
+/// Guards against stored verdicts that are lost, kept beyond their retention, or without a bound.
+#[test]
+fn verdicts_outlive_the_memory_of_a_node() {
+    let mut memory = CrashMemory::default();
+    memory.crashed(&crash_subjects(1, b"suspect"), crash(1), ms(0));
+    memory.crashed(&crash_subjects(2, b"bad"), crash(2), ms(0));
+    memory.crashed(&crash_subjects(3, b"bad"), crash(3), ms(1_000));
+    let wall = UnixMillis(1_700_000_000_000);
+    let mut verdicts = Verdicts::default();
+    assert!(verdicts.add(&memory.records(ms(3_000)), wall));
+    assert!(
+        !verdicts.add(&memory.records(ms(3_000)), wall),
+        "nothing new"
+    );
+
+    let text = serde_json::to_string(&verdicts).expect("JSON");
+    let read: Verdicts = serde_json::from_str(&text).expect("verdicts");
+    let mut restarted = CrashMemory::default();
+    for record in read.records(UnixMillis(wall.0 + 1_000)) {
+        restarted.merge(&record, ms(500));
+    }
+    let refused = Verdict::Refuse(NotRun::CrashesServers);
+    let bad = crash_subjects(9, b"bad");
+    assert_eq!(restarted.check(&bad, ms(9_000), ms(500)), refused);
+    let suspect = crash_subjects(9, b"suspect");
+    assert_eq!(
+        restarted.check(&suspect, ms(9_000), ms(500)),
+        Verdict::Clear
+    );
+
+    let expired = UnixMillis(wall.0 + RETENTION.as_millis() as u64);
+    for record in read.records(expired) {
+        assert!(!CrashMemory::default().merge(&record, ms(500)));
+    }
+    let mut many = CrashMemory::default();
+    for n in 0..400u64 {
+        let body = n.to_le_bytes();
+        many.crashed(&crash_subjects(0, &body), crash(2 * n), ms(n));
+        many.crashed(&crash_subjects(1, &body), crash(2 * n + 1), ms(n));
+    }
+    verdicts.add(&many.records(ms(500)), wall);
+    assert_eq!(verdicts.records(wall).len(), 256);
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -14,6 +14,7 @@
 mod results;
 mod rollouts;
 mod streams;
+mod verdicts;
 mod versions;
 pub mod view;
 pub(crate) mod watch;
@@ -44,6 +45,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use tokio::sync::mpsc;
+use verdicts::VerdictCalls;
 use versions::EstablishedVersions;
 pub use view::View;
 use watch::Watch;
@@ -91,6 +93,7 @@
     results: PendingResults,
     /// Chooses the members that get crash records.
     crash_peers: Epidemic,
+    verdicts: VerdictCalls,
     /// Recent tickets that are known to have a final result.
     finished_tickets: BTreeSet<TicketNumber>,
     /// Whether this node has left the gossip.
@@ -119,6 +122,7 @@
             rollouts: Rollouts::default(),
             orders: OrderBook::default(),
             results: PendingResults::default(),
+            verdicts: VerdictCalls::default(),
             crash_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             finished_tickets: BTreeSet::new(),
             is_stopped: false,
@@ -157,6 +161,7 @@
         self.rollout_tick(now);
         self.result_tick(now);
         self.spread_crashes(now);
+        self.verdict_tick(now);
         for announcement in self.dependencies.egress.take_leaving() {
             self.announcement_received(now, announcement);
         }
--- /dev/null
+++ b/crates/node/src/control/verdicts.rs
@@ -0,0 +1,161 @@
+//! Verdicts on requests that crash backend servers, in the object store.
+//!
+//! Nodes learn verdicts from each other. The store keeps them for nodes that can reach no
+//! other node that knows them: when all were killed, and while a node is cut off.
+
+use super::Controller;
+use crate::egress::Egress;
+use knapweed_host::crash::verdicts::Verdicts;
+use knapweed_host::crash::{CrashRecord, Subject};
+use knapweed_observe::part;
+use knapweed_store::{Condition, Error, ObjectKey, ObjectStore, Revision};
+use knapweed_timer::TimerService;
+use knapweed_world::Time;
+use knapweed_zone::MemberState;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Object kind and name of the document.
+const KIND: &str = "mesh-verdicts";
+const NAME: &str = "requests";
+/// Interval at which a node reads the document while it is cut off.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Attempts to write new verdicts, while other nodes write theirs or the store fails.
+const MAX_ATTEMPTS: u32 = 20;
+/// Time between two attempts.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of verdicts that a process remembers to have written.
+const MAX_WRITTEN: usize = 1_024;
+
+/// Calls to the store for verdicts.
+#[derive(Debug, Default)]
+pub(super) struct VerdictCalls {
+    /// Earliest time of the next read; `None` before the first one.
+    next_read: Option<Time>,
+    /// Subjects of verdicts that this process has written, [`MAX_WRITTEN`] at most.
+    written: HashSet<Subject>,
+}
+
+impl Controller {
+    /// Reads the verdicts after the start, and while most other hosts are out of reach.
+    ///
+    /// A node that keeps objects in the store writes the verdicts that are new.
+    pub(super) fn verdict_tick(&mut self, now: Time) {
+        self.store_verdicts();
+        if self
+            .verdicts
+            .next_read
+            .is_some_and(|next| now < next || !self.is_cut_off())
+        {
+            return;
+        }
+        self.verdicts.next_read = Some(now.after(READ_INTERVAL));
+        let stored = self.stored_verdicts();
+        tokio::spawn(async move {
+            match stored.read().await {
+                Ok((verdicts, _)) => stored.adopt(&verdicts),
+                Err(err) => log::info!(target: part::MEMBER, "could not read verdicts: {err}"),
+            }
+        });
+    }
+
+    /// Writes the verdicts that this node has not written yet, if it has the duty to keep
+    /// objects in the store.
+    fn store_verdicts(&mut self) {
+        let egress = &self.dependencies.egress;
+        if !self.membership.role().keeps_tickets || egress.crash_counts().convicted == 0 {
+            return;
+        }
+        let mut records = egress.crash_records();
+        records.retain(|r| r.evidence.convicted && !self.verdicts.written.contains(&r.subject));
+        if records.is_empty() {
+            return;
+        }
+        if self.verdicts.written.len() >= MAX_WRITTEN {
+            self.verdicts.written.clear();
+        }
+        let subjects = records.iter().map(|r| r.subject);
+        self.verdicts.written.extend(subjects);
+        let stored = self.stored_verdicts();
+        tokio::spawn(async move { stored.add_with_retries(&records).await });
+    }
+
+    /// Whether this node sees fewer than half of the other hosts that it knows alive.
+    fn is_cut_off(&self) -> bool {
+        let directory = self.membership.directory();
+        let own = &self.membership.own().host;
+        let others = directory.iter().map(|(_, r)| r).filter(|r| r.host != *own);
+        let (alive, all) = others.fold((0, 0), |(alive, all), record| {
+            (
+                alive + u32::from(record.state == MemberState::Alive),
+                all + 1,
+            )
+        });
+        alive * 2 < all
+    }
+
+    fn stored_verdicts(&self) -> StoredVerdicts {
+        StoredVerdicts {
+            store: Arc::clone(&self.dependencies.store),
+            egress: Arc::clone(&self.dependencies.egress),
+            timer: self.dependencies.timer.clone(),
+            key: ObjectKey::new(KIND, NAME),
+        }
+    }
+}
+
+/// Access to the document.
+struct StoredVerdicts {
+    store: Arc<dyn ObjectStore>,
+    egress: Arc<Egress>,
+    timer: TimerService,
+    key: ObjectKey,
+}
+
+impl StoredVerdicts {
+    /// Reads the verdicts and the revision of the document; `None` when there is none.
+    async fn read(&self) -> Result<(Verdicts, Option<Revision>), Error> {
+        let Some(object) = self.store.read(&self.key).await? else {
+            return Ok((Verdicts::default(), None));
+        };
+        let verdicts = serde_json::from_slice(&object.value);
+        let verdicts = verdicts.unwrap_or_else(|err| {
+            log::warn!(target: part::MEMBER, "the stored verdicts cannot be read: {err}");
+            Verdicts::default()
+        });
+        Ok((verdicts, Some(object.revision)))
+    }
+
+    async fn add_with_retries(&self, records: &[CrashRecord]) {
+        for _ in 0..MAX_ATTEMPTS {
+            match self.add(records).await {
+                Ok(()) => return,
+                Err(err) => log::info!(target: part::MEMBER, "could not store a verdict: {err}"),
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    }
+
+    /// Adds the verdicts in `records` to the document.
+    ///
+    /// # Errors
+    ///
+    /// The store failed, or another node has changed the document meanwhile.
+    async fn add(&self, records: &[CrashRecord]) -> Result<(), Error> {
+        let (mut verdicts, revision) = self.read().await?;
+        if !verdicts.add(records, self.timer.wall_clock()) {
+            return Ok(());
+        }
+        let value = serde_json::to_vec(&verdicts);
+        let value = value.map_err(|e| Error::Malformed(e.to_string()))?;
+        let condition = revision.map_or(Condition::Absent, Condition::Revision);
+        let written = self.store.write(&self.key, value.into(), condition).await;
+        written.map(drop)
+    }
+
+    fn adopt(&self, verdicts: &Verdicts) {
+        let records = verdicts.records(self.timer.wall_clock());
+        self.egress.merge_crashes(records);
+    }
+}
