--- a/crates/node/src/egress/crashes.rs
+++ b/crates/node/src/egress/crashes.rs
@@ -12,6 +12,7 @@
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
 use knapweed_world::Time;
+use log::Level;
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -100,8 +101,14 @@
             new.collect()
         });
         for record in &new {
-            log::info!(
+            // Most suspects only ran beside the guilty request.
+            let level = match record.evidence.convicted {
+                true => Level::Info,
+                false => Level::Debug,
+            };
+            log::log!(
                 target: part::EGRESS,
+                level,
                 subject:% = record.subject,
                 crashes = record.evidence.count(),
                 convicted = record.evidence.convicted,
@@ -136,12 +143,13 @@
             request.crashed.store(true, Ordering::Relaxed);
             let records =
                 self.update(|memory, now| memory.crashed(&request.subjects, request.crash, now));
-            for record in &records {
+            let content = request.subjects.content;
+            if let Some(record) = records.iter().find(|r| r.subject == content) {
                 log::warn!(
                     target: part::EGRESS,
                     request:% = RequestId(request.caller_id.as_ref()),
                     server:% = server,
-                    subject:% = record.subject,
+                    subject:% = content,
                     crashes = record.evidence.count(),
                     convicted = record.evidence.convicted;
                     "the backend server died while it ran the request"
