--- a/crates/node/src/control/verdicts.rs
+++ b/crates/node/src/control/verdicts.rs
@@ -21,6 +21,11 @@
 const NAME: &str = "requests";
 /// Interval at which a node reads the document while it is cut off.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of the reads after [`CUT_PERIOD`].
+const SLOW_READ_INTERVAL: Duration = Duration::from_secs(10);
+/// Time after which a node that sees most hosts dead takes them to be gone rather than
+/// cut off.
+const CUT_PERIOD: Duration = Duration::from_secs(30);
 /// Attempts to write new verdicts, while other nodes write theirs or the store fails.
 const MAX_ATTEMPTS: u32 = 20;
 /// Time between two attempts.
@@ -33,6 +38,8 @@
 pub(super) struct VerdictCalls {
     /// Earliest time of the next read; `None` before the first one.
     next_read: Option<Time>,
+    /// Since when most other hosts have been out of reach.
+    cut_off_since: Option<Time>,
     /// Subjects of verdicts that this process has written, [`MAX_WRITTEN`] at most.
     written: HashSet<Subject>,
 }
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -21,8 +21,9 @@
 const DEFAULT_MAX_ATTEMPTS: u8 = 3;
 
 /// Maximum number of backend servers, present and absent ones, whose statistics are kept
-/// Number of backend servers with statistics above which those of absent ones are dropped.
-const MAX_LOADS: usize = 4_096;
+/// Maximum number of absent backend servers whose statements are kept. Each snapshot copies
+/// them, and more servers than this are not absent for the restart of a node.
+const MAX_ABSENT: usize = 256;
 
 /// Builds a complete snapshot while another one is being served.
 #[derive(Debug)]
@@ -215,14 +216,11 @@
     /// Keeps what absent backend servers have stated about themselves. The node of their
     /// host may have restarted and announces them again soon.
     fn retain_notices(&mut self, loads: HashMap<ServerId, Arc<ServerLoad>>) {
-        for (id, load) in loads {
-            if self.loads.len() >= MAX_LOADS {
-                return;
-            }
-            if load.has_notice() {
-                self.loads.entry(id).or_insert(load);
-            }
-        }
+        let absent = loads
+            .into_iter()
+            .filter(|(id, load)| load.has_notice() && !self.loads.contains_key(id));
+        let absent: Vec<_> = absent.take(MAX_ABSENT).collect();
+        self.loads.extend(absent);
     }
 
     /// Adds a ready backend server to the version that it runs, if that version
