--- a/crates/node/src/control/verdicts.rs
+++ b/crates/node/src/control/verdicts.rs
@@ -50,14 +50,22 @@
     /// A node that keeps objects in the store writes the verdicts that are new.
     pub(super) fn verdict_tick(&mut self, now: Time) {
         self.store_verdicts();
-        if self
-            .verdicts
-            .next_read
-            .is_some_and(|next| now < next || !self.is_cut_off())
-        {
+        let is_cut_off = self.is_cut_off();
+        let calls = &mut self.verdicts;
+        calls.cut_off_since = match is_cut_off {
+            true => calls.cut_off_since.or(Some(now)),
+            false => None,
+        };
+        let waits = |next: Time| now < next || !is_cut_off;
+        if calls.next_read.is_some_and(waits) {
             return;
         }
-        self.verdicts.next_read = Some(now.after(READ_INTERVAL));
+        let cut_off_for = calls.cut_off_since.map(|at| now.since(at));
+        let interval = match cut_off_for {
+            Some(time) if time >= CUT_PERIOD => SLOW_READ_INTERVAL,
+            Some(_) | None => READ_INTERVAL,
+        };
+        calls.next_read = Some(now.after(interval));
         let stored = self.stored_verdicts();
         tokio::spawn(async move {
             match stored.read().await {
