fix(egress): blame every request that a crashed process left unanswered

Callers could see the request that crashes servers spared, and another one blamed.

Cause: of the lost requests only those sent before the first loss of the last second were blamed, so that requests to a process that had ended were spared. A connection that was reset for another reason shortly before was taken for the end of the process. Found on reading.

Change: all requests of the last 10 s that the process did not survive are blamed. A request sent to a process that has ended is a suspect then, and runs alone once. Besides, a node repeats its first read of the stored verdicts until it succeeds.

--- a/crates/node/src/control/verdicts.rs
+++ b/crates/node/src/control/verdicts.rs
@@ -26,7 +26,8 @@
 /// Time after which a node that sees most hosts dead takes them to be gone rather than
 /// cut off.
 const CUT_PERIOD: Duration = Duration::from_secs(30);
-/// Attempts to write new verdicts, while other nodes write theirs or the store fails.
+/// Attempts to read verdicts or to write new ones, while other nodes write theirs or the
+/// store fails.
 const MAX_ATTEMPTS: u32 = 20;
 /// Time between two attempts.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
@@ -65,14 +66,13 @@
             Some(time) if time >= CUT_PERIOD => SLOW_READ_INTERVAL,
             Some(_) | None => READ_INTERVAL,
         };
-        calls.next_read = Some(now.after(interval));
+        // Later reads are repeated by the next tick that is due.
+        let attempts = match calls.next_read.replace(now.after(interval)) {
+            None => MAX_ATTEMPTS,
+            Some(_) => 1,
+        };
         let stored = self.stored_verdicts();
-        tokio::spawn(async move {
-            match stored.read().await {
-                Ok((verdicts, _)) => stored.adopt(&verdicts),
-                Err(err) => log::info!(target: part::MEMBER, "could not read verdicts: {err}"),
-            }
-        });
+        tokio::spawn(async move { stored.adopt_within(attempts).await });
     }
 
     /// Writes the verdicts that this node has not written yet, if it has the duty to keep
@@ -142,6 +142,17 @@
         Ok((verdicts, Some(object.revision)))
     }
 
+    /// Merges the stored verdicts into the crash memory of this node.
+    async fn adopt_within(&self, attempts: u32) {
+        for _ in 0..attempts {
+            match self.read().await {
+                Ok((verdicts, _)) => return self.adopt(&verdicts),
+                Err(err) => log::info!(target: part::MEMBER, "could not read verdicts: {err}"),
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    }
+
     async fn add_with_retries(&self, records: &[CrashRecord]) {
         for _ in 0..MAX_ATTEMPTS {
             match self.add(records).await {
--- a/crates/node/src/egress/crashes.rs
+++ b/crates/node/src/egress/crashes.rs
@@ -1,6 +1,6 @@
 //! Tracks requests whose backend server crashed while it ran them.
 
-use super::lost::{Loss, LostRequest, LostRequests};
+use super::lost::{LostRequest, LostRequests};
 use super::pool::{Pool, Probe};
 use crate::request_log::RequestId;
 use bytes::Bytes;
@@ -251,8 +251,8 @@
     }
 
     /// Records the outcome of the request on the backend server of `pool`, and the status
-    /// of its answer, which is 0 without one. Returns
-    /// whether the request crashed the backend server.
+    /// of its answer, which is 0 without one. Returns whether the request may have crashed
+    /// the backend server.
     pub(super) async fn conclude(
         mut self,
         outcome: Outcome,
@@ -265,7 +265,7 @@
         };
         match outcome {
             Outcome::Unknown(Unknown::ServerCrashed) => {
-                let crashed = self.add_lost(&run, Loss::Closed);
+                let crashed = self.add_lost(&run);
                 if has_exited(pool).await {
                     self.crashes.process_ended(&run.lost, pool.address(), None);
                 }
@@ -274,7 +274,7 @@
                 crashed
             }
             Outcome::Unknown(Unknown::DeadlinePassed | Unknown::Truncated) => {
-                self.add_lost(&run, Loss::Silent);
+                self.add_lost(&run);
                 self.end_exclusive_run(false);
                 false
             }
@@ -293,14 +293,12 @@
 
     /// Keeps the request as one during which the backend server may have crashed. The
     /// returned flag is set when that turns out to be so.
-    fn add_lost(&self, run: &Run, loss: Loss) -> Arc<AtomicBool> {
+    fn add_lost(&self, run: &Run) -> Arc<AtomicBool> {
         let crashed = Arc::<AtomicBool>::default();
         run.lost.add(LostRequest {
             subjects: self.subjects,
             crash: self.crash,
             caller_id: self.caller_id.clone(),
-            loss,
-            started: run.started,
             lost_at: self.crashes.timer.now(),
             answered_at: None,
             crashed: Arc::clone(&crashed),
@@ -321,7 +319,7 @@
     fn drop(&mut self) {
         // The caller left while the backend server had the request.
         if let Some(run) = self.run.take() {
-            self.add_lost(&run, Loss::Silent);
+            self.add_lost(&run);
         }
         self.end_exclusive_run(false);
     }
--- a/crates/node/src/egress/lost.rs
+++ b/crates/node/src/egress/lost.rs
@@ -17,17 +17,6 @@
 
 /// Time after which a lost request is no longer attributed to the end of the process.
 const MAX_AGE: Duration = Duration::from_secs(10);
-/// Longest time from the end of a process until the last of its connections is closed.
-const END_DURATION: Duration = Duration::from_secs(1);
-
-/// How a request was lost.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Loss {
-    /// Its connection was closed without an answer.
-    Closed,
-    /// There was no answer until the deadline, or until the caller left.
-    Silent,
-}
 
 /// A request that was sent and not answered.
 #[derive(Clone, Debug)]
@@ -36,8 +25,6 @@
     pub(super) crash: CrashId,
     /// The caller's identifier of the request, for the log.
     pub(super) caller_id: Option<Bytes>,
-    pub(super) loss: Loss,
-    pub(super) started: Time,
     pub(super) lost_at: Time,
     /// When a request that was sent after the loss was answered first; a process that
     /// started later may have answered it.
@@ -78,18 +65,18 @@
         self.len.store(requests.len(), Ordering::Relaxed);
     }
 
-    /// Takes the requests that were running when the process ended. Those sent after the
-    /// first one was lost met a process that had ended already. `next_started` is the
-    /// start of the next process, if there is one.
+    /// Takes the requests that may have been running when the process ended.
+    /// `next_started` is the start of the next process, if there is one.
+    ///
+    /// One that was sent to the ended process cannot be told from the one that crashed it:
+    /// both are closed at once. Sparing the later one could spare the guilty one after a
+    /// connection that was reset for another reason.
     pub(super) fn process_ended(&self, next_started: Option<Time>, now: Time) -> Vec<LostRequest> {
-        let mut requests = std::mem::take(&mut *self.requests.lock());
+        let requests = std::mem::take(&mut *self.requests.lock());
         self.len.store(0, Ordering::Relaxed);
-        requests.retain(|r| now.since(r.lost_at) <= MAX_AGE && !r.was_survived(next_started));
-        let Some(ended_at) = ended_at(&requests) else {
-            return Vec::new();
-        };
-        let was_running = |r: &LostRequest| r.started <= ended_at && r.lost_at >= ended_at;
-        requests.into_iter().filter(was_running).collect()
+        let may_have_run =
+            |r: &LostRequest| now.since(r.lost_at) <= MAX_AGE && !r.was_survived(next_started);
+        requests.into_iter().filter(may_have_run).collect()
     }
 }
 
@@ -100,14 +87,3 @@
         answered_at.is_some_and(|at| next_started.is_none_or(|next| at < next))
     }
 }
-
-/// When the process ended: at the first of its closed connections. Without one it fell
-/// silent, some time before the first request was given up.
-fn ended_at(requests: &VecDeque<LostRequest>) -> Option<Time> {
-    let closed = requests.iter().filter(|r| r.loss == Loss::Closed);
-    let closed = closed.map(|r| r.lost_at);
-    match closed.clone().max() {
-        Some(last) => closed.filter(|at| last.since(*at) <= END_DURATION).min(),
-        None => requests.iter().map(|r| r.lost_at).min(),
-    }
-}
--- a/crates/node/tests/nodes/crashes.rs
+++ b/crates/node/tests/nodes/crashes.rs
@@ -204,6 +204,19 @@
     }
 }
 
+/// Guards against a guilty request that is spared because another connection was reset shortly
+/// before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_reset_before_a_crash_does_not_hide_it() {
+    let timer = TimerService::start();
+    let host = Host::start(&timer).await;
+    assert_eq!(host.send("/calendar/close").await, CRASHED);
+    assert_eq!(host.send("/calendar/crash").await, CRASHED);
+    let records = host.egress.take_crashes().observed;
+    let crash = head(host.backend.address(), "/calendar/crash");
+    assert!(records.iter().any(|r| r.subject == crash.content));
+}
+
 /// Guards against requests that are blamed for the end of a backend server that answered others
 /// after them, or that was shutting down.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
