test(demo): a crashing request while nodes are killed and started again

Guards against a request that keeps crashing servers beside restarts, the bound of BUDGET with real processes: eight nodes in four zones with a server each, the request every 0.1 s at a random node, with its length or in chunks, a random node killed each 1.2 s. At most three crashes may come later than 4 s after the third.

--- a/crates/demo/tests/crashes.rs
+++ b/crates/demo/tests/crashes.rs
@@ -4,6 +4,8 @@
 use http::Method;
 use knapweed_demo::Mesh;
 use knapweed_demo::fleet::{self, NODES, limited};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -153,3 +155,85 @@
     })
     .await
 }
+
+/// Time between two comings of the crashing request.
+const SEND_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two kills of a node.
+const KILL_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Time after which a crashed backend server is back.
+const BACKEND_DOWNTIME: Duration = Duration::from_secs(1);
+/// Duration of a run with kills.
+const RUN_TIME: Duration = Duration::from_secs(11);
+/// Crashes that count against the bound: those later than this after the third one.
+const BOUND_START: Duration = Duration::from_secs(4);
+/// Maximum number of crashes after [`BOUND_START`].
+const MAX_LATE_CRASHES: usize = 3;
+/// Variable with the seed of the run with kills.
+const SEED_VAR: &str = "KNAPWEED_CRASH_SEED";
+
+/// Starts the backend servers that are due again, and returns the number of those that have
+/// exited since the last call.
+fn tend_backends(
+    mesh: &mut Mesh,
+    down: &mut Vec<(&'static str, Instant)>,
+) -> anyhow::Result<usize> {
+    let hosts: Vec<_> = mesh.hosts().collect();
+    let mut crashed = 0;
+    for host in hosts {
+        if let Some(i) = down.iter().position(|(name, _)| *name == host) {
+            if down[i].1.elapsed() >= BACKEND_DOWNTIME {
+                down.swap_remove(i);
+                mesh.start_backend(&fleet::calendar_on(host))?;
+            }
+            continue;
+        }
+        let process = mesh.process(&format!("{host}-calendar-v1"));
+        if process.wait(Duration::ZERO).is_ok() {
+            down.push((host, Instant::now()));
+            crashed += 1;
+        }
+    }
+    Ok(crashed)
+}
+
+/// Guards against a request that keeps crashing backend servers while nodes are killed and
+/// started again: it comes to random nodes, with its length or in chunks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_crashing_request_is_stopped_while_nodes_restart() -> anyhow::Result<()> {
+    let seed = std::env::var(SEED_VAR).ok().and_then(|s| s.parse().ok());
+    let mut rng = SmallRng::seed_from_u64(seed.unwrap_or(1));
+    limited(async {
+        let hosts = NODES.map(|node| node.host);
+        let mut mesh = fleet::start(&NODES, &hosts).await?;
+        let start = Instant::now();
+        let (mut crashes, mut down) = (Vec::new(), Vec::new());
+        let mut next_kill = KILL_INTERVAL;
+        while start.elapsed() < RUN_TIME {
+            let host = hosts[rng.random_range(0..hosts.len())];
+            // A node that is starting refuses connections.
+            let _ = match rng.random() {
+                true => send_crash(&mesh, host).await,
+                false => send_crash_in_chunks(&mesh, host).await,
+            };
+            let crashed = tend_backends(&mut mesh, &mut down)?;
+            crashes.extend(std::iter::repeat_n(start.elapsed(), crashed));
+            if start.elapsed() >= next_kill {
+                next_kill += KILL_INTERVAL;
+                let host = hosts[rng.random_range(0..hosts.len())];
+                mesh.process(host).signal("KILL")?;
+                mesh.process(host).wait(SERVING_TIMEOUT)?;
+                mesh.start_node(host)?;
+            }
+            tokio::time::sleep(SEND_INTERVAL).await;
+        }
+        println!("crashes at {crashes:?}");
+        ensure!(crashes.len() >= 2, "the request did not crash servers");
+        if let Some(third) = crashes.get(2) {
+            let bound_start = *third + BOUND_START;
+            let late = crashes.iter().filter(|at| **at > bound_start).count();
+            ensure!(late <= MAX_LATE_CRASHES, "{late} late crashes: {crashes:?}");
+        }
+        Ok(())
+    })
+    .await
+}
