fix(platform): one entry of a configuration no longer takes the rest out of force

The log said that the store did not answer.

Cause: the decoder failed as a whole on the first entry that it could not use.

Each problem is logged by the node that reads the source and counted in knapweed_config_problems.

--- a/crates/host/src/request.rs
+++ b/crates/host/src/request.rs
@@ -45,6 +45,9 @@
     /// No route matches the path.
     #[error("no route matches the path")]
     NoRoute,
+    /// The route has no service that handles its requests.
+    #[error("the route has no service")]
+    NoService,
 }
 
 impl Error {
@@ -53,6 +56,7 @@
         match self {
             Self::TooDeep(_) => NotRun::TooDeep,
             Self::NoRoute => NotRun::NoRoute,
+            Self::NoService => NotRun::NoServer,
             _ => NotRun::InvalidHeader,
         }
     }
@@ -129,7 +133,7 @@
     ///
     /// # Errors
     ///
-    /// No route matches, or the idempotency key or the depth is out of range.
+    /// No route matches, the route has no service, or the idempotency key or the depth is out of range.
     pub fn from_incoming(
         snapshot: &Snapshot,
         incoming: &IncomingRequest<'_>,
@@ -139,7 +143,7 @@
         let found = snapshot.find_route(incoming.host, incoming.path);
         let key = found.ok_or(Error::NoRoute)?;
         let route = snapshot.route(key);
-        let service = route.destination(incoming.draw).ok_or(Error::NoRoute)?;
+        let service = route.destination(incoming.draw).ok_or(Error::NoService)?;
         let identity = match &incoming.id {
             Some(id) => identity(id)?,
             None => RequestId(incoming.random),
--- a/crates/host/tests/request.rs
+++ b/crates/host/tests/request.rs
@@ -5,8 +5,8 @@
 use assert_matches::assert_matches;
 use bytes::Bytes;
 use common::mesh_of;
-use knapweed_host::WaitEstimator;
 use knapweed_host::request::{DEADLINE_MS, Error, IncomingRequest, Request, parse_number};
+use knapweed_host::{NotRun, WaitEstimator};
 use knapweed_world::{Flow, Time};
 use std::time::Duration;
 
@@ -84,6 +84,18 @@
     assert_matches!(accept(&incoming), Err(Error::NoRoute));
 }
 
+/// Guards against a route that cannot be read and whose requests are told that it does not
+/// exist: callers do not repeat those.
+#[test]
+fn a_route_without_a_service_refuses_its_requests() {
+    let snapshot = mesh_of(&[("v1", 100)], |route| route.destinations.clear());
+    let now = Time::from_millis(1_000);
+    let request = Request::from_incoming(&snapshot, &incoming(), &WaitEstimator::default(), now);
+    let err = request.expect_err("a refusal");
+    assert_eq!(err.reason(), NotRun::NoServer);
+    assert_eq!(err.reason().status(), 503);
+}
+
 /// Guards against idempotency keys of any size, and against two keys that identify the
 /// same request.
 #[test]
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -98,6 +98,9 @@
     finished_tickets: BTreeSet<TicketNumber>,
     /// Whether this node has left the gossip.
     is_stopped: bool,
+    /// Entries that the source of the configuration in force could not use as written; 0
+    /// when it came from another node.
+    config_problems: usize,
     /// Whether the last call to the store succeeded; `None` before the first call.
     store_was_reachable: Option<bool>,
     /// Whether members, configuration or rollouts have changed since the last snapshot.
@@ -126,6 +129,7 @@
             crash_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             finished_tickets: BTreeSet::new(),
             is_stopped: false,
+            config_problems: 0,
             store_was_reachable: None,
             is_snapshot_stale: true,
         }
@@ -177,11 +181,12 @@
             Event::Members(records) => {
                 self.member_event(now, membership::Event::Members(records));
             }
-            Event::LoadedConfig(loaded) => self.config_loaded(&loaded.head, loaded.cache),
+            Event::LoadedConfig(loaded) => self.config_loaded(loaded),
             Event::SourceUpdate(update) => self.source_updated(update),
             Event::SourceUnavailable => {
                 self.record_store_reachable(now, false);
             }
+            Event::SourceUnusable => self.record_store_reachable(now, true),
             Event::Rollout { service, event } => self.rollout_event(now, &service, *event),
             Event::Ordered(orders) => self.orders_received(now, orders),
             Event::Reported { service, ticket } => self.order_reported(now, &service, ticket),
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -53,6 +53,8 @@
     SourceUpdate(SourceUpdate),
     /// A watch of configurations or orders failed.
     SourceUnavailable,
+    /// The store answered, but what it holds cannot be used.
+    SourceUnusable,
     /// A read or write of a stored rollout state has ended.
     Rollout {
         /// Name of the service.
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -267,7 +267,12 @@
             Err(Error::HistoryCompacted(_)) => after = None,
             Err(err) => {
                 log::warn!(target: part::ROLLOUT, "the watch of orders failed: {err}");
-                handle.send(Event::SourceUnavailable).await;
+                handle
+                    .send(match err {
+                        Error::Malformed(_) => Event::SourceUnusable,
+                        _ => Event::SourceUnavailable,
+                    })
+                    .await;
                 back_off(&mut limit).await;
             }
         }
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -2,17 +2,19 @@
 
 use super::messages::{query_node, reply, reply_with_bytes};
 use super::{Controller, Event};
-use knapweed_contract::{Head, PartCache};
+use crate::source::LoadedConfig;
 use knapweed_link::Delta;
 use knapweed_observe::part;
 use knapweed_transport::IncomingStream;
 use knapweed_wire::StreamHead;
-use knapweed_world::Time;
+use knapweed_world::{ConfigVersion, Time};
 use knapweed_zone::membership;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Maximum number of problems of one configuration that are logged.
+const MAX_LOGGED_PROBLEMS: usize = 20;
 /// Longest compressed delta, in bytes.
 const MAX_DELTA_LEN: usize = 8 * 1024 * 1024;
 /// Time limit for fetching a delta.
@@ -71,7 +73,12 @@
             return self.member_event(now, membership::Event::FetchFailed { from });
         };
         match self.configs.apply_delta(delta) {
-            Ok(newer) => self.is_snapshot_stale |= newer,
+            Ok(newer) => {
+                self.is_snapshot_stale |= newer;
+                if newer {
+                    self.config_problems = 0;
+                }
+            }
             Err(err) => {
                 log::warn!(target: part::CONFIG, "refused the configuration of {from}: {err}");
                 self.member_event(now, membership::Event::FetchFailed { from });
@@ -79,10 +86,26 @@
         }
     }
 
-    pub(super) fn config_loaded(&mut self, head: &Head, cache: PartCache) {
-        match self.configs.replace(head, cache) {
-            Ok(newer) => self.is_snapshot_stale |= newer,
+    pub(super) fn config_loaded(&mut self, loaded: LoadedConfig) {
+        match self.configs.replace(&loaded.head, loaded.cache) {
+            Ok(newer) => {
+                self.is_snapshot_stale |= newer;
+                if newer {
+                    self.config_problems = loaded.problems.len();
+                    log_problems(loaded.head.version, &loaded.problems);
+                }
+            }
             Err(err) => log::warn!(target: part::CONFIG, "refused a configuration: {err}"),
         }
     }
 }
+
+fn log_problems(version: ConfigVersion, problems: &[String]) {
+    for problem in problems.iter().take(MAX_LOGGED_PROBLEMS) {
+        log::warn!(target: part::CONFIG, "version {version}: {problem}");
+    }
+    let left_out = problems.len().saturating_sub(MAX_LOGGED_PROBLEMS);
+    if left_out > 0 {
+        log::warn!(target: part::CONFIG, "version {version}: {left_out} more problems");
+    }
+}
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -16,6 +16,9 @@
 pub struct View {
     /// The configuration in force on this node.
     pub config: Arc<Config>,
+    /// Entries of the configuration that this node read from its source and could not use
+    /// as written; 0 when the configuration came from another node.
+    pub config_problems: usize,
     /// All nodes in the membership directory, sorted by host.
     pub nodes: Vec<NodeSummary>,
     /// Names of the duties that this node holds.
@@ -42,6 +45,7 @@
         let config = Arc::clone(self.configs.config());
         self.dependencies.view.store(Arc::new(View {
             config,
+            config_problems: self.config_problems,
             nodes,
             duties: self.membership.duties().map(|d| d.to_string()).collect(),
             rollouts: self.rollouts.states().clone(),
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -87,7 +87,7 @@
             Err(err) => {
                 log::warn!(target: part::CONFIG, "the watch of the configuration failed: {err}");
                 after = after.filter(|_| matches!(err, Error::Store(_)));
-                handle.send(Event::SourceUnavailable).await;
+                handle.send(unavailable(&err)).await;
                 // Full jitter spreads the retries of many nodes after an outage.
                 let wait = rand::rng().random_range(Duration::ZERO..=limit);
                 tokio::time::sleep(wait).await;
@@ -97,6 +97,15 @@
     }
 }
 
+/// What a failed call says about the store: an unusable configuration was read from a
+/// store that answers.
+fn unavailable(err: &Error) -> Event {
+    match err {
+        Error::Store(_) => Event::SourceUnavailable,
+        Error::Unusable(_) => Event::SourceUnusable,
+    }
+}
+
 /// Results of calls to the store.
 impl Controller {
     /// Records whether a call to the store succeeded, and logs when that changes.
@@ -114,7 +123,7 @@
         let now = self.now();
         self.record_store_reachable(now, true);
         if let Some(loaded) = update.loaded {
-            self.config_loaded(&loaded.head, loaded.cache);
+            self.config_loaded(loaded);
         }
     }
 }
--- a/crates/node/src/operators/node_metrics.rs
+++ b/crates/node/src/operators/node_metrics.rs
@@ -55,6 +55,11 @@
             "Configuration version in force on the node",
             self.snapshots.load().version().0,
         )?;
+        gauge(
+            "knapweed_config_problems",
+            "Entries of the configuration that the node could not use as written",
+            self.view.load().config_problems as u64,
+        )?;
         gauge(
             "knapweed_members_alive",
             "Nodes that the node sees alive, itself included",
--- a/crates/node/src/operators/tickets.rs
+++ b/crates/node/src/operators/tickets.rs
@@ -77,7 +77,11 @@
         Ok((_, head, _)) => {
             dependencies
                 .control
-                .send(Event::LoadedConfig(LoadedConfig { head, cache }))
+                .send(Event::LoadedConfig(LoadedConfig {
+                    head,
+                    cache,
+                    problems: Vec::new(),
+                }))
                 .await
         }
         // Not fatal: a gateway's watch delivers the configuration as well.
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -29,6 +29,9 @@
     pub head: Head,
     /// Contents of the parts.
     pub cache: PartCache,
+    /// Entries that the source could not use as they were written, and what applies
+    /// instead, one sentence each.
+    pub problems: Vec<String>,
 }
 
 /// Result of a load or watch of a source.
--- a/crates/node/src/source/tickets.rs
+++ b/crates/node/src/source/tickets.rs
@@ -25,7 +25,11 @@
         let driver = Driver::new(&*self.store, &SystemClock);
         let config = driver.load_config(&head, &mut cache).await;
         match config {
-            Ok(_) => Ok(LoadedConfig { head, cache }),
+            Ok(_) => Ok(LoadedConfig {
+                head,
+                cache,
+                problems: Vec::new(),
+            }),
             Err(drive::Error::Store(err)) => Err(err.into()),
             Err(err) => Err(unusable(err)),
         }
--- a/crates/world/src/config.rs
+++ b/crates/world/src/config.rs
@@ -122,7 +122,7 @@
     pub host: Option<String>,
     /// Path prefix that the route matches, on segment boundaries.
     pub path_prefix: String,
-    /// Services that handle the requests.
+    /// Services that handle the requests; requests of a route without any are refused.
     pub destinations: Vec<Destination>,
     /// Deadline of a request after its arrival, in milliseconds.
     pub timeout_ms: u32,
--- a/crates/world/src/route.rs
+++ b/crates/world/src/route.rs
@@ -22,7 +22,8 @@
     pub host: Option<Bytes>,
     /// Path prefix that the route matches, on segment boundaries.
     pub path_prefix: Bytes,
-    /// Services that handle the requests, with their weights; at least one.
+    /// Services that handle the requests, with their weights. None when the configuration
+    /// does not tell them: the requests are then refused.
     pub destinations: Vec<(ServiceKey, u32)>,
     /// Deadline of a request after its arrival.
     pub timeout: Duration,
