fix(ingress): repeat an idempotent request whose response was lost and not stored

Cause: a response of more than 64 KiB is not stored for inquiries, and the ingress took that outcome for final also where the request may run again. 409 blames the caller, who has done nothing wrong.

Change: an idempotent request is sent again under the retry budget; any other gets 502.

--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -94,7 +94,7 @@
     pub const fn status(self) -> Option<u16> {
         match self {
             Self::Answered(Answer::Complete) => None,
-            Self::Answered(Answer::NotStored) => Some(409),
+            Self::Answered(Answer::NotStored) => Some(502),
             Self::NotRun(reason) => Some(reason.status()),
             Self::Unknown(_) => Some(504),
         }
--- a/crates/host/src/retry.rs
+++ b/crates/host/src/retry.rs
@@ -5,7 +5,7 @@
 //! a token; the tokens of all nodes together limit retries to a fraction of the
 //! requests.
 
-use crate::{NotRun, Outcome, Unknown};
+use crate::{Answer, NotRun, Outcome, Unknown};
 use knapweed_world::Time;
 use knapweed_world::service::RetryTokens;
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
@@ -225,7 +225,8 @@
 
 fn may_run_again(failure: &Failure) -> bool {
     match failure.outcome {
-        Outcome::Answered(_) => false,
+        Outcome::Answered(Answer::Complete) => false,
+        Outcome::Answered(Answer::NotStored) => failure.idempotent,
         Outcome::NotRun(reason) => reason.is_retryable(),
         Outcome::Unknown(reason) => failure.idempotent && is_response_lost(reason),
     }
--- a/crates/host/tests/retry.rs
+++ b/crates/host/tests/retry.rs
@@ -37,6 +37,7 @@
 fn decisions_by_outcome() {
     let outcomes = [
         Outcome::Answered(Answer::Complete),
+        Outcome::Answered(Answer::NotStored),
         Outcome::NotRun(NotRun::Overloaded),
         Outcome::NotRun(NotRun::Draining),
         Outcome::NotRun(NotRun::ConnectFailed),
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -10,7 +10,7 @@
 use knapweed_host::crash::{CrashId, CrashSubjects, MAX_CRASHES, Suspicion};
 use knapweed_host::request::Request;
 use knapweed_host::retry::{Body, Decision, Failure, Stop, may_have_arrived};
-use knapweed_host::{NotRun, Outcome, SendId, Unknown};
+use knapweed_host::{Answer, NotRun, Outcome, SendId, Unknown};
 use knapweed_wire::{Header, RequestHead, ResponseHead};
 use knapweed_world::link::Distance;
 use knapweed_world::{BackendServer, BackendServerKey, Flow, Share, Snapshot, Time};
@@ -89,7 +89,7 @@
             log.count_attempt();
             let response = self.send(choice.server, &mut body, is_suspect).await;
             let outcome = response.head.outcome;
-            if matches!(outcome, Outcome::Answered(_)) {
+            if outcome == Outcome::Answered(Answer::Complete) {
                 return Ok(response);
             }
             soonest_retry_us = soonest_retry_us
