feat(link): pace what a host sends to the rate of its link

Cause: a host with a link of 10 Mbit/s has a QUIC connection to each of many hosts. Ruled out: windows of stream and connection, which are larger than the responses.

The receive window is bounded by 150 ms of the link. The egress reports what its link has still to send, and the choice of a backend server adds it for all other hosts.

--- a/crates/host/src/admission/objective_queue.rs
+++ b/crates/host/src/admission/objective_queue.rs
@@ -230,6 +230,7 @@
             slot_us: self.slot_time_us() as u32,
             service_us: self.flows.high_estimate_us(flow) as u32,
             free: free as u16,
+            link_us: 0,
             rate_limit: self.bucket.map(|bucket| bucket.rate()),
             is_leaving: false,
         }
--- a/crates/host/src/choice/expected_time.rs
+++ b/crates/host/src/choice/expected_time.rs
@@ -15,6 +15,8 @@
 //!   period, which doubles each time, and then a single probe.
 //! - A backend server that has said in an answer that it is shutting down gets no more
 //!   requests from the hosts that passed on the answer, whatever its host announces.
+//! - Large responses that fill the link of a host: the wait for that link is part of the
+//!   expected time of its backend servers, for all other hosts.
 //! - Many ingresses that see the same load report: each adds what it has sent since,
 //!   and random jitter spreads the load over backend servers with similar times.
 
@@ -274,7 +276,11 @@
         let used = (used / slots).min(1.0);
         let busy = service * BUSY_SLOWDOWN * used * used;
         let failing = 1.0 + FAILURE_WEIGHT * load.failure_ratio(self.query.now);
-        (wait + service + busy) * failing
+        let link = match server.host == self.snapshot.local() {
+            true => 0.0,
+            false => load.link_wait(self.query.now).as_secs_f64(),
+        };
+        (wait + service + busy) * failing + link
     }
 
     /// Mean of the measured service times of the flow on the backend servers of a
--- a/crates/host/tests/choice.rs
+++ b/crates/host/tests/choice.rs
@@ -54,6 +54,7 @@
         slot_us: service_ms * 1_000 / 12,
         service_us: service_ms * 1_000,
         free,
+        link_us: 0,
         rate_limit: None,
         is_leaving: false,
     };
@@ -284,6 +285,39 @@
     assert_eq!(result, Err(NotRun::NoServer));
 }
 
+/// Guards against large responses that all come from one host whose link is full, while its
+/// backend server is free (load pattern: downloads over links of 10 Mbit/s).
+#[test]
+fn a_host_with_a_full_link_gets_no_large_responses() {
+    let snapshot = mesh_of(&[("v1", 100)], |route| route.is_bulk = true);
+    let route = snapshot.route(calendar_route(&snapshot));
+    let rows = [0, 300, 1_000, 4_000].map(|link_ms: u32| {
+        for host in ["a1-v1", "a2-v1", "b1-v1", "b2-v1", "s1-v1"] {
+            report(&snapshot, host, 0, 100, 12);
+        }
+        let full = LoadReport {
+            service_us: 100_000,
+            free: 12,
+            link_us: link_ms * 1_000,
+            ..LoadReport::default()
+        };
+        for host in ["a1-v1", "a2-v1"] {
+            let load = &snapshot.backend_server(server(&snapshot, host)).load;
+            load.record_report(
+                &full,
+                route.flow,
+                NOW.before(std::time::Duration::from_secs(4)),
+            );
+        }
+        // The responses of the own host do not pass its link.
+        let mut excluded = Exclusions::default();
+        excluded.add(server(&snapshot, "a1-v1"), Scope::Server);
+        let choices = choices(&snapshot, without_probes(), &excluded);
+        format!("{link_ms} ms, 4 s ago:\n{}", shares(&snapshot, &choices))
+    });
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
 /// Guards against requests to a backend server that has said that it is shutting down, as the
 /// last resort too, while its host still announces it as ready.
 #[test]
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,8 +1,11 @@
 //! Decisions about links: the delta that carries a configuration change to another
-//! node, and the rate limit of call traffic on the link between regions.
+//! node, the rate limit of call traffic on the link between regions, and the pacing of a
+//! host's own link.
 
 pub mod budget;
 pub mod delta;
+pub mod pacer;
 
 pub use budget::LinkBudget;
 pub use delta::{Delta, PartTag};
+pub use pacer::{Backlog, LinkRate, Pacer};
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -20,6 +20,7 @@
 use futures_util::future::BoxFuture;
 use knapweed_host::crash::{CrashCounts, CrashDigest, CrashRecord};
 use knapweed_host::{NotRun, Outcome};
+use knapweed_link::{Backlog, LinkRate};
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
 use knapweed_world::backend_server::{Announcement, ServerState};
@@ -37,14 +38,8 @@
     dispatchers: ArcSwap<Dispatchers>,
     /// Held while the map of dispatchers is replaced.
     announce_lock: Mutex<()>,
-    protocol: Arc<dyn ServerProtocol>,
-    trials: Arc<Trials>,
     exchanges: Arc<Exchanges>,
-    crashes: Arc<CrashTracker>,
-    /// Backend servers that said in an answer that they are shutting down, until
-    /// [`Egress::take_leaving`].
-    leaving: Arc<Mutex<Vec<Announcement>>>,
-    timer: TimerService,
+    shared: dispatcher::Shared,
 }
 
 /// Construction and announcements of backend servers.
@@ -59,23 +54,32 @@
         Self {
             dispatchers: ArcSwap::default(),
             announce_lock: Mutex::new(()),
-            protocol,
-            trials,
-            crashes: Arc::new(CrashTracker::new(timer.clone())),
-            leaving: Arc::default(),
             exchanges: Arc::new(Exchanges::new(timer.clone())),
-            timer,
+            shared: dispatcher::Shared {
+                protocol,
+                trials,
+                crashes: Arc::new(CrashTracker::new(timer.clone())),
+                leaving: Arc::default(),
+                uplink: None,
+                timer,
+            },
         }
     }
 
+    /// Sets the rate of the host's link, so that load reports tell what waits for it.
+    pub fn with_uplink(mut self, rate: LinkRate) -> Self {
+        self.shared.uplink = Some(Arc::new(Backlog::new(rate)));
+        self
+    }
+
     /// What this host knows of requests that crash backend servers.
     pub fn crashes(&self) -> &Arc<CrashTracker> {
-        &self.crashes
+        &self.shared.crashes
     }
 
     /// The header format of the backend servers.
     pub fn protocol(&self) -> &dyn ServerProtocol {
-        &*self.protocol
+        &*self.shared.protocol
     }
 
     /// Applies an announcement of a backend server on this host.
@@ -95,14 +99,8 @@
                 if let Some(earlier) = known {
                     earlier.replaced_by(announcement);
                 }
-                let dispatcher = Arc::new(Dispatcher::new(
-                    announcement.clone(),
-                    Arc::clone(&self.protocol),
-                    Arc::clone(&self.trials),
-                    Arc::clone(&self.crashes),
-                    Arc::clone(&self.leaving),
-                    self.timer.clone(),
-                ));
+                let shared = self.shared.clone();
+                let dispatcher = Arc::new(Dispatcher::new(announcement.clone(), shared));
                 dispatchers.insert(announcement.address, dispatcher);
             }
         }
@@ -118,7 +116,7 @@
     /// Takes the announcements of backend servers that said in an answer that they are
     /// shutting down.
     pub fn take_leaving(&self) -> Vec<Announcement> {
-        std::mem::take(&mut *self.leaving.lock())
+        std::mem::take(&mut *self.shared.leaving.lock())
     }
 }
 
@@ -126,28 +124,28 @@
 impl Egress {
     /// Takes the crash records that have not been sent to other nodes yet.
     pub fn take_crashes(&self) -> NewCrashes {
-        self.crashes.take_unsent()
+        self.shared.crashes.take_unsent()
     }
 
     /// Digest of the crash records that are held against requests.
     pub fn crash_digest(&self) -> CrashDigest {
-        self.crashes.digest()
+        self.shared.crashes.digest()
     }
 
     /// All crash records.
     pub fn crash_records(&self) -> Vec<CrashRecord> {
-        self.crashes.records()
+        self.shared.crashes.records()
     }
 
     /// Merges crash records received from another node.
     pub fn merge_crashes(&self, records: Vec<CrashRecord>) {
-        self.crashes.merge(records);
+        self.shared.crashes.merge(records);
     }
 
     /// Number of requests that this node suspects of crashing backend servers, and of
     /// those that it refuses.
     pub fn crash_counts(&self) -> CrashCounts {
-        self.crashes.counts()
+        self.shared.crashes.counts()
     }
 }
 
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -9,11 +9,13 @@
 use crate::protocol::{ServerNotice, ServerProtocol};
 use crate::request_log::{EgressLog, QueueState};
 use crate::trial::{RequestRun, Trial, Trials};
+use http_body_util::BodyExt;
 use knapweed_host::admission::{
     Arrival, LimitChange, NamedLimit, ObjectiveQueue, Options, Refusal, Released, Verdict,
     WaiterKey,
 };
 use knapweed_host::{Admission, NotRun, Outcome};
+use knapweed_link::Backlog;
 use knapweed_observe::part;
 use knapweed_rollout::counters::{Sample, Warmth};
 use knapweed_timer::TimerService;
@@ -58,26 +60,50 @@
     crashes: Arc<CrashTracker>,
     /// Receives the announcement of a backend server that says that it is shutting down.
     leaving: Arc<Mutex<Vec<Announcement>>>,
+    uplink: Option<Arc<Backlog>>,
     timer: TimerService,
 }
 
+/// What a dispatcher shares with the rest of its egress.
+#[derive(Clone)]
+pub(super) struct Shared {
+    pub(super) protocol: Arc<dyn ServerProtocol>,
+    pub(super) trials: Arc<Trials>,
+    pub(super) crashes: Arc<CrashTracker>,
+    /// Receives the announcement of a backend server that says that it is shutting down.
+    pub(super) leaving: Arc<Mutex<Vec<Announcement>>>,
+    /// What the link of the host has to send; `None` when its rate is not known.
+    pub(super) uplink: Option<Arc<Backlog>>,
+    pub(super) timer: TimerService,
+}
+
+impl Shared {
+    /// Counts the bytes of a response to another host that are handed to the link.
+    pub(super) fn count_uplink(&self, body: Body) -> Body {
+        let Some(uplink) = self.uplink.clone() else {
+            return body;
+        };
+        let timer = self.timer.clone();
+        let counted = body.map_frame(move |frame| {
+            if let Some(data) = frame.data_ref() {
+                uplink.add(data.len(), timer.now());
+            }
+            frame
+        });
+        counted.boxed_unsync()
+    }
+}
+
 /// Construction, announcements and matching.
 impl Dispatcher {
-    pub(super) fn new(
-        announcement: Announcement,
-        protocol: Arc<dyn ServerProtocol>,
-        trials: Arc<Trials>,
-        crashes: Arc<CrashTracker>,
-        leaving: Arc<Mutex<Vec<Announcement>>>,
-        timer: TimerService,
-    ) -> Self {
+    pub(super) fn new(announcement: Announcement, shared: Shared) -> Self {
         let admission = ObjectiveQueue::new(Options::new(announcement.slots));
         let pool = Pool::new(announcement.address, announcement.max_connections);
         let is_cold = AtomicBool::new(announcement.is_cold);
         Self {
             announcement,
             is_cold,
-            ready_since: timer.now(),
+            ready_since: shared.timer.now(),
             queue: Mutex::new(Queue {
                 admission: Box::new(admission),
                 waiting: SecondaryMap::new(),
@@ -88,11 +114,12 @@
             pool: Arc::new(pool),
             lost: Arc::default(),
             is_draining: AtomicBool::new(false),
-            protocol,
-            trials,
-            crashes,
-            leaving,
-            timer,
+            protocol: shared.protocol,
+            trials: shared.trials,
+            crashes: shared.crashes,
+            leaving: shared.leaving,
+            uplink: shared.uplink,
+            timer: shared.timer,
         }
     }
 
@@ -158,7 +185,10 @@
     /// shutting down, so that is reported only where the run is known.
     fn load(&self, flow: Flow) -> LoadReport {
         let is_leaving = self.is_draining.load(Ordering::Relaxed);
+        let uplink = self.uplink.as_ref();
+        let link_wait = uplink.map_or(Duration::ZERO, |link| link.wait(self.timer.now()));
         LoadReport {
+            link_us: u32::try_from(link_wait.as_micros()).unwrap_or(u32::MAX),
             is_leaving: is_leaving && self.announcement.instance.is_some(),
             ..self.queue.lock().admission.load(flow)
         }
--- a/crates/node/src/egress/serve.rs
+++ b/crates/node/src/egress/serve.rs
@@ -38,11 +38,12 @@
     };
     let cancelled = sender.cancelled();
     let id = head.caller_id.clone();
-    let deadline = egress.timer.now().after(time_left(&head));
+    let deadline = egress.shared.timer.now().after(time_left(&head));
     let exchange = async {
-        let response = egress.run(head, body).await;
+        let mut response = egress.run(head, body).await;
+        response.body = egress.shared.count_uplink(response.body);
         let mut delivery = Delivery::new(&mut sender);
-        let left = || deadline.since(egress.timer.now());
+        let left = || deadline.since(egress.shared.timer.now());
         delivery.run(response, record, left).await
     };
     tokio::select! {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,7 +22,7 @@
 use knapweed_host::choice::ExpectedTime;
 use knapweed_host::drain::{self, Drain, Next, StopAction};
 use knapweed_host::retry::{self, RetryPolicy};
-use knapweed_link::LinkBudget;
+use knapweed_link::{LinkBudget, LinkRate};
 use knapweed_observe::{Metrics, part};
 use knapweed_store::ObjectStore;
 use knapweed_timer::TimerService;
@@ -96,6 +96,7 @@
 pub struct Builder {
     node_identity: NodeIdentity,
     region_bytes_per_s: u64,
+    link_rate: Option<LinkRate>,
     drain: drain::Options,
     retries: retry::Options,
 }
@@ -108,6 +109,13 @@
         self
     }
 
+    /// Sets the rate of the link of the host, to which the node paces what it sends to
+    /// other nodes; not paced by default.
+    pub fn link_rate(mut self, rate: Option<LinkRate>) -> Self {
+        self.link_rate = rate;
+        self
+    }
+
     /// Sets the timing of the graceful stop.
     pub fn drain(mut self, options: drain::Options) -> Self {
         self.drain = options;
@@ -156,6 +164,7 @@
         Builder {
             node_identity,
             region_bytes_per_s: 50_000,
+            link_rate: None,
             drain: drain::Options::default(),
             retries: retry::Options::default(),
         }
@@ -165,11 +174,18 @@
         let node_identity = settings.node_identity;
         let timer = TimerService::start();
         let metrics = Metrics::with_labels([("zone", node_identity.zone.to_string())]);
-        let (endpoint, inbound) = Endpoint::open(node_identity.nodes, &adapters.identity)?;
+        let (nodes, identity) = (node_identity.nodes, &adapters.identity);
+        let (endpoint, inbound) = match settings.link_rate {
+            Some(rate) => Endpoint::open_paced(nodes, identity, rate, timer.clone())?,
+            None => Endpoint::open(nodes, identity)?,
+        };
         let listener = listen(node_identity.callers).await?;
         let snapshots = Arc::new(SnapshotCell::new(initial_snapshot(&node_identity)?));
         let trials = Arc::new(Trials::default());
-        let egress = Egress::new(timer.clone(), Arc::clone(&trials), adapters.servers);
+        let mut egress = Egress::new(timer.clone(), Arc::clone(&trials), adapters.servers);
+        if let Some(rate) = settings.link_rate {
+            egress = egress.with_uplink(rate);
+        }
         let egress = Arc::new(egress);
         let drain = Arc::new(Drain::new(settings.drain));
         let retries = Arc::new(RetryPolicy::new(settings.retries));
--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -1,9 +1,12 @@
 //! The QUIC endpoint of a node.
 
 use crate::arrivals::{Inbound, InboundQueues};
+use crate::paced::PacedSocket;
 use crate::peers::Peers;
 use crate::tls::{self, Identity};
-use quinn::{IdleTimeout, TokioRuntime, TransportConfig, VarInt};
+use knapweed_link::{LinkRate, Pacer};
+use knapweed_timer::TimerService;
+use quinn::{IdleTimeout, Runtime as _, TokioRuntime, TransportConfig, VarInt};
 use quinn_proto::HashedConnectionIdGenerator;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -27,6 +30,9 @@
 /// Flow control window of one connection, and limit of its unacknowledged data, in
 /// bytes.
 const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+/// Longest time for which the data of one peer may occupy the link of a host. A longer
+/// queue looks like a silent connection to all other peers.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(150);
 /// Round-trip time assumed before the first measurement. With the library's default
 /// of 333 ms, the first retransmission of a handshake comes too late for the request
 /// that opens the connection.
@@ -63,13 +69,38 @@
     ///
     /// The address cannot be bound, or the identity is invalid.
     pub fn open(address: SocketAddr, identity: &Identity) -> Result<(Self, Inbound), Error> {
-        let transport = Arc::new(new_transport_config());
+        Self::open_on(address, identity, None)
+    }
+
+    /// Opens the endpoint like [`Endpoint::open`], on a host whose link has the rate
+    /// `rate`. Everything that the endpoint sends is paced to it, and what each peer may
+    /// send unacknowledged is limited.
+    ///
+    /// # Errors
+    ///
+    /// As [`Endpoint::open`].
+    pub fn open_paced(
+        address: SocketAddr,
+        identity: &Identity,
+        rate: LinkRate,
+        timer: TimerService,
+    ) -> Result<(Self, Inbound), Error> {
+        Self::open_on(address, identity, Some((rate, timer)))
+    }
+
+    fn open_on(
+        address: SocketAddr,
+        identity: &Identity,
+        link: Option<(LinkRate, TimerService)>,
+    ) -> Result<(Self, Inbound), Error> {
+        let rate = link.as_ref().map(|(rate, _)| *rate);
+        let transport = Arc::new(new_transport_config(rate));
         let mut server = identity.server()?;
         server.transport_config(Arc::clone(&transport));
         let mut client = identity.client()?;
         client.transport_config(Arc::clone(&transport));
-        let mut inner =
-            bind(address, identity, server).map_err(|source| Error::Listen { address, source })?;
+        let mut inner = bind(address, identity, server, link)
+            .map_err(|source| Error::Listen { address, source })?;
         inner.set_default_client_config(client);
         let (queues, arrivals) = InboundQueues::new();
         let peers = Arc::new(Peers::new(inner.clone(), queues.clone()));
@@ -128,10 +159,15 @@
     address: SocketAddr,
     identity: &Identity,
     server: quinn::ServerConfig,
+    link: Option<(LinkRate, TimerService)>,
 ) -> io::Result<quinn::Endpoint> {
-    let socket = UdpSocket::bind(address)?;
     let runtime = Arc::new(TokioRuntime);
-    quinn::Endpoint::new(endpoint_config(identity), Some(server), socket, runtime)
+    let mut socket = runtime.wrap_udp_socket(UdpSocket::bind(address)?)?;
+    if let Some((rate, timer)) = link {
+        socket = PacedSocket::new(socket, Pacer::new(rate), timer);
+    }
+    let cfg = endpoint_config(identity);
+    quinn::Endpoint::new_with_abstract_socket(cfg, Some(server), socket, runtime)
 }
 
 /// Endpoint configuration with the keys of connection ids and stateless resets (RFC
@@ -150,13 +186,25 @@
     cfg
 }
 
-fn new_transport_config() -> TransportConfig {
+/// Flow control window of a connection to a host whose link has the rate `rate`, in
+/// bytes: what one peer may have in the queue of that link.
+fn connection_window(rate: Option<LinkRate>) -> u32 {
+    let Some(rate) = rate else {
+        return CONNECTION_WINDOW;
+    };
+    let window = u128::from(rate.bytes_per_s()) * MAX_QUEUE_TIME.as_millis() / 1_000;
+    let window = u32::try_from(window).unwrap_or(CONNECTION_WINDOW);
+    window.clamp(STREAM_WINDOW / 2, CONNECTION_WINDOW)
+}
+
+fn new_transport_config(rate: Option<LinkRate>) -> TransportConfig {
+    let window = connection_window(rate);
     let mut cfg = TransportConfig::default();
     cfg.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
         .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
         .max_concurrent_uni_streams(VarInt::from_u32(0))
-        .stream_receive_window(VarInt::from_u32(STREAM_WINDOW))
-        .receive_window(VarInt::from_u32(CONNECTION_WINDOW))
+        .stream_receive_window(VarInt::from_u32(STREAM_WINDOW.min(window)))
+        .receive_window(VarInt::from_u32(window))
         .send_window(u64::from(CONNECTION_WINDOW))
         // Segmentation offload needs a send buffer of 64 KiB or more per connection.
         .enable_segmentation_offload(false)
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod certificates;
 pub mod endpoint;
 pub mod link;
+mod paced;
 pub mod peers;
 pub mod stream;
 pub mod tls;
--- a/crates/world/src/load.rs
+++ b/crates/world/src/load.rs
@@ -65,6 +65,9 @@
     pub service_us: u32,
     /// Number of free slots.
     pub free: u16,
+    /// Expected time until the link of the host has sent what it was handed, in
+    /// microseconds: a response to another host arrives that much later.
+    pub link_us: u32,
     /// Rate that the backend server has limited its requests to; `None` without a limit.
     pub rate_limit: Option<RequestRate>,
     /// Whether this run of the backend server is shutting down.
@@ -96,6 +99,9 @@
 /// Half-life of the failure ratio without a response. The decay lets a backend
 /// server that receives few requests be tried again.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(5);
+/// Half-life of a reported wait for a link. Large responses keep a link busy for seconds,
+/// and a host sees few of them; a shorter memory sends the next one there again.
+const LINK_WAIT_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Initial backoff of an unreachable backend server: about as long as an egress
 /// takes to restart.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(500);
@@ -113,6 +119,8 @@
     wait_us: [AtomicU32; RANKS],
     slot_us: AtomicU32,
     free: AtomicU32,
+    /// Last reported wait for the link of the host.
+    link_us: AtomicU32,
     reported_at: AtomicU64,
     /// Requests sent since the last report.
     sent: AtomicU32,
@@ -166,6 +174,14 @@
         (at > Time(0)).then_some((reported, at))
     }
 
+    /// Expected wait of a response for the link of the server's host; halves each
+    /// [`LINK_WAIT_HALF_LIFE`] without a report.
+    pub fn link_wait(&self, now: Time) -> Duration {
+        let wait = micros(self.link_us.load(Relaxed));
+        let age = now.since(Time(self.reported_at.load(Relaxed)));
+        wait.mul_f64(0.5f64.powf(age.as_secs_f64() / LINK_WAIT_HALF_LIFE.as_secs_f64()))
+    }
+
     /// Whether the server has stated something about itself that holds until it says
     /// otherwise.
     pub fn has_notice(&self) -> bool {
@@ -239,6 +255,7 @@
         }
         self.slot_us.store(report.slot_us, Relaxed);
         self.free.store(u32::from(report.free), Relaxed);
+        self.link_us.store(report.link_us, Relaxed);
         self.reported_at.store(now.0.max(1), Relaxed);
         self.sent.store(0, Relaxed);
         if report.is_leaving {
