fix(ingress): a leaving node takes only requests that fit into its grace period

Report of other operators: requests that came late in the grace of a planned stop were taken, passed on, and cut at its end without an answer, among them ones that must not be repeated.

Change: a leaving node refuses a request whose time does not end before the grace does, less a twentieth for transmission, with 503 (not run). Idempotent requests are still taken until callers have noticed that the node leaves, since most need far less than their time.

Tests: late_requests_are_taken_only_if_they_fit_into_the_grace_period (decision) and a_leaving_node_passes_on_no_request_that_outlasts_it (ingress). Neither compiles on the code before, which had no such decision; there the request was passed on.

--- a/crates/host/src/drain.rs
+++ b/crates/host/src/drain.rs
@@ -16,6 +16,8 @@
     pub quiet: Duration,
     /// Maximum time that a leaving node waits for the `quiet` period.
     pub max_wait: Duration,
+    /// Time after which a leaving process is killed; `None` when it is not.
+    pub grace: Option<Duration>,
 }
 
 impl Default for Options {
@@ -24,6 +26,7 @@
             min_wait: Duration::ZERO,
             quiet: Duration::from_secs(1),
             max_wait: Duration::from_secs(30),
+            grace: None,
         }
     }
 }
@@ -84,6 +87,9 @@
     last_arrival: AtomicU64,
 }
 
+/// Part of the grace period that is kept for the transmission of the last responses.
+const GRACE_MARGIN_DIVISOR: u32 = 20;
+
 /// Position of the phase in `Drain::state`; the bits below hold the count.
 const PHASE_SHIFT: u32 = 62;
 
@@ -141,6 +147,36 @@
         Ok(())
     }
 
+    /// Whether a request that arrives at `now` and may take until `deadline` can be finished
+    /// before the process is killed.
+    ///
+    /// A request that is cut off by the end of the grace period gets no answer, and its
+    /// caller cannot know whether it ran. So a leaving node takes a request that is not
+    /// idempotent only if all of its time fits. An idempotent one is also taken until
+    /// callers have noticed that the node leaves, since most requests take much less than
+    /// their time.
+    ///
+    /// # Errors
+    ///
+    /// [`NotRun::NotServing`] when the request must not be taken.
+    pub fn check_deadline(
+        &self,
+        now: Time,
+        deadline: Time,
+        is_idempotent: bool,
+    ) -> Result<(), NotRun> {
+        let Some(grace) = self.options.grace.filter(|_| self.closes_connections()) else {
+            return Ok(());
+        };
+        let left_at = Time(self.left_at.load(Acquire));
+        let end = left_at.after(grace - grace / GRACE_MARGIN_DIVISOR);
+        let is_early = is_idempotent && now < left_at.after(self.options.min_wait);
+        match is_early || deadline <= end {
+            true => Ok(()),
+            false => Err(NotRun::NotServing),
+        }
+    }
+
     /// Counts the end of a request. Returns `true` when [`Drain::poll`] should be called.
     pub fn end(&self) -> bool {
         let before = self.state.fetch_sub(1, AcqRel);
--- a/crates/host/tests/drain.rs
+++ b/crates/host/tests/drain.rs
@@ -1,11 +1,12 @@
 //! A leaving node interrupts no request and accepts none after it has stopped.
 
 use knapweed_host::NotRun;
-use knapweed_host::drain::{Drain, Next, Phase, StopAction};
+use knapweed_host::drain::{Drain, Next, Options, Phase, StopAction};
 use knapweed_world::Time;
 use std::fmt::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 fn ms(ms: u64) -> Time {
     Time::from_millis(ms)
@@ -35,6 +36,36 @@
     insta::assert_snapshot!(out);
 }
 
+/// Guards against requests that are taken late in the grace period and cut off at its end,
+/// without an answer: above all those that must not be repeated.
+#[test]
+fn late_requests_are_taken_only_if_they_fit_into_the_grace_period() {
+    let drain = Drain::new(Options {
+        min_wait: Duration::from_millis(2_300),
+        max_wait: Duration::from_secs(6),
+        grace: Some(Duration::from_secs(10)),
+        ..Options::default()
+    });
+    let check = |at: u64, left: u64, is_idempotent: bool| {
+        let taken = drain.check_deadline(ms(at), ms(at + left), is_idempotent);
+        taken.map_or("refused", |()| "taken")
+    };
+    let mut out = String::new();
+    let mut row = |at: u64| {
+        for left in [1_000, 4_000, 6_000, 9_600] {
+            let (repeatable, once) = (check(at, left, true), check(at, left, false));
+            let row = format!("{at:>5} ms, may take {left} ms: {repeatable}, once only: {once}");
+            writeln!(out, "{row}").expect("a string");
+        }
+    };
+    row(0);
+    drain.leave(ms(1_000));
+    for at in [1_000, 2_000, 3_299, 3_300, 5_000, 7_000, 9_000] {
+        row(at);
+    }
+    insta::assert_snapshot!(out);
+}
+
 #[test]
 fn a_second_signal_terminates() {
     let drain = Drain::default();
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -110,8 +110,14 @@
             Ok((parsed, fields)) => {
                 log.set_caller_id(fields.id.clone());
                 log.set_request(&parsed);
-                self.try_run(&snapshot, parsed, fields, request, &mut log)
-                    .await
+                let drain = &self.dependencies.drain;
+                match drain.check_deadline(start, parsed.deadline, parsed.idempotent) {
+                    Ok(()) => {
+                        self.try_run(&snapshot, parsed, fields, request, &mut log)
+                            .await
+                    }
+                    Err(reason) => Err(Outcome::NotRun(reason)),
+                }
             }
             Err(outcome) => Err(outcome),
         };
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -4,6 +4,7 @@
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, Method};
 use knapweed_host::choice::ExpectedTime;
+use knapweed_host::drain;
 use knapweed_host::outcome::Answer;
 use knapweed_host::{Drain, NotRun, Outcome, Unknown, WaitEstimator};
 use knapweed_link::LinkBudget;
@@ -129,6 +130,10 @@
 }
 
 fn ingress(snapshots: Arc<SnapshotCell>, metrics: &Metrics) -> Ingress {
+    ingress_with(snapshots, metrics, Drain::default())
+}
+
+fn ingress_with(snapshots: Arc<SnapshotCell>, metrics: &Metrics, drain: Drain) -> Ingress {
     Ingress::new(Dependencies {
         snapshots,
         protocol: Box::new(NativeHeaders),
@@ -138,7 +143,7 @@
         local: Box::new(ScriptedCarrier),
         link: Box::new(ScriptedCarrier),
         region_budget: LinkBudget::new(1_000),
-        drain: Arc::new(Drain::default()),
+        drain: Arc::new(drain),
         ready: Arc::new(AtomicBool::new(true)),
         timer: TimerService::start(),
         retries: Arc::default(),
@@ -168,6 +173,25 @@
     assert_eq!(answered[1], 100);
 }
 
+/// Guards against a request that is passed on although the process may be killed before its
+/// answer: it ends without one, and its caller must not repeat it.
+#[tokio::test]
+async fn a_leaving_node_passes_on_no_request_that_outlasts_it() {
+    let drain = Drain::new(drain::Options {
+        grace: Some(Duration::from_millis(900)),
+        ..drain::Options::default()
+    });
+    let snapshots = snapshots(local("a1", "labasa-a", "labasa"));
+    let ingress = ingress_with(snapshots, &Metrics::new(), drain);
+    let answered = Outcome::Answered(Answer::Complete);
+    assert_eq!(run(&ingress, "/calendar/ok", &[]).await, answered);
+    ingress.drain().leave(knapweed_world::Time(1));
+    let refused = Outcome::NotRun(NotRun::NotServing);
+    assert_eq!(run(&ingress, "/calendar/ok", &[]).await, refused);
+    let short = [("knapweed-deadline-ms", "200")];
+    assert_eq!(run(&ingress, "/calendar/ok", &short).await, answered);
+}
+
 /// Guards against server errors, refusals and requests without a route being
 /// counted for the wrong service or not at all.
 #[tokio::test]
