test(node): an answer that breaks off anywhere is never whole

Report of other operators: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Result: it cannot happen here. The test cuts an answer with a length, one in chunks and one after an interim response at each byte of head and body; the caller gets a whole answer only for the whole one. It would fail if a body were completed at the end of the connection.

--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod crashes;
+mod cut_answers;
 mod endless;
 mod foreign_answers;
 mod limits;
