perf(node): store calls and bytes of starting hosts no longer grow with the mesh

The tests of the version floor tell the node of a peer first, since the first round now waits for one (250 ms at most).

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -9,7 +9,7 @@
 mod messages;
 mod orders;
 pub mod query;
-mod registry;
+pub mod registry;
 pub mod reports;
 mod results;
 mod rollouts;
@@ -93,6 +93,8 @@
     results: PendingResults,
     /// Chooses the members that get crash records.
     crash_peers: Epidemic,
+    /// Receivers of rollout states.
+    rollout_peers: Epidemic,
     verdicts: VerdictCalls,
     /// Recent tickets that are known to have a final result.
     finished_tickets: BTreeSet<TicketNumber>,
@@ -103,8 +105,21 @@
     config_problems: usize,
     /// Whether the last call to the store succeeded; `None` before the first call.
     store_was_reachable: Option<bool>,
-    /// Whether members, configuration or rollouts have changed since the last snapshot.
-    is_snapshot_stale: bool,
+    /// Whether the snapshot in force is older than what it is built from.
+    staleness: Staleness,
+}
+
+/// How far the snapshot in force is behind the state that it is built from.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Staleness {
+    /// Nothing has changed since it was built.
+    Current,
+    /// Members have changed. The next tick replaces the snapshot: while hundreds of hosts
+    /// start or stop, one snapshot for each message would take most of the processor time.
+    Outdated,
+    /// The configuration or the shares of a rollout have changed: the snapshot is replaced
+    /// at once.
+    Replaced,
 }
 
 /// Construction of a controller before its first event.
@@ -127,11 +142,12 @@
             results: PendingResults::default(),
             verdicts: VerdictCalls::default(),
             crash_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
+            rollout_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             finished_tickets: BTreeSet::new(),
             is_stopped: false,
             config_problems: 0,
             store_was_reachable: None,
-            is_snapshot_stale: true,
+            staleness: Staleness::Replaced,
         }
     }
 }
@@ -142,24 +158,36 @@
     pub(crate) async fn run(mut self, mut events: mpsc::Receiver<Event>) {
         let mut ticks = self.dependencies.timer.subscribe(membership::TICK_INTERVAL);
         loop {
-            tokio::select! {
-                now = ticks.tick() => self.tick(now),
+            let rebuilt_from = tokio::select! {
+                now = ticks.tick() => {
+                    self.tick(now);
+                    Staleness::Outdated
+                }
                 event = events.recv() => match event {
-                    Some(event) => self.handle_event(event),
+                    Some(event) => {
+                        self.handle_event(event);
+                        Staleness::Replaced
+                    }
                     None => return,
                 },
+            };
+            if self.staleness >= rebuilt_from {
+                self.refresh();
             }
-            self.refresh();
         }
     }
 
+    fn outdate_snapshot(&mut self, staleness: Staleness) {
+        self.staleness = self.staleness.max(staleness);
+    }
+
     fn now(&self) -> Time {
         self.dependencies.timer.now()
     }
 
     fn tick(&mut self, now: Time) {
         self.member_event(now, membership::Event::Tick);
-        self.floor_event(now, floor_decision::Event::Tick);
+        self.floor_tick(now);
         self.registry_tick(now);
         self.order_tick();
         self.rollout_tick(now);
@@ -203,10 +231,11 @@
         }
     }
 
-    /// Builds a new snapshot if anything it depends on has changed.
+    /// Builds a new snapshot.
     fn refresh(&mut self) {
+        self.staleness = Staleness::Current;
         // A stopped host is no longer a member, and a snapshot needs its own host.
-        if self.is_stopped || !std::mem::take(&mut self.is_snapshot_stale) {
+        if self.is_stopped {
             return;
         }
         match self.build_snapshot() {
--- a/crates/node/src/control/floor.rs
+++ b/crates/node/src/control/floor.rs
@@ -19,6 +19,19 @@
 const MAX_REPLY_LEN: usize = 64;
 
 impl Controller {
+    /// Starts the next round of queries when it is due.
+    pub(super) fn floor_tick(&mut self, now: Time) {
+        if self.floor.is_serving() {
+            return;
+        }
+        let own = self.membership.own();
+        let members = self.membership.directory().present().map(|(_, r)| r);
+        let peers = members.filter(|r| r.zone == own.zone && r.host != own.host);
+        let peers = peers.count();
+        self.floor_event(now, floor::Event::Peers(peers));
+        self.floor_event(now, floor::Event::Tick);
+    }
+
     pub(super) fn floor_event(&mut self, now: Time, event: floor::Event) {
         if self.floor.is_serving() {
             return;
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -2,7 +2,7 @@
 //! configuration and shares.
 
 use super::messages::{query_node, send_one_way};
-use super::{Controller, Event};
+use super::{Controller, Event, Staleness};
 use bytes::Bytes;
 use knapweed_observe::part;
 use knapweed_transport::Peers;
@@ -16,8 +16,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Number of random members that receive new rollout states.
-pub(super) const PUSH_FANOUT: usize = 4;
 /// Longest reply with the differing membership records, in bytes.
 const MAX_RECORDS_LEN: usize = 4 * 1024 * 1024;
 
@@ -33,14 +31,14 @@
         match action {
             Action::Send { to, message } => self.send_message(to, &message),
             Action::RecordChanged(record) => {
-                self.is_snapshot_stale = true;
+                self.outdate_snapshot(Staleness::Outdated);
                 if record.state != MemberState::Alive {
                     let state = record.state;
                     log::info!(target: part::MEMBER, "host {} is {state:?}", record.host);
                 }
                 self.send_states_to_new_process(&record);
             }
-            Action::MembersChanged => self.is_snapshot_stale = true,
+            Action::MembersChanged => self.outdate_snapshot(Staleness::Outdated),
             Action::RoleChanged(role) => {
                 self.publish_view();
                 log::info!(target: part::DUTY, "this node has the duties {role:?}");
--- a/crates/node/src/control/registry.rs
+++ b/crates/node/src/control/registry.rs
@@ -1,8 +1,8 @@
 //! Registry of hosts in the object store, for the discovery of other nodes.
 //!
-//! A node writes its entry when it starts and reads the entries of the others; which
-//! hosts are alive is found out by gossip. An outdated entry costs one failed
-//! connection.
+//! A node that starts reads the entries, and writes its own unless it is there from an
+//! earlier process; which hosts are alive is found out by gossip. An outdated entry costs
+//! one failed connection.
 
 use super::{Controller, Event};
 use knapweed_observe::part;
@@ -27,15 +27,15 @@
 
 /// Registry entry of a host.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) struct Entry {
+pub struct Entry {
     /// Address at which its node accepts connections of other nodes.
-    pub(crate) address: SocketAddr,
+    pub address: SocketAddr,
     /// Availability zone of the host.
-    pub(crate) zone: Name,
+    pub zone: Name,
     /// Region of the availability zone.
-    pub(crate) region: Name,
+    pub region: Name,
     /// Incarnation of the node's process.
-    pub(crate) incarnation: Incarnation,
+    pub incarnation: Incarnation,
 }
 
 impl Entry {
@@ -81,22 +81,33 @@
         let own = self.membership.own().address;
         let others = entries.into_iter().map(|(_, entry)| entry);
         let others: Vec<_> = others.filter(|entry| entry.address != own).collect();
-        for address in some_of_each_zone(others) {
+        let own = self.membership.own();
+        let (zone, region) = (own.zone.clone(), own.region.clone());
+        for address in contacts(others, &zone, &region) {
             self.fetch_members(address);
         }
     }
 }
 
-/// Addresses of a few hosts of each availability zone.
-fn some_of_each_zone(mut entries: Vec<Entry>) -> Vec<SocketAddr> {
-    /// Number of hosts contacted per availability zone; more than one, since entries
-    /// may be outdated.
-    const HOSTS_PER_ZONE: usize = 3;
+/// Number of hosts of the own availability zone that a starting node contacts; more than
+/// one, since entries may be outdated.
+const ZONE_CONTACTS: usize = 3;
+
+/// Addresses of some hosts of the own availability zone, of one host of each other one of
+/// the region, and of one host of each other region.
+pub fn contacts(mut entries: Vec<Entry>, zone: &Name, region: &Name) -> Vec<SocketAddr> {
     use rand::seq::SliceRandom;
     entries.shuffle(&mut rand::rng());
-    entries.sort_by(|a, b| a.zone.cmp(&b.zone));
-    let zones = entries.chunk_by(|a, b| a.zone == b.zone);
-    let chosen = zones.flat_map(|zone| zone.iter().take(HOSTS_PER_ZONE));
+    let place = |entry: &Entry| match entry.region == *region {
+        true => (entry.region.clone(), Some(entry.zone.clone())),
+        false => (entry.region.clone(), None),
+    };
+    entries.sort_by_key(place);
+    let places = entries.chunk_by(|a, b| place(a) == place(b));
+    let chosen = places.flat_map(|place| match place[0].zone == *zone {
+        true => place.iter().take(ZONE_CONTACTS),
+        false => place.iter().take(1),
+    });
     chosen.map(|entry| entry.address).collect()
 }
 
@@ -116,11 +127,34 @@
     }
 }
 
-async fn try_register(
+/// Writes the entry of this host unless it is there already, and lists all entries.
+///
+/// # Errors
+///
+/// A call to the store failed.
+pub async fn try_register(
     store: &dyn ObjectStore,
     host: &Name,
     entry: &Entry,
 ) -> Result<Listing, Error> {
+    let listing = store.list_outdated(KIND).await?;
+    let known = entries(&listing);
+    let is_registered = known
+        .iter()
+        .any(|(name, known)| name == host && known.address == entry.address);
+    let knows_others = known.iter().any(|(name, _)| name != host);
+    if !is_registered {
+        write_entry(store, host, entry).await?;
+    }
+    // Without others in the listing, this host cannot tell an outdated listing from an
+    // empty mesh.
+    match knows_others {
+        true => Ok(listing),
+        false => store.list(KIND).await,
+    }
+}
+
+async fn write_entry(store: &dyn ObjectStore, host: &Name, entry: &Entry) -> Result<(), Error> {
     let key = ObjectKey::new(KIND, host.as_str());
     let value = serde_json::to_vec(entry).map_err(|e| Error::Malformed(e.to_string()))?;
     let written = store
@@ -132,7 +166,7 @@
     } else {
         written?;
     }
-    store.list(KIND).await
+    Ok(())
 }
 
 /// The entries of a listing, without those that cannot be decoded.
--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -1,7 +1,7 @@
 //! Rollout states known to this node, and rollout control while it holds that duty.
 
 use super::reports::ReportAggregator;
-use super::{Controller, Event};
+use super::{Controller, Event, Staleness};
 use knapweed_observe::part;
 use knapweed_rollout::control::WriteResult;
 use knapweed_rollout::judge::{
@@ -14,6 +14,7 @@
 use knapweed_world::backend_server::ServerState;
 use knapweed_world::config::{RolloutTerms, VersionShare};
 use knapweed_world::{Name, Time};
+use knapweed_zone::epidemic::Origin;
 use knapweed_zone::{Incarnation, MemberRecord, MemberState, Role};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -90,7 +91,9 @@
         let states = self.rollouts.states.values();
         let active: Vec<_> = states.filter(|s| !s.phase.is_final()).cloned().collect();
         if !active.is_empty() {
-            self.push_states(active, 1);
+            let (directory, own) = (self.membership.directory(), self.membership.own());
+            let receiver = self.rollout_peers.repair_receiver(directory, own);
+            self.push_states(active, receiver);
         }
     }
 
@@ -156,7 +159,7 @@
         }
         if !changed.is_empty() {
             self.states_changed();
-            self.push_states(changed, super::members::PUSH_FANOUT);
+            self.publish_states(changed, Origin::Peer);
         }
     }
 
@@ -179,7 +182,7 @@
     }
 
     pub(super) fn states_changed(&mut self) {
-        self.is_snapshot_stale = true;
+        self.outdate_snapshot(Staleness::Replaced);
         let zone = &self.membership.own().zone;
         let now = self.now();
         self.dependencies
@@ -211,10 +214,23 @@
         self.send_one_way(record.address, &head);
     }
 
-    fn push_states(&mut self, states: Vec<RolloutState>, fanout: usize) {
+    /// Pushes new states to members of the own availability zone, and, on the node that
+    /// made them, to some of each other one.
+    fn publish_states(&mut self, states: Vec<RolloutState>, origin: Origin) {
+        let now = self.now();
+        let (directory, own) = (self.membership.directory(), self.membership.own());
+        let receivers = self.rollout_peers.receivers(now, directory, own, origin);
+        self.push_states(states, receivers);
+    }
+
+    fn push_states(
+        &self,
+        states: Vec<RolloutState>,
+        receivers: impl IntoIterator<Item = SocketAddr>,
+    ) {
         let holder = self.rollouts.holder;
         let head = StreamHead::Rollouts { states, holder };
-        for to in self.some_members(fanout, |_| true) {
+        for to in receivers {
             self.send_one_way(to, &head);
         }
     }
@@ -336,7 +352,7 @@
                 if self.join(&state) {
                     self.states_changed();
                 }
-                self.push_states(vec![*state], super::members::PUSH_FANOUT);
+                self.publish_states(vec![*state], Origin::Local);
             }
             rollout::Action::Finish(result) => {
                 if !self.report_end(&result) {
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -1,7 +1,7 @@
 //! Handles streams of other nodes, and fetches configurations from them.
 
 use super::messages::{query_node, reply, reply_with_bytes};
-use super::{Controller, Event};
+use super::{Controller, Event, Staleness};
 use crate::source::LoadedConfig;
 use knapweed_link::Delta;
 use knapweed_observe::part;
@@ -74,8 +74,8 @@
         };
         match self.configs.apply_delta(delta) {
             Ok(newer) => {
-                self.is_snapshot_stale |= newer;
                 if newer {
+                    self.outdate_snapshot(Staleness::Replaced);
                     self.config_problems = 0;
                 }
             }
@@ -89,8 +89,8 @@
     pub(super) fn config_loaded(&mut self, loaded: LoadedConfig) {
         match self.configs.replace(&loaded.head, loaded.cache) {
             Ok(newer) => {
-                self.is_snapshot_stale |= newer;
                 if newer {
+                    self.outdate_snapshot(Staleness::Replaced);
                     self.config_problems = loaded.problems.len();
                     log_problems(loaded.head.version, &loaded.problems);
                 }
--- a/crates/node/src/control/verdicts.rs
+++ b/crates/node/src/control/verdicts.rs
@@ -21,6 +21,11 @@
 const NAME: &str = "requests";
 /// Interval at which a node reads the document while it is cut off.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of reads after the start. They may return an outdated document, which costs the
+/// store less; the second one finds what the first was too early for.
+const START_READS: u32 = 2;
+/// Time between them: the store's outdated documents are seconds old.
+const START_READ_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval of the reads after [`CUT_PERIOD`].
 const SLOW_READ_INTERVAL: Duration = Duration::from_secs(10);
 /// Time after which a node that sees most hosts dead takes them to be gone rather than
@@ -39,6 +44,8 @@
 pub(super) struct VerdictCalls {
     /// Earliest time of the next read; `None` before the first one.
     next_read: Option<Time>,
+    /// Reads after the start, [`START_READS`] at most.
+    start_reads: u32,
     /// Since when most other hosts have been out of reach.
     cut_off_since: Option<Time>,
     /// Subjects of verdicts that this process has written, [`MAX_WRITTEN`] at most.
@@ -57,12 +64,14 @@
             true => calls.cut_off_since.or(Some(now)),
             false => None,
         };
-        let waits = |next: Time| now < next || !is_cut_off;
+        let is_starting = calls.start_reads < START_READS;
+        let waits = |next: Time| now < next || !(is_cut_off || is_starting);
         if calls.next_read.is_some_and(waits) {
             return;
         }
         let cut_off_for = calls.cut_off_since.map(|at| now.since(at));
         let interval = match cut_off_for {
+            _ if is_starting => START_READ_INTERVAL,
             Some(time) if time >= CUT_PERIOD => SLOW_READ_INTERVAL,
             Some(_) | None => READ_INTERVAL,
         };
@@ -71,8 +80,13 @@
             None => MAX_ATTEMPTS,
             Some(_) => 1,
         };
+        calls.start_reads += u32::from(is_starting);
+        let freshness = match is_starting && !is_cut_off {
+            true => Freshness::Outdated,
+            false => Freshness::Latest,
+        };
         let stored = self.stored_verdicts();
-        tokio::spawn(async move { stored.adopt_within(attempts).await });
+        tokio::spawn(async move { stored.adopt_within(attempts, freshness).await });
     }
 
     /// Writes the verdicts that this node has not written yet, if it has the duty to keep
@@ -120,6 +134,15 @@
     }
 }
 
+/// Which state of the document a read returns.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Freshness {
+    /// The latest one.
+    Latest,
+    /// One that may be seconds old.
+    Outdated,
+}
+
 /// Access to the document.
 struct StoredVerdicts {
     store: Arc<dyn ObjectStore>,
@@ -130,8 +153,16 @@
 
 impl StoredVerdicts {
     /// Reads the verdicts and the revision of the document; `None` when there is none.
-    async fn read(&self) -> Result<(Verdicts, Option<Revision>), Error> {
-        let Some(object) = self.store.read(&self.key).await? else {
+    async fn read(&self, freshness: Freshness) -> Result<(Verdicts, Option<Revision>), Error> {
+        let object = match freshness {
+            Freshness::Latest => self.store.read(&self.key).await?,
+            Freshness::Outdated => {
+                let listing = self.store.list_outdated(KIND).await?;
+                let mut objects = listing.objects.into_iter();
+                objects.find(|(key, _)| *key == self.key).map(|(_, o)| o)
+            }
+        };
+        let Some(object) = object else {
             return Ok((Verdicts::default(), None));
         };
         let verdicts = serde_json::from_slice(&object.value);
@@ -143,9 +174,9 @@
     }
 
     /// Merges the stored verdicts into the crash memory of this node.
-    async fn adopt_within(&self, attempts: u32) {
+    async fn adopt_within(&self, attempts: u32, freshness: Freshness) {
         for _ in 0..attempts {
-            match self.read().await {
+            match self.read(freshness).await {
                 Ok((verdicts, _)) => return self.adopt(&verdicts),
                 Err(err) => log::info!(target: part::MEMBER, "could not read verdicts: {err}"),
             }
@@ -169,7 +200,7 @@
     ///
     /// The store failed, or another node has changed the document meanwhile.
     async fn add(&self, records: &[CrashRecord]) -> Result<(), Error> {
-        let (mut verdicts, revision) = self.read().await?;
+        let (mut verdicts, revision) = self.read(Freshness::Latest).await?;
         if !verdicts.add(records, self.timer.wall_clock()) {
             return Ok(());
         }
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -89,6 +89,12 @@
     /// Lists all objects of a kind.
     fn list<'a>(&'a self, kind: &'a str) -> StoreFuture<'a, Listing>;
 
+    /// Lists all objects of a kind as they were some seconds ago at the earliest, which may
+    /// cost the store less than [`ObjectStore::list`].
+    fn list_outdated<'a>(&'a self, kind: &'a str) -> StoreFuture<'a, Listing> {
+        self.list(kind)
+    }
+
     /// Waits up to `wait` for changes of objects of the kind after a revision.
     fn watch<'a>(
         &'a self,
--- a/crates/zone/src/epidemic.rs
+++ b/crates/zone/src/epidemic.rs
@@ -7,6 +7,7 @@
 use crate::directory::Directory;
 use crate::record::{MemberRecord, MemberState};
 use knapweed_world::{Name, Time};
+use rand::Rng;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use std::collections::BTreeSet;
@@ -109,6 +110,23 @@
         members
     }
 
+    /// The member that entries are pushed to in order to repair lost pushes: one of the
+    /// own availability zone, and at times one of another, so that all nodes of a zone
+    /// together send to others about [`REMOTE_FANOUT`] times in each round.
+    pub fn repair_receiver(
+        &mut self,
+        directory: &Directory,
+        own: &MemberRecord,
+    ) -> Option<SocketAddr> {
+        let neighbours = others(directory, own).filter(|r| r.zone == own.zone);
+        let zone_members = neighbours.count() + 1;
+        let is_remote = self.rng.random_range(0..zone_members) < REMOTE_FANOUT;
+        others(directory, own)
+            .filter(|r| (r.zone != own.zone) == is_remote)
+            .map(|r| r.address)
+            .choose(&mut self.rng)
+    }
+
     fn choose(
         &mut self,
         directory: &Directory,
--- a/crates/zone/src/floor.rs
+++ b/crates/zone/src/floor.rs
@@ -20,6 +20,13 @@
 /// Time after which a round ends, with unanswered queries counted as failed.
 pub const ROUND_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Number of nodes of an availability zone that query the platform in each round. The
+/// others learn from these. When hundreds of nodes start together, each would otherwise
+/// read the whole configuration from the store, half of them from another region.
+pub const PLATFORM_QUERIES_PER_ZONE: usize = 2;
+/// Longest wait of a starting node for other members, before the first round.
+pub const MAX_PEER_WAIT: Duration = Duration::from_millis(250);
+
 /// Kind of node or service that is queried for the version floor.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Source {
@@ -78,6 +85,8 @@
 pub enum Event {
     /// The node has started, or time has passed.
     Tick,
+    /// The number of other members of the availability zone that the node knows.
+    Peers(usize),
     /// A reply to a query arrived.
     Answer(FloorAnswer),
     /// One query to this source failed, or there was no node to send it to.
@@ -136,19 +145,24 @@
     is_confirmed: bool,
     fetched: Option<ConfigVersion>,
     rounds: u32,
+    /// Other members of the availability zone that the node knows.
+    peers: usize,
     rng: SmallRng,
 }
 
 /// Construction.
 impl VersionFloor {
-    /// The state of a node that has just started; the first round is due at `now`.
+    /// The state of a node that has just started. The first round is due as soon as the
+    /// node knows another member of its availability zone, after [`MAX_PEER_WAIT`] at the
+    /// latest.
     pub fn new(now: Time, rng: SmallRng) -> Self {
         Self {
-            phase: Phase::Waiting(now),
+            phase: Phase::Waiting(now.after(MAX_PEER_WAIT)),
             floor: ConfigVersion(0),
             is_confirmed: false,
             fetched: None,
             rounds: 0,
+            peers: 0,
             rng,
         }
     }
@@ -176,6 +190,13 @@
         }
         match event {
             Event::Tick => self.tick(now),
+            Event::Peers(count) => {
+                self.peers = count;
+                if count > 0 && self.rounds == 0 {
+                    self.phase = Phase::Waiting(now);
+                }
+                Vec::new()
+            }
             Event::Answer(answer) => self.record_answer(now, answer),
             Event::Failed(source) => self.close_query(now, source),
             Event::Fetched(version) => {
@@ -230,11 +251,16 @@
 impl VersionFloor {
     fn start_round(&mut self, now: Time) -> Vec<Action> {
         self.rounds += 1;
+        let asks_platform = self.rng.random_range(0..=self.peers) < PLATFORM_QUERIES_PER_ZONE;
+        let queries = QUERIES.map(|(source, count)| match source {
+            Source::Platform if !asks_platform => (source, 0),
+            _ => (source, count),
+        });
         self.phase = Phase::Asking {
             deadline: now.after(ROUND_TIMEOUT),
-            unanswered: QUERIES.map(|(_, count)| count),
+            unanswered: queries.map(|(_, count)| count),
         };
-        let queries = QUERIES.into_iter();
+        let queries = queries.into_iter().filter(|(_, count)| *count > 0);
         queries
             .map(|(source, count)| Action::Ask { source, count })
             .collect()
@@ -252,10 +278,11 @@
         if !actions.is_empty() {
             return actions;
         }
-        vec![
-            Action::Fetch(self.floor),
-            Action::RetryLater { retry_after },
-        ]
+        // There is nothing to fetch before the first configuration; its version comes with
+        // the messages of other members.
+        let fetch = (self.floor > ConfigVersion(0)).then_some(Action::Fetch(self.floor));
+        let retry = Action::RetryLater { retry_after };
+        fetch.into_iter().chain([retry]).collect()
     }
 
     /// Starts to serve once a round has ended, the floor is confirmed and the loaded
--- a/crates/zone/tests/epidemic.rs
+++ b/crates/zone/tests/epidemic.rs
@@ -187,3 +187,38 @@
         "60 s: {own_zone} in the own zone, {other_zones} in others"
     ));
 }
+
+/// Guards against repairs that mostly cross the billed links between zones and regions, and
+/// against a zone that no repair reaches.
+#[test]
+fn repairs_of_pushed_entries_stay_mostly_in_their_zone() {
+    const ROUNDS: u64 = 2_000;
+    let mut out = String::new();
+    for (nodes, zones) in [(1, 1), (8, 8), (12, 4), (192, 8)] {
+        let records: Vec<_> = (0..nodes).map(|node| record(node, zones)).collect();
+        let mut directory = Directory::default();
+        for record in &records {
+            directory.merge(Time(0), record);
+        }
+        let own = &records[0];
+        let mut peers = Epidemic::new(Time(0), SmallRng::seed_from_u64(1));
+        let (mut sent, mut remote) = (0, 0);
+        for _ in 0..ROUNDS {
+            let Some(to) = peers.repair_receiver(&directory, own) else {
+                continue;
+            };
+            let receiver = records.iter().find(|r| r.address == to).expect("a member");
+            sent += 1;
+            remote += u64::from(receiver.zone != own.zone);
+        }
+        let of_zone = remote * nodes as u64 / zones as u64;
+        let per_round = of_zone as f64 / ROUNDS as f64;
+        writeln!(
+            out,
+            "{nodes} nodes in {zones} zones: {sent} of {ROUNDS} sent, \
+             {per_round:.1} to other zones by a zone in a round"
+        )
+        .expect("a string");
+    }
+    insta::assert_snapshot!(out);
+}
--- a/crates/zone/tests/floor.rs
+++ b/crates/zone/tests/floor.rs
@@ -34,6 +34,7 @@
 /// fetch yields the highest version of the sources that reply.
 fn start(others: Others, length: Duration) -> (Vec<Action>, String) {
     let mut floor = VersionFloor::new(Time(0), SmallRng::seed_from_u64(1));
+    floor.handle(Time(0), Event::Peers(1));
     let (mut actions, mut log) = (Vec::new(), String::new());
     let mut now = Time(0);
     while now <= Time(0).after(length) {
@@ -180,6 +181,7 @@
 #[test]
 fn an_older_configuration_is_not_served() {
     let mut floor = VersionFloor::new(Time(0), SmallRng::seed_from_u64(1));
+    floor.handle(Time(0), Event::Peers(1));
     floor.handle(Time(0), Event::Tick);
     floor.handle(Time(1), Event::Fetched(ConfigVersion(3)));
     for version in [4, 3, 3] {
@@ -195,6 +197,35 @@
     assert_eq!(actions, [Action::Serve { floor }]);
 }
 
+/// Guards against hundreds of nodes that start together and each read the whole
+/// configuration from the store, and against a node without peers that reads it late.
+#[test]
+fn a_few_nodes_of_a_zone_query_the_platform() {
+    let mut out = String::new();
+    for peers in [0, 1, 5, 27, 279] {
+        let mut queries = 0;
+        for seed in 0..=peers as u64 * 100 {
+            let mut floor = VersionFloor::new(Time(0), SmallRng::seed_from_u64(seed));
+            floor.handle(Time(0), Event::Peers(peers));
+            let mut now = Time(0);
+            let mut asked = Vec::new();
+            while asked.is_empty() {
+                asked = floor.handle(now, Event::Tick);
+                now = now.after(ms(10));
+            }
+            let platform = Action::Ask {
+                source: Source::Platform,
+                count: 1,
+            };
+            queries += u32::from(asked.contains(&platform));
+        }
+        let share = f64::from(queries) / (peers as f64 * 100.0 + 1.0);
+        let of_zone = share * (peers as f64 + 1.0);
+        writeln!(out, "{peers} peers: {of_zone:.0} nodes query the platform").expect("a string");
+    }
+    insta::assert_snapshot!(out);
+}
+
 /// Guards against peers that lose the served version of a host when it restarts.
 #[test]
 fn peers_remember_what_a_host_has_served() {
