--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -2,7 +2,7 @@
 //!
 //! Each node pings the neighbours that a hash assigns to it. It suspects a neighbour
 //! that answers neither a direct nor an indirect ping, and declares it dead unless
-//! it refutes the suspicion in time. Changed records are pushed to some neighbours
+//! it refutes the suspicion in time. Changed records are pushed to all neighbours
 //! once and are then piggybacked on pings and acks.
 
 pub mod gossip;
@@ -57,12 +57,8 @@
 pub const FLOOR_PEERS: usize = 3;
 /// Sequence of pings that are not tracked; their acks are ignored.
 const UNTRACKED: PingSequence = PingSequence(0);
-/// Maximum number of notices with new records per tick, each to [`PUSH_FANOUT`] neighbours.
+/// Maximum number of notices with new records to each neighbour per tick.
 pub const PUSHES_PER_TICK: usize = 2;
-/// Number of random neighbours that a new record is pushed to; the others get it on a ping
-/// or an ack. With all of about ten, each member of a zone of 28 received each record ten
-/// times, in a message of its own.
-pub const PUSH_FANOUT: usize = 4;
 
 /// An input of the membership protocol.
 #[derive(Clone, Debug)]
--- a/crates/zone/src/membership/detect.rs
+++ b/crates/zone/src/membership/detect.rs
@@ -4,8 +4,7 @@
 use super::probe::{ACK_TIMEOUT, INDIRECT_TIMEOUT, Probe, Purpose};
 use super::{
     Action, COMPARE_INTERVAL, FAST_COMPARE_INTERVAL, FAST_COMPARISONS, INDIRECT_PINGS, Membership,
-    PAUSE_THRESHOLD, PING_INTERVAL, PUSH_FANOUT, PUSHES_PER_TICK, REJOIN_INTERVAL, SWEEP_INTERVAL,
-    UNTRACKED,
+    PAUSE_THRESHOLD, PING_INTERVAL, PUSHES_PER_TICK, REJOIN_INTERVAL, SWEEP_INTERVAL, UNTRACKED,
 };
 use crate::directory::MemberKey;
 use crate::dissemination::View;
@@ -197,15 +196,14 @@
         self.fast_comparisons = FAST_COMPARISONS;
     }
 
-    /// Sends the records that were not pushed yet to some neighbours.
+    /// Sends the records that were not pushed yet to all neighbours.
     pub(super) fn push_new(&mut self, now: Time) {
         self.refresh_neighbours(now);
+        let receivers: Vec<_> = self.neighbours.iter().map(|n| n.address).collect();
+        if receivers.is_empty() {
+            return;
+        }
         for _ in 0..PUSHES_PER_TICK {
-            let neighbours = self.neighbours.iter().map(|n| n.address);
-            let receivers = neighbours.choose_multiple(&mut self.rng, PUSH_FANOUT);
-            if receivers.is_empty() {
-                return;
-            }
             let mut space = RecordSpace::new();
             let copies = receivers.len() as u32;
             let records = self.gossip.take_new(&self.directory, &mut space, copies);
--- a/crates/zone/src/membership/gossip.rs
+++ b/crates/zone/src/membership/gossip.rs
@@ -13,7 +13,7 @@
 struct Rumor {
     member: MemberKey,
     sent: u32,
-    /// Whether the record was pushed to neighbours.
+    /// Whether the record was pushed to all neighbours.
     pushed: bool,
     /// Position in the order of insertion; higher for a newer rumor.
     order: u64,
@@ -70,7 +70,7 @@
         records
     }
 
-    /// Takes records that were not pushed to neighbours yet, newest first, as far as
+    /// Takes records that were not pushed to all neighbours yet, newest first, as far as
     /// `space` allows; they count as sent `copies` times.
     pub(crate) fn take_new(
         &mut self,
