--- a/crates/node/tests/registry.rs
+++ b/crates/node/tests/registry.rs
@@ -1,7 +1,7 @@
 //! Registration of a starting host in the object store.
 
 use knapweed_node::control::registry::{Entry, contacts, try_register};
-use knapweed_store::{MemoryStore, ObjectStore};
+use knapweed_store::MemoryStore;
 use knapweed_world::Name;
 use knapweed_zone::Incarnation;
 use std::collections::BTreeMap;
--- a/crates/transport/tests/pacing.rs
+++ b/crates/transport/tests/pacing.rs
@@ -59,15 +59,19 @@
     let busy_until = Arc::new(parking_lot::Mutex::new(Instant::now()));
     let mut buf = [0; 2_048];
     while let Ok((len, peer)) = peers.recv_from(&mut buf).await {
-        if !sockets.contains_key(&peer) {
-            let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
-            socket.connect(host).await.expect("connected");
-            let socket = Arc::new(socket);
-            sockets.insert(peer, Arc::clone(&socket));
-            let link = (Arc::clone(&peers), Arc::clone(&busy_until));
-            tokio::spawn(queue(socket, peer, link, Arc::clone(&lost)));
-        }
-        let _ = sockets[&peer].send(&buf[..len]).await;
+        let socket = match sockets.get(&peer) {
+            Some(socket) => Arc::clone(socket),
+            None => {
+                let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+                socket.connect(host).await.expect("connected");
+                let socket = Arc::new(socket);
+                sockets.insert(peer, Arc::clone(&socket));
+                let link = (Arc::clone(&peers), Arc::clone(&busy_until));
+                tokio::spawn(queue(Arc::clone(&socket), peer, link, Arc::clone(&lost)));
+                socket
+            }
+        };
+        let _ = socket.send(&buf[..len]).await;
     }
 }
 
