--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -124,10 +124,10 @@
     Current,
     /// Members have changed. The snapshot is replaced by a tick, at most once in
     /// [`MEMBER_SNAPSHOT_INTERVAL`].
-    Outdated,
+    MembersChanged,
     /// The configuration or the shares of a rollout have changed: the snapshot is replaced
     /// at once.
-    Replaced,
+    ConfigChanged,
 }
 
 /// Construction of a controller before its first event.
@@ -155,7 +155,7 @@
             is_stopped: false,
             config_problems: 0,
             store_was_reachable: None,
-            staleness: Staleness::Replaced,
+            staleness: Staleness::ConfigChanged,
             refreshed_at: now,
         }
     }
@@ -243,10 +243,10 @@
     fn is_refresh_due(&self, is_tick: bool) -> bool {
         match self.staleness {
             Staleness::Current => false,
-            Staleness::Outdated => {
+            Staleness::MembersChanged => {
                 is_tick && self.now().since(self.refreshed_at) >= MEMBER_SNAPSHOT_INTERVAL
             }
-            Staleness::Replaced => true,
+            Staleness::ConfigChanged => true,
         }
     }
 
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -31,14 +31,14 @@
         match action {
             Action::Send { to, message } => self.send_message(to, &message),
             Action::RecordChanged(record) => {
-                self.outdate_snapshot(Staleness::Outdated);
+                self.outdate_snapshot(Staleness::MembersChanged);
                 if record.state != MemberState::Alive {
                     let state = record.state;
                     log::info!(target: part::MEMBER, "host {} is {state:?}", record.host);
                 }
                 self.send_states_to_new_process(&record);
             }
-            Action::MembersChanged => self.outdate_snapshot(Staleness::Outdated),
+            Action::MembersChanged => self.outdate_snapshot(Staleness::MembersChanged),
             Action::RoleChanged(role) => {
                 self.publish_view();
                 log::info!(target: part::DUTY, "this node has the duties {role:?}");
--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -182,7 +182,7 @@
     }
 
     pub(super) fn states_changed(&mut self) {
-        self.outdate_snapshot(Staleness::Replaced);
+        self.outdate_snapshot(Staleness::ConfigChanged);
         let zone = &self.membership.own().zone;
         let now = self.now();
         self.dependencies
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -75,7 +75,7 @@
         match self.configs.apply_delta(delta) {
             Ok(newer) => {
                 if newer {
-                    self.outdate_snapshot(Staleness::Replaced);
+                    self.outdate_snapshot(Staleness::ConfigChanged);
                     self.config_problems = 0;
                 }
             }
@@ -90,7 +90,7 @@
         match self.configs.replace(&loaded.head, loaded.cache) {
             Ok(newer) => {
                 if newer {
-                    self.outdate_snapshot(Staleness::Replaced);
+                    self.outdate_snapshot(Staleness::ConfigChanged);
                     self.config_problems = loaded.problems.len();
                     log_problems(loaded.head.version, &loaded.problems);
                 }
