--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -110,20 +110,24 @@
     staleness: Staleness,
     /// When the snapshot in force was built.
     refreshed_at: Time,
+    /// How long that took.
+    refresh_cost: Duration,
 }
 
-/// Shortest time between two snapshots for changes of members only. While hundreds of hosts
-/// start or stop, one for each tick took 30% of the processor time of a node; a host that
-/// has left refuses requests itself.
-const MEMBER_SNAPSHOT_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two snapshots for changes of members only, as a multiple of the time that
+/// one takes. While hundreds of hosts start or stop, one for each change would take most of
+/// the processor time of a node; in a small mesh a change is in force at once.
+const REFRESH_COST_FACTOR: u32 = 20;
+/// Upper limit of that time. A host that has left meanwhile refuses requests itself.
+const MAX_REFRESH_WAIT: Duration = Duration::from_millis(250);
 
 /// How far the snapshot in force is behind the state that it is built from.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Staleness {
     /// Nothing has changed since it was built.
     Current,
-    /// Members have changed. The snapshot is replaced by a tick, at most once in
-    /// [`MEMBER_SNAPSHOT_INTERVAL`].
+    /// Members have changed. The snapshot is replaced so seldom that building it takes a
+    /// small share of the processor time, see [`REFRESH_COST_FACTOR`].
     MembersChanged,
     /// The configuration or the shares of a rollout have changed: the snapshot is replaced
     /// at once.
@@ -157,6 +161,7 @@
             store_was_reachable: None,
             staleness: Staleness::ConfigChanged,
             refreshed_at: now,
+            refresh_cost: Duration::ZERO,
         }
     }
 }
@@ -167,20 +172,14 @@
     pub(crate) async fn run(mut self, mut events: mpsc::Receiver<Event>) {
         let mut ticks = self.dependencies.timer.subscribe(membership::TICK_INTERVAL);
         loop {
-            let is_tick = tokio::select! {
-                now = ticks.tick() => {
-                    self.tick(now);
-                    true
-                }
+            tokio::select! {
+                now = ticks.tick() => self.tick(now),
                 event = events.recv() => match event {
-                    Some(event) => {
-                        self.handle_event(event);
-                        false
-                    }
+                    Some(event) => self.handle_event(event),
                     None => return,
                 },
-            };
-            if self.is_refresh_due(is_tick) {
+            }
+            if self.is_refresh_due() {
                 self.refresh();
             }
         }
@@ -240,11 +239,12 @@
         }
     }
 
-    fn is_refresh_due(&self, is_tick: bool) -> bool {
+    fn is_refresh_due(&self) -> bool {
         match self.staleness {
             Staleness::Current => false,
             Staleness::MembersChanged => {
-                is_tick && self.now().since(self.refreshed_at) >= MEMBER_SNAPSHOT_INTERVAL
+                let interval = (self.refresh_cost * REFRESH_COST_FACTOR).min(MAX_REFRESH_WAIT);
+                self.now().since(self.refreshed_at) >= interval
             }
             Staleness::ConfigChanged => true,
         }
@@ -253,11 +253,17 @@
     /// Builds a new snapshot.
     fn refresh(&mut self) {
         self.staleness = Staleness::Current;
-        self.refreshed_at = self.now();
         // A stopped host is no longer a member, and a snapshot needs its own host.
         if self.is_stopped {
             return;
         }
+        let start = self.now();
+        self.rebuild();
+        self.refreshed_at = self.now();
+        self.refresh_cost = self.refreshed_at.since(start);
+    }
+
+    fn rebuild(&mut self) {
         match self.build_snapshot() {
             Ok(snapshot) => self.install_snapshot(snapshot),
             // The previous snapshot stays in force unchanged.
