fix(zone): confirm the floor of every starting node within a few rounds

Cause: with two queries of the platform a zone and round, a node whose peers did not serve yet had to be lucky: in a mesh of eight it asked in one round of four, with a backoff of up to 2 s between rounds. The configuration was in force on it before it served.

The first round waits 100 ms for peers at most.

--- a/crates/zone/src/floor.rs
+++ b/crates/zone/src/floor.rs
@@ -17,15 +17,18 @@
 /// Upper limit of the wait before any round. With 5 s, a restarted node exceeded the
 /// 3 s within which it must serve the newest configuration again.
 pub const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Rounds after which neither the backoff nor the number of queries doubles any more.
+const MAX_DOUBLINGS: u32 = 10;
 /// Time after which a round ends, with unanswered queries counted as failed.
 pub const ROUND_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Number of nodes of an availability zone that query the platform in each round. The
-/// others learn from these. When hundreds of nodes start together, each would otherwise
-/// read the whole configuration from the store, half of them from another region.
-pub const PLATFORM_QUERIES_PER_ZONE: usize = 2;
+/// Number of nodes of an availability zone that query the platform in the first round; it
+/// doubles with each round without a confirmation. The others learn from these. When
+/// hundreds of nodes start together, each would otherwise read the whole configuration from
+/// the store, half of them from another region.
+pub const PLATFORM_QUERIES_PER_ZONE: usize = 8;
 /// Longest wait of a starting node for other members, before the first round.
-pub const MAX_PEER_WAIT: Duration = Duration::from_millis(250);
+pub const MAX_PEER_WAIT: Duration = Duration::from_millis(100);
 
 /// Kind of node or service that is queried for the version floor.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -251,7 +254,12 @@
 impl VersionFloor {
     fn start_round(&mut self, now: Time) -> Vec<Action> {
         self.rounds += 1;
-        let asks_platform = self.rng.random_range(0..=self.peers) < PLATFORM_QUERIES_PER_ZONE;
+        let doublings = match self.is_confirmed {
+            true => 0,
+            false => (self.rounds - 1).min(MAX_DOUBLINGS),
+        };
+        let queries_of_zone = PLATFORM_QUERIES_PER_ZONE << doublings;
+        let asks_platform = self.rng.random_range(0..=self.peers) < queries_of_zone;
         let queries = QUERIES.map(|(source, count)| match source {
             Source::Platform if !asks_platform => (source, 0),
             _ => (source, count),
@@ -299,7 +307,7 @@
 
     /// Exponential backoff with full jitter.
     fn backoff(&mut self) -> Duration {
-        let doublings = self.rounds.saturating_sub(1).min(10);
+        let doublings = self.rounds.saturating_sub(1).min(MAX_DOUBLINGS);
         let limit = (FIRST_BACKOFF * 2u32.pow(doublings)).min(MAX_BACKOFF);
         limit.mul_f64(self.rng.random_range(0.0..1.0))
     }
