--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -110,7 +110,7 @@
     staleness: Staleness,
     /// When the snapshot in force was built.
     refreshed_at: Time,
-    /// How long that took.
+    /// How long that takes; grows to twice the last value at most.
     refresh_cost: Duration,
 }
 
@@ -120,6 +120,8 @@
 const REFRESH_COST_FACTOR: u32 = 20;
 /// Upper limit of that time. A host that has left meanwhile refuses requests itself.
 const MAX_REFRESH_WAIT: Duration = Duration::from_millis(250);
+/// Lower limit of the time that a snapshot is taken to need.
+const MIN_REFRESH_COST: Duration = Duration::from_micros(50);
 
 /// How far the snapshot in force is behind the state that it is built from.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -161,7 +163,7 @@
             store_was_reachable: None,
             staleness: Staleness::ConfigChanged,
             refreshed_at: now,
-            refresh_cost: Duration::ZERO,
+            refresh_cost: MIN_REFRESH_COST,
         }
     }
 }
@@ -260,7 +262,9 @@
         let start = self.now();
         self.rebuild();
         self.refreshed_at = self.now();
-        self.refresh_cost = self.refreshed_at.since(start);
+        // One that was interrupted says little about the next.
+        let took = self.refreshed_at.since(start);
+        self.refresh_cost = took.min(self.refresh_cost * 2).max(MIN_REFRESH_COST);
     }
 
     fn rebuild(&mut self) {
