--- a/review/standin/src/late_beats.rs
+++ b/review/standin/src/late_beats.rs
@@ -13,10 +13,18 @@
 const STABLE_WINDOW_MS: u64 = 4000;
 
 pub fn play(trouble: bool, path: &Path) -> usize {
-    let (folder, record, runs) = (Folder::new(), Record::default(), Arc::new(Mutex::new(Vec::new())));
+    let (folder, record, runs) = (
+        Folder::new(),
+        Record::default(),
+        Arc::new(Mutex::new(Vec::new())),
+    );
     let (_store, store) = start_store(&folder.0);
     configure(store);
-    let list = [("calendar", "labasa-a"), ("calendar", "labasa-b"), ("switching", "labasa-a")];
+    let list = [
+        ("calendar", "labasa-a"),
+        ("calendar", "labasa-b"),
+        ("switching", "labasa-a"),
+    ];
     let mut machines = machines(&folder.0, store, &list);
     let servers: Vec<_> = machines
         .iter()
@@ -39,8 +47,12 @@
             }
         }));
     }
-    until("the nodes are ready", || machines.iter().all(Machine::is_ready));
-    until("the first heartbeat is acknowledged", || servers[0].send_beat(controls[0], Duration::ZERO));
+    until("the nodes are ready", || {
+        machines.iter().all(Machine::is_ready)
+    });
+    until("the first heartbeat is acknowledged", || {
+        servers[0].send_beat(controls[0], Duration::ZERO)
+    });
     thread::sleep(BEAT);
     servers[0].send_beat(controls[0], Duration::ZERO);
     let mut n = 0;
@@ -51,7 +63,10 @@
     });
     // Clients on machines 2 and 3, 15 requests a second each, for 24 s at most.
     for n in 1..machines.len() {
-        let to = (machines[n].name.clone(), machines[n].at(machines[n].ports.outbound));
+        let to = (
+            machines[n].name.clone(),
+            machines[n].at(machines[n].ports.outbound),
+        );
         let (record, stop) = (record.clone(), Arc::clone(&stop));
         threads.push(thread::spawn(move || {
             for i in 0..360 {
@@ -60,9 +75,20 @@
                 }
                 let id = format!("c{n}x{i:04}");
                 record.add(format!("client at {} sends {id}", to.0));
-                let headers = [("Host", HOST), ("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "2500")];
+                let headers = [
+                    ("Host", HOST),
+                    ("X-Request-Id", id.as_str()),
+                    ("X-Deadline-Ms", "2500"),
+                ];
                 let path = format!("/read/{i}");
-                let answer = call(to.1, "GET", &path, &headers, "", Duration::from_millis(2500));
+                let answer = call(
+                    to.1,
+                    "GET",
+                    &path,
+                    &headers,
+                    "",
+                    Duration::from_millis(2500),
+                );
                 let status = answer.map_or("no answer".to_owned(), |a| a.status.to_string());
                 record.add(format!("client at {} gets {status} for {id}", to.0));
                 thread::sleep(Duration::from_millis(65));
@@ -70,12 +96,20 @@
         }));
     }
     thread::sleep(Duration::from_secs(5));
-    let before = runs.lock().unwrap().iter().filter(|r| r.server == servers[0].id).count();
+    let before = runs
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|r| r.server == servers[0].id)
+        .count();
     assert!(before > 10, "the leaving server had got requests: {before}");
     // Two heartbeats in a row, sent before the server leaves, arrive 3.5 s late.
     for pause in [BEAT, Duration::from_millis(200)] {
         let (server, control) = (Arc::clone(&servers[0]), controls[0]);
-        record.add(format!("server {} sends a heartbeat, which will be late", server.id));
+        record.add(format!(
+            "server {} sends a heartbeat, which will be late",
+            server.id
+        ));
         threads.push(thread::spawn(move || {
             server.send_beat(control, Duration::from_millis(3500));
         }));
@@ -84,9 +118,20 @@
     // The server leaves without a state `draining`, as some do, and goes on serving.
     servers[0].leaving.store(true, Ordering::SeqCst);
     let delete = format!("/instances/{}", servers[0].id);
-    let answer = call(controls[0], "DELETE", &delete, &[], "", Duration::from_secs(1));
+    let answer = call(
+        controls[0],
+        "DELETE",
+        &delete,
+        &[],
+        "",
+        Duration::from_secs(1),
+    );
     let acknowledged = record.ms();
-    record.add(format!("DELETE of {} is answered {}", servers[0].id, answer.unwrap().status));
+    record.add(format!(
+        "DELETE of {} is answered {}",
+        servers[0].id,
+        answer.unwrap().status
+    ));
     thread::sleep(Duration::from_millis(100));
     let mut restarted = acknowledged;
     if trouble {
@@ -107,7 +152,10 @@
     // All machines are in touch again `StableWindowMs` after the start of the node.
     let from = (acknowledged + DRAIN_MS).max(restarted + STABLE_WINDOW_MS);
     let runs = runs.lock().unwrap();
-    let late = runs.iter().filter(|r| r.server == servers[0].id && r.ms > from).count();
+    let late = runs
+        .iter()
+        .filter(|r| r.server == servers[0].id && r.ms > from)
+        .count();
     record.add(format!(
         "acknowledged at {acknowledged} ms; {late} requests reached {} later than {from} ms",
         servers[0].id
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -100,7 +100,10 @@
 
 fn read_body(reader: &mut impl BufRead, headers: &HashMap<String, String>) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
-    if headers.get("transfer-encoding").is_some_and(|v| v.contains("chunked")) {
+    if headers
+        .get("transfer-encoding")
+        .is_some_and(|v| v.contains("chunked"))
+    {
         loop {
             let mut line = String::new();
             reader.read_line(&mut line)?;
@@ -139,7 +142,10 @@
         text += &format!("{name}: {value}\r\n");
     }
     if !body.is_empty() {
-        text += &format!("Content-Type: application/json\r\nContent-Length: {}\r\n", body.len());
+        text += &format!(
+            "Content-Type: application/json\r\nContent-Length: {}\r\n",
+            body.len()
+        );
     }
     text += "\r\n";
     text += body;
@@ -184,7 +190,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 impl Server {
@@ -246,7 +255,10 @@
                     true => "503 Service Unavailable",
                     false => "200 OK",
                 };
-                format!("HTTP/1.1 {status}\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id)
+                format!(
+                    "HTTP/1.1 {status}\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                )
             } else if !header("x-expected-instance").is_empty()
                 && header("x-expected-instance") != self.id
             {
@@ -299,7 +311,9 @@
         if !late.is_zero() || status != 200 {
             self.record.add(format!(
                 "heartbeat {seq} of {} ({}), {} ms late, is answered {status}",
-                self.id, self.service, late.as_millis()
+                self.id,
+                self.service,
+                late.as_millis()
             ));
         }
         status == 200
@@ -338,15 +352,28 @@
         let (ip, p) = (&self.ip, &self.ports);
         let text = format!(
             r#"{{"NodeName":"{}","Role":"node","MachineClass":"sidecar","Serves":["sidecar"],"Ip":"{ip}","Zone":"{}","Region":"labasa","Zones":{{"labasa-a":"labasa","labasa-b":"labasa"}},"Listen":{{"Inbound":"{ip}:{}","Outbound":"{ip}:{}","Ready":"{ip}:{}","Control":"{ip}:{}"}},"ClusterPorts":[{},{}],"Seeds":[],"Bootstrap":true,"InLossBudget":false,"Limits":{{"CpuShare":0.2,"Cores":1,"MemoryMb":260,"MaxFds":4100,"LinkMbps":1000.0,"DiskMb":0}},"DataDir":null,"Discovery":"local","Entry":"local","HeartbeatMs":1500,"Contracts":["base","drain","config","cost","retry","recover","rollout","platform"],"FaultTolerance":{{"Machines":2,"Zones":0,"Regions":0}},"Bounds":["SeedLagS=3","ReuseAfterS=2","StableWindowMs=4000","AckMs=4000","CatchUpS=4","DrainMs=2500","GraceS=6","LossSlackMs=200","ConfigApplyMs=2500","RollbackSlackMs=250","MaxStretchMs=5000","RetryBudgetRatio=0.2","BudgetWindowS=10","BudgetSlack=56","ExposeShare=0.1","ExposeSlack=50","RollbackMs=5000","RecoveryS=15"],"AppAddr":"{ip}:{}","Service":"{}","Platform":{{"Address":"{}","form":"objects","WritesPerS":400,"ReadsPerS":2000,"HistoryS":20,"ValueBytes":1048576,"MinTtlMs":1000}}}}"#,
-            self.name, self.zone, p.inbound, p.outbound, p.ready, p.control, p.nodes,
-            p.nodes + 15, p.app, self.service, self.store
+            self.name,
+            self.zone,
+            p.inbound,
+            p.outbound,
+            p.ready,
+            p.control,
+            p.nodes,
+            p.nodes + 15,
+            p.app,
+            self.service,
+            self.store
         );
         fs::write(&self.settings, text).unwrap();
     }
 
     /// Starts the node with the command of the deploy file.
     pub fn start_node(&mut self) {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log).unwrap();
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .unwrap();
         let child = Command::new("target/release/knapweed-sidecar")
             .env("KNAPWEEDREACH_SETTINGS", &self.settings)
             .stdin(Stdio::null())
@@ -363,15 +390,41 @@
     }
 
     /// Sends a request of a client on this machine.
-    pub fn request(&self, record: &Record, method: &str, path: &str, id: &str) -> io::Result<Answer> {
-        let headers = [("Host", HOST), ("X-Request-Id", id), ("X-Deadline-Ms", "2500")];
+    pub fn request(
+        &self,
+        record: &Record,
+        method: &str,
+        path: &str,
+        id: &str,
+    ) -> io::Result<Answer> {
+        let headers = [
+            ("Host", HOST),
+            ("X-Request-Id", id),
+            ("X-Deadline-Ms", "2500"),
+        ];
         let to = self.at(self.ports.outbound);
-        record.add(format!("client at {} sends {id} {method} {path}", self.name));
+        record.add(format!(
+            "client at {} sends {id} {method} {path}",
+            self.name
+        ));
         let body = if method == "GET" { "" } else { "{}" };
-        let answer = call(to, method, path, &headers, body, Duration::from_millis(2500));
+        let answer = call(
+            to,
+            method,
+            path,
+            &headers,
+            body,
+            Duration::from_millis(2500),
+        );
         match &answer {
-            Ok(a) => record.add(format!("client at {} gets {} for {id}", self.name, a.status)),
-            Err(err) => record.add(format!("client at {} gets no answer for {id}: {err}", self.name)),
+            Ok(a) => record.add(format!(
+                "client at {} gets {} for {id}",
+                self.name, a.status
+            )),
+            Err(err) => record.add(format!(
+                "client at {} gets no answer for {id}: {err}",
+                self.name
+            )),
         }
         answer
     }
@@ -411,7 +464,9 @@
 
 /// Starts the project's stand-in of the store.
 pub fn start_store(folder: &Path) -> (Process, SocketAddr) {
-    let address: SocketAddr = format!("127.0.0.1:{}", free_port("127.0.0.1")).parse().unwrap();
+    let address: SocketAddr = format!("127.0.0.1:{}", free_port("127.0.0.1"))
+        .parse()
+        .unwrap();
     let ini = folder.join("store.ini");
     fs::write(&ini, format!("[platform]\nlisten = {address}\n")).unwrap();
     let child = Command::new("target/release/knapweed-fake-platform")
@@ -423,7 +478,15 @@
         .expect("the stand-in of the store is built");
     let process = Process(child);
     until("the store answers", || {
-        call(address, "GET", "/objects/config", &[], "", Duration::from_secs(1)).is_ok()
+        call(
+            address,
+            "GET",
+            "/objects/config",
+            &[],
+            "",
+            Duration::from_secs(1),
+        )
+        .is_ok()
     });
     (process, address)
 }
@@ -435,7 +498,8 @@
             r#"{{"Name":"{name}","PathPrefix":"{prefix}","Kind":"{kind}","TimeoutMs":1500,"TargetLatencyMs":600,"MaxAttempts":2,"Priority":1,"Service":"{service}"}}"#
         )
     };
-    let service = |name: &str| format!(r#"{{"Name":"{name}","MaxConns":110,"HealthPath":"/health"}}"#);
+    let service =
+        |name: &str| format!(r#"{{"Name":"{name}","MaxConns":110,"HealthPath":"/health"}}"#);
     let body = format!(
         r#"{{"Metadata":{{"Name":"main"}},"Spec":{{"Version":7,"Services":[{},{},{}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeoutMs":5000,"IdleTimeoutMs":30000}},"VirtualHosts":[{{"Host":"{HOST}","Paths":[{},{},{}]}}]}}}}"#,
         service("calendar"),
@@ -445,7 +509,14 @@
         route("r-2", "/check/", "safe", "switching"),
         route("r-3", "/index/", "safe", "surveys"),
     );
-    let answer = call(store, "POST", "/objects/config", &[], &body, Duration::from_secs(2));
+    let answer = call(
+        store,
+        "POST",
+        "/objects/config",
+        &[],
+        &body,
+        Duration::from_secs(2),
+    );
     let status = answer.expect("the store answers").status;
     assert!(status == 200 || status == 201, "configuration: {status}");
 }
