--- a/review/standin/src/late_beats.rs
+++ b/review/standin/src/late_beats.rs
@@ -95,7 +95,11 @@
             }
         }));
     }
-    thread::sleep(Duration::from_secs(5));
+    // The server that will leave has sent heartbeats in time so far, and goes on.
+    for _ in 0..4 {
+        servers[0].send_beat(controls[0], Duration::ZERO);
+        thread::sleep(BEAT);
+    }
     let before = runs
         .lock()
         .unwrap()
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::fs;
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -538,7 +538,17 @@
     let pid = std::process::id();
     let net = format!("{}.{}", 64 + pid % 64, 1 + pid / 64 % 250);
     let port = || free_port("127.0.0.1");
-    let nodes = 20_000 + (unix_ms() % 10_000) as u16;
+    let ips: Vec<String> = (0..list.len())
+        .map(|n| format!("127.{net}.{}", n + 11))
+        .collect();
+    let is_free = |port: &u16| {
+        ips.iter()
+            .all(|ip| UdpSocket::bind((ip.as_str(), *port)).is_ok())
+    };
+    let first = 20_000 + (unix_ms() % 10_000) as u16;
+    let nodes = (first..first + 1_000)
+        .find(is_free)
+        .expect("a free port for the nodes");
     let ports = Ports {
         outbound: port(),
         inbound: port(),
@@ -556,7 +566,7 @@
             name,
             zone: (*zone).to_owned(),
             service: (*service).to_owned(),
-            ip: format!("127.{net}.{}", index + 11),
+            ip: ips[index].clone(),
             ports,
             store,
             node: None,
