fix(node): a restarted node registers no server by its late heartbeats

Callers saw requests reach a server that had left (DRAIN): it deregistered, its node was killed 0.1 s later, and two heartbeats from before the departure arrived at the next process of the node.

Cause: the new process knows no departure that the earlier one acknowledged, and took a second heartbeat with a higher sequence number as proof that the server had not left. It proves only that two were sent. The same inference let a process that seems older take an address from its owner.

Ruled out: the 503 of the health query that was not kept. A server that fails for a moment answers 503 as well, so it proves no departure.

Change: a heartbeat proves what was true MAX_HEARTBEAT_DELAY (10 s) before it arrived. Until then only the server's own health response registers it. It is queried with an exponential delay until it answers, so that a server that is busy, failing or not configured yet comes back with its first good answer. A heartbeat that says draining is recorded at once. The decision and the queries move from platform/ to knapweed_node::registrar, which logs the evidence of each change.

Tests: a_server_that_left_gets_no_request_after_a_restart_of_its_node fails before (40 of 50 requests reached the server) and passes. Two tests stated that the second heartbeat registers a server. They are replaced by stricter ones: no number of heartbeats does, for all delays, and a sound server is registered by its health response or after 10 s. a_sound_server_returns_after_a_restart_of_its_node_without_the_store passes before and after.

Run: the 20 tests of registration, registrar and sidecar pass; clippy is clean.

--- a/crates/host/src/registration.rs
+++ b/crates/host/src/registration.rs
@@ -1,7 +1,10 @@
 //! Tracks which process of a backend server owns an address, from heartbeats.
 //!
 //! Heartbeats may arrive late and out of order, even after their sender has
-//! exited and another process has taken its address.
+//! exited and another process has taken its address. A host keeps no state on disk, so a
+//! node that has just started knows no departure that its previous process acknowledged.
+//! Only the backend server itself can prove that it is not leaving: by its health response,
+//! or by a heartbeat that arrives so late that it must have been sent after that.
 
 use knapweed_world::backend_server::{Announcement, Instance, ServerState};
 use knapweed_world::{Name, Time, UnixMillis};
@@ -13,10 +16,9 @@
 /// does not register it again.
 pub const RETENTION: Duration = Duration::from_secs(60);
 
-/// For this long after the node has started, a process that is older than the node
-/// must send two heartbeats: it may have announced its exit to the previous
-/// process of the node, and heartbeats can arrive up to 4 s late.
-const CONFIRMATION_PERIOD: Duration = Duration::from_secs(10);
+/// Longest time that a heartbeat takes to arrive. A heartbeat proves that its sender was
+/// running this long before it arrived, and no later: it may have left since.
+pub const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(10);
 
 /// A heartbeat of a backend server process.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -32,7 +34,8 @@
 }
 
 impl ServerHeartbeat {
-    fn process(&self) -> Instance {
+    /// The process that sent it.
+    pub fn process(&self) -> Instance {
         Instance {
             name: self.instance.clone(),
             started_ms: self.started_ms,
@@ -49,8 +52,8 @@
     Unchanged,
     /// A later heartbeat or process is known; this one is ignored.
     Outdated,
-    /// The process may have left before this node started; its next heartbeat, or
-    /// [`Registrations::confirm`], registers it.
+    /// The process may have left already; [`Registrations::confirm`] registers it, or a
+    /// heartbeat that is too late to have been sent before.
     Unconfirmed,
 }
 
@@ -59,9 +62,15 @@
     process: Instance,
     sequence: u64,
     announcement: Announcement,
-    /// A process that announces the same address with an earlier start, and the
-    /// sequence number of its last heartbeat.
-    challenger: Option<(Instance, u64)>,
+    /// When the process was registered.
+    since: Time,
+}
+
+/// The latest heartbeat of a process that may have left already.
+#[derive(Clone, Debug)]
+struct Unconfirmed {
+    heartbeat: ServerHeartbeat,
+    received: Time,
 }
 
 /// The processes of the backend servers of one host.
@@ -70,12 +79,11 @@
     /// Start of the node, by the wall clock.
     started: UnixMillis,
     by_address: HashMap<SocketAddr, Registered>,
-    /// Registered processes that have left, and when.
+    /// Processes that have left, and when.
     departed: HashMap<Instance, Time>,
     /// Names of processes that left unregistered, and when by both clocks.
     departed_unregistered: HashMap<Name, (UnixMillis, Time)>,
-    /// Processes that need a second heartbeat, and the sequence number of the first.
-    unconfirmed: HashMap<Instance, u64>,
+    unconfirmed: HashMap<Instance, Unconfirmed>,
 }
 
 impl Registrations {
@@ -102,42 +110,33 @@
             return HeartbeatOutcome::Outdated;
         }
         let address = heartbeat.announcement.address;
-        let Some(known) = self.by_address.get_mut(&address) else {
-            return match self.is_confirmed(&process, heartbeat.sequence, now) {
-                true => self.register(heartbeat, process),
-                false => HeartbeatOutcome::Unconfirmed,
-            };
-        };
-        if known.process == process {
-            if heartbeat.sequence <= known.sequence {
-                return HeartbeatOutcome::Outdated;
-            }
-            known.sequence = heartbeat.sequence;
-            known.challenger = None;
-            return known.update(heartbeat.announcement);
-        }
-        if process.started_ms <= known.process.started_ms
-            && !known.is_challenged(&process, heartbeat.sequence)
+        if let Some(known) = self.by_address.get_mut(&address)
+            && known.process == process
         {
+            return known.receive(heartbeat);
+        }
+        // A draining process gets no request, so it needs no proof. Unless it is recorded
+        // as draining, an earlier heartbeat that is late could register it as ready.
+        let is_free = !self.by_address.contains_key(&address);
+        let is_draining = heartbeat.announcement.state == ServerState::Draining;
+        if (is_free && is_draining) || self.is_running(&process, address, now) {
+            return self.register(heartbeat, now);
+        }
+        // Two processes with one name cannot be told apart by their health responses.
+        let owner = self.by_address.get(&address);
+        if owner.is_some_and(|owner| owner.process.name == process.name) {
             return HeartbeatOutcome::Outdated;
         }
-        self.register(heartbeat, process)
+        self.await_confirmation(heartbeat, now)
     }
 
-    /// The process of an [`Unconfirmed`](HeartbeatOutcome::Unconfirmed) heartbeat has
-    /// stated that it is not leaving.
-    pub fn confirm(&mut self, heartbeat: &ServerHeartbeat) -> HeartbeatOutcome {
-        let process = heartbeat.process();
-        // A later heartbeat supersedes this one.
-        let is_latest = self.unconfirmed.get(&process) == Some(&heartbeat.sequence);
-        let is_address_taken = self
-            .by_address
-            .contains_key(&heartbeat.announcement.address);
-        if !is_latest || is_address_taken || self.has_left(&process) {
+    /// An [`Unconfirmed`](HeartbeatOutcome::Unconfirmed) process has stated that it is not
+    /// leaving. Registers it with its latest heartbeat.
+    pub fn confirm(&mut self, process: &Instance, now: Time) -> HeartbeatOutcome {
+        let Some(unconfirmed) = self.unconfirmed.remove(process) else {
             return HeartbeatOutcome::Outdated;
-        }
-        self.unconfirmed.remove(&process);
-        self.register(heartbeat.clone(), process)
+        };
+        self.register(unconfirmed.heartbeat, now)
     }
 
     /// The process named `instance` has left.
@@ -145,6 +144,9 @@
     /// Returns its last announcement with the state `Gone`, or `None` when it is
     /// not registered.
     pub fn left(&mut self, instance: &Name, now: Time, wall: UnixMillis) -> Option<Announcement> {
+        let unconfirmed = self.unconfirmed.extract_if(|p, _| p.name == *instance);
+        self.departed
+            .extend(unconfirmed.map(|(process, _)| (process, now)));
         let mut all = self.by_address.iter();
         let found = all.find(|(_, r)| r.process.name == *instance);
         let Some(address) = found.map(|(address, _)| *address) else {
@@ -161,14 +163,25 @@
     }
 }
 
+/// Queries.
+impl Registrations {
+    /// The announcement of a process that must be [confirmed](Self::confirm); `None` once it
+    /// is registered or has left, or when its last heartbeat is
+    /// [`MAX_HEARTBEAT_DELAY`] old.
+    pub fn unconfirmed(&mut self, process: &Instance, now: Time) -> Option<&Announcement> {
+        self.drop_expired(now);
+        let unconfirmed = self.unconfirmed.get(process)?;
+        Some(&unconfirmed.heartbeat.announcement)
+    }
+}
+
 impl Registrations {
     fn drop_expired(&mut self, now: Time) {
         self.departed.retain(|_, at| now.since(*at) < RETENTION);
         let is_recent = |_: &Name, (_, at): &mut (UnixMillis, Time)| now.since(*at) < RETENTION;
         self.departed_unregistered.retain(is_recent);
-        if now.since(Time(0)) >= CONFIRMATION_PERIOD {
-            self.unconfirmed.clear();
-        }
+        self.unconfirmed
+            .retain(|_, u| now.since(u.received) < MAX_HEARTBEAT_DELAY);
     }
 
     fn has_left(&self, process: &Instance) -> bool {
@@ -177,23 +190,46 @@
             || unknown.is_some_and(|(left_at, _)| process.started_ms <= left_at.0)
     }
 
-    /// Whether it is certain that an unregistered process has not left already.
-    fn is_confirmed(&mut self, process: &Instance, sequence: u64, now: Time) -> bool {
-        let is_newer = process.started_ms >= self.started.0;
-        if is_newer || now.since(Time(0)) >= CONFIRMATION_PERIOD {
-            return true;
+    /// Whether a heartbeat that arrives now proves that its sender has not left `address`
+    /// already.
+    ///
+    /// A process may have announced its exit to the previous process of the node. If the
+    /// address has an owner that started later, the owner's clock may be wrong, or the
+    /// process may have left before the owner was registered.
+    fn is_running(&self, process: &Instance, address: SocketAddr, now: Time) -> bool {
+        let owner = self.by_address.get(&address);
+        let may_have_left = match owner {
+            Some(owner) if process.started_ms <= owner.process.started_ms => owner.since,
+            _ if process.started_ms >= self.started.0 => return true,
+            _ => Time(0),
+        };
+        now.since(may_have_left) >= MAX_HEARTBEAT_DELAY
+    }
+
+    fn await_confirmation(&mut self, heartbeat: ServerHeartbeat, now: Time) -> HeartbeatOutcome {
+        let process = heartbeat.process();
+        let known = self.unconfirmed.get(&process);
+        if known.is_some_and(|known| known.heartbeat.sequence >= heartbeat.sequence) {
+            return HeartbeatOutcome::Outdated;
         }
-        let before = self.unconfirmed.insert(process.clone(), sequence);
-        before.is_some_and(|before| before < sequence)
+        let received = now;
+        let unconfirmed = Unconfirmed {
+            heartbeat,
+            received,
+        };
+        self.unconfirmed.insert(process, unconfirmed);
+        HeartbeatOutcome::Unconfirmed
     }
 
-    fn register(&mut self, heartbeat: ServerHeartbeat, process: Instance) -> HeartbeatOutcome {
+    fn register(&mut self, heartbeat: ServerHeartbeat, now: Time) -> HeartbeatOutcome {
+        let process = heartbeat.process();
+        self.unconfirmed.remove(&process);
         let announcement = heartbeat.announcement;
         let registered = Registered {
             process,
             sequence: heartbeat.sequence,
             announcement: announcement.clone(),
-            challenger: None,
+            since: now,
         };
         self.by_address.insert(announcement.address, registered);
         HeartbeatOutcome::Changed(announcement)
@@ -201,8 +237,13 @@
 }
 
 impl Registered {
-    /// Applies a later announcement of the same process.
-    fn update(&mut self, mut next: Announcement) -> HeartbeatOutcome {
+    /// Handles a heartbeat of the same process.
+    fn receive(&mut self, heartbeat: ServerHeartbeat) -> HeartbeatOutcome {
+        if heartbeat.sequence <= self.sequence {
+            return HeartbeatOutcome::Outdated;
+        }
+        self.sequence = heartbeat.sequence;
+        let mut next = heartbeat.announcement;
         // Draining is final: the process does not become ready again.
         if self.announcement.state == ServerState::Draining {
             next.state = ServerState::Draining;
@@ -213,13 +254,4 @@
         self.announcement = next.clone();
         HeartbeatOutcome::Changed(next)
     }
-
-    /// Whether a process that seems to have started earlier owns the address.
-    ///
-    /// Its clock may be wrong. Two heartbeats in a row prove that it is running;
-    /// a single one may just be late.
-    fn is_challenged(&mut self, process: &Instance, sequence: u64) -> bool {
-        let before = self.challenger.replace((process.clone(), sequence));
-        before.is_some_and(|(run, s)| run == *process && s < sequence)
-    }
 }
--- a/crates/node/src/announcer.rs
+++ b/crates/node/src/announcer.rs
@@ -3,6 +3,8 @@
 use crate::control::event::{ControlHandle, Event};
 use crate::egress::Egress;
 use crate::health;
+use crate::registrar::LocalServers;
+use futures_util::future::BoxFuture;
 use knapweed_observe::part;
 use knapweed_timer::TimerService;
 use knapweed_world::backend_server::Announcement;
@@ -50,25 +52,36 @@
         self.egress.announce(&announcement);
         self.control.send(Event::Announced(announcement)).await;
     }
+}
+
+impl LocalServers for Announcer {
+    fn announce(&self, announcement: Announcement) -> BoxFuture<'_, ()> {
+        Box::pin(Self::announce(self, announcement))
+    }
 
+    fn is_leaving<'a>(&'a self, server: &'a Announcement) -> BoxFuture<'a, Option<bool>> {
+        Box::pin(self.query_leaving(server))
+    }
+}
+
+/// Health queries.
+impl Announcer {
     /// Asks a backend server whether it is leaving; `None` when its service has no
     /// health path or it gives no usable response.
-    pub async fn is_leaving(&self, server: &Announcement) -> Option<bool> {
+    async fn query_leaving(&self, server: &Announcement) -> Option<bool> {
         let path = self.health_path(&server.service).await?;
         match health::probe(server.address, &path).await {
             Ok(response) => self.egress.protocol().is_leaving(server, &response),
             Err(err) => {
                 log::info!(
                     target: part::EGRESS,
-                    "backend server at {} did not tell how it does: {err}", server.address
+                    "backend server at {} did not answer a health query: {err}", server.address
                 );
                 None
             }
         }
     }
-}
 
-impl Announcer {
     /// The health path of a service. A node that has just started waits for the
     /// configuration that contains the service.
     async fn health_path(&self, service: &Name) -> Option<Arc<str>> {
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// Time limit of a health query. The next heartbeat arrives about a second after
-/// the one that caused the query, and answers it as well.
+/// Time limit of a health query. An idle backend server answers within milliseconds; one
+/// that is busy is queried again.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Sends a health query to the backend server at `address` on a new connection, and
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod operators;
 pub mod orders;
 pub mod protocol;
+pub mod registrar;
 pub mod request_log;
 pub mod source;
 pub mod trial;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,6 +14,7 @@
 use crate::operators::node_metrics::NodeMetrics;
 use crate::orders::RolloutOrders;
 use crate::protocol::{CallerProtocol, ServerProtocol};
+use crate::registrar::Registrar;
 use crate::source::ConfigSource;
 use crate::trial::Trials;
 use anyhow::Context;
@@ -306,6 +307,11 @@
         )
     }
 
+    /// Registers the host's backend servers from their heartbeats.
+    pub fn registrar(&self) -> Arc<Registrar> {
+        Registrar::new(Arc::new(self.announcer()), self.timer.clone())
+    }
+
     /// A handle that reports whether the node serves callers.
     pub fn readiness(&self) -> Readiness {
         Readiness {
