fix(rollout): a new holder decides nothing before it knows what it depends on

Callers of a service got answers of a bad version beyond the bound (EXPOSURE): the holder of rollout control was killed 3 s after an order, and the next one raised the share to 10, 25, 50 and 100% in steps of 1.2 s.

Cause: a node that takes the duty has not read the orders yet, but chose judge and planner by them, so a rollout of 16 s got those made for minutes. Other decisions had the same flaw: the judge began without evidence, and reports that came before the state was dropped; trips of guards were lost; forward steps waited for 2 s after the creation of the controller, even if the store answered later; a pull-back that was published in an outage of the store was not passed to the controller, which could complete the rollout; the holder's address came from whichever message was last.

Change: the terms of the stored state select judge and planner, in the controller. Hosts report totals, all series to a holder whose tenure is new, so a new holder learns what the previous one knew. Forward steps wait for the order and for the reports of all hosts with servers of the service, 2 s at most. A pull-back waits for nothing. The known state is passed to a new controller, and hosts send ended rollouts back to a holder that takes them for running. The control module is split by concern.

Tests: a_new_holder_follows_the_plan_of_the_order (real processes) fails before with the shares 10, 25 and 50%, and passes. The eight tests in takeover.rs and four in reports.rs cover the other decisions. The aggregator test keeps its assertions on totals in place of differences. MAX_SERIES is 1,024 in place of 256, since a host keeps its series for the whole rollout; a report holds those that have changed.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -35,6 +35,8 @@
 #[derive(Debug, Default)]
 pub(super) struct OrderBook {
     tracked: BTreeMap<Name, TrackedOrder>,
+    /// Whether the source has been read since this node holds the duty.
+    is_loaded: bool,
     /// Services whose final progress is being reported.
     reporting: BTreeSet<Name>,
     watch: Option<Watch>,
@@ -56,6 +58,11 @@
         self.tracked.get(service).map(|tracked| &tracked.config)
     }
 
+    /// Whether all orders are known that the source had when this node took the duty.
+    pub(super) fn is_loaded(&self) -> bool {
+        self.is_loaded
+    }
+
     /// Services with an order whose end has not been reported.
     pub(super) fn open(&self) -> impl Iterator<Item = &Name> {
         let is_open = |tracked: &TrackedOrder| {
@@ -93,11 +100,17 @@
         orders: Vec<(Order, Option<RolloutState>)>,
     ) {
         self.record_store_reachable(now, true);
+        // The update of a watch that has been stopped may not contain all orders.
+        if self.orders.watch.is_none() {
+            return;
+        }
+        self.orders.is_loaded = true;
         for (order, stored) in orders {
             if let Some(stored) = stored
                 && self.join(&stored)
             {
                 self.states_changed();
+                self.state_seen(now, &stored);
             }
             self.start_order(now, order);
         }
--- /dev/null
+++ b/crates/node/src/control/rollouts/duty.rs
@@ -0,0 +1,218 @@
+//! Rollout control, while this node holds the duty.
+
+use crate::control::Controller;
+use crate::control::reports::ReportAggregator;
+use knapweed_observe::part;
+use knapweed_rollout::{self as rollout, Holder, RolloutState, Tenure, ZoneCapacity};
+use knapweed_world::backend_server::ServerState;
+use knapweed_world::config::ServiceConfig;
+use knapweed_world::{Name, Time};
+use knapweed_zone::epidemic::Origin;
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Controller {
+    pub(in crate::control) fn control_rollouts(&mut self, now: Time) {
+        if !self.membership.role().controls_rollouts || !self.floor.is_serving() {
+            self.end_tenure();
+            return;
+        }
+        self.take_duty();
+        self.start_controllers(now);
+        self.flush_reports(now);
+        let services: Vec<_> = self.rollouts.controllers.keys().cloned().collect();
+        for service in services {
+            if let Some(config) = self.known_config(&service).cloned() {
+                self.rollout_event(now, &service, rollout::Event::Config(config));
+            }
+            let capacity = self.capacity(&service);
+            self.rollout_event(now, &service, rollout::Event::Capacity(capacity));
+            let event = match self.has_all_reports(&service) {
+                true => rollout::Event::AllReported,
+                false => rollout::Event::Tick,
+            };
+            self.rollout_event(now, &service, event);
+        }
+    }
+
+    /// Drops what belongs to the duty. All decisions are stored, and hosts report their
+    /// totals, so the next holder continues from there.
+    fn end_tenure(&mut self) {
+        if self.rollouts.tenure.take().is_some() {
+            log::info!(target: part::ROLLOUT, "this node no longer controls rollouts");
+        }
+        self.rollouts.controllers.clear();
+        self.rollouts.reports = ReportAggregator::default();
+    }
+
+    /// Starts a tenure that is newer than all known ones, unless that of this node is.
+    fn take_duty(&mut self) {
+        let known = self.rollouts.holder;
+        let address = self.membership.own().address;
+        let own = self.rollouts.tenure;
+        if own.is_some_and(|tenure| known == Some(Holder { tenure, address })) {
+            return;
+        }
+        let next = known.map_or(0, |holder| holder.tenure.0 + 1);
+        // A process that has just started may not know the newest tenure.
+        let tenure = Tenure(next.max(self.dependencies.timer.wall_clock().0));
+        log::info!(target: part::ROLLOUT, "this node controls rollouts, tenure {}", tenure.0);
+        self.rollouts.tenure = Some(tenure);
+        self.rollouts.holder = Some(Holder { tenure, address });
+    }
+
+    /// Configuration of a service with its newest order; `None` while the orders are not
+    /// known.
+    fn known_config(&self, service: &Name) -> Option<&ServiceConfig> {
+        if self.dependencies.orders.is_some() && !self.orders.is_loaded() {
+            return None;
+        }
+        let ordered = self.orders.config(service);
+        ordered.or_else(|| self.configs.config().services.get(service))
+    }
+
+    /// Creates controllers for services with a rollout that has no final result or a
+    /// state that is not final, and drops idle ones.
+    fn start_controllers(&mut self, now: Time) {
+        let config = self.configs.config();
+        let open: BTreeSet<_> = self.orders.open().collect();
+        let mut needed = Vec::new();
+        for (name, service) in &config.services {
+            let service = self.orders.config(name).unwrap_or(service);
+            let state = self.rollouts.states.get(name);
+            let active = state.is_some_and(|s| !s.phase.is_final());
+            let not_started =
+                service.rollout.is_some() && state.is_none_or(|s| s.ticket < service.ticket);
+            let unconfirmed = match self.dependencies.orders {
+                Some(_) => open.contains(name),
+                None => !self.finished_tickets.contains(&service.ticket),
+            };
+            if active || not_started || (service.rollout.is_some() && unconfirmed) {
+                needed.push(name.clone());
+            }
+        }
+        needed.retain(|name| !self.rollouts.controllers.contains_key(name));
+        for service in needed {
+            let strategies = Box::new(rollout::ByDuration);
+            let controller = rollout::RolloutController::new(service.clone(), strategies);
+            self.rollouts
+                .controllers
+                .insert(service.clone(), controller);
+            if let Some(state) = self.rollouts.states.get(&service).cloned() {
+                self.rollout_event(now, &service, rollout::Event::Seen(state));
+            }
+        }
+        self.rollouts
+            .controllers
+            .retain(|_, controller| !controller.is_idle() || controller.state().is_none());
+    }
+
+    fn capacity(&self, service: &Name) -> Vec<ZoneCapacity> {
+        let mut slots: BTreeMap<(Name, Name), u32> = BTreeMap::new();
+        for (_, record) in self.membership.directory().present() {
+            let ready = record
+                .announcements
+                .iter()
+                .filter(|a| a.state == ServerState::Ready);
+            for server in ready.filter(|a| a.service == *service) {
+                let key = (record.zone.clone(), server.version.clone());
+                *slots.entry(key).or_default() += u32::from(server.slots);
+            }
+        }
+        let list = slots.into_iter();
+        list.map(|((zone, version), slots)| ZoneCapacity {
+            zone,
+            version,
+            slots,
+        })
+        .collect()
+    }
+
+    /// Whether all hosts with ready servers of a service have reported their totals for its
+    /// rollout, and the controller has received them.
+    fn has_all_reports(&self, service: &Name) -> bool {
+        let Some(state) = self.rollouts.states.get(service) else {
+            return false;
+        };
+        let reports = &self.rollouts.reports;
+        let mut hosts = self
+            .membership
+            .directory()
+            .present()
+            .map(|(_, record)| record)
+            .filter(|record| {
+                let mut servers = record.announcements.iter();
+                servers.any(|a| a.service == *service && a.state == ServerState::Ready)
+            });
+        hosts.all(|record| reports.has_reported(service, state.ticket, &record.host))
+            && !reports.is_pending(service)
+    }
+
+    /// Passes the merged counts of each availability zone to rollout control.
+    fn flush_reports(&mut self, now: Time) {
+        let states = &self.rollouts.states;
+        let ended = states.values().filter(|s| s.phase.is_final());
+        for state in ended {
+            self.rollouts.reports.remove(&state.service);
+        }
+        let own = self.membership.own();
+        let (host, incarnation) = (own.host.clone(), own.incarnation.0);
+        let window = self.report_interval();
+        let controllers = &self.rollouts.controllers;
+        let ticket = |service: &Name| Some(controllers.get(service)?.state()?.ticket);
+        let reports = self
+            .rollouts
+            .reports
+            .flush(now, window, &host, incarnation, ticket);
+        for (service, report) in reports {
+            self.rollout_event(now, &service, rollout::Event::Report(report));
+        }
+    }
+}
+
+/// Events and actions of the controllers.
+impl Controller {
+    /// Passes a state that another process has made to the controller of its service.
+    pub(in crate::control) fn state_seen(&mut self, now: Time, state: &RolloutState) {
+        let event = rollout::Event::Seen(state.clone());
+        self.rollout_event(now, &state.service, event);
+    }
+
+    pub(in crate::control) fn rollout_event(
+        &mut self,
+        now: Time,
+        service: &Name,
+        event: rollout::Event,
+    ) {
+        let Some(controller) = self.rollouts.controllers.get_mut(service) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        controller.handle(
+            event,
+            now,
+            self.dependencies.timer.wall_clock(),
+            &mut actions,
+        );
+        for action in actions {
+            self.rollout_action(service, action);
+        }
+    }
+
+    fn rollout_action(&mut self, service: &Name, action: rollout::Action) {
+        match action {
+            rollout::Action::Read => self.read_state(service.clone()),
+            rollout::Action::Write { state, condition } => self.write_state(*state, condition),
+            rollout::Action::Publish(state) => {
+                if self.join(&state) {
+                    self.states_changed();
+                }
+                self.publish_states(vec![*state], Origin::Local);
+            }
+            rollout::Action::Finish(result) => {
+                if !self.report_end(&result) {
+                    self.rollout_ended(*result);
+                }
+            }
+        }
+    }
+}
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -34,7 +34,7 @@
                     &self.membership.directory().differing_records(now, &digest),
                 );
             }
-            StreamHead::Rollouts { states, holder } => self.states_received(states, holder),
+            StreamHead::Rollouts { states, holder } => self.states_received(now, states, holder),
             StreamHead::Report { service, report } => self.report_received(&service, &report),
             StreamHead::Floor { host } => self.reply_with_floor(&host, incoming),
             StreamHead::Crashes(records) => self.dependencies.egress.merge_crashes(records),
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -3,8 +3,13 @@
 //! A forward step is first written to the object store, on the condition that the
 //! stored revision is unchanged, and published once the write is confirmed. A
 //! pull-back is published immediately and written as soon as the store is
-//! reachable. A new holder of the duty reads the stored state, joins it with the copies
-//! that nodes hold, and continues from there.
+//! reachable.
+//!
+//! A new holder of the duty decides nothing before it knows what the decision depends on.
+//! It reads the stored state, joins it with the copies that nodes hold, and continues from
+//! there with the strategy that the terms of the state select. It takes forward steps once
+//! it knows the order and has the totals of all hosts, or after [`TAKEOVER_WAIT`]. It pulls
+//! back as soon as the totals show a fault.
 //!
 //! A new ticket for the service during a rollout supersedes it: the result of the
 //! earlier ticket is `superseded`, and the new rollout starts from the shares in
@@ -17,22 +22,24 @@
 mod event;
 mod step;
 mod store;
+mod takeover;
 mod traffic;
 
 pub use event::{Action, Event, Revision, WriteResult};
 
-use crate::judge::{ComparedVersions, Judge, Window};
-use crate::planner::Planner;
-use crate::{Evidence, Phase, RolloutState, ZoneReport};
+use crate::judge::{ComparedVersions, Verdict, Window};
+use crate::strategy::{ChooseStrategy, Strategy};
+use crate::{Counters, Evidence, Phase, RolloutState, ZoneReport};
 use knapweed_world::config::{RolloutTerms, ServiceConfig};
 use knapweed_world::{Name, Share, TicketNumber, Time, UnixMillis};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use store::Store;
+use takeover::Takeover;
 use traffic::Traffic;
 
-/// Delay of forward steps after a new holder takes over a rollout, so that the
-/// copies of the state on the nodes arrive first.
+/// Longest delay of forward steps after a new holder takes over a rollout, so that the
+/// copies of the state on the nodes and the totals of the hosts arrive first.
 pub const TAKEOVER_WAIT: Duration = Duration::from_secs(2);
 /// Wait before the write of an unconfirmed result is requested again.
 const RESULT_RETRY_INTERVAL: Duration = Duration::from_secs(2);
@@ -44,20 +51,25 @@
 #[derive(Debug)]
 pub struct RolloutController {
     service: Name,
-    judge: Box<dyn Judge>,
-    planner: Box<dyn Planner>,
+    strategies: Box<dyn ChooseStrategy>,
+    /// The strategy of the current rollout; `None` while its terms are not known.
+    strategy: Option<Strategy>,
     config: Option<ServiceConfig>,
     store: Store,
     current: Option<RolloutState>,
     traffic: Traffic,
+    compared: Option<ComparedVersions>,
     evidence: Evidence,
+    /// The evidence in the state of the rollout when this holder learned of it.
+    inherited: Evidence,
+    /// The evidence from the reports to this holder.
+    reported: Evidence,
     judged_ticket: Option<TicketNumber>,
     confirmed_results: BTreeSet<TicketNumber>,
     results_requested_at: Option<Time>,
     published_at: Option<Time>,
-    started_at: Option<Time>,
-    /// Whether a rollout was already running when the stored state was first read.
-    has_taken_over: bool,
+    /// Set for a rollout that an earlier holder started.
+    takeover: Option<Takeover>,
     recheck_started_at: Option<Time>,
     /// The share to continue with after a recheck.
     resume_share: Option<Share>,
@@ -71,22 +83,24 @@
 /// Creation of the state machine.
 impl RolloutController {
     /// A state machine for `service` that has not received any state.
-    pub fn new(service: Name, judge: Box<dyn Judge>, planner: Box<dyn Planner>) -> Self {
+    pub fn new(service: Name, strategies: Box<dyn ChooseStrategy>) -> Self {
         Self {
             service,
-            judge,
-            planner,
+            strategies,
+            strategy: None,
             config: None,
             store: Store::default(),
             current: None,
             traffic: Traffic::default(),
+            compared: None,
             evidence: Evidence::default(),
+            inherited: Evidence::default(),
+            reported: Evidence::default(),
             judged_ticket: None,
             confirmed_results: BTreeSet::new(),
             results_requested_at: None,
             published_at: None,
-            started_at: None,
-            has_taken_over: false,
+            takeover: None,
             recheck_started_at: None,
             resume_share: None,
             no_servers_since: None,
@@ -103,12 +117,16 @@
     /// Handles an event and appends the resulting actions to `out`. `now` is the
     /// monotonic time of this process, `wall` the wall-clock time.
     pub fn handle(&mut self, event: Event, now: Time, wall: UnixMillis, out: &mut Vec<Action>) {
-        self.started_at.get_or_insert(now);
         match event {
             Event::Config(config) => self.handle_config(config),
             Event::Capacity(capacity) => self.traffic.set_capacity(capacity),
             Event::Report(report) => self.handle_report(&report, now, wall),
-            Event::Seen(state) => self.merge_state(state, now, out),
+            Event::Seen(state) => self.inherit_state(state, now, out),
+            Event::AllReported => {
+                if let Some(takeover) = &mut self.takeover {
+                    takeover.all_reported();
+                }
+            }
             Event::Read { state, revision } => self.handle_read(state, revision, now, out),
             Event::ReadFailed => self.store.read_failed(now),
             Event::Write(answer) => self.handle_write_answer(answer, now, out),
@@ -137,9 +155,28 @@
         self.traffic
             .count(&report.counters, &state.new_versions(), now);
         self.guard_tripped |= report.guard_trips > 0;
-        self.evidence.add(&report.counters, wall);
-        self.judge.observe(&Window {
-            counters: &report.counters,
+        self.reported.add(&report.counters, wall);
+        self.evidence = self.inherited.join(&self.reported);
+        self.judge_counters(&report.counters, now);
+    }
+
+    /// Judges counters together with the others that arrive during a takeover. The first
+    /// reports to a new holder contain all earlier counts, and those of the old and new
+    /// versions arrive one after the other.
+    fn judge_counters(&mut self, counters: &Counters, now: Time) {
+        let Some(strategy) = &mut self.strategy else {
+            return;
+        };
+        let gathering = self.takeover.as_mut().filter(|t| !t.is_over(now));
+        let counters = match (gathering, &self.compared) {
+            (Some(takeover), Some(compared)) => {
+                strategy.judge.begin(compared);
+                takeover.gather(counters)
+            }
+            _ => counters,
+        };
+        strategy.judge.observe(&Window {
+            counters,
             capacity: self.traffic.capacity(),
         });
     }
@@ -151,11 +188,18 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        let is_running = state.as_ref().is_some_and(|s| !s.phase.is_final());
-        self.has_taken_over |= is_running && self.store.state.is_none();
         self.store.read(state, revision);
         if let Some(stored) = self.store.state.clone() {
-            self.merge_state(stored, now, out);
+            self.inherit_state(stored, now, out);
+        }
+    }
+
+    /// Merges a state that this holder has not made.
+    fn inherit_state(&mut self, state: RolloutState, now: Time, out: &mut Vec<Action>) {
+        let judged_before = self.judged_ticket;
+        self.merge_state(state, now, out);
+        if self.judged_ticket != judged_before {
+            self.takeover = Some(Takeover::new(now));
         }
     }
 
@@ -188,12 +232,19 @@
     fn begin_comparison(&mut self, state: &RolloutState) {
         let time = state.terms.deadline.since(state.terms.start);
         let zones = self.traffic.zones().max(1);
-        self.judge.begin(&ComparedVersions {
+        let compared = ComparedVersions {
             old: state.old_versions(),
             new: state.new_versions(),
             windows: time.as_secs().max(1) * zones,
-        });
+        };
+        let mut strategy = self.strategies.choose(&state.terms);
+        strategy.judge.begin(&compared);
+        self.strategy = Some(strategy);
+        self.compared = Some(compared);
+        self.takeover = None;
         self.traffic.next_ticket();
+        self.inherited = state.evidence.clone();
+        self.reported = Evidence::default();
         self.evidence = state.evidence.clone();
         self.judged_ticket = Some(state.ticket);
         self.recheck_started_at = None;
@@ -225,6 +276,11 @@
         self.current.as_ref()
     }
 
+    fn verdict(&self) -> Verdict {
+        let strategy = self.strategy.as_ref();
+        strategy.map_or(Verdict::NoFault, |s| s.judge.verdict())
+    }
+
     /// Request counts of the current rollout.
     pub fn evidence(&self) -> &Evidence {
         &self.evidence
--- a/crates/rollout/src/control/event.rs
+++ b/crates/rollout/src/control/event.rs
@@ -42,6 +42,8 @@
     Report(ZoneReport),
     /// A copy of the state received from a node.
     Seen(RolloutState),
+    /// The reports so far contain the totals of all hosts with servers of the service.
+    AllReported,
     /// The stored state was read.
     Read {
         /// The stored state; `None` if there is none.
--- a/crates/rollout/src/control/step.rs
+++ b/crates/rollout/src/control/step.rs
@@ -1,9 +1,7 @@
 //! The decisions that rollout control takes after each event.
 
 use crate::control::event::Action;
-use crate::control::{
-    REPUBLISH_INTERVAL, RESULT_RETRY_INTERVAL, RolloutController, TAKEOVER_WAIT, initial_state,
-};
+use crate::control::{REPUBLISH_INTERVAL, RESULT_RETRY_INTERVAL, RolloutController, initial_state};
 use crate::judge::Verdict;
 use crate::planner::{Plan, PlanInput};
 use crate::result::PullBackReason;
@@ -49,7 +47,7 @@
         if state.phase.is_final() || state.is_return_to_proven() {
             return;
         }
-        let reason = match self.judge.verdict() {
+        let reason = match self.verdict() {
             Verdict::Bad(fault) => PullBackReason::Fault(fault),
             _ if self.has_no_servers(&state, now, wall) => PullBackReason::NoServers,
             _ => return,
@@ -178,9 +176,8 @@
             .config
             .as_ref()
             .is_some_and(|c| self.is_requested_by(c, &state));
-        let waited = self.started_at.map_or(Duration::ZERO, |at| now.since(at));
-        let has_waited = !self.has_taken_over || waited >= TAKEOVER_WAIT;
-        if !is_newest || !has_waited || !self.store.is_known() {
+        let has_taken_over = self.takeover.as_ref().is_none_or(|t| t.is_over(now));
+        if !is_newest || !has_taken_over || !self.store.is_known() {
             return;
         }
         let Some(phase) = self.next_phase(&state, now, wall) else {
@@ -207,7 +204,7 @@
         if let Some(since) = self.recheck_started_at {
             return self.end_recheck(since, share, now);
         }
-        let is_suspect = matches!(self.judge.verdict(), Verdict::Suspect(_));
+        let is_suspect = matches!(self.verdict(), Verdict::Suspect(_));
         let wants_recheck =
             share == Share::ALL && is_suspect && self.suspicion_rechecks < MAX_SUSPICION_RECHECKS;
         if wants_recheck {
@@ -218,7 +215,7 @@
             return self.start_recheck(state, now);
         }
         let plan_input = self.plan_input(state, now, wall);
-        match self.planner.next(&plan_input) {
+        match self.strategy.as_ref()?.planner.next(&plan_input) {
             Plan::Step(to) => Some(Phase::Ramping(to)),
             Plan::Complete => Some(Phase::Completed),
             Plan::Wait if matches!(state.phase, Phase::Holding(_)) => Some(Phase::Ramping(share)),
@@ -244,7 +241,9 @@
         let share = share.min(state.phase.progress());
         self.recheck_started_at = Some(now);
         self.resume_share = Some(state.phase.progress());
-        self.judge.recheck();
+        if let Some(strategy) = &mut self.strategy {
+            strategy.judge.recheck();
+        }
         Some(Phase::Holding(share))
     }
 
@@ -253,8 +252,10 @@
             return None;
         }
         self.recheck_started_at = None;
-        if std::mem::take(&mut self.is_checking_suspicion) {
-            self.judge.clear_suspicion();
+        if std::mem::take(&mut self.is_checking_suspicion)
+            && let Some(strategy) = &mut self.strategy
+        {
+            strategy.judge.clear_suspicion();
         }
         Some(Phase::Ramping(self.resume_share.take().unwrap_or(share)))
     }
--- a/crates/rollout/src/counters.rs
+++ b/crates/rollout/src/counters.rs
@@ -5,11 +5,12 @@
 use knapweed_world::Name;
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Largest number of series, which limits a report to a few tens of kilobytes.
-pub const MAX_SERIES: usize = 256;
+/// Largest number of series, which limits the counts of a host for one rollout to less
+/// than a megabyte. A report holds only the series that have changed, which are few.
+pub const MAX_SERIES: usize = 1_024;
 
 /// Time after the start of a server in which it is slower than usual, whatever its
 /// version.
@@ -124,6 +125,15 @@
         self.failures = self.failures.saturating_add(other.failures);
         self.latency.merge(&other.latency);
     }
+
+    /// The counts that were added since `earlier`, an earlier copy of this series.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(earlier.requests),
+            failures: self.failures.saturating_sub(earlier.failures),
+            latency: self.latency.since(&earlier.latency),
+        }
+    }
 }
 
 /// Counters of one service over a window.
@@ -228,6 +238,33 @@
     }
 }
 
+/// Parts and differences.
+impl Counters {
+    /// A copy of the series with these keys.
+    pub fn select(&self, keys: impl IntoIterator<Item = SeriesKey>) -> Self {
+        let keys: BTreeSet<_> = keys.into_iter().collect();
+        let mut selected = Self::default();
+        for (id, key) in self.index.iter().filter(|(_, key)| keys.contains(key)) {
+            selected.add(id, &self.series[*key]);
+        }
+        selected
+    }
+
+    /// Replaces the series that `totals` contains, and returns what was added to them.
+    pub fn replace(&mut self, totals: &Self) -> Self {
+        let mut added = Self::default();
+        for (id, total) in totals.iter() {
+            let Some(key) = self.key(id) else {
+                continue;
+            };
+            let known = &mut self.series[key];
+            added.add(id, &total.since(known));
+            *known = total.clone();
+        }
+        added
+    }
+}
+
 /// Series and totals.
 impl Counters {
     /// All series in the order of their identifiers.
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -45,6 +45,21 @@
         }
     }
 
+    /// The larger count of both in each row, for copies of which either may lack some of
+    /// the other's requests.
+    pub fn join(&self, other: &Self) -> Self {
+        let mut joined = self.clone();
+        joined.first = [self.first, other.first].into_iter().flatten().min();
+        joined.last = self.last.max(other.last);
+        for theirs in &other.rows {
+            if let Some(row) = joined.row(&theirs.version, &theirs.route) {
+                row.requests = row.requests.max(theirs.requests);
+                row.failures = row.failures.max(theirs.failures);
+            }
+        }
+        joined
+    }
+
     fn row(&mut self, version: &Name, route: &Name) -> Option<&mut Row> {
         let found = self
             .rows
--- a/crates/rollout/src/histogram.rs
+++ b/crates/rollout/src/histogram.rs
@@ -65,6 +65,18 @@
     }
 }
 
+/// Differences.
+impl Histogram {
+    /// The counts that were added since `earlier`, an earlier copy of this histogram.
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut added = self.clone();
+        for (bucket, before) in added.buckets.iter_mut().zip(earlier.buckets) {
+            *bucket = bucket.saturating_sub(before);
+        }
+        added
+    }
+}
+
 /// Totals and quantiles.
 impl Histogram {
     /// The number of latencies counted.
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod result;
 pub mod shares;
 pub mod state;
+pub mod strategy;
 
 pub use capacity::ZoneCapacity;
 pub use control::{Action, Event, Revision, RolloutController};
@@ -26,6 +27,7 @@
 pub use histogram::Histogram;
 pub use judge::{Judge, Verdict};
 pub use planner::{Plan, Planner};
-pub use report::ZoneReport;
+pub use report::{Holder, HostReport, Tenure, ZoneReport};
 pub use result::{Outcome, TicketResult};
 pub use state::{Epoch, Phase, RolloutState};
+pub use strategy::{ByDuration, ChooseStrategy, Strategy};
--- a/crates/trace/src/run/control.rs
+++ b/crates/trace/src/run/control.rs
@@ -1,10 +1,11 @@
 //! Replay of a rollout controller.
 
-use crate::header::{ControlSettings, PlatformSettings};
+use crate::header::{ControlSettings, JudgeSettings, PlannerSettings, PlatformSettings};
 use crate::record::{Record, TraceEvent};
 use crate::run::stand_in::StandIn;
 use crate::run::{Observations, PublishedShare, Run};
-use knapweed_rollout::{Action, Event, RolloutController, RolloutState};
+use knapweed_rollout::{Action, ChooseStrategy, Event, RolloutController, RolloutState, Strategy};
+use knapweed_world::config::RolloutTerms;
 use knapweed_world::{Share, Time, UnixMillis};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -129,9 +130,25 @@
 }
 
 fn new_controller(settings: &ControlSettings) -> RolloutController {
-    let (judge, planner) = (
-        settings.judge.build_judge(),
-        settings.planner.build_planner(),
-    );
-    RolloutController::new(settings.service.clone(), judge, planner)
+    let strategies = Configured {
+        judge: settings.judge,
+        planner: settings.planner,
+    };
+    RolloutController::new(settings.service.clone(), Box::new(strategies))
+}
+
+/// The judge and planner that the settings of a trace name, for all rollouts.
+#[derive(Clone, Copy, Debug)]
+struct Configured {
+    judge: JudgeSettings,
+    planner: PlannerSettings,
+}
+
+impl ChooseStrategy for Configured {
+    fn choose(&self, _terms: &RolloutTerms) -> Strategy {
+        Strategy {
+            judge: self.judge.build_judge(),
+            planner: self.planner.build_planner(),
+        }
+    }
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -4,11 +4,10 @@
 use knapweed_host::SendId;
 use knapweed_host::crash::{CrashDigest, CrashRecord};
 use knapweed_link::PartTag;
-use knapweed_rollout::{RolloutState, ZoneReport};
+use knapweed_rollout::{Holder, HostReport, RolloutState};
 use knapweed_world::{ConfigVersion, Name};
 use knapweed_zone::directory::Digest;
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 
 /// First message on a stream. It selects the protocol of the rest of the stream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -35,17 +34,17 @@
     Rollouts {
         /// States of the rollouts that are known to the sender.
         states: Vec<RolloutState>,
-        /// Address to which reports are sent: the node that holds the lease of the
-        /// duty `rollout`. `None` when it is not known.
-        holder: Option<SocketAddr>,
+        /// The newest holder of the duty `rollout` that the sender knows; `None` when it
+        /// knows none.
+        holder: Option<Holder>,
     },
     /// Sends a report of one host to the holder of the duty `rollout`. There is no
     /// reply.
     Report {
         /// Service that the report is about.
         service: Name,
-        /// Counts since the previous report.
-        report: Box<ZoneReport>,
+        /// Totals of the host.
+        report: Box<HostReport>,
     },
     /// Distributes records of requests that crashed backend servers. There is no
     /// reply.
