fix(node): bound the bytes of servers and of buffered bodies on one host

Report of another operator: a server sent bytes without end, the machine kept them and ran out of memory, and the requests of other clients ended with it. Here 900 callers that do not read an answer of 250 KB each took a node to 252 MB, on hosts of 160 MB; callers of another node that do not read kept all 64 streams between the two, so that no other caller was served over it.

Cause: each response may be buffered up to 256 KB, but nothing bounded the sum. A longer response, and one of another node, was kept for as long as its caller did not read. Interim responses, the digits of a chunk size and the spaces after it were read without bound until the deadline, as fast as they came.

Ruled out: bytes that are no answer, heads, headers, chunk extensions, trailers, refusals, health answers and answers of the store have bounds.

Buffered bodies take their bytes from budgets (24 MB of own servers, 16 MB of other nodes, 24 MB of requests); beyond them bodies are streamed. A streamed response ends with an error at the deadline of its request, read or not. The window of a connection between two nodes is 2 MB in place of 4 MB.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,11 +1,12 @@
 //! Decisions about requests on one host: server choice, admission, retries and drain.
 //!
 //! This crate does no I/O and reads no clock: the current time and random numbers
-//! are arguments. Threads share [`RetryPolicy`], [`Drain`] and [`WaitEstimator`], which use
-//! atomics; a [`ServerChoice`] only reads; the other types are state machines that
+//! are arguments. Threads share [`RetryPolicy`], [`Drain`], [`WaitEstimator`] and [`ByteBudget`], which
+//! use atomics; a [`ServerChoice`] only reads; the other types are state machines that
 //! take events and return actions for the node to perform.
 
 pub mod admission;
+pub mod byte_budget;
 pub mod choice;
 pub mod connections;
 pub mod crash;
@@ -19,6 +20,7 @@
 pub mod wait_estimator;
 
 pub use admission::Admission;
+pub use byte_budget::ByteBudget;
 pub use choice::{Choice, ServerChoice};
 pub use connections::Connections;
 pub use crash::CrashMemory;
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -2,9 +2,12 @@
 //! streaming between nodes.
 
 use bytes::{Bytes, BytesMut};
-use futures_util::stream;
+use futures_util::{FutureExt, stream};
 use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, Full, StreamBody};
+use knapweed_host::ByteBudget;
+use knapweed_host::byte_budget::Reservation;
+use knapweed_observe::part;
 use knapweed_transport::{Receiver, Sender};
 use std::io;
 use std::pin::Pin;
@@ -20,6 +23,17 @@
 /// KB fit.
 pub const MAX_BUFFERED_LEN: usize = 512 * 1024;
 
+/// Longest sum of the request bodies of this host that are buffered, in bytes.
+pub const MAX_BUFFERED_REQUESTS_LEN: usize = 24 * 1024 * 1024;
+/// Longest sum of the response bodies of the backend servers of this host that are
+/// buffered, in bytes. They stay until their callers or other nodes have received them.
+pub const MAX_BUFFERED_RESPONSES_LEN: usize = 24 * 1024 * 1024;
+/// Longest sum of the response bodies of other nodes that are buffered, in bytes. They stay
+/// until their callers have read them.
+pub const MAX_BUFFERED_REMOTE_LEN: usize = 16 * 1024 * 1024;
+/// Longest response of another node, in bytes, that is buffered when it has arrived.
+pub const MAX_ARRIVED_LEN: usize = 64 * 1024;
+
 /// Creates a body without content.
 pub fn empty() -> Body {
     full(Bytes::new())
@@ -34,6 +48,9 @@
 
 /// Creates a body that yields `first` and then the frames of `rest`.
 fn prepend(first: Bytes, rest: Body) -> Body {
+    if first.is_empty() {
+        return rest;
+    }
     let first = stream::once(std::future::ready(Ok(Frame::data(first))));
     let rest = stream::unfold(rest, |mut rest| async {
         let frame = rest.frame().await?;
@@ -81,38 +98,121 @@
 pub enum LimitedRead {
     /// The complete body.
     Whole(Bytes),
-    /// A body that is longer than the limit.
+    /// A body that is longer than the limit, or than what is left of the budget.
     Longer {
-        /// What was read already: a bit more than the limit.
+        /// What was read already.
         prefix: Bytes,
         /// The whole body: the prefix, then the rest.
         body: Body,
     },
 }
 
-/// Buffers a body of at most `limit` bytes; a longer one stays a stream.
+/// Buffers a body of at most `limit` bytes; a longer one, or one for which `budget` has no
+/// bytes left, stays a stream.
 ///
 /// # Errors
 ///
 /// Reading the body failed before its end.
-pub async fn read_up_to(mut body: Body, limit: usize) -> io::Result<LimitedRead> {
+pub async fn read_up_to(
+    mut body: Body,
+    limit: usize,
+    budget: &Arc<ByteBudget>,
+) -> io::Result<LimitedRead> {
+    let mut reservation = budget.reservation();
     let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(chunk) = frame?.into_data() else {
             continue;
         };
+        let is_reserved = reserve(&mut reservation, chunk.len());
         // A body of a single chunk is returned without a copy.
-        if read.is_empty() && body.is_end_stream() && chunk.len() <= limit {
-            return Ok(LimitedRead::Whole(chunk));
+        if read.is_empty() && body.is_end_stream() && chunk.len() <= limit && is_reserved {
+            return Ok(LimitedRead::Whole(Reserved::bytes(chunk, reservation)));
         }
         read.extend_from_slice(&chunk);
-        if read.len() > limit {
-            let prefix = read.freeze();
+        if read.len() > limit || !is_reserved {
+            let prefix = Reserved::bytes(read.freeze(), reservation);
             let body = prepend(prefix.clone(), body);
             return Ok(LimitedRead::Longer { prefix, body });
         }
     }
-    Ok(LimitedRead::Whole(read.freeze()))
+    Ok(LimitedRead::Whole(Reserved::bytes(
+        read.freeze(),
+        reservation,
+    )))
+}
+
+/// What of a body has arrived.
+pub enum Arrived {
+    /// All of it.
+    Whole(Bytes),
+    /// A part; the body yields it again.
+    Partial(Body),
+}
+
+/// Takes what has arrived of a body, at most `limit` bytes and a chunk, without waiting for
+/// the rest.
+pub fn take_arrived(mut body: Body, limit: usize, budget: &Arc<ByteBudget>) -> Arrived {
+    let mut reservation = budget.reservation();
+    let mut read = BytesMut::new();
+    while read.len() <= limit {
+        let rest = match body.frame().now_or_never() {
+            Some(None) => {
+                return Arrived::Whole(Reserved::bytes(read.freeze(), reservation));
+            }
+            Some(Some(Ok(frame))) => {
+                let chunk = frame.into_data().unwrap_or_default();
+                let is_reserved = reserve(&mut reservation, chunk.len());
+                read.extend_from_slice(&chunk);
+                if is_reserved {
+                    continue;
+                }
+                body
+            }
+            Some(Some(Err(err))) => {
+                let failed = stream::once(std::future::ready(Err(err)));
+                BodyExt::boxed_unsync(StreamBody::new(failed))
+            }
+            None => body,
+        };
+        return Arrived::Partial(prepend(Reserved::bytes(read.freeze(), reservation), rest));
+    }
+    Arrived::Partial(prepend(Reserved::bytes(read.freeze(), reservation), body))
+}
+
+fn reserve(reservation: &mut Reservation, len: usize) -> bool {
+    let grown = reservation.grow(len);
+    if let Err(err) = grown
+        && err.is_first
+    {
+        log::warn!(target: part::PROGRAM, "a body is not buffered: {err}");
+    }
+    grown.is_ok()
+}
+
+/// Bytes that hold a part of a [`ByteBudget`] until their last copy is dropped, which is when
+/// the caller or the other node has received them.
+struct Reserved {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+impl Reserved {
+    fn bytes(bytes: Bytes, reservation: Reservation) -> Bytes {
+        if bytes.is_empty() {
+            return bytes;
+        }
+        Bytes::from_owner(Self {
+            bytes,
+            _reservation: reservation,
+        })
+    }
+}
+
+impl AsRef<[u8]> for Reserved {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 /// The body of a request, shared by all its attempts.
--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -3,14 +3,17 @@
 mod inquiry;
 mod link_monitor;
 
-use crate::body::{self, Body, RequestBody};
+use crate::body::{self, Arrived, Body, MAX_ARRIVED_LEN, MAX_BUFFERED_REMOTE_LEN, RequestBody};
 use crate::egress::Egress;
+use crate::streamed::{Deadline, StreamedBody};
 use futures_util::future::BoxFuture;
-use knapweed_host::{NotRun, Outcome, Unknown};
+use knapweed_host::{ByteBudget, NotRun, Outcome, Unknown};
+use knapweed_observe::part;
 use knapweed_timer::TimerService;
 use knapweed_transport::stream::Error;
 use knapweed_transport::{Peers, Receiver, Sender};
 use knapweed_wire::{RequestHead, ResponseHead, StreamHead, decode, encode};
+use knapweed_world::Time;
 use link_monitor::{LinkMonitor, PendingRequest};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -84,6 +87,8 @@
 pub struct LinkCarrier {
     peers: Arc<Peers>,
     monitor: LinkMonitor,
+    /// Limits the responses that are kept until their callers have read them.
+    buffered: Arc<ByteBudget>,
     timer: TimerService,
 }
 
@@ -93,6 +98,7 @@
         Self {
             monitor: LinkMonitor::start(Arc::clone(&peers), timer.clone()),
             peers,
+            buffered: Arc::new(ByteBudget::new(MAX_BUFFERED_REMOTE_LEN)),
             timer,
         }
     }
@@ -121,6 +127,24 @@
         receive(rx, upload).await
     }
 
+    /// Ends the body of a response at the deadline of its request, unless it has arrived.
+    fn limit_body(&self, response: Response, node: SocketAddr, deadline: Time) -> Response {
+        let Response { head, body } = response;
+        let body = match body::take_arrived(body, MAX_ARRIVED_LEN, &self.buffered) {
+            Arrived::Whole(bytes) => body::full(bytes),
+            Arrived::Partial(body) => {
+                let deadline = Deadline {
+                    timer: self.timer.clone(),
+                    left: deadline.since(self.timer.now()),
+                    part: part::LINK,
+                    from: node,
+                };
+                StreamedBody::new(body, (), deadline).boxed()
+            }
+        };
+        Response { head, body }
+    }
+
     async fn resolve(
         &self,
         node: SocketAddr,
@@ -136,7 +160,7 @@
             deadline: sent_at.after(left),
         };
         match tokio::time::timeout(left, self.exchange(node, head, body)).await {
-            Ok(Ok(response)) => response,
+            Ok(Ok(response)) => self.limit_body(response, node, lost.deadline),
             Ok(Err(Outcome::Unknown(Unknown::ConnectionLost))) => {
                 inquiry::resolve(&self.peers, &self.timer, &lost).await
             }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -8,7 +8,7 @@
 mod pool;
 pub mod serve;
 
-use crate::body::Body;
+use crate::body::{Body, MAX_BUFFERED_RESPONSES_LEN};
 use crate::carrier::Response;
 use crate::protocol::ServerProtocol;
 use crate::request_log::EgressLog;
@@ -19,7 +19,7 @@
 use exchanges::Exchanges;
 use futures_util::future::BoxFuture;
 use knapweed_host::crash::{CrashCounts, CrashDigest, CrashRecord};
-use knapweed_host::{NotRun, Outcome};
+use knapweed_host::{ByteBudget, NotRun, Outcome};
 use knapweed_link::{Backlog, LinkRate};
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
@@ -61,6 +61,7 @@
                 crashes: Arc::new(CrashTracker::new(timer.clone())),
                 leaving: Arc::default(),
                 uplink: None,
+                buffered: Arc::new(ByteBudget::new(MAX_BUFFERED_RESPONSES_LEN)),
                 timer,
             },
         }
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -14,7 +14,7 @@
     Arrival, LimitChange, NamedLimit, ObjectiveQueue, Options, Refusal, Released, Verdict,
     WaiterKey,
 };
-use knapweed_host::{Admission, NotRun, Outcome};
+use knapweed_host::{Admission, ByteBudget, NotRun, Outcome};
 use knapweed_link::Backlog;
 use knapweed_observe::part;
 use knapweed_rollout::counters::{Sample, Warmth};
@@ -61,6 +61,7 @@
     /// Receives the announcement of a backend server that says that it is shutting down.
     leaving: Arc<Mutex<Vec<Announcement>>>,
     uplink: Option<Arc<Backlog>>,
+    buffered: Arc<ByteBudget>,
     timer: TimerService,
 }
 
@@ -74,6 +75,8 @@
     pub(super) leaving: Arc<Mutex<Vec<Announcement>>>,
     /// What the link of the host has to send; `None` when its rate is not known.
     pub(super) uplink: Option<Arc<Backlog>>,
+    /// Limits the response bodies that are kept until their callers have read them.
+    pub(super) buffered: Arc<ByteBudget>,
     pub(super) timer: TimerService,
 }
 
@@ -119,6 +122,7 @@
             crashes: shared.crashes,
             leaving: shared.leaving,
             uplink: shared.uplink,
+            buffered: shared.buffered,
             timer: shared.timer,
         }
     }
@@ -273,6 +277,7 @@
             pool: &self.pool,
             server: &self.announcement,
             protocol: &*self.protocol,
+            buffered: &self.buffered,
             timer,
             head,
             deadline,
--- a/crates/node/src/egress/exchange.rs
+++ b/crates/node/src/egress/exchange.rs
@@ -2,15 +2,18 @@
 
 use super::dispatcher::Slot;
 use super::pool::{Pool, PooledConnection};
+
 use crate::body::{self, Body, LimitedRead, ReadToEnd, TrackedBody};
 use crate::carrier::Response;
-use crate::guarded::{CompletionGuard, GuardedBody};
+use crate::guarded::CompletionGuard;
 use crate::headers;
 use crate::protocol::{ServerAnswer, ServerNotice, ServerProtocol};
+use crate::streamed::{Deadline, StreamedBody};
 use http::{Method, Request, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use knapweed_host::{Answer, NotRun, Outcome, Unknown};
+use knapweed_host::{Answer, ByteBudget, NotRun, Outcome, Unknown};
+use knapweed_observe::part;
 use knapweed_timer::TimerService;
 use knapweed_wire::{RequestHead, ResponseHead};
 use knapweed_world::Time;
@@ -38,6 +41,8 @@
     pub(super) protocol: &'a dyn ServerProtocol,
     /// Receives what the backend server states about itself in an answer.
     pub(super) observe: &'a (dyn Fn(ServerNotice) + Send + Sync),
+    /// Limits the response bodies that are buffered.
+    pub(super) buffered: &'a Arc<ByteBudget>,
     pub(super) timer: TimerService,
     pub(super) head: RequestHead,
     pub(super) deadline: Time,
@@ -85,6 +90,7 @@
                 continue;
             }
             *sent = true;
+            pooled.allowance().renew();
             match pooled.sender().try_send_request(request).await {
                 Ok(response) => {
                     slot.mark_answered();
@@ -101,13 +107,26 @@
                         *sent = false;
                         request = unsent;
                     }
-                    None => return Err(Outcome::Unknown(Unknown::ServerCrashed)),
+                    None => {
+                        self.log_unreadable(err.error());
+                        return Err(Outcome::Unknown(Unknown::ServerCrashed));
+                    }
                 },
             }
         }
         Err(Outcome::NotRun(NotRun::ConnectFailed))
     }
 
+    /// Logs a response that is not one in the protocol, or whose head is too long.
+    fn log_unreadable(&self, err: &hyper::Error) {
+        if err.is_parse() {
+            log::warn!(
+                target: part::EGRESS,
+                "cannot read the response of the backend server at {}: {err}", self.server.address
+            );
+        }
+    }
+
     async fn read_response(
         &self,
         response: http::Response<Incoming>,
@@ -140,25 +159,47 @@
             retry_after_us: None,
             load: None,
         };
-        let body = response_body(incoming, running).await?;
+        let body = self.response_body(incoming, running).await?;
         Ok(Response { head, body })
     }
 }
 
-/// Buffers a short response; a longer one is streamed while it arrives.
-async fn response_body(incoming: Incoming, mut running: RunningExchange) -> Result<Body, Outcome> {
-    if hyper::body::Body::is_end_stream(&incoming) {
-        running.complete();
-        return Ok(body::empty());
-    }
-    let incoming = incoming.map_err(io::Error::other).boxed_unsync();
-    match body::read_up_to(incoming, MAX_BUFFERED_RESPONSE_LEN).await {
-        Ok(LimitedRead::Whole(bytes)) => {
+impl Exchange<'_> {
+    /// Buffers a short response; a longer one is streamed while it arrives.
+    async fn response_body(
+        &self,
+        incoming: Incoming,
+        mut running: RunningExchange,
+    ) -> Result<Body, Outcome> {
+        if hyper::body::Body::is_end_stream(&incoming) {
             running.complete();
-            Ok(body::full(bytes))
+            return Ok(body::empty());
+        }
+        let incoming = incoming.map_err(io::Error::other).boxed_unsync();
+        let incoming = match &running.pooled {
+            Some(pooled) => {
+                let allowance = pooled.allowance();
+                allowance.renew();
+                allowance.renew_with(incoming)
+            }
+            None => incoming,
+        };
+        match body::read_up_to(incoming, MAX_BUFFERED_RESPONSE_LEN, self.buffered).await {
+            Ok(LimitedRead::Whole(bytes)) => {
+                running.complete();
+                Ok(body::full(bytes))
+            }
+            Ok(LimitedRead::Longer { body, .. }) => {
+                let deadline = Deadline {
+                    timer: self.timer.clone(),
+                    left: self.deadline.since(self.timer.now()),
+                    part: part::EGRESS,
+                    from: self.server.address,
+                };
+                Ok(StreamedBody::new(body, running, deadline).boxed())
+            }
+            Err(_) => Err(Outcome::Unknown(Unknown::Truncated)),
         }
-        Ok(LimitedRead::Longer { body, .. }) => Ok(GuardedBody::new(body, running).boxed()),
-        Err(_) => Err(Outcome::Unknown(Unknown::Truncated)),
     }
 }
 
--- a/crates/node/src/egress/pool.rs
+++ b/crates/node/src/egress/pool.rs
@@ -1,7 +1,7 @@
 //! Pool of the HTTP connections to one backend server.
 
 use crate::body::Body;
-use crate::client;
+use crate::client::{self, Client, ReadAllowance};
 use hyper::client::conn::http1::SendRequest;
 use knapweed_host::NotRun;
 use knapweed_host::connections::{
@@ -22,7 +22,7 @@
 
 /// The sending half of an open connection.
 struct Handle {
-    sender: SendRequest<Body>,
+    client: Client,
     /// Whether a response has arrived on the connection.
     is_used: bool,
 }
@@ -254,10 +254,9 @@
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
     stream.set_nodelay(true)?;
-    let handshake = client::handshake(stream).await;
-    let (sender, driver) = handshake.map_err(io::Error::other)?;
+    let (client, driver) = client::handshake(stream).await?;
     let is_used = false;
-    Ok((Handle { sender, is_used }, driver))
+    Ok((Handle { client, is_used }, driver))
 }
 
 /// A connection in use by one request; dropping it closes the connection.
@@ -271,7 +270,17 @@
     /// The sender of requests.
     pub(super) fn sender(&mut self) -> &mut SendRequest<Body> {
         let handle = self.handle.as_mut();
-        &mut handle.expect("a connection in use has a handle").sender
+        &mut handle
+            .expect("a connection in use has a handle")
+            .client
+            .sender
+    }
+
+    /// The limit of what is read from the connection.
+    pub(super) fn allowance(&self) -> Arc<ReadAllowance> {
+        let handle = self.handle.as_ref();
+        let handle = handle.expect("a connection in use has a handle");
+        Arc::clone(&handle.client.allowance)
     }
 
     /// Whether a response to an earlier request has arrived on the connection.
--- a/crates/node/src/guarded.rs
+++ b/crates/node/src/guarded.rs
@@ -15,6 +15,10 @@
     fn complete(&mut self);
 }
 
+impl CompletionGuard for () {
+    fn complete(&mut self) {}
+}
+
 /// A body that holds a guard until its end, an error or its drop.
 pub struct GuardedBody<G> {
     inner: Body,
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -22,14 +22,14 @@
 
 async fn exchange(address: SocketAddr, path: &str) -> anyhow::Result<response::Parts> {
     let stream = TcpStream::connect(address).await?;
-    let (mut tx, connection) = client::handshake(stream).await?;
+    let (mut client, connection) = client::handshake(stream).await?;
     let request = Request::builder()
         .uri(path.parse::<Uri>()?)
         .header(header::HOST, HeaderValue::try_from(address.to_string())?)
         .header(header::CONNECTION, "close")
         .body(body::empty())?;
     let driver = tokio::spawn(connection);
-    let response = tx.send_request(request).await;
+    let response = client.sender.send_request(request).await;
     driver.abort();
     Ok(response?.into_parts().0)
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -5,7 +5,9 @@
 pub mod metrics;
 pub mod service_metrics;
 
-use crate::body::{self, Body, LimitedRead, MAX_BUFFERED_LEN, RequestBody};
+use crate::body::{
+    self, Body, LimitedRead, MAX_BUFFERED_LEN, MAX_BUFFERED_REQUESTS_LEN, RequestBody,
+};
 use crate::carrier::{Carrier, Response};
 use crate::egress::CrashRecorder;
 use crate::headers;
@@ -16,7 +18,7 @@
 use http::{HeaderMap, Method, Uri};
 use knapweed_host::crash::{CrashSubjects, Subject};
 use knapweed_host::request::{IncomingRequest, Request};
-use knapweed_host::{Drain, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator};
+use knapweed_host::{ByteBudget, Drain, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator};
 use knapweed_link::LinkBudget;
 use knapweed_timer::TimerService;
 use knapweed_world::route::DRAWS;
@@ -76,12 +78,17 @@
 /// The ingress of a node, shared by all its threads.
 pub struct Ingress {
     dependencies: Dependencies,
+    /// Limits the request bodies that are kept for retries.
+    buffered: Arc<ByteBudget>,
 }
 
 impl Ingress {
     /// Creates an ingress from its dependencies.
     pub fn new(dependencies: Dependencies) -> Self {
-        Self { dependencies }
+        Self {
+            dependencies,
+            buffered: Arc::new(ByteBudget::new(MAX_BUFFERED_REQUESTS_LEN)),
+        }
     }
 
     /// The lifecycle of the node.
@@ -156,7 +163,7 @@
         log: &mut IngressLog<'_>,
     ) -> Result<Response, Outcome> {
         let truncated = |_| Outcome::NotRun(NotRun::InvalidHeader);
-        let body = body::read_up_to(request.body, MAX_BUFFERED_LEN).await;
+        let body = body::read_up_to(request.body, MAX_BUFFERED_LEN, &self.buffered).await;
         let (prefix, body) = match body.map_err(truncated)? {
             LimitedRead::Whole(bytes) => (bytes.clone(), RequestBody::Buffered(bytes)),
             LimitedRead::Longer { prefix, body } => (prefix, RequestBody::Streaming(body)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod registrar;
 pub mod request_log;
 pub mod source;
+mod streamed;
 pub mod trial;
--- a/crates/node/tests/nodes/endless.rs
+++ b/crates/node/tests/nodes/endless.rs
@@ -1,8 +1,10 @@
 //! Backend servers that send bytes without end.
 
 use crate::common::{egress, head};
+use assert_matches::assert_matches;
 use http::header::HeaderMap;
 use http::response;
+use http_body_util::BodyExt;
 use knapweed_host::{NotRun, Outcome};
 use knapweed_node::body;
 use knapweed_node::egress::Egress;
@@ -97,9 +99,11 @@
     (address, rx)
 }
 
+/// The case of a long response that its caller does not read.
+const UNREAD: &str = "a body without a length";
 const NO_PAUSE: Duration = Duration::ZERO;
 const PAUSE: Duration = Duration::from_millis(10);
-static CASES: [Endless; 6] = [
+static CASES: [Endless; 12] = [
     Endless {
         label: "no answer",
         beginning: b"\x00\x01\x02",
@@ -130,6 +134,42 @@
         repeated: b"1\r\na\r\n",
         pause: PAUSE,
     },
+    Endless {
+        label: "interim responses without a pause",
+        beginning: b"HTTP/1.1 100 Continue\r\n\r\n",
+        repeated: b"HTTP/1.1 102 Processing\r\nx: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n\r\n",
+        pause: NO_PAUSE,
+    },
+    Endless {
+        label: "the digits of a chunk size",
+        beginning: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        repeated: &[b'0'; 1024],
+        pause: NO_PAUSE,
+    },
+    Endless {
+        label: "spaces after a chunk size",
+        beginning: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1",
+        repeated: &[b' '; 1024],
+        pause: NO_PAUSE,
+    },
+    Endless {
+        label: "a chunk extension",
+        beginning: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;x=",
+        repeated: &[b'a'; 1024],
+        pause: NO_PAUSE,
+    },
+    Endless {
+        label: "trailers",
+        beginning: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        repeated: b"x: a\r\n",
+        pause: NO_PAUSE,
+    },
+    Endless {
+        label: "a body without a length",
+        beginning: b"HTTP/1.1 200 OK\r\n\r\n",
+        repeated: &[b'a'; 1024],
+        pause: NO_PAUSE,
+    },
     Endless {
         label: "the body of an answer",
         beginning: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
@@ -144,6 +184,7 @@
 async fn endless_bytes_end_with_the_request() {
     let timer = TimerService::start();
     let mut out = String::new();
+    let mut unbounded = Vec::new();
     for case in &CASES {
         let (address, mut closed) = start(case).await;
         let egress = Egress::new(timer.clone(), Arc::default(), Arc::new(NamedRefusals));
@@ -163,8 +204,34 @@
         drop(response);
         let taken = tokio::time::timeout(MAX_CLOSE_TIME, closed.recv()).await;
         let taken = taken.expect("a closed connection").expect("a server");
-        assert!(taken <= MAX_TAKEN, "{}: {taken}", case.label);
+        if taken > MAX_TAKEN {
+            unbounded.push(case.label);
+        }
         writeln!(out, "{}: {outcome}", case.label).expect("a string");
     }
+    assert_eq!(unbounded, [""; 0], "more than {MAX_TAKEN} bytes taken");
     insta::assert_snapshot!(out);
 }
+
+/// Guards against a caller that reads nothing of a long response and keeps the slot and the
+/// connection of the backend server for as long as it likes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_response_that_is_not_read_ends_at_its_deadline() {
+    let timer = TimerService::start();
+    let case = CASES.iter().find(|case| case.label == UNREAD);
+    let (address, mut closed) = start(case.expect("a case")).await;
+    let egress = Egress::new(timer.clone(), Arc::default(), Arc::new(NamedRefusals));
+    egress.announce(&egress::announcement(address));
+    let mut response = egress.run(head(address, "/calendar"), body::empty()).await;
+    let closed = tokio::time::timeout(MAX_OUTCOME_TIME, closed.recv()).await;
+    assert_matches!(closed, Ok(Some(_)));
+    // The part that has arrived must not look complete.
+    let error = loop {
+        match response.body.frame().await {
+            Some(Ok(_)) => {}
+            Some(Err(err)) => break Some(err),
+            None => break None,
+        }
+    };
+    assert_matches!(error, Some(_));
+}
--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -29,7 +29,7 @@
 const STREAM_WINDOW: u32 = 256 * 1024;
 /// Flow control window of one connection, and limit of its unacknowledged data, in
 /// bytes.
-const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+const CONNECTION_WINDOW: u32 = 2 * 1024 * 1024;
 /// Longest time for which the data of one peer may occupy the link of a host. A longer
 /// queue looks like a silent connection to all other peers.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(150);
