fix(rollout): an order moves the traffic from all versions but its target

A holder that learned of the old and the new version of a service at the same time took both for established, and wrote terms that move the traffic from half of the old one. The capacity then never sufficed for the last step, and a good version was not completed by its deadline. Seen in a real-process test of hand-overs that started all nodes and both versions together.

Cause: the established versions of a node are those that it saw first, which depends on when it started; another decision from state that is not known yet.

Change: the terms of the first order of a service move its traffic from all established and announced versions except the target.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -173,7 +173,11 @@
         let start = self.dependencies.timer.wall_clock();
         let in_force = match state {
             Some(state) => state.shares(),
-            None => self.established.shares(&order.service),
+            None => self.established.shares_before(
+                &order.service,
+                &order.target,
+                self.membership.directory(),
+            ),
         };
         let old = in_force.into_iter();
         let old = old.filter(|s| s.version != order.target && s.share > Share::NONE);
--- a/crates/node/src/control/versions.rs
+++ b/crates/node/src/control/versions.rs
@@ -42,17 +42,45 @@
 
     /// Even shares of the established versions of a service.
     pub(super) fn shares(&self, service: &Name) -> Vec<VersionShare> {
-        let versions = self.0.get(service).into_iter().flatten();
-        let count = versions.clone().count() as u16;
-        let mut rest = Share::ALL.0;
-        let shares = versions.enumerate().map(|(index, version)| {
-            let share = rest / (count - index as u16);
-            rest -= share;
-            VersionShare {
-                version: version.clone(),
-                share: Share(share),
-            }
-        });
-        shares.collect()
+        even_shares(self.0.get(service).into_iter().flatten())
+    }
+
+    /// Even shares of the versions from which the first rollout of a service moves its
+    /// traffic to `target`.
+    ///
+    /// The servers of the target may have been announced before the order was known. A node
+    /// that started at that time takes the target for established, or has seen no other
+    /// version first.
+    pub(super) fn shares_before(
+        &self,
+        service: &Name,
+        target: &Name,
+        directory: &Directory,
+    ) -> Vec<VersionShare> {
+        let announcements = directory
+            .present()
+            .flat_map(|(_, record)| record.announcements.iter())
+            .filter(|server| server.service == *service && server.state == ServerState::Ready);
+        let present = announcements.map(|server| &server.version);
+        let established = self.0.get(service).into_iter().flatten();
+        let versions: BTreeSet<_> = established
+            .chain(present)
+            .filter(|version| *version != target)
+            .collect();
+        even_shares(versions.iter().copied())
     }
 }
+
+fn even_shares<'a>(versions: impl Iterator<Item = &'a Name> + Clone) -> Vec<VersionShare> {
+    let count = versions.clone().count() as u16;
+    let mut rest = Share::ALL.0;
+    let shares = versions.enumerate().map(|(index, version)| {
+        let share = rest / (count - index as u16);
+        rest -= share;
+        VersionShare {
+            version: version.clone(),
+            share: Share(share),
+        }
+    });
+    shares.collect()
+}
