fix(rollout): a holder that knows an ended rollout carries out the next order

With an ended rollout it counted as idle before it had read the stored state or the order, and was dropped in the tick that had created it.

Change: a controller is not idle until it has read the stored state.

Test: a_new_holder_that_knows_an_ended_rollout_starts_the_next_one fails before.

--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -287,8 +287,11 @@
     }
 
     /// Whether nothing is left to do: no rollout is running and every result is
-    /// confirmed.
+    /// confirmed. False until the stored state has been read.
     pub fn is_idle(&self) -> bool {
+        if !self.store.is_known() {
+            return false;
+        }
         let Some(state) = &self.current else {
             return self.config.as_ref().is_none_or(|c| c.rollout.is_none());
         };
--- a/crates/rollout/tests/takeover.rs
+++ b/crates/rollout/tests/takeover.rs
@@ -259,6 +259,23 @@
     }
 }
 
+/// Guards against a holder that drops the controller of a service whose last rollout has
+/// ended before it has learned of the next order, which is then never carried out.
+#[test]
+fn a_new_holder_that_knows_an_ended_rollout_starts_the_next_one() {
+    let mut holder = Holder::new(TAKEOVER_MS);
+    assert!(!holder.control.is_idle());
+    holder.send(Event::Seen(pulled_back(SHORT_S)));
+    assert!(!holder.control.is_idle());
+    holder.send(Event::Config(config(2, "v3", SHORT_S)));
+    assert!(!holder.control.is_idle());
+    holder.send(Event::Read {
+        state: Some(pulled_back(SHORT_S)),
+        revision: Revision(2),
+    });
+    assert_eq!(holder.decisions, ["  5.0 s Warming"]);
+}
+
 /// Guards against evidence in the result that counts requests twice, or loses those of
 /// hosts that have stopped, when the holder changes.
 #[test]
