fix(link): the wait of the pacer ends when the packet may be sent

Cause: the wait was in nanoseconds, times are in microseconds. The fraction was cut off, so the sender was early and waited 4 ms more.

Change: waits are rounded up to microseconds.

--- a/crates/link/src/pacer.rs
+++ b/crates/link/src/pacer.rs
@@ -23,6 +23,7 @@
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
 const NANOS_PER_SECOND: u64 = 1_000_000_000;
+const NANOS_PER_MICRO: u64 = 1_000;
 const BITS_PER_BYTE: f64 = 8.0;
 
 /// Rate of the link of a host.
@@ -110,7 +111,10 @@
 
     fn wait(&self, busy_until: u64, bytes: u64, now: Time) -> Duration {
         let free_at = self.busy_after(busy_until, bytes, now);
-        Duration::from_nanos(free_at.saturating_sub(nanos(now))).max(MIN_WAIT)
+        let wait = free_at.saturating_sub(nanos(now));
+        // Times are in whole microseconds: a fraction would be cut off, and the sender be
+        // early.
+        Duration::from_micros(wait.div_ceil(NANOS_PER_MICRO)).max(MIN_WAIT)
     }
 }
 
