feat(store): revisions belong to an era of the store, and copies can be restored

The store may come back from an older copy and give out its revisions a second time; a bare number then means two things. Change: Revision has a StoreEra, one type for the store and for rollout control; MemoryStore has backup and restore. The platform's client does not read the era yet.

--- a/crates/contract/src/accept.rs
+++ b/crates/contract/src/accept.rs
@@ -128,7 +128,7 @@
             policy,
             cache,
             step: Step::Idle,
-            head: (Revision(0), Head::default()),
+            head: (Revision::ABSENT, Head::default()),
             record: None,
             proposal: None,
             unwritten_parts: VecDeque::new(),
--- a/crates/contract/src/accept/attempt.rs
+++ b/crates/contract/src/accept/attempt.rs
@@ -61,7 +61,7 @@
 
     pub(super) fn head_condition(&self) -> Condition {
         match self.head.0 {
-            Revision(0) => Condition::Absent,
+            Revision { number: 0, .. } => Condition::Absent,
             revision => Condition::Revision(revision),
         }
     }
--- a/crates/contract/src/head.rs
+++ b/crates/contract/src/head.rs
@@ -84,7 +84,7 @@
     /// version 0 with revision 0.
     pub fn decode(object: Option<&Object>) -> Result<(Revision, Self), Error> {
         let Some(object) = object else {
-            return Ok((Revision(0), Self::default()));
+            return Ok((Revision::ABSENT, Self::default()));
         };
         let head = serde_json::from_slice(&object.value).map_err(|e| Error(e.to_string()))?;
         Ok((object.revision, head))
--- a/crates/contract/tests/common/sim.rs
+++ b/crates/contract/tests/common/sim.rs
@@ -80,7 +80,7 @@
         let (key, value, condition) = match pending {
             PendingChange::Write(key, value, condition) => (key, value, condition),
             PendingChange::Delete(key, revision) => {
-                return resolve(self.inner.delete(&key, revision)).map(|()| Revision(0));
+                return resolve(self.inner.delete(&key, revision)).map(|()| Revision::ABSENT);
             }
         };
         let revision = resolve(self.inner.write(&key, value.clone(), condition))?;
--- a/crates/contract/tests/gc.rs
+++ b/crates/contract/tests/gc.rs
@@ -9,14 +9,20 @@
 
 fn listed(count: u64) -> Vec<(ObjectKey, Revision)> {
     let part = |i: u64| parts::key(&Digest::of(&i.to_le_bytes()));
-    (0..count).map(|i| (part(i), Revision(i + 1))).collect()
+    (0..count)
+        .map(|i| (part(i), Revision::new(i + 1)))
+        .collect()
 }
 
 #[test]
 fn parts_are_deleted_after_the_grace_time_at_a_bounded_rate() {
     let (mut collector, head) = (PartCollector::default(), Head::default());
     let (listed, now) = (listed(25), Time::default());
-    let mut count = |listed: &[_], now| collector.observe(listed, &head, Revision(100), now).len();
+    let mut count = |listed: &[_], now| {
+        collector
+            .observe(listed, &head, Revision::new(100), now)
+            .len()
+    };
     assert_eq!(count(&listed, now), 0);
     assert_eq!(
         count(&listed, now.after(GRACE_PERIOD - Duration::from_millis(1))),
@@ -32,14 +38,14 @@
 fn parts_newer_than_the_head_stay() {
     let (mut collector, head) = (PartCollector::default(), Head::default());
     let listed = listed(3);
-    collector.observe(&listed, &head, Revision(2), Time::default());
+    collector.observe(&listed, &head, Revision::new(2), Time::default());
     let due = collector.observe(
         &listed,
         &head,
-        Revision(2),
+        Revision::new(2),
         Time::default().after(GRACE_PERIOD),
     );
-    let revisions: Vec<_> = due.iter().map(|d| d.revision.0).collect();
+    let revisions: Vec<_> = due.iter().map(|d| d.revision.number).collect();
     assert_eq!(revisions, [1]);
 }
 
@@ -53,13 +59,21 @@
     used.routes.insert(0, Digest::of(&0_u64.to_le_bytes()));
     let now = Time::default();
     let later = now.after(GRACE_PERIOD);
-    collector.observe(&listed, &unused, Revision(100), now);
-    listed[1].1 = Revision(50);
-    assert_eq!(collector.observe(&listed, &used, Revision(100), later), []);
+    collector.observe(&listed, &unused, Revision::new(100), now);
+    listed[1].1 = Revision::new(50);
     assert_eq!(
-        collector.observe(&listed, &unused, Revision(100), later),
+        collector.observe(&listed, &used, Revision::new(100), later),
         []
     );
-    let due = collector.observe(&listed, &unused, Revision(100), later.after(GRACE_PERIOD));
+    assert_eq!(
+        collector.observe(&listed, &unused, Revision::new(100), later),
+        []
+    );
+    let due = collector.observe(
+        &listed,
+        &unused,
+        Revision::new(100),
+        later.after(GRACE_PERIOD),
+    );
     assert_eq!(due.len(), 2);
 }
--- a/crates/ctl/tests/ticket.rs
+++ b/crates/ctl/tests/ticket.rs
@@ -17,7 +17,7 @@
 
 fn record(ending: Option<Ending>) -> Record {
     let ticket = Ticket::parse(DOCUMENT.as_bytes()).expect("a ticket");
-    let head = Revision(5);
+    let head = Revision::new(5);
     let accepted = Accepted {
         ticket: TicketNumber(7),
         version: ConfigVersion(3),
--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -93,7 +93,7 @@
     /// The head or a part is invalid; the previous configuration stays unchanged.
     pub fn apply_delta(&mut self, delta: Delta) -> Result<bool, Error> {
         let object = Object {
-            revision: Revision(0),
+            revision: Revision::ABSENT,
             value: delta.head,
         };
         let (_, head) = Head::decode(Some(&object))?;
--- a/crates/node/src/control/rollouts/store.rs
+++ b/crates/node/src/control/rollouts/store.rs
@@ -43,14 +43,14 @@
             let service = state.service.clone();
             let condition = match condition {
                 Revision::ABSENT => Condition::Absent,
-                Revision(revision) => Condition::Revision(knapweed_store::Revision(revision)),
+                revision => Condition::Revision(revision),
             };
             let outcome = match serde_json::to_vec(&state) {
                 Ok(value) => store.write(&key(&service), value.into(), condition).await,
                 Err(err) => Err(StoreError::Malformed(err.to_string())),
             };
             let event = rollout::Event::Write(match outcome {
-                Ok(revision) => WriteResult::Written(Revision(revision.0)),
+                Ok(revision) => WriteResult::Written(revision),
                 Err(StoreError::Conflict { .. }) => WriteResult::Conflict,
                 Err(_) => WriteResult::Unknown,
             });
@@ -72,5 +72,5 @@
     object: &Object,
 ) -> Result<(Revision, RolloutState), serde_json::Error> {
     let state = serde_json::from_slice(&object.value)?;
-    Ok((Revision(object.revision.0), state))
+    Ok((object.revision, state))
 }
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -80,7 +80,7 @@
             Err(Error::Store(StoreError::HistoryCompacted(revision))) => {
                 log::info!(
                     target: part::CONFIG,
-                    "the store compacted the history since revision {}, loading again", revision.0
+                    "the store compacted the history since revision {revision}, loading again"
                 );
                 after = None;
             }
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -25,13 +25,13 @@
 mod takeover;
 mod traffic;
 
-pub use event::{Action, Event, Revision, WriteResult};
+pub use event::{Action, Event, WriteResult};
 
 use crate::judge::{ComparedVersions, Verdict, Window};
 use crate::strategy::{ChooseStrategy, Strategy};
 use crate::{Counters, Evidence, Phase, RolloutState, ZoneReport};
 use knapweed_world::config::{RolloutTerms, ServiceConfig};
-use knapweed_world::{Name, Share, TicketNumber, Time, UnixMillis};
+use knapweed_world::{Name, Revision, Share, TicketNumber, Time, UnixMillis};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use store::Store;
--- a/crates/rollout/src/control/event.rs
+++ b/crates/rollout/src/control/event.rs
@@ -1,21 +1,10 @@
 //! Events that rollout control handles and actions that it requests.
 
 use crate::{RolloutState, TicketResult, ZoneCapacity, ZoneReport};
-use knapweed_world::TicketNumber;
 use knapweed_world::config::ServiceConfig;
+use knapweed_world::{Revision, TicketNumber};
 use serde::{Deserialize, Serialize};
 
-/// Revision of the stored state; 0 while no state is stored.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-pub struct Revision(pub u64);
-
-impl Revision {
-    /// The revision of an object that does not exist.
-    pub const ABSENT: Self = Self(0);
-}
-
 /// The answer to a write of the state.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/rollout/src/control/store.rs
+++ b/crates/rollout/src/control/store.rs
@@ -1,8 +1,8 @@
 //! Reads and conditional writes of the stored state, one call at a time.
 
-use crate::control::event::{Action, Revision, WriteResult};
+use crate::control::event::{Action, WriteResult};
 use crate::state::RolloutState;
-use knapweed_world::Time;
+use knapweed_world::{Revision, Time};
 use std::time::Duration;
 
 /// A call without an answer for this long is abandoned and the state is read
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -20,12 +20,13 @@
 pub mod strategy;
 
 pub use capacity::ZoneCapacity;
-pub use control::{Action, Event, Revision, RolloutController};
+pub use control::{Action, Event, RolloutController};
 pub use counters::Counters;
 pub use evidence::Evidence;
 pub use guard::Guard;
 pub use histogram::Histogram;
 pub use judge::{Judge, Verdict};
+pub use knapweed_world::Revision;
 pub use planner::{Plan, Planner};
 pub use report::{Holder, HostReport, Tenure, ZoneReport};
 pub use result::{Outcome, TicketResult};
--- a/crates/rollout/tests/common/platform.rs
+++ b/crates/rollout/tests/common/platform.rs
@@ -42,7 +42,7 @@
         }
         Event::Read {
             state: self.stored.clone(),
-            revision: Revision(self.revision),
+            revision: Revision::new(self.revision),
         }
     }
 
@@ -50,13 +50,13 @@
         if self.down {
             return WriteResult::Unknown;
         }
-        if condition != Revision(self.revision) {
+        if condition != Revision::new(self.revision) {
             return WriteResult::Conflict;
         }
         self.revision += 1;
         self.stored = Some(state.clone());
         self.history.push(state.clone());
-        WriteResult::Written(Revision(self.revision))
+        WriteResult::Written(Revision::new(self.revision))
     }
 
     fn finish(&mut self, result: &TicketResult) -> Option<Event> {
--- a/crates/rollout/tests/control.rs
+++ b/crates/rollout/tests/control.rs
@@ -100,7 +100,7 @@
     }
     let late = knapweed_rollout::Action::Write {
         state: Box::new(replay.platform.history[1].clone()),
-        condition: knapweed_rollout::Revision(1),
+        condition: knapweed_rollout::Revision::new(1),
     };
     replay.platform.answer(&late);
     assert_eq!(replay.platform.history.len(), 3);
--- a/crates/rollout/tests/guard_tripped.rs
+++ b/crates/rollout/tests/guard_tripped.rs
@@ -54,7 +54,7 @@
             state: None,
             revision: Revision::ABSENT,
         },
-        Event::Write(WriteResult::Written(Revision(1))),
+        Event::Write(WriteResult::Written(Revision::new(1))),
     ] {
         control.handle(event, Time(0), UnixMillis(0), &mut out);
     }
@@ -75,7 +75,7 @@
         Event::Config(config()),
         Event::Read {
             state: Some(state),
-            revision: Revision(2),
+            revision: Revision::new(2),
         },
         Event::Capacity(vec![capacity("v1"), capacity("v2")]),
     ] {
@@ -117,7 +117,7 @@
         for action in std::mem::take(&mut out) {
             if let Action::Write { state, condition } = action {
                 phases.push(state.phase);
-                let answer = WriteResult::Written(Revision(condition.0 + 1));
+                let answer = WriteResult::Written(Revision::new(condition.number + 1));
                 control.handle(Event::Write(answer), now, wall, &mut out);
             }
         }
--- a/crates/rollout/tests/takeover.rs
+++ b/crates/rollout/tests/takeover.rs
@@ -92,7 +92,7 @@
         holder.send(Event::Capacity(ready.to_vec()));
         holder.send(Event::Read {
             state: Some(stored),
-            revision: Revision(2),
+            revision: Revision::new(2),
         });
         holder
     }
@@ -112,7 +112,7 @@
                 };
                 let at = self.now_ms as f64 / 1e3;
                 self.decisions.push(format!("{at:>5.1} s {phase}"));
-                let revision = Revision(3 + self.decisions.len() as u64);
+                let revision = Revision::new(3 + self.decisions.len() as u64);
                 let written = knapweed_rollout::control::WriteResult::Written(revision);
                 self.send(Event::Write(written));
             }
@@ -242,7 +242,7 @@
                 holder.send(Event::Seen(pulled_back(SHORT_S)));
                 holder.send(Event::Read {
                     state: Some(running(SHORT_S, 10_000)),
-                    revision: Revision(2),
+                    revision: Revision::new(2),
                 });
                 holder
             }
@@ -271,7 +271,7 @@
     assert!(!holder.control.is_idle());
     holder.send(Event::Read {
         state: Some(pulled_back(SHORT_S)),
-        revision: Revision(2),
+        revision: Revision::new(2),
     });
     assert_eq!(holder.decisions, ["  5.0 s Warming"]);
 }
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -1,6 +1,6 @@
 //! The object store interface: operations, results and errors.
 
-use crate::{Condition, Object, ObjectKey, Revision};
+use crate::{Condition, Object, ObjectKey, Revision, StoreEra};
 use bytes::Bytes;
 use std::future::Future;
 use std::pin::Pin;
@@ -20,7 +20,7 @@
     },
     /// The store no longer retains the changes since the revision; the caller must
     /// list the objects again.
-    #[error("the history since revision {} is no longer available", .0.0)]
+    #[error("the history since revision {0} is no longer available")]
     HistoryCompacted(Revision),
     /// The store refused the call because of its rate limit; nothing was written.
     #[error("the store refused the call: rate limit exceeded")]
@@ -82,7 +82,17 @@
 pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, Error>> + Send + 'a>>;
 
 /// A store of versioned objects with conditional writes and watches.
+///
+/// A store may come back from an older copy of its data, which begins a new [`StoreEra`].
+/// Revisions of an earlier era are refused: a watch from one fails with
+/// [`Error::HistoryCompacted`], and a write on condition of one with [`Error::Conflict`],
+/// or with [`Error::ResponseLost`] when the store reported the new era only in its response.
 pub trait ObjectStore: Send + Sync {
+    /// The latest era that a response of the store has reported.
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
     /// Reads an object; returns `None` when it does not exist.
     fn read<'a>(&'a self, key: &'a ObjectKey) -> StoreFuture<'a, Option<Object>>;
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod object;
 
 pub use api::{Change, Changes, Error, Listing, ObjectStore, StoreFuture};
-pub use memory::MemoryStore;
-pub use object::{Condition, Object, ObjectKey, Revision};
+pub use knapweed_world::{Revision, StoreEra};
+pub use memory::{Backup, MemoryStore};
+pub use object::{Condition, Object, ObjectKey};
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -1,7 +1,8 @@
 //! In-memory store with fault injection and call counters.
 
 use crate::api::{Change, Changes, Error, Listing, ObjectStore, StoreFuture};
-use crate::object::{Condition, Object, ObjectKey, Revision};
+use crate::object::{Condition, Object, ObjectKey};
+use crate::{Revision, StoreEra};
 use bytes::Bytes;
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
@@ -90,14 +91,44 @@
     pub writes: u64,
 }
 
-/// Contents of the store and its fault and limit state.
-struct Store {
+/// Objects and change history of the store.
+#[derive(Clone, Default)]
+struct Contents {
     objects: BTreeMap<ObjectKey, Object>,
     /// Revision at which each deleted object was deleted.
     deleted: BTreeMap<ObjectKey, Revision>,
     last: Revision,
     /// Changes up to this revision are no longer reported.
     compacted: Revision,
+}
+
+impl Contents {
+    /// Moves all revisions to `era`.
+    fn begin_era(&mut self, era: StoreEra) {
+        for object in self.objects.values_mut() {
+            object.revision = object.revision.in_era(era);
+        }
+        for revision in self.deleted.values_mut() {
+            *revision = revision.in_era(era);
+        }
+        self.last = self.last.in_era(era);
+        self.compacted = self.compacted.in_era(era);
+    }
+
+    /// The revision of the next change.
+    fn next_revision(&mut self) -> Revision {
+        self.last.number += 1;
+        self.last
+    }
+}
+
+/// Copy of the contents of a [`MemoryStore`], from which it can come back.
+#[derive(Clone)]
+pub struct Backup(Contents);
+
+/// Contents of the store and its fault and limit state.
+struct Store {
+    contents: Contents,
     faults: Faults,
     calls: Calls,
     reads: TokenBucket,
@@ -107,10 +138,7 @@
 impl Store {
     fn new(limits: Limits) -> Self {
         Self {
-            objects: BTreeMap::new(),
-            deleted: BTreeMap::new(),
-            last: Revision(0),
-            compacted: Revision(0),
+            contents: Contents::default(),
             faults: Faults::default(),
             calls: Calls::default(),
             reads: TokenBucket::new(limits.reads_per_s),
@@ -121,17 +149,18 @@
     /// The last change of each object of a kind after a revision, in the order of
     /// their revisions.
     fn changes(&self, kind: &str, after: Revision) -> Result<Changes, Error> {
-        if after < self.compacted {
+        let contents = &self.contents;
+        if after < contents.compacted || after > contents.last {
             return Err(Error::HistoryCompacted(after));
         }
-        let present = self.objects.iter().map(|(key, object)| {
+        let present = contents.objects.iter().map(|(key, object)| {
             let change = Change {
                 key: key.clone(),
                 object: Some(object.clone()),
             };
             (object.revision, change)
         });
-        let deleted = self.deleted.iter().map(|(key, revision)| {
+        let deleted = contents.deleted.iter().map(|(key, revision)| {
             let change = Change {
                 key: key.clone(),
                 object: None,
@@ -144,7 +173,7 @@
         newer.sort_by_key(|(revision, _)| *revision);
         Ok(Changes {
             changes: newer.into_iter().map(|(_, change)| change).collect(),
-            revision: self.last,
+            revision: contents.last,
         })
     }
 
@@ -177,7 +206,7 @@
 
     /// Creates an empty store without faults and with the given rate limits.
     pub fn with_limits(limits: Limits) -> Self {
-        let (changed, _) = watch::channel(Revision(0));
+        let (changed, _) = watch::channel(Revision::default());
         Self {
             store: Mutex::new(Store::new(limits)),
             changed,
@@ -202,11 +231,25 @@
     /// Discards the change history: watches from earlier revisions fail.
     pub fn compact_history(&self) {
         let mut store = self.store.lock();
-        store.compacted = store.last;
+        store.contents.compacted = store.contents.last;
         drop(store);
         self.changed.send_modify(|_| ());
     }
 
+    /// Copies the contents.
+    pub fn backup(&self) -> Backup {
+        Backup(self.store.lock().contents.clone())
+    }
+
+    /// Comes back from an older copy, which begins a new era. Pending watches end.
+    pub fn restore(&self, backup: &Backup) {
+        let mut store = self.store.lock();
+        let era = StoreEra(store.contents.last.era.0 + 1);
+        store.contents = backup.0.clone();
+        store.contents.begin_era(era);
+        self.changed.send_replace(store.contents.last);
+    }
+
     /// Reads an object without counting a call and without injected faults.
     pub fn peek(&self, key: &ObjectKey) -> Option<Object> {
         self.get(key)
@@ -214,7 +257,7 @@
 
     /// Revision of the last change.
     pub fn latest_revision(&self) -> Revision {
-        self.store.lock().last
+        self.store.lock().contents.last
     }
 
     /// The faults that are currently injected.
@@ -251,20 +294,20 @@
     }
 
     fn get(&self, key: &ObjectKey) -> Option<Object> {
-        self.store.lock().objects.get(key).cloned()
+        self.store.lock().contents.objects.get(key).cloned()
     }
 
     fn put(&self, key: &ObjectKey, value: Bytes, condition: Condition) -> Result<Revision, Error> {
         let mut store = self.store.lock();
         check_condition(&store, key, condition)?;
-        if let Some(same) = store.objects.get(key).filter(|o| o.value == value) {
+        if let Some(same) = store.contents.objects.get(key).filter(|o| o.value == value) {
             let revision = same.revision;
             return self.finish(&mut store, revision);
         }
-        let revision = Revision(store.last.0 + 1);
-        store.last = revision;
-        store.deleted.remove(key);
+        let revision = store.contents.next_revision();
+        store.contents.deleted.remove(key);
         store
+            .contents
             .objects
             .insert(key.clone(), Object { revision, value });
         self.finish(&mut store, revision)
@@ -273,16 +316,15 @@
     fn remove(&self, key: &ObjectKey, condition: Condition) -> Result<Revision, Error> {
         let mut store = self.store.lock();
         check_condition(&store, key, condition)?;
-        let revision = Revision(store.last.0 + 1);
-        store.last = revision;
-        store.objects.remove(key);
-        store.deleted.insert(key.clone(), revision);
+        let revision = store.contents.next_revision();
+        store.contents.objects.remove(key);
+        store.contents.deleted.insert(key.clone(), revision);
         self.finish(&mut store, revision)
     }
 
     /// Notifies watches of the change, and injects a lost response.
     fn finish(&self, store: &mut Store, revision: Revision) -> Result<Revision, Error> {
-        self.changed.send_replace(store.last);
+        self.changed.send_replace(store.contents.last);
         if store.faults.lost_responses > 0 {
             store.faults.lost_responses -= 1;
             return Err(Error::ResponseLost("injected fault".into()));
@@ -292,7 +334,7 @@
 }
 
 fn check_condition(store: &Store, key: &ObjectKey, condition: Condition) -> Result<(), Error> {
-    let current = store.objects.get(key).map(|o| o.revision);
+    let current = store.contents.objects.get(key).map(|o| o.revision);
     let holds = match condition {
         Condition::Absent => current.is_none(),
         Condition::Revision(revision) => current == Some(revision),
@@ -307,6 +349,10 @@
 }
 
 impl ObjectStore for MemoryStore {
+    fn era(&self) -> StoreEra {
+        self.latest_revision().era
+    }
+
     fn read<'a>(&'a self, key: &'a ObjectKey) -> StoreFuture<'a, Option<Object>> {
         Box::pin(async move {
             self.admit(false).await?;
@@ -318,11 +364,11 @@
         Box::pin(async move {
             self.admit(false).await?;
             let store = self.store.lock();
-            let objects = store.objects.iter();
+            let objects = store.contents.objects.iter();
             let objects = objects.filter(|(key, _)| key.kind() == kind);
             Ok(Listing {
                 objects: objects.map(|(k, o)| (k.clone(), o.clone())).collect(),
-                revision: store.last,
+                revision: store.contents.last,
             })
         })
     }
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -1,7 +1,7 @@
-//! Objects of the store, their keys, revisions and write conditions.
+//! Objects of the store, their keys and write conditions.
 
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+use knapweed_world::Revision;
 use std::fmt;
 use std::sync::Arc;
 
@@ -41,12 +41,6 @@
     }
 }
 
-/// Revision of an object, taken from a counter that each change of the store increments.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-pub struct Revision(pub u64);
-
 /// A stored object at one revision.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Object {
--- a/crates/trace/src/run/stand_in.rs
+++ b/crates/trace/src/run/stand_in.rs
@@ -35,7 +35,7 @@
         if condition != self.revision {
             return WriteResult::Conflict;
         }
-        self.revision = Revision(self.revision.0 + 1);
+        self.revision = Revision::new(self.revision.number + 1);
         self.state = Some(state.clone());
         WriteResult::Written(self.revision)
     }
