fix(node): no 404 while newer routes may exist

Cause: the ingress took the table in force for the whole truth. A node did not know whether a newer version existed, so it could not tell an unknown route from one that it had not received. Change: nodes that read the store learn which version is the newest, in which era, and pass it on with its age in each message. A node that has not learned it for 4 s, or knows of a newer version than its own, refuses an unknown path with 503 and Retry-After. The new test of the ingress does not compile on the code before, so it was not seen failing there.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -19,6 +19,7 @@
 pub mod view;
 pub(crate) mod watch;
 
+use crate::currency::RouteCurrency;
 use crate::egress::Egress;
 use crate::orders::RolloutOrders;
 use crate::source::ConfigSource;
@@ -32,7 +33,7 @@
 use knapweed_store::ObjectStore;
 use knapweed_timer::TimerService;
 use knapweed_transport::Peers;
-use knapweed_world::{Name, SnapshotCell, TicketNumber, Time};
+use knapweed_world::{ConfigVersion, Name, SnapshotCell, StoreEra, TicketNumber, Time};
 use knapweed_zone::floor::{self as floor_decision, VersionFloor};
 use knapweed_zone::{Epidemic, Membership, membership};
 use orders::OrderBook;
@@ -75,6 +76,8 @@
     pub timer: TimerService,
     /// Set once the node has reached its version floor and may serve callers.
     pub ready: Arc<AtomicBool>,
+    /// Receives the time until which the configuration in force counts as the newest.
+    pub currency: Arc<RouteCurrency>,
     /// Receives the state that operators can read.
     pub view: Arc<ArcSwap<View>>,
 }
@@ -89,6 +92,8 @@
     established: EstablishedVersions,
     floor: VersionFloor,
     watch: Watch,
+    /// Version of the configuration that the store had at the last read, and its era.
+    stored_config: (StoreEra, ConfigVersion),
     rollouts: Rollouts,
     orders: OrderBook,
     results: PendingResults,
@@ -151,6 +156,7 @@
             membership,
             configs: ConfigStore::default(),
             watch: Watch::default(),
+            stored_config: Default::default(),
             rollouts: Rollouts::default(),
             orders: OrderBook::default(),
             results: PendingResults::default(),
@@ -184,6 +190,8 @@
             if self.is_refresh_due() {
                 self.refresh();
             }
+            let current_until = self.membership.freshness().current_until();
+            self.dependencies.currency.set_until(current_until);
         }
     }
 
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -8,7 +8,7 @@
 use knapweed_contract::PartCache;
 use knapweed_observe::part;
 use knapweed_store::Error as StoreError;
-use knapweed_world::Time;
+use knapweed_world::{ConfigVersion, Time};
 use knapweed_zone::membership;
 use rand::Rng;
 use std::sync::Arc;
@@ -122,9 +122,19 @@
     pub(super) fn source_updated(&mut self, update: SourceUpdate) {
         let now = self.now();
         self.record_store_reachable(now, true);
+        let era = update.revision.era;
+        let (known_era, known) = self.stored_config;
+        let unchanged = known_era == era;
+        let version = match &update.loaded {
+            Some(loaded) => loaded.head.version,
+            None if unchanged => known,
+            None => ConfigVersion::default(),
+        };
+        self.stored_config = (era, version);
         if let Some(loaded) = update.loaded {
             self.config_loaded(loaded);
         }
+        self.member_event(now, membership::Event::ConfigConfirmed { era, version });
     }
 }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -9,6 +9,7 @@
     self, Body, LimitedRead, MAX_BUFFERED_LEN, MAX_BUFFERED_REQUESTS_LEN, RequestBody,
 };
 use crate::carrier::{Carrier, Response};
+use crate::currency::RouteCurrency;
 use crate::egress::CrashRecorder;
 use crate::headers;
 use crate::protocol::{CallerFields, CallerProtocol};
@@ -65,6 +66,8 @@
     /// Whether the version floor is known and the configuration has reached it;
     /// until then every request is refused.
     pub ready: Arc<AtomicBool>,
+    /// Whether the routes in force are known to be the newest ones.
+    pub currency: Arc<RouteCurrency>,
     /// Clock for deadlines and latencies.
     pub timer: TimerService,
     /// Decides whether a failed attempt is retried.
@@ -217,9 +220,22 @@
         };
         let parsed =
             Request::from_incoming(snapshot, &incoming, &self.dependencies.wait_estimator, now)
-                .map_err(invalid)?;
+                .map_err(|err| Outcome::NotRun(self.refusal(&err, now)))?;
         Ok((parsed, fields))
     }
+
+    /// Why a request is refused that was not accepted for `err`.
+    ///
+    /// A node that does not know whether its routes are the newest does not claim that
+    /// there is no route.
+    fn refusal(&self, err: &knapweed_host::request::Error, now: Time) -> NotRun {
+        match err.reason() {
+            NotRun::NoRoute if !self.dependencies.currency.is_current(now) => {
+                NotRun::OutdatedRoutes
+            }
+            reason => reason,
+        }
+    }
 }
 
 /// Default time after which a refused request may be sent again, when no backend
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod carrier;
 mod client;
 pub mod control;
+pub mod currency;
 pub mod egress;
 pub mod guarded;
 pub mod headers;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,6 +5,7 @@
 use crate::carrier::{LinkCarrier, LocalCarrier};
 use crate::control::event::{ControlHandle, Event};
 use crate::control::{Controller, View};
+use crate::currency::RouteCurrency;
 use crate::egress::{Egress, serve};
 use crate::history::{self, HistoryKeeper};
 use crate::ingress::handler::CallerHandler;
@@ -192,6 +193,7 @@
         let retries = Arc::new(RetryPolicy::new(settings.retries));
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let ready = Arc::new(AtomicBool::new(false));
+        let currency = Arc::new(RouteCurrency::default());
         let (control, events) = ControlHandle::new();
 
         let dependencies = crate::control::Dependencies {
@@ -205,6 +207,7 @@
             trials,
             retries: Arc::clone(&retries),
             ready: Arc::clone(&ready),
+            currency: Arc::clone(&currency),
             timer: timer.clone(),
             view: Arc::clone(&view),
         };
@@ -239,6 +242,7 @@
             link: Box::new(LinkCarrier::new(endpoint.peers(), timer.clone())),
             drain: Arc::clone(&drain),
             ready: Arc::clone(&ready),
+            currency,
             timer: timer.clone(),
             retries: Arc::clone(&retries),
             wait_estimator: WaitEstimator::default(),
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -134,7 +134,11 @@
 }
 
 fn ingress_with(snapshots: Arc<SnapshotCell>, metrics: &Metrics, drain: Drain) -> Ingress {
-    Ingress::new(Dependencies {
+    Ingress::new(dependencies(snapshots, metrics, drain))
+}
+
+fn dependencies(snapshots: Arc<SnapshotCell>, metrics: &Metrics, drain: Drain) -> Dependencies {
+    Dependencies {
         snapshots,
         protocol: Box::new(NativeHeaders),
         origin: None,
@@ -145,11 +149,12 @@
         region_budget: LinkBudget::new(1_000),
         drain: Arc::new(drain),
         ready: Arc::new(AtomicBool::new(true)),
+        currency: Arc::default(),
         timer: TimerService::start(),
         retries: Arc::default(),
         wait_estimator: WaitEstimator::default(),
         metrics: IngressMetrics::register(metrics),
-    })
+    }
 }
 
 /// Guards against calls that use up the link between regions, which is narrow,
@@ -192,6 +197,28 @@
     assert_eq!(run(&ingress, "/calendar/ok", &short).await, answered);
 }
 
+/// Guards against a 404 for a route that exists in a configuration which the node has not
+/// received yet (`DENIED`, issue 35).
+#[tokio::test]
+async fn an_unknown_path_is_unavailable_while_newer_routes_may_exist() {
+    let snapshots = snapshots(local("a1", "labasa-a", "labasa"));
+    let dependencies = dependencies(snapshots, &Metrics::new(), Drain::default());
+    let (currency, timer) = (
+        Arc::clone(&dependencies.currency),
+        dependencies.timer.clone(),
+    );
+    let ingress = Ingress::new(dependencies);
+    let outdated = Outcome::NotRun(NotRun::OutdatedRoutes);
+    assert_eq!(run(&ingress, "/nowhere", &[]).await, outdated);
+    currency.set_until(timer.now().after(Duration::from_secs(60)));
+    let no_route = Outcome::NotRun(NotRun::NoRoute);
+    assert_eq!(run(&ingress, "/nowhere", &[]).await, no_route);
+    currency.set_until(timer.now());
+    assert_eq!(run(&ingress, "/nowhere", &[]).await, outdated);
+    let answered = Outcome::Answered(Answer::Complete);
+    assert_eq!(run(&ingress, "/calendar/ok", &[]).await, answered);
+}
+
 /// Guards against server errors, refusals and requests without a route being
 /// counted for the wrong service or not at all.
 #[tokio::test]
--- a/crates/node/tests/nodes/retries.rs
+++ b/crates/node/tests/nodes/retries.rs
@@ -144,6 +144,7 @@
         region_budget: LinkBudget::new(1_000),
         drain: Arc::new(Drain::default()),
         ready: Arc::new(AtomicBool::new(true)),
+        currency: Arc::default(),
         timer: TimerService::start(),
         retries: Arc::default(),
         wait_estimator: WaitEstimator::default(),
--- /dev/null
+++ b/crates/zone/src/freshness.rs
@@ -0,0 +1,128 @@
+//! Whether the configuration on this node is known to be the newest one.
+//!
+//! A node that reads the store learns which version is the newest; its messages pass that on
+//! with its age. A node that has not learned it for [`CONFIRMED_FOR`], or that knows of a
+//! newer version than its own, cannot tell a route that does not exist from one that it
+//! has not received yet.
+
+use knapweed_world::{ConfigVersion, StoreEra, Time};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Time for which a configuration counts as the newest after the store has confirmed it.
+///
+/// It covers several rounds of pings, by which confirmations spread in an availability zone,
+/// and is about the time within which a new configuration must be in force.
+pub const CONFIRMED_FOR: Duration = Duration::from_secs(4);
+
+/// Statement that a version was the newest one in the store.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Confirmation {
+    /// Era of the store in which it was.
+    pub era: StoreEra,
+    /// Time since then, in milliseconds.
+    pub age_ms: u16,
+}
+
+/// What a node knows about the newest configuration.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Freshness {
+    /// The latest era that this node knows of.
+    era: StoreEra,
+    /// The newest version that this node knows of.
+    newest: ConfigVersion,
+    /// The version in force on this node.
+    applied: ConfigVersion,
+    /// When `newest` was last known to be the newest version; `None` when it is not known
+    /// since the era began or since a newer version was heard of.
+    confirmed_at: Option<Time>,
+}
+
+/// Events.
+impl Freshness {
+    /// Handles an answer of the store whose newest version is `newest`.
+    ///
+    /// The store may have an older version than the mesh, until the operators have written
+    /// again what it lost.
+    pub fn store_answered(&mut self, now: Time, era: StoreEra, newest: ConfigVersion) {
+        self.begin_era(era);
+        if era == self.era {
+            self.confirm(newest.max(self.newest), now);
+        }
+    }
+
+    /// Handles the report of another node that it has applied `version`, with its
+    /// confirmation if it has one.
+    pub fn reported(
+        &mut self,
+        now: Time,
+        version: ConfigVersion,
+        confirmation: Option<Confirmation>,
+    ) {
+        if let Some(confirmation) = confirmation {
+            self.begin_era(confirmation.era);
+        }
+        let confirmation = confirmation.filter(|c| c.era == self.era);
+        match confirmation {
+            Some(confirmation) if version >= self.newest => {
+                let age = Duration::from_millis(confirmation.age_ms.into());
+                self.confirm(version, now.before(age));
+            }
+            _ if version > self.newest => {
+                self.newest = version;
+                self.confirmed_at = None;
+            }
+            _ => {}
+        }
+    }
+
+    /// Handles a version that is now in force on this node.
+    pub fn applied(&mut self, version: ConfigVersion) {
+        self.applied = self.applied.max(version);
+        if self.applied > self.newest {
+            self.newest = self.applied;
+            self.confirmed_at = None;
+        }
+    }
+
+    /// Forgets the confirmation when a later era begins: the store may have lost the
+    /// changes that the confirmation spoke of, and get others.
+    fn begin_era(&mut self, era: StoreEra) {
+        if era > self.era {
+            self.era = era;
+            self.confirmed_at = None;
+        }
+    }
+
+    fn confirm(&mut self, version: ConfigVersion, at: Time) {
+        let known = self.confirmed_at.filter(|_| version == self.newest);
+        self.newest = version;
+        self.confirmed_at = known.max(Some(at));
+    }
+}
+
+/// State.
+impl Freshness {
+    /// The latest era of the store that this node knows of.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// The time until which the version in force on this node counts as the newest; the
+    /// start of the process when it does not.
+    pub fn current_until(&self) -> Time {
+        let confirmed_at = self.confirmed_at.filter(|_| self.applied >= self.newest);
+        confirmed_at.map_or(Time::default(), |at| at.after(CONFIRMED_FOR))
+    }
+
+    /// What this node tells others about the version that it has applied.
+    pub fn confirmation(&self, now: Time) -> Option<Confirmation> {
+        let confirmed_at = self.confirmed_at.filter(|_| self.applied >= self.newest)?;
+        let age = now.since(confirmed_at);
+        let is_valid = age < CONFIRMED_FOR;
+        is_valid.then_some(Confirmation {
+            era: self.era,
+            age_ms: age.as_millis() as u16,
+        })
+    }
+}
--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -17,11 +17,12 @@
 use crate::dissemination::peers::Role;
 use crate::dissemination::{Dissemination, Request, View, derive_rng};
 use crate::duty::{Duty, holders};
+use crate::freshness::Freshness;
 use crate::message::{Body, Message, Notice, Ping, PingSequence, RecordSpace, Sender};
 use crate::record::{ErrorCode, Incarnation, MAX_RECORD_LEN, MemberRecord, MemberState, Sequence};
 use gossip::Gossip;
 use knapweed_world::backend_server::{Announcement, ServerState};
-use knapweed_world::{ConfigVersion, Time};
+use knapweed_world::{ConfigVersion, StoreEra, Time};
 use neighbours::Neighbours;
 use probe::Probes;
 use rand::rngs::SmallRng;
@@ -81,6 +82,13 @@
     StoreReached(bool),
     /// The error that this node reports about itself has changed.
     LocalError(Option<ErrorCode>),
+    /// The store has answered a read of the configuration by this node.
+    ConfigConfirmed {
+        /// Era of the store.
+        era: StoreEra,
+        /// Version of the configuration in the store.
+        version: ConfigVersion,
+    },
     /// This node has applied a configuration version.
     ConfigApplied(ConfigVersion),
     /// This node has fetched a configuration version that it cannot apply.
@@ -142,11 +150,14 @@
     suspicions: Suspicions,
     gossip: Gossip,
     dissemination: Dissemination,
+    freshness: Freshness,
     retransmit_limit: u32,
     seeds: Vec<SocketAddr>,
     /// Number of comparisons left at [`FAST_COMPARE_INTERVAL`].
     fast_comparisons: u32,
     timers: Timers,
+    /// Time of the event that is being handled.
+    last_event: Time,
     rng: SmallRng,
     actions: Vec<Action>,
     members_changed: bool,
@@ -205,6 +216,8 @@
             suspicions: Suspicions::default(),
             gossip: Gossip::default(),
             dissemination: Dissemination::new(now, derive_rng(&mut rng)),
+            freshness: Freshness::default(),
+            last_event: now,
             retransmit_limit: gossip::retransmit_limit(1),
             seeds,
             fast_comparisons: FAST_COMPARISONS,
@@ -246,6 +259,11 @@
         self.directory.get(self.own).expect("own record is kept")
     }
 
+    /// What this node knows about the newest configuration.
+    pub fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
     /// The duties that this node last took, as [`Action::RoleChanged`] reported them.
     pub fn role(&self) -> Role {
         self.dissemination.role()
@@ -278,6 +296,7 @@
 impl Membership {
     /// Handles an event and returns the resulting actions, in order.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        self.last_event = now;
         match event {
             Event::Tick => self.tick(now),
             Event::Received { from, message } => self.receive(now, from, message),
@@ -285,6 +304,9 @@
             Event::LocalAnnouncement(announcement) => self.announce(now, announcement),
             Event::StoreReached(reached) => self.store_reached(now, reached),
             Event::LocalError(error) => self.change_own(now, |own| own.last_error = error),
+            Event::ConfigConfirmed { era, version } => {
+                self.freshness.store_answered(now, era, version);
+            }
             Event::ConfigApplied(version) => self.config_applied(now, version),
             Event::ConfigRefused(version) => {
                 let requests = self.dissemination.config_refused(now, version);
@@ -329,6 +351,7 @@
     }
 
     fn config_applied(&mut self, now: Time, version: ConfigVersion) {
+        self.freshness.applied(version);
         self.edit_own(now, |own| own.record_version(own.incarnation, version));
         let neighbours = self.neighbours.iter().map(|n| n.address);
         let floor_peers: Vec<_> = neighbours.take(FLOOR_PEERS).collect();
@@ -445,6 +468,7 @@
         let sender = Sender {
             incarnation: own.incarnation,
             version: own.applied,
+            confirmation: self.freshness.confirmation(self.last_event),
             is_neighbour: self.neighbours.has_chosen(to),
             is_gateway: self.dissemination.role().is_gateway,
         };
--- a/crates/zone/src/membership/exchange.rs
+++ b/crates/zone/src/membership/exchange.rs
@@ -40,6 +40,8 @@
 
     fn record_sender_version(&mut self, now: Time, from: SocketAddr, message: &Message) {
         let sender = message.sender;
+        self.freshness
+            .reported(now, sender.version, sender.confirmation);
         let member = self.directory.find_address(from);
         if let Some(member) = member.filter(|m| *m != self.own) {
             let record_reported =
--- a/crates/zone/src/message.rs
+++ b/crates/zone/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages that members exchange, independent of their encoding.
 
+use crate::freshness::Confirmation;
 use crate::record::{Incarnation, MemberRecord};
 use knapweed_world::ConfigVersion;
 use serde::{Deserialize, Serialize};
@@ -9,9 +10,9 @@
 pub const MAX_RECORDS: usize = 8;
 /// Maximum length of an encoded message, in bytes; leaves space for framing in a
 /// datagram of 1,200 bytes.
-pub const MAX_MESSAGE_LEN: usize = 1_100;
+pub const MAX_MESSAGE_LEN: usize = 1_114;
 /// Upper bound of the encoded length of a message without records, in bytes.
-pub const MAX_HEADER_LEN: usize = 50;
+pub const MAX_HEADER_LEN: usize = 64;
 
 /// Number that matches an ack to its ping.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -25,6 +26,8 @@
     pub incarnation: Incarnation,
     /// The configuration version that the sender has applied.
     pub version: ConfigVersion,
+    /// When that version was last known to be the newest; `None` when it is not.
+    pub confirmation: Option<Confirmation>,
     /// Whether the sender has chosen the receiver as a neighbour, which makes the
     /// receiver ping the sender too.
     pub is_neighbour: bool,
--- /dev/null
+++ b/crates/zone/tests/freshness.rs
@@ -0,0 +1,160 @@
+//! What a node knows about the newest configuration, and how that spreads.
+
+mod sim;
+
+use knapweed_world::{ConfigVersion, StoreEra, Time};
+use knapweed_zone::freshness::CONFIRMED_FOR;
+use knapweed_zone::membership::Event;
+use knapweed_zone::{Confirmation, Freshness};
+use sim::results::{median, worst};
+use sim::seeds::for_seeds;
+use sim::{Sim, ms};
+use std::time::Duration;
+
+const V1: ConfigVersion = ConfigVersion(1);
+const V2: ConfigVersion = ConfigVersion(2);
+const FIRST_ERA: StoreEra = StoreEra(0);
+const SECOND_ERA: StoreEra = StoreEra(1);
+
+fn at(seconds: u64) -> Time {
+    Time::from_millis(seconds * 1_000)
+}
+
+/// A node with the first version, which the store has confirmed at 1 s.
+fn confirmed() -> Freshness {
+    let mut freshness = Freshness::default();
+    freshness.applied(V1);
+    freshness.store_answered(at(1), FIRST_ERA, V1);
+    freshness
+}
+
+fn aged(era: StoreEra, age_ms: u16) -> Option<Confirmation> {
+    Some(Confirmation { era, age_ms })
+}
+
+/// Guards against a node that takes an old table for the newest one, and against one that
+/// never trusts its table.
+#[test]
+fn a_version_counts_as_the_newest_while_nothing_speaks_against_it() {
+    type Step = fn(&mut Freshness);
+    let cases: [(&str, Step); 12] = [
+        ("confirmed by the store at 1 s", |_| {}),
+        ("confirmed again at 3 s", |f| {
+            f.store_answered(at(3), FIRST_ERA, V1);
+        }),
+        ("a newer version in the store", |f| {
+            f.store_answered(at(3), FIRST_ERA, V2);
+        }),
+        ("a newer version in the store, then in force", |f| {
+            f.store_answered(at(3), FIRST_ERA, V2);
+            f.applied(V2);
+        }),
+        ("a newer version at another node", |f| {
+            f.reported(at(3), V2, None);
+        }),
+        ("a newer version in force, not confirmed", |f| f.applied(V2)),
+        ("confirmed by a node at 3 s, 500 ms old", |f| {
+            f.reported(at(3), V1, aged(FIRST_ERA, 500));
+        }),
+        ("an older version at another node, confirmed", |f| {
+            f.reported(at(3), ConfigVersion(0), aged(FIRST_ERA, 0));
+        }),
+        ("a later era at another node, with its version", |f| {
+            f.reported(at(3), V1, aged(SECOND_ERA, 100));
+        }),
+        ("a later era at a node with an older version", |f| {
+            f.reported(at(3), ConfigVersion(0), aged(SECOND_ERA, 0));
+        }),
+        ("a later era, whose store has an older version", |f| {
+            f.store_answered(at(3), SECOND_ERA, ConfigVersion(0));
+        }),
+        ("an earlier era at another node", |f| {
+            f.store_answered(at(2), SECOND_ERA, V1);
+            f.reported(at(3), V1, aged(FIRST_ERA, 0));
+        }),
+    ];
+    let lines = cases.map(|(name, step)| {
+        let mut freshness = confirmed();
+        step(&mut freshness);
+        let until = freshness.current_until();
+        format!("{name}: until {} ms", until.0 / 1_000)
+    });
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against a confirmation that is passed on after it has lost its validity.
+#[test]
+fn a_confirmation_is_passed_on_with_its_age() {
+    let freshness = confirmed();
+    let ages = [1, 3, 5].map(|now| freshness.confirmation(at(now)).map(|c| c.age_ms));
+    assert_eq!(ages, [Some(0), Some(2_000), None]);
+}
+
+/// Interval at which a node that watches the configuration hears from the store.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+const SEEDS: u64 = 3;
+
+/// Returns the ages of the confirmations of all nodes, sampled over 10 s.
+fn confirmation_ages(zones: &[usize], loss: f64, seed: u64) -> Vec<Duration> {
+    let mut sim = Sim::new(zones, seed);
+    sim.run(ms(6_000));
+    sim.apply(0, V1);
+    sim.run(ms(3_000));
+    sim.network.loss = loss;
+    let mut ages = Vec::new();
+    for second in 0..15 {
+        confirm_watched(&mut sim);
+        sim.run(WATCH_INTERVAL);
+        if second >= 5 {
+            let now = sim.now;
+            let nodes = sim.nodes.iter().filter_map(|n| n.membership.as_ref());
+            ages.extend(
+                nodes.map(|m| now.since(m.freshness().current_until().before(CONFIRMED_FOR))),
+            );
+        }
+    }
+    ages
+}
+
+fn confirm_watched(sim: &mut Sim) {
+    let watching = (0..sim.nodes.len()).filter(|n| sim.nodes[*n].watches_head);
+    for node in watching.collect::<Vec<_>>() {
+        let confirmed = Event::ConfigConfirmed {
+            era: FIRST_ERA,
+            version: V1,
+        };
+        sim.handle(node, confirmed);
+    }
+}
+
+/// Guards against nodes far from the store that refuse unknown paths as unavailable all the
+/// time, because confirmations reach them too late.
+#[test]
+fn confirmations_reach_every_node_in_time() {
+    for zones in [&[280][..], &[56; 5], &[14; 6]] {
+        let ages = for_seeds(SEEDS, |seed| confirmation_ages(zones, 0.02, seed)).concat();
+        let (median, worst) = (median(&ages), worst(&ages));
+        println!("{zones:?}: median {median:?}, worst {worst:?}");
+        assert!(worst < CONFIRMED_FOR, "{zones:?}: {worst:?}");
+    }
+}
+
+/// Guards against a node that is cut off and claims that a route does not exist which it
+/// cannot have heard of.
+#[test]
+fn a_partitioned_zone_stops_counting_its_version_as_the_newest() {
+    let mut sim = Sim::new(&[14, 14], 1);
+    sim.run(ms(6_000));
+    sim.apply(0, V1);
+    sim.run(ms(3_000));
+    confirm_watched(&mut sim);
+    sim.run(CONFIRMED_FOR / 2);
+    let is_current = |sim: &Sim, node: usize| {
+        let membership = sim.nodes[node].membership.as_ref();
+        membership.is_some_and(|m| m.freshness().current_until() > sim.now)
+    };
+    assert!((0..28).all(|node| is_current(&sim, node)));
+    sim.network.sides = (0..28).map(|node| u8::from(node >= 14)).collect();
+    sim.run(CONFIRMED_FOR);
+    assert!((0..28).all(|node| !is_current(&sim, node)));
+}
--- a/crates/zone/tests/record.rs
+++ b/crates/zone/tests/record.rs
@@ -5,14 +5,14 @@
 use assert_matches::assert_matches;
 use knapweed_world::backend_server::{Announcement, ServerState};
 use knapweed_world::snapshot::HostEntry;
-use knapweed_world::{ConfigVersion, Time, UnixMillis};
+use knapweed_world::{ConfigVersion, StoreEra, Time, UnixMillis};
 use knapweed_zone::directory::{Directory, TOMBSTONE_TTL};
 use knapweed_zone::membership::{Action, Event};
 use knapweed_zone::message::{
     Body, MAX_HEADER_LEN, MAX_MESSAGE_LEN, Message, Notice, Ping, PingReq, PingSequence, Sender,
 };
 use knapweed_zone::record::{MAX_RECORD_LEN, Merge};
-use knapweed_zone::{Incarnation, MemberRecord, MemberState, Membership, Sequence};
+use knapweed_zone::{Confirmation, Incarnation, MemberRecord, MemberState, Membership, Sequence};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -186,6 +186,10 @@
         sender: Sender {
             incarnation: Incarnation(u64::MAX),
             version: ConfigVersion(u64::MAX),
+            confirmation: Some(Confirmation {
+                era: StoreEra(u64::MAX),
+                age_ms: u16::MAX,
+            }),
             is_neighbour: true,
             is_gateway: true,
         },
@@ -229,6 +233,7 @@
         sender: Sender {
             incarnation: Incarnation(1),
             version: ConfigVersion(0),
+            confirmation: None,
             is_neighbour: false,
             is_gateway: false,
         },
@@ -256,6 +261,7 @@
             sender: Sender {
                 incarnation: other.incarnation,
                 version: ConfigVersion(0),
+                confirmation: None,
                 is_neighbour: true,
                 is_gateway: false,
             },
