--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -19,6 +19,8 @@
 pub struct Faults {
     /// Whether every call fails before it takes effect.
     pub outage: bool,
+    /// Whether reads, lists and watches fail, while writes are served.
+    pub read_outage: bool,
     /// Additional latency of each call.
     pub delay: Duration,
     /// Number of writes from now on that take effect but whose response is lost.
@@ -283,11 +285,12 @@
         if !faults.delay.is_zero() {
             tokio::time::sleep(faults.delay).await;
         }
-        self.check_outage()
+        self.check_outage(write)
     }
 
-    fn check_outage(&self) -> Result<(), Error> {
-        match self.faults().outage {
+    fn check_outage(&self, write: bool) -> Result<(), Error> {
+        let faults = self.faults();
+        match faults.outage || (faults.read_outage && !write) {
             true => Err(Error::Unavailable("injected outage".into())),
             false => Ok(()),
         }
@@ -384,7 +387,7 @@
             self.admit(false).await?;
             let newer = async {
                 loop {
-                    self.check_outage()?;
+                    self.check_outage(false)?;
                     let found = self.store.lock().changes(kind, after)?;
                     if !found.changes.is_empty() {
                         return Ok(found);
