feat(node): logs and metrics say whether the configuration is the newest one

Nothing told whether a node that answered 404 knew that its table was the newest one, or which era of the store it had read. Change: one log line whenever that changes, with the version in force, the newest known one and the era; gauges knapweed_config_is_newest and knapweed_store_era.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -109,6 +109,8 @@
     /// Entries that the source of the configuration in force could not use as written; 0
     /// when it came from another node.
     config_problems: usize,
+    /// Whether the configuration in force was known to be the newest one.
+    was_current: bool,
     /// Whether the last call to the store succeeded; `None` before the first call.
     store_was_reachable: Option<bool>,
     /// Whether the snapshot in force is older than what it is built from.
@@ -166,6 +168,7 @@
             finished_tickets: BTreeSet::new(),
             is_stopped: false,
             config_problems: 0,
+            was_current: false,
             store_was_reachable: None,
             staleness: Staleness::ConfigChanged,
             refreshed_at: now,
@@ -190,8 +193,27 @@
             if self.is_refresh_due() {
                 self.refresh();
             }
-            let current_until = self.membership.freshness().current_until();
-            self.dependencies.currency.set_until(current_until);
+            self.publish_currency();
+        }
+    }
+
+    /// Tells the request path until when the configuration in force counts as the newest.
+    fn publish_currency(&mut self) {
+        let freshness = self.membership.freshness();
+        let currency = &self.dependencies.currency;
+        currency.set_until(freshness.current_until());
+        let is_current = currency.is_current(self.dependencies.timer.now());
+        if std::mem::replace(&mut self.was_current, is_current) != is_current {
+            let (applied, newest) = (self.membership.own().applied, freshness.newest());
+            let state = match is_current {
+                true => "is the newest one",
+                false => "may not be the newest one",
+            };
+            log::info!(
+                target: part::CONFIG,
+                applied = applied.0, newest_known = newest.0, era = freshness.era().0;
+                "the configuration in force {state}"
+            );
         }
     }
 
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -6,7 +6,7 @@
 use knapweed_contract::check::CurrentShares;
 use knapweed_rollout::RolloutState;
 use knapweed_world::config::{ServiceConfig, VersionShare};
-use knapweed_world::{Config, Name};
+use knapweed_world::{Config, Name, StoreEra};
 use knapweed_zone::{MemberRecord, MemberState};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -19,6 +19,8 @@
     /// Entries of the configuration that this node read from its source and could not use
     /// as written; 0 when the configuration came from another node.
     pub config_problems: usize,
+    /// The latest era of the store that this node knows of.
+    pub store_era: StoreEra,
     /// All nodes in the membership directory, sorted by host.
     pub nodes: Vec<NodeSummary>,
     /// Names of the duties that this node holds.
@@ -46,6 +48,7 @@
         self.dependencies.view.store(Arc::new(View {
             config,
             config_problems: self.config_problems,
+            store_era: self.membership.freshness().era(),
             nodes,
             duties: self.membership.duties().map(|d| d.to_string()).collect(),
             rollouts: self.rollouts.states().clone(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -222,6 +222,8 @@
         metrics.register_collector(NodeMetrics {
             snapshots: Arc::clone(&snapshots),
             view: Arc::clone(&view),
+            currency: Arc::clone(&currency),
+            timer: timer.clone(),
             drain: Arc::clone(&drain),
             egress: Arc::clone(&egress),
             peers: endpoint.peers(),
--- a/crates/node/src/operators/node_metrics.rs
+++ b/crates/node/src/operators/node_metrics.rs
@@ -1,10 +1,12 @@
 //! Metrics of the node itself, computed on each scrape.
 
 use crate::control::View;
+use crate::currency::RouteCurrency;
 use crate::egress::Egress;
 use arc_swap::ArcSwap;
 use knapweed_contract::api::NodeState;
 use knapweed_host::Drain;
+use knapweed_timer::TimerService;
 use knapweed_transport::Peers;
 use knapweed_world::SnapshotCell;
 use prometheus_client::collector::Collector;
@@ -24,6 +26,10 @@
     pub snapshots: Arc<SnapshotCell>,
     /// The state that the control thread publishes for operators.
     pub view: Arc<ArcSwap<View>>,
+    /// Whether the configuration in force is known to be the newest one.
+    pub currency: Arc<RouteCurrency>,
+    /// Clock by which it is.
+    pub timer: TimerService,
     /// Counts the running requests.
     pub drain: Arc<Drain>,
     /// Knows which requests crash backend servers.
@@ -60,6 +66,16 @@
             "Entries of the configuration that the node could not use as written",
             self.view.load().config_problems as u64,
         )?;
+        gauge(
+            "knapweed_config_is_newest",
+            "Whether the node knows its configuration to be the newest one (1) or not (0)",
+            self.currency.is_current(self.timer.now()).into(),
+        )?;
+        gauge(
+            "knapweed_store_era",
+            "Era of the store; it rises when the store comes back from an older copy",
+            self.view.load().store_era.0,
+        )?;
         gauge(
             "knapweed_members_alive",
             "Nodes that the node sees alive, itself included",
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -82,6 +82,8 @@
     metrics.register_collector(NodeMetrics {
         snapshots,
         view: Arc::new(ArcSwap::from_pointee(View::default())),
+        currency: Arc::default(),
+        timer: TimerService::start(),
         drain: Arc::new(Drain::default()),
         egress: Arc::new(Egress::new(
             TimerService::start(),
--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -108,6 +108,11 @@
         self.era
     }
 
+    /// The newest version that this node knows of.
+    pub fn newest(&self) -> ConfigVersion {
+        self.newest
+    }
+
     /// The time until which the version in force on this node counts as the newest; the
     /// start of the process when it does not.
     pub fn current_until(&self) -> Time {
