feat(ingress): the log says what is wrong with a refused request

A refusal with 400 or 404 was logged without the host, the path and the cause: the decoder's error was dropped. The line now has both, escaped and cut to 128 bytes, the number of routes in the configuration that decided, the error, and the header with its value where a header is wrong. The request id is logged also when another header cannot be read.

The reason that is reported for such a request is decided in one function of the ingress.

--- a/crates/host/src/request.rs
+++ b/crates/host/src/request.rs
@@ -51,6 +51,14 @@
 }
 
 impl Error {
+    /// The header that is absent or cannot be read; `None` when the error is another one.
+    pub fn header(&self) -> Option<&'static str> {
+        match self {
+            Self::Missing(name) | Self::NotANumber(name) => Some(name),
+            _ => None,
+        }
+    }
+
     /// The outcome that is reported to the caller.
     pub fn reason(&self) -> NotRun {
         match self {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use knapweed_host::crash::{CrashSubjects, Subject};
-use knapweed_host::request::{IncomingRequest, Request};
+use knapweed_host::request::{Error, IncomingRequest, Request};
 use knapweed_host::{ByteBudget, Drain, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator};
 use knapweed_link::LinkBudget;
 use knapweed_timer::TimerService;
@@ -111,11 +111,11 @@
         // of the configuration.
         let snapshot = self.dependencies.snapshots.load_full();
         let mut log = IngressLog::new(&snapshot, &self.dependencies.timer);
+        log.set_caller_id(self.dependencies.protocol.id(&request.headers));
         let parsed = self.parse(&snapshot, &request, start);
         let service = parsed.as_ref().ok().map(|(parsed, _)| parsed.service);
         let result = match parsed {
             Ok((parsed, fields)) => {
-                log.set_caller_id(fields.id.clone());
                 log.set_request(&parsed);
                 let drain = &self.dependencies.drain;
                 match drain.check_deadline(start, parsed.deadline, parsed.idempotent) {
@@ -126,7 +126,11 @@
                     Err(reason) => Err(Outcome::NotRun(reason)),
                 }
             }
-            Err(outcome) => Err(outcome),
+            Err(err) => {
+                let address = (&request.uri, &request.headers);
+                log.set_refused(address, &err, err.header());
+                Err(Outcome::NotRun(refusal(&err)))
+            }
         };
         let mut response = result.unwrap_or_else(Response::without_answer);
         set_default_retry_after(&mut response);
@@ -147,9 +151,8 @@
         let mut response = Response::without_answer(Outcome::NotRun(reason));
         set_default_retry_after(&mut response);
         let snapshot = self.dependencies.snapshots.load();
-        let fields = self.dependencies.protocol.read(&request.headers);
         let mut log = IngressLog::new(&snapshot, &self.dependencies.timer);
-        log.set_caller_id(fields.ok().and_then(|fields| fields.id));
+        log.set_caller_id(self.dependencies.protocol.id(&request.headers));
         log.record_outcome(&response.head);
         response
     }
@@ -196,13 +199,8 @@
         snapshot: &Snapshot,
         request: &CallerRequest,
         now: Time,
-    ) -> Result<(Request, CallerFields), Outcome> {
-        let invalid = |err: knapweed_host::request::Error| Outcome::NotRun(err.reason());
-        let fields = self
-            .dependencies
-            .protocol
-            .read(&request.headers)
-            .map_err(invalid)?;
+    ) -> Result<(Request, CallerFields), Error> {
+        let fields = self.dependencies.protocol.read(&request.headers)?;
         let host = request.headers.get(http::header::HOST);
         let incoming = IncomingRequest {
             host: host.map_or(&[], |host| host.as_bytes()),
@@ -216,12 +214,16 @@
             draw: rand::random_range(0..DRAWS),
         };
         let parsed =
-            Request::from_incoming(snapshot, &incoming, &self.dependencies.wait_estimator, now)
-                .map_err(invalid)?;
+            Request::from_incoming(snapshot, &incoming, &self.dependencies.wait_estimator, now)?;
         Ok((parsed, fields))
     }
 }
 
+/// The reason that is reported for a request that cannot be accepted.
+fn refusal(err: &Error) -> NotRun {
+    err.reason()
+}
+
 /// Default time after which a refused request may be sent again, when no backend
 /// server sent one. By then other hosts and backend servers have replaced one that
 /// has shut down.
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -38,6 +38,9 @@
     /// A required header is absent, or a value is invalid.
     fn read(&self, headers: &HeaderMap) -> Result<CallerFields, Error>;
 
+    /// The caller's identifier of the request, also when [`CallerProtocol::read`] fails.
+    fn id(&self, headers: &HeaderMap) -> Option<Bytes>;
+
     /// Whether a header of the caller is forwarded to the backend server.
     fn is_forwarded(&self, name: &HeaderName) -> bool;
 
--- a/crates/node/src/protocol/native.rs
+++ b/crates/node/src/protocol/native.rs
@@ -34,13 +34,18 @@
         let count = |name| field(name).map(|text| parse_number(name, text)).transpose();
         let depth = u8::try_from(count(DEPTH)?.unwrap_or(0)).unwrap_or(u8::MAX);
         Ok(CallerFields {
-            id: field(IDEMPOTENCY_KEY).map(Bytes::copy_from_slice),
+            id: self.id(headers),
             time_left: count(DEADLINE_MS)?.map(Duration::from_millis),
             depth,
             is_nested: depth > 0,
         })
     }
 
+    fn id(&self, headers: &HeaderMap) -> Option<Bytes> {
+        let id = headers.get(IDEMPOTENCY_KEY);
+        id.map(|id| Bytes::copy_from_slice(id.as_bytes()))
+    }
+
     fn is_forwarded(&self, name: &HeaderName) -> bool {
         ![OUTCOME, REASON].contains(&name.as_str())
     }
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -6,6 +6,8 @@
 //! successful requests does not suppress the lines about failures.
 
 use bytes::Bytes;
+use http::header::{HOST, HeaderMap, HeaderValue};
+use http::uri::Uri;
 use knapweed_host::choice::Reason;
 use knapweed_host::request::Request;
 use knapweed_host::retry::Decision;
@@ -32,6 +34,9 @@
 
 /// Length, in bytes, to which the caller's identifier of a request is truncated.
 const MAX_LOGGED_ID_LEN: usize = 64;
+/// Length, in bytes, to which the host, the path and a header of a refused request are
+/// truncated.
+const MAX_LOGGED_TEXT_LEN: usize = 128;
 /// Lowest HTTP status that counts as a failure of a backend server.
 const SERVER_ERROR: u16 = 500;
 
@@ -45,11 +50,27 @@
         let Some(id) = self.0 else {
             return f.write_str("-");
         };
-        let part = &id[..id.len().min(MAX_LOGGED_ID_LEN)];
-        write!(f, "{}", String::from_utf8_lossy(part).escape_debug())
+        f.write_str(&escape(id, MAX_LOGGED_ID_LEN))
     }
 }
 
+/// Escapes text of a caller and truncates it to `limit` bytes.
+fn escape(text: &[u8], limit: usize) -> String {
+    let part = &text[..text.len().min(limit)];
+    String::from_utf8_lossy(part).escape_debug().to_string()
+}
+
+/// What is wrong with a request, and where it was addressed to.
+#[derive(Debug)]
+struct Refusal {
+    authority: Option<String>,
+    path: String,
+    header: Option<&'static str>,
+    /// Value of `header`.
+    value: Option<String>,
+    error: String,
+}
+
 fn ms(time: Duration) -> u64 {
     time.as_millis() as u64
 }
@@ -72,6 +93,7 @@
     arrived: Time,
     id: Option<Bytes>,
     request: Option<Request>,
+    refusal: Option<Refusal>,
     tries: u8,
     is_finished: bool,
 }
@@ -84,6 +106,7 @@
             arrived: timer.now(),
             id: None,
             request: None,
+            refusal: None,
             tries: 0,
             is_finished: false,
         }
@@ -99,6 +122,24 @@
         self.request = Some(request.clone());
     }
 
+    /// Sets what is wrong with the request. `header` is the header that cannot be read,
+    /// if it is one.
+    pub(crate) fn set_refused(
+        &mut self,
+        (uri, headers): (&Uri, &HeaderMap),
+        error: &dyn fmt::Display,
+        header: Option<&'static str>,
+    ) {
+        let text = |value: &HeaderValue| escape(value.as_bytes(), MAX_LOGGED_TEXT_LEN);
+        self.refusal = Some(Refusal {
+            authority: headers.get(HOST).map(text),
+            path: escape(uri.path().as_bytes(), MAX_LOGGED_TEXT_LEN),
+            header,
+            value: header.and_then(|name| headers.get(name)).map(text),
+            error: error.to_string(),
+        });
+    }
+
     /// Logs the outcome of the request.
     pub(crate) fn record_outcome(&mut self, response: &ResponseHead) {
         self.is_finished = true;
@@ -117,6 +158,7 @@
         let service = request.map(|r| self.snapshot.service(r.service).name.as_str());
         let deadline = request.map(|r| ms(r.deadline.since(now)));
         let objective = request.and_then(|r| r.objective);
+        let refusal = self.refusal.as_ref();
         log::info!(
             target: part::INGRESS,
             request:% = RequestId(self.id.as_ref()),
@@ -130,6 +172,12 @@
             objective_left_ms = objective.map(|time| ms(time.since(now))),
             deadline_left_ms = deadline,
             retry_after_ms = response.retry_after_us.map(|us| us / 1_000),
+            authority = refusal.and_then(|r| r.authority.as_deref()),
+            path = refusal.map(|r| r.path.as_str()),
+            routes = refusal.map(|_| self.snapshot.route_count()),
+            header = refusal.and_then(|r| r.header),
+            value = refusal.and_then(|r| r.value.as_deref()),
+            error = refusal.map(|r| r.error.as_str()),
             left_out = left_out.0;
             "{outcome}"
         );
--- a/crates/world/src/snapshot.rs
+++ b/crates/world/src/snapshot.rs
@@ -140,6 +140,11 @@
         self.route_table.iter().map(|k| &self.arenas.routes[k])
     }
 
+    /// Number of routes.
+    pub fn route_count(&self) -> usize {
+        self.arenas.routes.len()
+    }
+
     /// Links from the local availability zone to every zone, itself included.
     pub fn links(&self) -> impl Iterator<Item = &Link> {
         self.arenas.links.values()
