--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -18,13 +18,14 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use knapweed_host::crash::{CrashSubjects, Subject};
-use knapweed_host::request::{IncomingRequest, Request};
+use knapweed_host::request::{Error, IncomingRequest, Request};
 use knapweed_host::{ByteBudget, Drain, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator};
 use knapweed_link::LinkBudget;
 use knapweed_timer::TimerService;
 use knapweed_world::route::DRAWS;
 use knapweed_world::{Name, Snapshot, SnapshotCell, Time};
 use metrics::IngressMetrics;
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -114,14 +115,13 @@
         // of the configuration.
         let snapshot = self.dependencies.snapshots.load_full();
         let mut log = IngressLog::new(&snapshot, &self.dependencies.timer);
+        log.set_caller_id(self.dependencies.protocol.id(&request.headers));
         let parsed = self.parse(&snapshot, &request, start);
         let service = parsed.as_ref().ok().map(|(parsed, _)| parsed.service);
         let result = match parsed {
             Ok((parsed, fields)) => {
-                log.set_caller_id(fields.id.clone());
                 log.set_request(&parsed);
-                let drain = &self.dependencies.drain;
-                match drain.check_deadline(start, parsed.deadline, parsed.idempotent) {
+                match self.check_deadline(start, &parsed) {
                     Ok(()) => {
                         self.try_run(&snapshot, parsed, fields, request, &mut log)
                             .await
@@ -129,7 +129,11 @@
                     Err(reason) => Err(Outcome::NotRun(reason)),
                 }
             }
-            Err(outcome) => Err(outcome),
+            Err(err) => {
+                let address = (&request.uri, &request.headers);
+                log.set_refused(address, &err, err.header());
+                Err(Outcome::NotRun(self.refusal(&err, start)))
+            }
         };
         let mut response = result.unwrap_or_else(Response::without_answer);
         set_default_retry_after(&mut response);
@@ -145,14 +149,22 @@
         response
     }
 
+    /// Refuses a request whose deadline has passed, or is later than the end of this node.
+    fn check_deadline(&self, now: Time, request: &Request) -> Result<(), NotRun> {
+        if request.deadline <= now {
+            return Err(NotRun::DeadlinePassed);
+        }
+        let drain = &self.dependencies.drain;
+        drain.check_deadline(now, request.deadline, request.idempotent)
+    }
+
     /// Refuses a request before it is matched to a route.
     pub(crate) fn refuse(&self, request: &CallerRequest, reason: NotRun) -> Response {
         let mut response = Response::without_answer(Outcome::NotRun(reason));
         set_default_retry_after(&mut response);
         let snapshot = self.dependencies.snapshots.load();
-        let fields = self.dependencies.protocol.read(&request.headers);
         let mut log = IngressLog::new(&snapshot, &self.dependencies.timer);
-        log.set_caller_id(fields.ok().and_then(|fields| fields.id));
+        log.set_caller_id(self.dependencies.protocol.id(&request.headers));
         log.record_outcome(&response.head);
         response
     }
@@ -165,9 +177,13 @@
         request: CallerRequest,
         log: &mut IngressLog<'_>,
     ) -> Result<Response, Outcome> {
-        let truncated = |_| Outcome::NotRun(NotRun::InvalidHeader);
         let body = body::read_up_to(request.body, MAX_BUFFERED_LEN, &self.buffered).await;
-        let (prefix, body) = match body.map_err(truncated)? {
+        let body = body.map_err(|err| {
+            let cause = body::root_cause(&err);
+            log.set_refused((&request.uri, &request.headers), &cause, None);
+            Outcome::NotRun(unreadable_body(&err))
+        })?;
+        let (prefix, body) = match body {
             LimitedRead::Whole(bytes) => (bytes.clone(), RequestBody::Buffered(bytes)),
             LimitedRead::Longer { prefix, body } => (prefix, RequestBody::Streaming(body)),
         };
@@ -199,13 +215,8 @@
         snapshot: &Snapshot,
         request: &CallerRequest,
         now: Time,
-    ) -> Result<(Request, CallerFields), Outcome> {
-        let invalid = |err: knapweed_host::request::Error| Outcome::NotRun(err.reason());
-        let fields = self
-            .dependencies
-            .protocol
-            .read(&request.headers)
-            .map_err(invalid)?;
+    ) -> Result<(Request, CallerFields), Error> {
+        let fields = self.dependencies.protocol.read(&request.headers)?;
         let host = request.headers.get(http::header::HOST);
         let incoming = IncomingRequest {
             host: host.map_or(&[], |host| host.as_bytes()),
@@ -219,16 +230,15 @@
             draw: rand::random_range(0..DRAWS),
         };
         let parsed =
-            Request::from_incoming(snapshot, &incoming, &self.dependencies.wait_estimator, now)
-                .map_err(|err| Outcome::NotRun(self.refusal(&err, now)))?;
+            Request::from_incoming(snapshot, &incoming, &self.dependencies.wait_estimator, now)?;
         Ok((parsed, fields))
     }
 
-    /// Why a request is refused that was not accepted for `err`.
+    /// The reason that is reported for a request that cannot be accepted.
     ///
     /// A node that does not know whether its routes are the newest does not claim that
     /// there is no route.
-    fn refusal(&self, err: &knapweed_host::request::Error, now: Time) -> NotRun {
+    fn refusal(&self, err: &Error, now: Time) -> NotRun {
         match err.reason() {
             NotRun::NoRoute if !self.dependencies.currency.is_current(now) => {
                 NotRun::OutdatedRoutes
@@ -238,6 +248,14 @@
     }
 }
 
+/// The reason that is reported for a request whose body cannot be read to its end.
+fn unreadable_body(err: &io::Error) -> NotRun {
+    match body::is_malformed(err) {
+        true => NotRun::InvalidBody,
+        false => NotRun::BodyLost,
+    }
+}
+
 /// Default time after which a refused request may be sent again, when no backend
 /// server sent one. By then other hosts and backend servers have replaced one that
 /// has shut down.
--- /dev/null
+++ b/crates/node/tests/refusals/main.rs
@@ -0,0 +1,131 @@
+//! Requests that are refused for a fault of their own: the log lines say what is wrong.
+
+mod callers;
+mod ingress;
+mod log_lines;
+
+use callers::Callers;
+use http::Method;
+use knapweed_node::body;
+use knapweed_node::ingress::CallerRequest;
+use std::fmt::Write;
+
+/// Sends a request to an ingress of the users' platform; returns its log line.
+async fn refused(path: &str, headers: &[(&'static str, &str)]) -> String {
+    log_lines::collect();
+    let mut fields = http::HeaderMap::new();
+    for (name, value) in headers {
+        fields.insert(*name, value.parse().expect("a header value"));
+    }
+    let request = CallerRequest {
+        method: Method::GET,
+        uri: path.parse().expect("a path"),
+        headers: fields,
+        body: body::empty(),
+    };
+    ingress::start().run(request).await;
+    log_lines::until("not-run").await
+}
+
+/// Guards against a refusal whose cause cannot be found: the log had neither the host and path
+/// of a request without a route, nor the header that could not be read.
+#[tokio::test]
+async fn a_refusal_says_what_is_wrong_with_the_request() {
+    let host = ("host", "calendar.example");
+    let long = format!("/nowhere/{}", "a".repeat(200));
+    let lines = [
+        refused("/nowhere/1?x=2", &[host, ("x-request-id", "r-1")]).await,
+        refused(&long, &[host, ("x-request-id", "r-2")]).await,
+        refused("/calendar/1", &[host]).await,
+        refused(
+            "/calendar/1",
+            &[host, ("x-request-id", "r-4"), ("x-deadline-ms", "s\"oon")],
+        )
+        .await,
+        refused("/calendar/1", &[("x-request-id", "")]).await,
+    ];
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against a request whose deadline has passed and that is sent on, or refused as
+/// malformed.
+#[tokio::test]
+async fn a_request_whose_deadline_has_passed_is_refused_at_once() {
+    for deadline in ["0", "-250", "0.9", "-0.5"] {
+        let line = refused(
+            "/calendar/1",
+            &[("x-request-id", "r-1"), ("x-deadline-ms", deadline)],
+        )
+        .await;
+        let expected = "INFO not-run: the deadline passed before the request was sent";
+        assert!(line.starts_with(expected), "{deadline}: {line}");
+        assert!(line.ends_with(" status=503"), "{deadline}: {line}");
+    }
+}
+
+/// Guards against a proper request that is refused as malformed because the connection of its
+/// caller ended, and against a malformed body that its caller sends again.
+#[tokio::test]
+async fn a_body_that_ends_early_differs_from_a_malformed_one() {
+    log_lines::collect();
+    let callers = Callers::start(16 * 1024).await;
+    let mut out = String::new();
+    let bodies = [
+        "content-length: 10\r\n\r\n12345",
+        "transfer-encoding: chunked\r\n\r\n5\r\n12345\r\n",
+        "transfer-encoding: chunked\r\n\r\n5\r\n123",
+        "transfer-encoding: chunked\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\nfive\r\n12345\r\n",
+        "transfer-encoding: chunked\r\n\r\n5\r\n1234567\r\n",
+        "transfer-encoding: chunked\r\n\r\nffffffffffffffffff\r\n",
+    ];
+    for body in bodies {
+        let head = "POST /calendar/1 HTTP/1.1\r\nx-request-id: r-1\r\n";
+        let request = format!("{head}{body}");
+        let status = callers.connect().await.send_last(&request).await;
+        let line = log_lines::until("not-run").await;
+        writeln!(out, "{body:?}\n{status:?} {line}").expect("a string");
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a line of a lost connection that is missing or says that the body is malformed.
+#[tokio::test]
+async fn a_body_whose_connection_is_reset_is_lost() {
+    log_lines::collect();
+    let callers = Callers::start(16 * 1024).await;
+    let caller = callers.connect().await;
+    caller
+        .reset_after("POST /calendar/1 HTTP/1.1\r\nx-request-id: r-1\r\ncontent-length: 9\r\n\r\n1")
+        .await;
+    let line = log_lines::until("request=r-1").await;
+    assert!(!line.contains("status=400"), "{line}");
+    insta::assert_snapshot!(line);
+}
+
+/// Guards against requests that are refused without a trace: what hyper refused was logged at
+/// level debug only and counted nowhere.
+#[tokio::test]
+async fn a_request_that_cannot_be_read_is_logged_and_counted() {
+    log_lines::collect();
+    let callers = Callers::start(16 * 1024).await;
+    let mut out = String::new();
+    let heads = [
+        "GET /calendar/1 HTTP/1.1\r\nbad header: 1\r\n\r\n".to_owned(),
+        "GET /calendar/1 HTTP/1.1\r\ncontent-length: x\r\n\r\n".to_owned(),
+        format!("GET /{} HTTP/1.1\r\n\r\n", "a".repeat(65_600)),
+        format!("GET / HTTP/1.1\r\nx-long: {}\r\n\r\n", "a".repeat(200_000)),
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_owned(),
+    ];
+    for head in &heads {
+        let status = callers.connect().await.send(head).await;
+        let line = log_lines::until("not-run").await;
+        writeln!(out, "{status:?} {line}").expect("a string");
+    }
+    drop(callers.connect().await);
+    let mut unfinished = callers.connect().await;
+    assert_eq!(unfinished.send_last("GET /calendar/1 HT").await, None);
+    assert_eq!(log_lines::take(), [""; 0]);
+    writeln!(out, "{}", callers.counts()).expect("a string");
+    insta::assert_snapshot!(out);
+}
