refactor(node): one decision for both watches of the store

Cause: the watches of configurations and of orders have the same logic twice: load, watch from the revision, load again after a 410. Change: WatchCursor decides the next call and when to repeat a failed one, without I/O. One bound in addition: a watch without history right after a load waits before the next load, where both loops went on without a pause.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -6,7 +6,8 @@
 use crate::orders::{Order, Progress, RolloutOrders};
 use knapweed_observe::part;
 use knapweed_rollout::{self as rollout, RolloutState, TicketResult};
-use knapweed_store::{Error, ObjectStore, Revision};
+use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
+use knapweed_store::{Error, ObjectStore};
 use knapweed_world::config::{Caution, RolloutTerms, ServiceConfig, VersionShare};
 use knapweed_world::{ConfigVersion, Name, Share, TicketNumber, Time};
 use rand::Rng;
@@ -263,11 +264,11 @@
 
 async fn watch(source: Arc<dyn RolloutOrders>, store: Arc<dyn ObjectStore>, handle: ControlHandle) {
     let mut limit = INITIAL_BACKOFF;
-    let mut after: Option<Revision> = None;
+    let mut cursor = WatchCursor::default();
     loop {
-        let update = match after {
-            Some(revision) => source.watch(revision, WATCH_WAIT).await,
-            None => source.load().await,
+        let update = match cursor.next_call() {
+            NextCall::Watch(revision) => source.watch(revision, WATCH_WAIT).await,
+            NextCall::Load => source.load().await,
         };
         let update = match update {
             Ok(update) => with_states(&*store, update.orders)
@@ -278,15 +279,17 @@
         match update {
             Ok((orders, revision)) => {
                 limit = INITIAL_BACKOFF;
-                after = Some(revision);
+                cursor.advanced(revision);
                 handle.send(Event::Ordered(orders)).await;
             }
-            Err(Error::HistoryCompacted(_)) => after = None,
             Err(err) => {
+                if cursor.failed(&err) == Retry::AtOnce {
+                    continue;
+                }
                 log::warn!(target: part::ROLLOUT, "the watch of orders failed: {err}");
                 handle
                     .send(match err {
-                        Error::Malformed(_) => Event::SourceUnusable,
+                        Error::HistoryCompacted(_) | Error::Malformed(_) => Event::SourceUnusable,
                         _ => Event::SourceUnavailable,
                     })
                     .await;
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -8,6 +8,7 @@
 use knapweed_contract::PartCache;
 use knapweed_observe::part;
 use knapweed_store::Error as StoreError;
+use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
 use knapweed_world::Time;
 use knapweed_zone::membership;
 use rand::Rng;
@@ -64,29 +65,25 @@
 
 async fn watch(source: Arc<dyn ConfigSource>, handle: ControlHandle) {
     let mut limit = INITIAL_BACKOFF;
-    let mut after = None;
+    let mut cursor = WatchCursor::default();
     loop {
         let known = known_parts(&handle).await;
-        let update = match after {
-            Some(revision) => source.watch(revision, WATCH_WAIT, known).await,
-            None => source.load(known).await,
+        let update = match cursor.next_call() {
+            NextCall::Watch(revision) => source.watch(revision, WATCH_WAIT, known).await,
+            NextCall::Load => source.load(known).await,
         };
         match update {
             Ok(update) => {
                 limit = INITIAL_BACKOFF;
-                after = Some(update.revision);
+                cursor.advanced(update.revision);
                 handle.send(Event::SourceUpdate(update)).await;
             }
-            Err(Error::Store(StoreError::HistoryCompacted(revision))) => {
-                log::info!(
-                    target: part::CONFIG,
-                    "the store compacted the history since revision {revision}, loading again"
-                );
-                after = None;
-            }
             Err(err) => {
+                if failed(&mut cursor, &err) == Retry::AtOnce {
+                    log::info!(target: part::CONFIG, "loads the configuration again: {err}");
+                    continue;
+                }
                 log::warn!(target: part::CONFIG, "the watch of the configuration failed: {err}");
-                after = after.filter(|_| matches!(err, Error::Store(_)));
                 handle.send(unavailable(&err)).await;
                 // Full jitter spreads the retries of many nodes after an outage.
                 let wait = rand::rng().random_range(Duration::ZERO..=limit);
@@ -97,12 +94,22 @@
     }
 }
 
+fn failed(cursor: &mut WatchCursor, err: &Error) -> Retry {
+    match err {
+        Error::Store(err) => cursor.failed(err),
+        Error::Unusable(_) => {
+            cursor.start_over();
+            Retry::AfterBackoff
+        }
+    }
+}
+
 /// What a failed call says about the store: an unusable configuration was read from a
 /// store that answers.
 fn unavailable(err: &Error) -> Event {
     match err {
+        Error::Store(StoreError::HistoryCompacted(_)) | Error::Unusable(_) => Event::SourceUnusable,
         Error::Store(_) => Event::SourceUnavailable,
-        Error::Unusable(_) => Event::SourceUnusable,
     }
 }
 
