fix(node): a change in an unreadable event of a watch is loaded

Cause: an event that cannot be read is left out while the watch goes on behind it. A change of the configuration or of an order that arrives like that was missed until the next change of the same object. Change: the changes of a watch say whether some were left out, and WatchCursor then loads once. What the load leaves out too is passed over, as before.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -271,15 +271,18 @@
             NextCall::Load => source.load().await,
         };
         let update = match update {
-            Ok(update) => with_states(&*store, update.orders)
+            Ok(update) => with_states(&*store, &update.orders)
                 .await
-                .map(|orders| (orders, update.revision)),
+                .map(|orders| (orders, update)),
             Err(err) => Err(err),
         };
         match update {
-            Ok((orders, revision)) => {
+            Ok((orders, update)) => {
                 limit = INITIAL_BACKOFF;
-                cursor.advanced(revision);
+                match update.is_partial {
+                    true => cursor.advanced_partially(update.revision),
+                    false => cursor.advanced(update.revision),
+                }
                 handle.send(Event::Ordered(orders)).await;
             }
             Err(err) => {
@@ -303,14 +306,14 @@
 /// is already being carried out from a new one.
 async fn with_states(
     store: &dyn ObjectStore,
-    orders: Vec<Order>,
+    orders: &[Order],
 ) -> Result<Vec<(Order, Option<RolloutState>)>, Error> {
     let mut found = Vec::with_capacity(orders.len());
     for order in orders {
         let object = store.read(&super::rollouts::key(&order.service)).await?;
         let state = object.as_ref().map(super::rollouts::decode).transpose();
         let state = state.map_err(|err| Error::Malformed(err.to_string()))?;
-        found.push((order, state.map(|(_, state)| state)));
+        found.push((order.clone(), state.map(|(_, state)| state)));
     }
     Ok(found)
 }
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -75,7 +75,10 @@
         match update {
             Ok(update) => {
                 limit = INITIAL_BACKOFF;
-                cursor.advanced(update.revision);
+                match update.is_partial {
+                    true => cursor.advanced_partially(update.revision),
+                    false => cursor.advanced(update.revision),
+                }
                 handle.send(Event::SourceUpdate(update)).await;
             }
             Err(err) => {
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -38,6 +38,8 @@
 pub struct Orders {
     /// New or changed orders.
     pub orders: Vec<Order>,
+    /// Whether changes that cannot be read were left out; a load may have them.
+    pub is_partial: bool,
     /// Revision from which a watch continues.
     pub revision: Revision,
 }
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -40,6 +40,8 @@
     /// The configuration; `None` when the source has none yet, and when a watch
     /// ended without a change.
     pub loaded: Option<LoadedConfig>,
+    /// Whether changes that cannot be read were left out; a load may have them.
+    pub is_partial: bool,
     /// Revision from which a watch continues.
     pub revision: Revision,
 }
--- a/crates/node/src/source/tickets.rs
+++ b/crates/node/src/source/tickets.rs
@@ -45,6 +45,7 @@
         };
         Ok(SourceUpdate {
             loaded,
+            is_partial: false,
             revision: listing.revision,
         })
     }
@@ -64,6 +65,7 @@
         };
         Ok(SourceUpdate {
             loaded,
+            is_partial: changes.is_partial,
             revision: changes.revision,
         })
     }
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -74,6 +74,8 @@
 pub struct Changes {
     /// Changes in the order of their revisions; empty when the watch timed out.
     pub changes: Vec<Change>,
+    /// Whether changes that cannot be read were left out; a listing may have them.
+    pub is_partial: bool,
     /// Revision up to which changes are reported, from which to continue the watch.
     pub revision: Revision,
 }
--- a/crates/store/src/cursor.rs
+++ b/crates/store/src/cursor.rs
@@ -56,6 +56,15 @@
         };
     }
 
+    /// As [`WatchCursor::advanced`], when changes that cannot be read were left out: a load
+    /// may have them.
+    pub fn advanced_partially(&mut self, revision: Revision) {
+        match self.position {
+            Position::Unknown => self.advanced(revision),
+            Position::Loaded(_) | Position::Watched(_) => self.start_over(),
+        }
+    }
+
     /// Decides what follows a failed call.
     ///
     /// A watch without its history begins again with a load at once, unless the last load
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -175,6 +175,7 @@
         newer.sort_by_key(|(revision, _)| *revision);
         Ok(Changes {
             changes: newer.into_iter().map(|(_, change)| change).collect(),
+            is_partial: false,
             revision: contents.last,
         })
     }
--- a/crates/store/tests/cursor.rs
+++ b/crates/store/tests/cursor.rs
@@ -72,6 +72,17 @@
     }
 }
 
+/// Guards against changes that are missed because the answer of a watch had them in a form
+/// that cannot be read, and against loads without end while the store has them in that form.
+#[test]
+fn a_watch_that_left_changes_out_is_followed_by_one_load() {
+    let mut cursor = watching();
+    cursor.advanced_partially(revision(5));
+    assert_eq!(cursor.next_call(), NextCall::Load);
+    cursor.advanced_partially(revision(5));
+    assert_eq!(cursor.next_call(), NextCall::Watch(revision(5)));
+}
+
 #[test]
 fn a_reader_that_starts_over_loads() {
     let mut cursor = watching();
