--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -8,6 +8,7 @@
 use knapweed_contract::PartCache;
 use knapweed_observe::part;
 use knapweed_store::Error as StoreError;
+use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
 use knapweed_world::{ConfigVersion, Time};
 use knapweed_zone::membership;
 use rand::Rng;
@@ -64,29 +65,28 @@
 
 async fn watch(source: Arc<dyn ConfigSource>, handle: ControlHandle) {
     let mut limit = INITIAL_BACKOFF;
-    let mut after = None;
+    let mut cursor = WatchCursor::default();
     loop {
         let known = known_parts(&handle).await;
-        let update = match after {
-            Some(revision) => source.watch(revision, WATCH_WAIT, known).await,
-            None => source.load(known).await,
+        let update = match cursor.next_call() {
+            NextCall::Watch(revision) => source.watch(revision, WATCH_WAIT, known).await,
+            NextCall::Load => source.load(known).await,
         };
         match update {
             Ok(update) => {
                 limit = INITIAL_BACKOFF;
-                after = Some(update.revision);
+                match update.is_partial {
+                    true => cursor.advanced_partially(update.revision),
+                    false => cursor.advanced(update.revision),
+                }
                 handle.send(Event::SourceUpdate(update)).await;
             }
-            Err(Error::Store(StoreError::HistoryCompacted(revision))) => {
-                log::info!(
-                    target: part::CONFIG,
-                    "the store compacted the history since revision {revision}, loading again"
-                );
-                after = None;
-            }
             Err(err) => {
+                if failed(&mut cursor, &err) == Retry::AtOnce {
+                    log::info!(target: part::CONFIG, "loads the configuration again: {err}");
+                    continue;
+                }
                 log::warn!(target: part::CONFIG, "the watch of the configuration failed: {err}");
-                after = after.filter(|_| matches!(err, Error::Store(_)));
                 handle.send(unavailable(&err)).await;
                 // Full jitter spreads the retries of many nodes after an outage.
                 let wait = rand::rng().random_range(Duration::ZERO..=limit);
@@ -97,12 +97,22 @@
     }
 }
 
+fn failed(cursor: &mut WatchCursor, err: &Error) -> Retry {
+    match err {
+        Error::Store(err) => cursor.failed(err),
+        Error::Unusable(_) => {
+            cursor.start_over();
+            Retry::AfterBackoff
+        }
+    }
+}
+
 /// What a failed call says about the store: an unusable configuration was read from a
 /// store that answers.
 fn unavailable(err: &Error) -> Event {
     match err {
+        Error::Store(StoreError::HistoryCompacted(_)) | Error::Unusable(_) => Event::SourceUnusable,
         Error::Store(_) => Event::SourceUnavailable,
-        Error::Unusable(_) => Event::SourceUnusable,
     }
 }
 
@@ -122,18 +132,26 @@
     pub(super) fn source_updated(&mut self, update: SourceUpdate) {
         let now = self.now();
         self.record_store_reachable(now, true);
+        // An update that left something out may lack a newer version.
+        if !update.is_partial {
+            self.config_confirmed(now, &update);
+        }
+        if let Some(loaded) = update.loaded {
+            self.config_loaded(loaded);
+        }
+    }
+
+    /// Records which version the store has; an update without a configuration confirms the
+    /// one before.
+    fn config_confirmed(&mut self, now: Time, update: &SourceUpdate) {
         let era = update.revision.era;
         let (known_era, known) = self.stored_config;
-        let unchanged = known_era == era;
         let version = match &update.loaded {
             Some(loaded) => loaded.head.version,
-            None if unchanged => known,
+            None if known_era == era => known,
             None => ConfigVersion::default(),
         };
         self.stored_config = (era, version);
-        if let Some(loaded) = update.loaded {
-            self.config_loaded(loaded);
-        }
         self.member_event(now, membership::Event::ConfigConfirmed { era, version });
     }
 }
