fix(rollout): write state and results again after the store has lost them

The holder took the state for stored, and results for confirmed, although the store had come back from an older copy. Change: Event::StoreRestored begins a read; answers of an earlier era do not count as what is stored; a newer state in memory is written before the next forward step, and results are requested again. Event::ResultMissing does the latter for one ticket.

--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -11,6 +11,11 @@
 //! it knows the order and has the totals of all hosts, or after [`TAKEOVER_WAIT`]. It pulls
 //! back as soon as the totals show a fault.
 //!
+//! The object store may come back from an older copy. The holder then reads the state
+//! again, and writes the one that it knows if the stored one is older: nothing goes back.
+//! It takes no forward step until the current state is stored, and requests all results
+//! again.
+//!
 //! A new ticket for the service during a rollout supersedes it: the result of the
 //! earlier ticket is `superseded`, and the new rollout starts from the shares in
 //! force at that moment, so that traffic never jumps. If the new target consists
@@ -31,7 +36,7 @@
 use crate::strategy::{ChooseStrategy, Strategy};
 use crate::{Counters, Evidence, Phase, RolloutState, ZoneReport};
 use knapweed_world::config::{RolloutTerms, ServiceConfig};
-use knapweed_world::{Name, Revision, Share, TicketNumber, Time, UnixMillis};
+use knapweed_world::{Name, Revision, Share, StoreEra, TicketNumber, Time, UnixMillis};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use store::Store;
@@ -133,6 +138,11 @@
             Event::ResultWritten(ticket) => {
                 self.confirmed_results.insert(ticket);
             }
+            Event::ResultMissing(ticket) => {
+                self.confirmed_results.remove(&ticket);
+                self.results_requested_at = None;
+            }
+            Event::StoreRestored(era) => self.handle_restore(era),
             Event::Tick => {}
         }
         self.advance(now, wall, out);
@@ -203,6 +213,15 @@
         }
     }
 
+    /// Forgets what the object store has confirmed in earlier eras. The state and the counts
+    /// that this holder knows stay, and are written again where the stored ones are older.
+    fn handle_restore(&mut self, era: StoreEra) {
+        if self.store.restored(era) {
+            self.confirmed_results.clear();
+            self.results_requested_at = None;
+        }
+    }
+
     fn handle_write_answer(&mut self, answer: WriteResult, now: Time, out: &mut Vec<Action>) {
         if let Some(stored) = self.store.written(answer, now) {
             self.merge_state(stored, now, out);
--- a/crates/rollout/src/control/event.rs
+++ b/crates/rollout/src/control/event.rs
@@ -2,7 +2,7 @@
 
 use crate::{RolloutState, TicketResult, ZoneCapacity, ZoneReport};
 use knapweed_world::config::ServiceConfig;
-use knapweed_world::{Revision, TicketNumber};
+use knapweed_world::{Revision, StoreEra, TicketNumber};
 use serde::{Deserialize, Serialize};
 
 /// The answer to a write of the state.
@@ -37,7 +37,7 @@
     Read {
         /// The stored state; `None` if there is none.
         state: Option<RolloutState>,
-        /// Revision of the stored state.
+        /// Revision of the stored state, or number 0 in the era of the read.
         revision: Revision,
     },
     /// The stored state could not be read.
@@ -46,6 +46,11 @@
     Write(WriteResult),
     /// The result of a ticket is stored, by this or an earlier write.
     ResultWritten(TicketNumber),
+    /// The result of a ticket is no longer stored.
+    ResultMissing(TicketNumber),
+    /// The object store came back from an older copy and began this era. The state and the
+    /// results may be older there, or absent.
+    StoreRestored(StoreEra),
     /// Timer event; sent at least every 250 ms.
     Tick,
 }
--- a/crates/rollout/src/control/store.rs
+++ b/crates/rollout/src/control/store.rs
@@ -2,7 +2,7 @@
 
 use crate::control::event::{Action, WriteResult};
 use crate::state::RolloutState;
-use knapweed_world::{Revision, Time};
+use knapweed_world::{Revision, StoreEra, Time};
 use std::time::Duration;
 
 /// A call without an answer for this long is abandoned and the state is read
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Store {
     status: Status,
+    /// The latest era of the object store that this holder has been told of.
+    era: StoreEra,
     /// The last stored state that was read or written; it may be outdated.
     pub(super) state: Option<RolloutState>,
 }
@@ -75,10 +77,27 @@
 
 /// Answers of the object store.
 impl Store {
+    /// Reads the state again, because the object store came back from an older copy.
+    /// Returns false when that era was known before.
+    pub(super) fn restored(&mut self, era: StoreEra) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        self.status = Status::Unread;
+        true
+    }
+
     /// Handles the answer to a read. An unexpected answer is ignored, because a
-    /// write may have followed the read.
+    /// write may have followed the read. An answer of an earlier era is not what the object
+    /// store holds, so the state is read again.
     pub(super) fn read(&mut self, state: Option<RolloutState>, revision: Revision) {
-        if matches!(self.status, Status::Reading { .. }) {
+        if !matches!(self.status, Status::Reading { .. }) {
+            return;
+        }
+        if revision.era < self.era {
+            self.status = Status::Unread;
+        } else {
             self.state = state;
             self.status = Status::Known { revision };
         }
@@ -98,6 +117,8 @@
             return None;
         };
         match answer {
+            // The object store may have lost this write since.
+            WriteResult::Written(revision) if revision.era < self.era => None,
             WriteResult::Written(revision) => {
                 self.state = Some((*proposed).clone());
                 self.status = Status::Known { revision };
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -26,7 +26,7 @@
 pub use guard::Guard;
 pub use histogram::Histogram;
 pub use judge::{Judge, Verdict};
-pub use knapweed_world::Revision;
+pub use knapweed_world::{Revision, StoreEra};
 pub use planner::{Plan, Planner};
 pub use report::{Holder, HostReport, Tenure, ZoneReport};
 pub use result::{Outcome, TicketResult};
--- a/crates/rollout/tests/common/platform.rs
+++ b/crates/rollout/tests/common/platform.rs
@@ -2,7 +2,7 @@
 //! tickets.
 
 use knapweed_rollout::control::WriteResult;
-use knapweed_rollout::{Action, Event, Revision, RolloutState, TicketResult};
+use knapweed_rollout::{Action, Event, Revision, RolloutState, StoreEra, TicketResult};
 use knapweed_world::TicketNumber;
 use std::collections::BTreeMap;
 
@@ -10,6 +10,8 @@
 pub struct FakePlatform {
     pub stored: Option<RolloutState>,
     pub revision: u64,
+    /// Era of the store, which rises with each restore.
+    pub era: StoreEra,
     pub results: BTreeMap<TicketNumber, TicketResult>,
     /// Number of writes of a result that differed from the first one of the ticket.
     pub contradictions: u32,
@@ -36,13 +38,25 @@
         }
     }
 
+    /// Comes back from an older copy, which begins a new era. The lists of what was ever
+    /// written stay.
+    pub fn restore(&mut self, copy: &Self) {
+        self.stored = copy.stored.clone();
+        self.revision = copy.revision;
+        self.era = StoreEra(self.era.0 + 1);
+    }
+
+    fn latest(&self) -> Revision {
+        Revision::new(self.revision).in_era(self.era)
+    }
+
     fn read(&self) -> Event {
         if self.down {
             return Event::ReadFailed;
         }
         Event::Read {
             state: self.stored.clone(),
-            revision: Revision::new(self.revision),
+            revision: self.latest(),
         }
     }
 
@@ -50,13 +64,13 @@
         if self.down {
             return WriteResult::Unknown;
         }
-        if condition != Revision::new(self.revision) {
+        if condition != self.latest() {
             return WriteResult::Conflict;
         }
         self.revision += 1;
         self.stored = Some(state.clone());
         self.history.push(state.clone());
-        WriteResult::Written(Revision::new(self.revision))
+        WriteResult::Written(self.latest())
     }
 
     fn finish(&mut self, result: &TicketResult) -> Option<Event> {
