fix(node): write states of rollouts again after the store has lost them

The controller of an ended rollout is dropped, so nobody noticed that its state was older in the store, or absent; the others believed what they had written. Change: when the store reports a later era, the controllers read again, and the holder of the duty compares the states of all other services that it knows, 80 per second at most. States that nodes send after that are compared too. Result: crates/node/tests/nodes/restored.rs, with whole nodes in the test process.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -11,6 +11,7 @@
 pub mod query;
 pub mod registry;
 pub mod reports;
+mod restored;
 mod results;
 mod rollouts;
 mod streams;
@@ -39,6 +40,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use registry::Registry;
+use restored::Restores;
 use results::PendingResults;
 use rollouts::Rollouts;
 use std::collections::BTreeSet;
@@ -99,6 +101,8 @@
     verdicts: VerdictCalls,
     /// Recent tickets that are known to have a final result.
     finished_tickets: BTreeSet<TicketNumber>,
+    /// Eras of the object store.
+    restores: Restores,
     /// Whether this node has left the gossip.
     is_stopped: bool,
     /// Entries that the source of the configuration in force could not use as written; 0
@@ -158,6 +162,7 @@
             crash_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             rollout_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             finished_tickets: BTreeSet::new(),
+            restores: Restores::default(),
             is_stopped: false,
             config_problems: 0,
             store_was_reachable: None,
@@ -198,6 +203,7 @@
     fn tick(&mut self, now: Time) {
         self.member_event(now, membership::Event::Tick);
         self.floor_tick(now);
+        self.restore_tick(now);
         self.registry_tick(now);
         self.order_tick();
         self.rollout_tick(now);
--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -12,10 +12,10 @@
 use knapweed_rollout::{self as rollout, Holder, RolloutState, Tenure};
 use knapweed_wire::StreamHead;
 use knapweed_world::config::VersionShare;
-use knapweed_world::{Name, Time};
+use knapweed_world::{Name, StoreEra, Time};
 use knapweed_zone::epidemic::Origin;
 use knapweed_zone::{Incarnation, MemberRecord, MemberState, Role};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +30,9 @@
 pub(super) struct Rollouts {
     /// The newest state of each service.
     states: BTreeMap<Name, RolloutState>,
+    /// Services whose state the object store may have lost, until this node has found it
+    /// there or written it while it held the duty.
+    unsaved: BTreeSet<Name>,
     /// The newest known holder of the duty of rollout control.
     holder: Option<Holder>,
     /// Tenure of this node, while it holds the duty.
@@ -174,6 +177,10 @@
             "service {}, ticket {}: {:?}", state.service, state.ticket, joined.phase
         );
         self.rollouts.states.insert(state.service.clone(), joined);
+        // The copy of a node may be all that is left of a state that was stored.
+        if self.restores.era() > StoreEra(0) {
+            self.rollouts.unsaved.insert(state.service.clone());
+        }
         true
     }
 
--- a/crates/node/src/control/rollouts/duty.rs
+++ b/crates/node/src/control/rollouts/duty.rs
@@ -6,10 +6,35 @@
 use knapweed_rollout::{self as rollout, Holder, RolloutState, Tenure, ZoneCapacity};
 use knapweed_world::backend_server::ServerState;
 use knapweed_world::config::ServiceConfig;
-use knapweed_world::{Name, Time};
+use knapweed_world::{Name, StoreEra, Time};
 use knapweed_zone::epidemic::Origin;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Number of services per tick of rollout control whose stored state is compared with the
+/// known one after the object store has come back from an older copy: 80 reads per second,
+/// a small part of the rate limit that all nodes share.
+const CHECKS_PER_TICK: usize = 16;
+
+/// What a holder of the duty does after the object store has come back from an older copy.
+impl Controller {
+    /// Compares all known states with the stored ones, also those of ended rollouts.
+    pub(in crate::control) fn rollouts_restored(&mut self, now: Time) {
+        let known = self.rollouts.states.keys().cloned();
+        self.rollouts.unsaved.extend(known);
+        let services: Vec<_> = self.rollouts.controllers.keys().cloned().collect();
+        for service in services {
+            self.announce_era(now, &service);
+        }
+    }
+
+    fn announce_era(&mut self, now: Time, service: &Name) {
+        let era = self.restores.era();
+        if era > StoreEra(0) {
+            self.rollout_event(now, service, rollout::Event::StoreRestored(era));
+        }
+    }
+}
+
 impl Controller {
     pub(in crate::control) fn control_rollouts(&mut self, now: Time) {
         if !self.membership.role().controls_rollouts || !self.floor.is_serving() {
@@ -90,7 +115,12 @@
                 needed.push(name.clone());
             }
         }
-        needed.retain(|name| !self.rollouts.controllers.contains_key(name));
+        let is_missing = |name: &Name| !self.rollouts.controllers.contains_key(name);
+        needed.retain(is_missing);
+        let unsaved = self.rollouts.unsaved.iter();
+        let unchecked = unsaved.filter(|name| is_missing(name) && !needed.contains(name));
+        let unchecked: Vec<_> = unchecked.take(CHECKS_PER_TICK).cloned().collect();
+        needed.extend(unchecked);
         for service in needed {
             let strategies = Box::new(rollout::ByDuration);
             let controller = rollout::RolloutController::new(service.clone(), strategies);
@@ -100,10 +130,16 @@
             if let Some(state) = self.rollouts.states.get(&service).cloned() {
                 self.rollout_event(now, &service, rollout::Event::Seen(state));
             }
+            self.announce_era(now, &service);
         }
-        self.rollouts
-            .controllers
-            .retain(|_, controller| !controller.is_idle() || controller.state().is_none());
+        let unsaved = &mut self.rollouts.unsaved;
+        self.rollouts.controllers.retain(|service, controller| {
+            let is_done = controller.is_idle() && controller.state().is_some();
+            if is_done {
+                unsaved.remove(service);
+            }
+            !is_done
+        });
     }
 
     fn capacity(&self, service: &Name) -> Vec<ZoneCapacity> {
--- a/crates/node/src/control/rollouts/store.rs
+++ b/crates/node/src/control/rollouts/store.rs
@@ -15,10 +15,12 @@
         let store = self.dependencies.store.clone();
         let handle = self.handle.clone();
         tokio::spawn(async move {
+            // An answer without a state belongs to this era or a later one.
+            let absent = Revision::ABSENT.in_era(store.era());
             let outcome = store.read(&key(&service)).await;
             let event = match outcome.as_ref().map(|o| o.as_ref().map(decode).transpose()) {
                 Ok(Ok(stored)) => rollout::Event::Read {
-                    revision: stored.as_ref().map_or(Revision::ABSENT, |(r, _)| *r),
+                    revision: stored.as_ref().map_or(absent, |(r, _)| *r),
                     state: stored.map(|(_, state)| state),
                 },
                 Ok(Err(err)) => {
@@ -42,7 +44,7 @@
         tokio::spawn(async move {
             let service = state.service.clone();
             let condition = match condition {
-                Revision::ABSENT => Condition::Absent,
+                Revision { number: 0, .. } => Condition::Absent,
                 revision => Condition::Revision(revision),
             };
             let outcome = match serde_json::to_vec(&state) {
--- a/crates/node/tests/nodes/common/mod.rs
+++ b/crates/node/tests/nodes/common/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod backend;
 pub(crate) mod egress;
 pub(crate) mod lossy_proxy;
+pub(crate) mod mesh;
 
 use knapweed_host::crash::Subject;
 use knapweed_host::{RequestId, SendId};
@@ -44,7 +45,7 @@
     }
 }
 
-fn identity(authority: &Authority) -> Identity {
+pub(crate) fn identity(authority: &Authority) -> Identity {
     let dir = tempfile::tempdir().expect("a temporary folder");
     let issued = authority
         .issue("host", &[IpAddr::V4(Ipv4Addr::LOCALHOST)])
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -7,4 +7,5 @@
 mod foreign_answers;
 mod limits;
 mod lost_exchanges;
+mod restored;
 mod retries;
--- /dev/null
+++ b/crates/node/tests/nodes/restored.rs
@@ -0,0 +1,117 @@
+//! What nodes write again after the object store has come back from an older copy.
+
+use crate::common::mesh::{Mesh, holds_soon, until};
+use crate::common::name;
+use knapweed_contract::head::Accepted;
+use knapweed_contract::result::{self, Attempt};
+use knapweed_contract::{Record, Ticket};
+use knapweed_host::crash::verdicts::Verdicts;
+use knapweed_host::crash::{CrashRecord, Evidence as CrashEvidence, Subject};
+use knapweed_node::orders::Progress;
+use knapweed_rollout::result::PullBackReason;
+use knapweed_rollout::{Epoch, Evidence, Phase, RolloutState};
+use knapweed_store::{ObjectKey, Revision};
+use knapweed_world::config::{Caution, RolloutTerms, VersionShare};
+use knapweed_world::{ConfigVersion, Share, TicketNumber, UnixMillis};
+use knapweed_zone::score::score;
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Time in which a node that has nothing to do would do it nevertheless.
+const QUIET_TIME: Duration = Duration::from_secs(3);
+
+fn wall_clock() -> UnixMillis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    UnixMillis(since.expect("a time after 1970").as_millis() as u64)
+}
+
+fn share(version: &str) -> VersionShare {
+    VersionShare {
+        version: name(version),
+        share: Share::ALL,
+    }
+}
+
+fn key(service: &str) -> ObjectKey {
+    ObjectKey::new("mesh-rollouts", service)
+}
+
+fn state(service: &str, phase: Phase) -> RolloutState {
+    let now = wall_clock();
+    RolloutState {
+        service: name(service),
+        ticket: TicketNumber(4),
+        epoch: Epoch(7),
+        phase,
+        changed: now,
+        terms: RolloutTerms {
+            start: now,
+            deadline: now.after(Duration::from_secs(300)),
+            min_old_capacity: 0,
+            caution: Caution::Careful,
+            from: vec![share("v1")],
+        },
+        target: vec![share("v2")],
+        proven: Vec::new(),
+        has_result: true,
+        evidence: Evidence::default(),
+        owed: Vec::new(),
+    }
+}
+
+/// Services with a completed rollout, one that was pulled back, and a running one.
+fn states() -> [RolloutState; 3] {
+    [
+        state("calendar", Phase::Completed),
+        state("mail", Phase::PulledBack(PullBackReason::NoServers)),
+        state("maps", Phase::Holding(Share(2_500))),
+    ]
+}
+
+const SERVICES: [&str; 3] = ["calendar", "mail", "maps"];
+
+/// Stores orders, the states of their rollouts and their progress, and starts a node.
+async fn mesh_with_rollouts() -> Mesh {
+    let mut mesh = Mesh::new(&SERVICES);
+    let reported = [Progress::Completed, Progress::PulledBack, Progress::Running];
+    for (state, reported) in states().iter().zip(reported) {
+        let service = state.service.as_str();
+        mesh.store.put(&key(service), state).await;
+        mesh.orders.put(service, "v2", Some(reported)).await;
+    }
+    mesh.start().await;
+    until("the node knows all states", || {
+        mesh.nodes[0].view().load().rollouts.len() == SERVICES.len()
+    })
+    .await;
+    mesh
+}
+
+/// Guards against the state of an ended rollout that nobody writes again: its controller was
+/// dropped, so the store kept an older state, or none, and a new process routed by that.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn states_that_the_store_lost_are_written_again() {
+    let older = Mesh::new(&SERVICES).store.memory.backup();
+    let mesh = mesh_with_rollouts().await;
+    // Ended rollouts have no controller any longer.
+    tokio::time::sleep(QUIET_TIME).await;
+    let before = mesh.nodes[0].view().load().rollouts.clone();
+    mesh.store.memory.restore(&older);
+    let is_stored = |service: &&str| {
+        let value = mesh.store.value(&key(service));
+        let stored = value.and_then(|v| serde_json::from_slice::<RolloutState>(&v).ok());
+        stored.is_some_and(|s| s.cmp_precedence(&before[&name(service)]).is_ge())
+    };
+    holds_soon(|| SERVICES.iter().all(|s| is_stored(s))).await;
+    let mut out = String::new();
+    for service in SERVICES {
+        writeln!(out, "{service}: stored {}", is_stored(&service)).expect("a string");
+    }
+    insta::assert_snapshot!(out);
+    let after = mesh.nodes[0].view().load().rollouts.clone();
+    for (service, before) in &before {
+        assert!(after[service].cmp_precedence(before).is_ge(), "{service}");
+    }
+}
