fix(node): write registry entries again after the store has lost them

A node registers itself once, and again only while it knows no other; a node that starts later did not find the hosts whose entries were lost.

--- a/crates/node/src/control/registry.rs
+++ b/crates/node/src/control/registry.rs
@@ -2,15 +2,17 @@
 //!
 //! A node that starts reads the entries, and writes its own unless it is there from an
 //! earlier process; which hosts are alive is found out by gossip. An outdated entry costs
-//! one failed connection.
+//! one failed connection. After the store has come back from an older copy, the node that
+//! keeps objects there writes the entries of the members that are missing.
 
 use super::{Controller, Event};
 use knapweed_observe::part;
-use knapweed_store::{Condition, Error, Listing, ObjectKey, ObjectStore};
+use knapweed_store::{Condition, Error, Listing, ObjectKey, ObjectStore, Revision};
 use knapweed_world::{Name, Time};
-use knapweed_zone::{Incarnation, MemberRecord};
+use knapweed_zone::{Incarnation, MemberRecord, MemberState};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +27,12 @@
 /// Interval at which a node that knows no other node reads the registry.
 const LOOKUP_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time between two writes of lost entries, which leaves nine tenths of the platform's
+/// rate limit to other writers.
+const LOST_ENTRY_INTERVAL: Duration = Duration::from_millis(25);
+/// Attempts to write lost entries while calls fail.
+const MAX_LOST_ATTEMPTS: u32 = 20;
+
 /// Registry entry of a host.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entry {
@@ -47,17 +55,33 @@
             incarnation: record.incarnation,
         }
     }
+
+    fn is_replaced_by(&self, other: &Self) -> bool {
+        self.address != other.address && self.incarnation < other.incarnation
+    }
 }
 
-/// Time of the last registry lookup; `None` before the first.
+/// Calls to the store for the registry.
 #[derive(Debug, Default)]
 pub(super) struct Registry {
+    /// Time of the last lookup; `None` before the first.
     last_lookup: Option<Time>,
+    /// Whether the store may have lost entries since this node has compared them.
+    is_unchecked: bool,
+}
+
+impl Registry {
+    /// Lets the node that keeps objects in the store compare the entries with the members,
+    /// because the store may have lost some.
+    pub(super) fn check_entries(&mut self) {
+        self.is_unchecked = true;
+    }
 }
 
 impl Controller {
     /// Registers this host once, and reads the registry while no other node is known.
     pub(super) fn registry_tick(&mut self, now: Time) {
+        self.write_lost_entries();
         let knows_no_other_node = self.membership.directory().present().count() == 1;
         let last_lookup = self.registry.last_lookup;
         let is_due = last_lookup.is_none_or(|at| now.since(at) >= LOOKUP_INTERVAL);
@@ -74,6 +98,21 @@
         });
     }
 
+    /// Writes the entries of members that the store has lost, if this node has the duty to
+    /// keep objects there. A node that knows no other registers itself, see
+    /// [`Self::registry_tick`].
+    fn write_lost_entries(&mut self) {
+        if !self.membership.role().keeps_tickets || !self.registry.is_unchecked {
+            return;
+        }
+        self.registry.is_unchecked = false;
+        let members = self.membership.directory().present().map(|(_, r)| r);
+        let staying = members.filter(|r| r.state != MemberState::Leaving);
+        let members: Vec<_> = staying.map(|r| (r.host.clone(), Entry::of(r))).collect();
+        let store = Arc::clone(&self.dependencies.store);
+        tokio::spawn(async move { write_lost(&*store, &members).await });
+    }
+
     /// Exchanges membership records with some registered nodes of each availability zone.
     pub(super) fn registry_read(&mut self, entries: Vec<(Name, Entry)>) {
         let now = self.now();
@@ -169,6 +208,75 @@
     Ok(())
 }
 
+/// Compares the registry with the members, and writes what is missing, with retries.
+async fn write_lost(store: &dyn ObjectStore, members: &[(Name, Entry)]) {
+    let mut limit = INITIAL_BACKOFF;
+    for _ in 0..MAX_LOST_ATTEMPTS {
+        match try_write_lost(store, members).await {
+            Ok(0) => return,
+            Ok(count) => {
+                log::info!(target: part::MEMBER, "wrote {count} lost entries of hosts");
+                return;
+            }
+            Err(err) => log::info!(target: part::MEMBER, "could not write lost entries: {err}"),
+        }
+        let wait = rand::rng().random_range(Duration::ZERO..=limit);
+        tokio::time::sleep(wait).await;
+        limit = (limit * 2).min(MAX_BACKOFF);
+    }
+}
+
+/// Writes the entries of `members` that are absent or of an earlier process at another
+/// address; returns their number.
+///
+/// # Errors
+///
+/// A call to the store failed. Entries that other nodes write meanwhile are no failure.
+async fn try_write_lost(
+    store: &dyn ObjectStore,
+    members: &[(Name, Entry)],
+) -> Result<usize, Error> {
+    let listing = store.list(KIND).await?;
+    let lost = lost_entries(&listing, members);
+    for (host, entry, condition) in &lost {
+        let key = ObjectKey::new(KIND, host.as_str());
+        let value = serde_json::to_vec(entry).map_err(|e| Error::Malformed(e.to_string()))?;
+        match store.write(&key, value.into(), *condition).await {
+            Ok(_) | Err(Error::Conflict { .. }) => {}
+            Err(err) => return Err(err),
+        }
+        tokio::time::sleep(LOST_ENTRY_INTERVAL).await;
+    }
+    Ok(lost.len())
+}
+
+/// The members whose entry is absent or of an earlier process at another address, with the
+/// condition of its write.
+fn lost_entries<'a>(
+    listing: &Listing,
+    members: &'a [(Name, Entry)],
+) -> Vec<(&'a Name, &'a Entry, Condition)> {
+    let stored: BTreeMap<&str, (Revision, Option<Entry>)> = listing
+        .objects
+        .iter()
+        .map(|(key, object)| {
+            let entry = serde_json::from_slice(&object.value).ok();
+            (key.name(), (object.revision, entry))
+        })
+        .collect();
+    let lost = members.iter().filter_map(|(host, entry)| {
+        let condition = match stored.get(host.as_str()) {
+            None => Condition::Absent,
+            Some((revision, Some(old))) if old.is_replaced_by(entry) => {
+                Condition::Revision(*revision)
+            }
+            Some(_) => return None,
+        };
+        Some((host, entry, condition))
+    });
+    lost.collect()
+}
+
 /// The entries of a listing, without those that cannot be decoded.
 fn entries(listing: &Listing) -> Vec<(Name, Entry)> {
     let entries = listing.objects.iter().filter_map(|(key, object)| {
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -115,3 +115,27 @@
         assert!(after[service].cmp_precedence(before).is_ge(), "{service}");
     }
 }
+
+/// Guards against hosts that a node which starts later does not find: only a node that knew no
+/// other one registered itself again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn registry_entries_that_the_store_lost_are_written_again() {
+    let mut mesh = Mesh::new(&["calendar"]);
+    let empty = mesh.store.memory.backup();
+    mesh.start().await;
+    mesh.start().await;
+    mesh.start().await;
+    let hosts = ["host-1", "host-2", "host-3"];
+    let is_registered = |host: &&str| {
+        let key = ObjectKey::new("mesh-hosts", host);
+        mesh.store.value(&key).is_some()
+    };
+    until("all hosts are registered", || {
+        hosts.iter().all(|h| is_registered(h))
+    })
+    .await;
+    mesh.store.memory.restore(&empty);
+    let all = holds_soon(|| hosts.iter().all(|h| is_registered(h))).await;
+    let found: Vec<_> = hosts.iter().filter(|h| is_registered(h)).collect();
+    assert!(all, "found only {found:?}");
+}
