fix(node): write verdicts again after the store has lost them

A process remembers which verdicts it has written and writes them once. Change: it forgets that after a restore.

--- a/crates/node/src/control/verdicts.rs
+++ b/crates/node/src/control/verdicts.rs
@@ -52,6 +52,13 @@
     written: HashSet<Subject>,
 }
 
+impl VerdictCalls {
+    /// Lets the verdicts be written again, because the store may have lost them.
+    pub(super) fn forget_written(&mut self) {
+        self.written.clear();
+    }
+}
+
 impl Controller {
     /// Reads the verdicts after the start, and while most other hosts are out of reach.
     ///
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -139,3 +139,27 @@
     let found: Vec<_> = hosts.iter().filter(|h| is_registered(h)).collect();
     assert!(all, "found only {found:?}");
 }
+
+/// Guards against a verdict on a request that crashes servers which is in no store any more: a
+/// node that starts later would run the request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verdicts_that_the_store_lost_are_written_again() {
+    let mut mesh = Mesh::new(&["calendar"]);
+    let empty = mesh.store.memory.backup();
+    let record = CrashRecord {
+        subject: Subject::content(b"", b"POST", b"/crash", b""),
+        evidence: CrashEvidence {
+            convicted: true,
+            ..CrashEvidence::default()
+        },
+        age_ms: 0,
+    };
+    let mut verdicts = Verdicts::default();
+    assert!(verdicts.add(&[record], wall_clock()));
+    let key = ObjectKey::new("mesh-verdicts", "requests");
+    mesh.store.put(&key, &verdicts).await;
+    mesh.start().await;
+    tokio::time::sleep(QUIET_TIME).await;
+    mesh.store.memory.restore(&empty);
+    until("the verdict is stored", || mesh.store.value(&key).is_some()).await;
+}
