fix(node): write results of tickets again after the store has lost them

The holder of the duty `tickets` remembers the tickets whose result it has written. Change: it forgets them after a restore and checks the records again.

--- a/crates/node/src/control/restored.rs
+++ b/crates/node/src/control/restored.rs
@@ -58,5 +58,6 @@
     fn forget_confirmations(&mut self) {
         self.registry.check_entries();
         self.verdicts.forget_written();
+        self.finished_tickets.clear();
     }
 }
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -163,3 +163,37 @@
     mesh.store.memory.restore(&empty);
     until("the verdict is stored", || mesh.store.value(&key).is_some()).await;
 }
+
+/// Guards against a ticket without a result, because the node that wrote it takes it for stored.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn results_of_tickets_that_the_store_lost_are_written_again() {
+    let mut mesh = Mesh::new(&["calendar"]);
+    let accepted = Accepted {
+        ticket: TicketNumber(5),
+        version: ConfigVersion(1),
+        at: wall_clock(),
+    };
+    mesh.ticket = Some(accepted);
+    let document = Ticket {
+        ticket: accepted.ticket,
+        ..Ticket::default()
+    };
+    let attempt = Attempt {
+        head: Revision::ABSENT,
+        at: accepted.at,
+    };
+    let record = Record::new(document, ConfigVersion(0), attempt).with_progress(accepted);
+    let key = result::key(accepted.ticket);
+    mesh.store.put(&key, &record.expect("progress")).await;
+    let without_result = mesh.store.memory.backup();
+    mesh.start().await;
+    let has_result = || {
+        let object = mesh.store.memory.peek(&key).expect("a record");
+        let record = Record::decode(&object).expect("a record");
+        record.result.is_some()
+    };
+    until("the ticket has a result", has_result).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    mesh.store.memory.restore(&without_result);
+    until("it has a result again", has_result).await;
+}
