fix(node): report the progress of an order again after the store has lost it

An order whose rollout was known was reported as running only when it was new, and its end only if its controller had been dropped. Change: an order without progress is reported as running, and one without an end as ended if its rollout has, whenever it is read. An ended rollout is no longer reported as running first.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -126,6 +126,7 @@
         };
         let ticket = tracked.config.ticket;
         self.orders.tracked.insert(order.service.clone(), tracked);
+        self.report_unreported(now, &order, ticket);
         if !is_new {
             return;
         }
@@ -134,13 +135,27 @@
             "order {ticket}: service {} to version {} within {:?}, reported {:?}",
             order.service, order.target, order.time, order.reported
         );
-        if order.reported.is_none() {
-            self.report_order(&order.service, &order.target, ticket, Progress::Running);
-        }
         // Starts the move without waiting for the next tick of rollout control.
         self.control_rollouts(now);
     }
 
+    /// Reports the progress of an order whose source has none, or no end: it is new, or the
+    /// store has lost what was reported.
+    fn report_unreported(&mut self, now: Time, order: &Order, ticket: TicketNumber) {
+        let state = self.rollouts.states().get(&order.service);
+        let has_ended = state.is_some_and(|s| s.ticket == ticket && s.phase.is_final());
+        match (has_ended, order.reported) {
+            (true, None | Some(Progress::Running)) => {
+                let missing = rollout::Event::ResultMissing(ticket);
+                self.rollout_event(now, &order.service, missing);
+            }
+            (false, None) => {
+                self.report_order(&order.service, &order.target, ticket, Progress::Running);
+            }
+            _ => {}
+        }
+    }
+
     /// Configuration of the service as a ticket with this order would set it.
     ///
     /// Orders are numbered per service. An order to another target than that of the
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -116,6 +116,31 @@
     }
 }
 
+/// Guards against an order that the operator writes again, without the progress that the store
+/// has lost, and that stays without progress: its rollout was known, so nothing was reported.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn progress_that_the_store_lost_is_reported_again() {
+    let without_progress = Mesh::new(&SERVICES);
+    for service in SERVICES {
+        without_progress.orders.put(service, "v2", None).await;
+    }
+    let older = without_progress.store.memory.backup();
+    let mesh = mesh_with_rollouts().await;
+    tokio::time::sleep(QUIET_TIME).await;
+    mesh.orders.reports.lock().clear();
+    mesh.store.memory.restore(&older);
+    holds_soon(|| mesh.orders.reports.lock().len() >= SERVICES.len()).await;
+    tokio::time::sleep(QUIET_TIME).await;
+    let reports: BTreeSet<_> = mesh
+        .orders
+        .reports
+        .lock()
+        .iter()
+        .map(|(service, progress)| format!("{service}: {progress:?}"))
+        .collect();
+    insta::assert_debug_snapshot!(reports);
+}
+
 /// Guards against hosts that a node which starts later does not find: only a node that knew no
 /// other one registered itself again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
