fix(node): keep the terms of an order that is read again

An order that was read again before its rollout was stored got a new start and a later deadline. After a restore all orders are read again. Change: the terms stay while target, number and duration are the same. Result: crates/node/tests/nodes/restored.rs: before, the proposals before and after the restore had different deadlines; now they have the same.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -159,7 +159,8 @@
     /// Configuration of the service as a ticket with this order would set it.
     ///
     /// Orders are numbered per service. An order to another target than that of the
-    /// known rollout state gets the number after that of the state.
+    /// known rollout state gets the number after that of the state. An order that is read
+    /// again before its state is stored keeps its number and terms.
     fn config_for_order(&self, order: &Order) -> ServiceConfig {
         let target = vec![VersionShare {
             version: order.target.clone(),
@@ -171,7 +172,12 @@
             Some(state) => (state.ticket, state.terms.clone()),
             None => {
                 let last = state.map_or(TicketNumber(0), |state| state.ticket);
-                (TicketNumber(last.0 + 1), self.terms(order, state))
+                let ticket = TicketNumber(last.0 + 1);
+                let tracked = self.orders.config(&order.service);
+                let same = tracked.filter(|c| c.ticket == ticket && c.versions == target);
+                let terms = same.and_then(|config| config.rollout.clone());
+                let terms = terms.filter(|t| t.deadline.since(t.start) == order.time);
+                (ticket, terms.unwrap_or_else(|| self.terms(order, state)))
             }
         };
         ServiceConfig {
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -141,6 +141,31 @@
     insta::assert_debug_snapshot!(reports);
 }
 
+/// Guards against an order that gets a later deadline each time that it is read before its
+/// rollout is stored.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_that_is_read_again_keeps_its_deadline() {
+    let mut mesh = Mesh::new(&["calendar"]);
+    mesh.store.refuses_states.store(true, Ordering::SeqCst);
+    mesh.orders.put("calendar", "v2", None).await;
+    let older = mesh.store.memory.backup();
+    mesh.start().await;
+    let proposals = || {
+        let proposed = mesh.store.proposed.lock();
+        let states = proposed.iter().filter(|(k, _)| *k == key("calendar"));
+        let states = states.map(|(_, v)| serde_json::from_slice::<RolloutState>(v));
+        let deadlines = states.map(|s| s.expect("a state").terms.deadline);
+        deadlines.collect::<Vec<_>>()
+    };
+    until("the rollout is proposed", || !proposals().is_empty()).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    mesh.store.memory.restore(&older);
+    let before = proposals().len();
+    until("it is proposed again", || proposals().len() >= before + 4).await;
+    let deadlines: BTreeSet<_> = proposals().into_iter().collect();
+    assert_eq!(deadlines.len(), 1, "{deadlines:?}");
+}
+
 /// Guards against hosts that a node which starts later does not find: only a node that knew no
 /// other one registered itself again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
