fix(node): take no rollout of an order for that of a ticket

Cause: the end of a rollout whose order the store no longer had was handled as the end of a ticket: its record was looked for every 2 s, and its controller stayed. Change: with a source of orders, the end of a rollout without an order needs no report until the order is there again. Result: crates/node/tests/nodes/restored.rs: before, the holder read mesh-config and mesh-tickets; now it reads mesh-rollouts only.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -215,10 +215,20 @@
 /// Reporting the progress of orders to their source.
 impl Controller {
     /// Reports the end of a rollout; returns whether it belongs to an order.
-    pub(super) fn report_end(&mut self, result: &TicketResult) -> bool {
+    ///
+    /// With a source of orders all rollouts do. An order that the source does not have, such
+    /// as one that the store has lost, needs no report until it is there again.
+    pub(super) fn report_end(&mut self, now: Time, result: &TicketResult) -> bool {
+        if self.dependencies.orders.is_none() {
+            return false;
+        }
         let service = &result.service;
         let Some(config) = self.orders.config(service) else {
-            return false;
+            if self.orders.is_loaded() {
+                let confirmed = rollout::Event::ResultWritten(result.ticket);
+                self.rollout_event(now, service, confirmed);
+            }
+            return true;
         };
         let progress = match result.outcome {
             rollout::Outcome::Completed { .. } => Progress::Completed,
--- a/crates/node/src/control/rollouts/duty.rs
+++ b/crates/node/src/control/rollouts/duty.rs
@@ -230,11 +230,11 @@
             &mut actions,
         );
         for action in actions {
-            self.rollout_action(service, action);
+            self.rollout_action(now, service, action);
         }
     }
 
-    fn rollout_action(&mut self, service: &Name, action: rollout::Action) {
+    fn rollout_action(&mut self, now: Time, service: &Name, action: rollout::Action) {
         match action {
             rollout::Action::Read => self.read_state(service.clone()),
             rollout::Action::Write { state, condition } => self.write_state(*state, condition),
@@ -245,7 +245,7 @@
                 self.publish_states(vec![*state], Origin::Local);
             }
             rollout::Action::Finish(result) => {
-                if !self.report_end(&result) {
+                if !self.report_end(now, &result) {
                     self.rollout_ended(*result);
                 }
             }
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -247,3 +247,34 @@
     mesh.store.memory.restore(&without_result);
     until("it has a result again", has_result).await;
 }
+
+/// Guards against the end of a rollout whose order the store has lost that passes for the end of
+/// a ticket: the holder looked for its record every two seconds.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_order_is_no_ticket() {
+    let mut hosts = ["host-1", "host-2"];
+    hosts.sort_by_key(|host| score(&[b"rollout", host.as_bytes()]));
+    let [first, holder] = hosts;
+    let mut mesh = Mesh::new(&["calendar"]);
+    let empty = mesh.store.memory.backup();
+    let ended = state("calendar", Phase::Completed);
+    mesh.store.put(&key("calendar"), &ended).await;
+    let reported = Some(Progress::Completed);
+    mesh.orders.put("calendar", "v2", reported).await;
+    mesh.start_host(first).await;
+    until("the first node knows the state", || {
+        !mesh.nodes[0].view().load().rollouts.is_empty()
+    })
+    .await;
+    mesh.store.memory.restore(&empty);
+    mesh.start_host(holder).await;
+    until("the state is stored", || {
+        mesh.store.value(&key("calendar")).is_some()
+    })
+    .await;
+    tokio::time::sleep(QUIET_TIME).await;
+    let duties = mesh.nodes[1].view().load().duties.clone();
+    assert!(duties.contains(&"rollout".to_owned()), "{duties:?}");
+    let kinds: BTreeSet<_> = mesh.store.kinds_read.lock().iter().cloned().collect();
+    insta::assert_debug_snapshot!(kinds);
+}
