fix(node): send newer states of running rollouts back to a holder

A new holder that reads the state from a store that came back from an older copy may know less than the nodes; only ended rollouts were sent back to it, so the share of a running one could fall or be raised again. Change: once the store has lost data, nodes send back every newer state. Result: crates/node/tests/nodes/restored.rs: before, the node sent nothing; now it sends its state.

--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -112,7 +112,7 @@
         states: Vec<RolloutState>,
         holder: Option<Holder>,
     ) {
-        self.return_ended(&states, holder);
+        self.return_newer(&states, holder);
         let is_new_holder = self.learn_holder(holder);
         let mut changed = Vec::new();
         for state in &states {
@@ -133,21 +133,24 @@
         }
     }
 
-    /// Sends ended rollouts to a holder that takes them for running.
+    /// Sends ended rollouts to a holder that takes them for running, and all newer states
+    /// once the object store has lost some.
     ///
-    /// A pull-back is published before it is stored, so a new holder may know neither.
-    fn return_ended(&self, received: &[RolloutState], holder: Option<Holder>) {
-        let ended = |state: &RolloutState| {
+    /// A pull-back is published before it is stored, so a new holder may know neither. From a
+    /// store that came back from an older copy, it may have read any earlier state.
+    fn return_newer(&self, received: &[RolloutState], holder: Option<Holder>) {
+        let may_be_lost = self.restores.era() > StoreEra(0);
+        let newer = |state: &RolloutState| {
             let known = self.rollouts.states.get(&state.service)?;
-            let is_behind = known.phase.is_final() && known.cmp_precedence(state).is_gt();
-            is_behind.then(|| known.clone())
+            let is_behind = known.cmp_precedence(state).is_gt();
+            (is_behind && (known.phase.is_final() || may_be_lost)).then(|| known.clone())
         };
-        let ended: Vec<_> = received.iter().filter_map(ended).collect();
+        let newer: Vec<_> = received.iter().filter_map(newer).collect();
         let others = holder.filter(|holder| holder.address != self.membership.own().address);
-        if !ended.is_empty()
+        if !newer.is_empty()
             && let Some(holder) = others
         {
-            self.push_states(ended, [holder.address]);
+            self.push_states(newer, [holder.address]);
         }
     }
 
--- a/crates/node/tests/nodes/common/mesh.rs
+++ b/crates/node/tests/nodes/common/mesh.rs
@@ -275,7 +275,7 @@
     pub(crate) nodes: Vec<Node>,
     /// A ticket that created the configuration; `None` by default.
     pub(crate) ticket: Option<Accepted>,
-    authority: Authority,
+    pub(crate) authority: Authority,
     services: Vec<&'static str>,
     addresses: Vec<SocketAddr>,
 }
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -1,7 +1,7 @@
 //! What nodes write again after the object store has come back from an older copy.
 
 use crate::common::mesh::{Mesh, holds_soon, until};
-use crate::common::name;
+use crate::common::{NodeEndpoint, name};
 use knapweed_contract::head::Accepted;
 use knapweed_contract::result::{self, Attempt};
 use knapweed_contract::{Record, Ticket};
@@ -9,8 +9,9 @@
 use knapweed_host::crash::{CrashRecord, Evidence as CrashEvidence, Subject};
 use knapweed_node::orders::Progress;
 use knapweed_rollout::result::PullBackReason;
-use knapweed_rollout::{Epoch, Evidence, Phase, RolloutState};
+use knapweed_rollout::{Epoch, Evidence, Holder, Phase, RolloutState, Tenure};
 use knapweed_store::{ObjectKey, Revision};
+use knapweed_wire::{StreamHead, decode, encode};
 use knapweed_world::config::{Caution, RolloutTerms, VersionShare};
 use knapweed_world::{ConfigVersion, Share, TicketNumber, UnixMillis};
 use knapweed_zone::score::score;
@@ -278,3 +279,50 @@
     let kinds: BTreeSet<_> = mesh.store.kinds_read.lock().iter().cloned().collect();
     insta::assert_debug_snapshot!(kinds);
 }
+
+/// Sends a state as a holder of the duty, and returns the states that the node sends back.
+async fn answers_to_holder(mesh: &Mesh, stored: RolloutState) -> Vec<RolloutState> {
+    let NodeEndpoint {
+        endpoint,
+        mut inbound,
+    } = NodeEndpoint::open(&mesh.authority);
+    let holder = Holder {
+        tenure: Tenure(wall_clock().after(Duration::from_secs(60)).0),
+        address: endpoint.local_address().expect("an address"),
+    };
+    let head = StreamHead::Rollouts {
+        states: vec![stored],
+        holder: Some(holder),
+    };
+    let node = mesh.nodes[0].node_identity().nodes;
+    let (mut tx, _rx) = endpoint.peers().open(node).await.expect("a stream");
+    tx.head(&encode(&head).expect("a message"))
+        .await
+        .expect("sent");
+    tx.finish();
+    let receive = async {
+        while let Some(mut incoming) = inbound.streams.recv().await {
+            let bytes = incoming.receiver.head().await.expect("a message");
+            if let Ok(StreamHead::Rollouts { states, .. }) = decode(&bytes) {
+                return states;
+            }
+        }
+        Vec::new()
+    };
+    let received = tokio::time::timeout(QUIET_TIME, receive).await;
+    received.unwrap_or_default()
+}
+
+/// Guards against a new holder that continues from the older state of a restored store, although
+/// nodes hold a newer one: only ended rollouts were sent back, so the share fell.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_holder_with_an_older_state_gets_the_newer_one() {
+    let mesh = mesh_with_rollouts().await;
+    let backup = mesh.store.memory.backup();
+    mesh.store.memory.restore(&backup);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let known = mesh.nodes[0].view().load().rollouts[&name("maps")].clone();
+    let mut older = state("maps", Phase::Ramping(Share(500)));
+    older.epoch = Epoch(2);
+    assert_eq!(answers_to_holder(&mesh, older).await, [known]);
+}
