fix(node): every node learns of a new era of the store, the first one is no loss

Cause: a node without calls to the store would not learn that it had come back from an older copy, and one that starts in a later era would take that for a loss. Change: eras are None before the first response; the control thread takes the latest one of its own calls and of the confirmations of other nodes.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -216,7 +216,7 @@
             };
             log::info!(
                 target: part::CONFIG,
-                applied = applied.0, newest_known = newest.0, era = freshness.era().0;
+                applied = applied.0, newest_known = newest.0, era = freshness.era().map(|era| era.0);
                 "the configuration in force {state}"
             );
         }
--- a/crates/node/src/control/restored.rs
+++ b/crates/node/src/control/restored.rs
@@ -14,10 +14,11 @@
 /// may have been under way, and outdated listings of the store are seconds old.
 const SECOND_CHECK_DELAY: Duration = Duration::from_secs(10);
 
-/// The latest era of the object store that this node knows.
+/// The era of the object store.
 #[derive(Debug, Default)]
 pub(super) struct Restores {
-    era: StoreEra,
+    /// The latest one that this node knows; `None` before the first.
+    era: Option<StoreEra>,
     /// When the confirmations are forgotten once more.
     second_check: Option<Time>,
 }
@@ -25,34 +26,37 @@
 impl Restores {
     /// The latest known era.
     pub(super) fn era(&self) -> StoreEra {
-        self.era
+        self.era.unwrap_or_default()
     }
 }
 
 impl Controller {
-    /// Handles an era that a response of the store has reported to this process.
+    /// Handles an era that a response of the store or another node has reported.
     pub(super) fn restore_tick(&mut self, now: Time) {
-        self.store_restored(now, self.dependencies.store.era());
+        let reported = self.dependencies.store.era();
+        let era = reported.max(self.membership.freshness().era());
+        if let Some(era) = era.filter(|era| Some(*era) > self.restores.era) {
+            self.era_begun(now, era);
+        }
         if self.restores.second_check.is_some_and(|at| now >= at) {
             self.restores.second_check = None;
             self.forget_confirmations();
         }
     }
 
-    /// Handles an era of the store, of which this process may have learned from another
-    /// node. Does nothing unless it is later than the latest known one.
-    pub(super) fn store_restored(&mut self, now: Time, era: StoreEra) {
-        if era <= self.restores.era {
-            return;
-        }
+    fn era_begun(&mut self, now: Time, era: StoreEra) {
+        // What this process knows is not older than the first era that it learns of.
+        let Some(before) = self.restores.era.replace(era) else {
+            return self.publish_view();
+        };
         log::warn!(
             target: part::PLATFORM,
-            "the store came back from an older copy: era {era} after {}", self.restores.era
+            "the store came back from an older copy: era {era} after {before}"
         );
-        self.restores.era = era;
         self.restores.second_check = Some(now.after(SECOND_CHECK_DELAY));
         self.forget_confirmations();
         self.rollouts_restored(now);
+        self.publish_view();
     }
 
     fn forget_confirmations(&mut self) {
--- a/crates/node/src/control/rollouts/store.rs
+++ b/crates/node/src/control/rollouts/store.rs
@@ -16,7 +16,7 @@
         let handle = self.handle.clone();
         tokio::spawn(async move {
             // An answer without a state belongs to this era or a later one.
-            let absent = Revision::ABSENT.in_era(store.era());
+            let absent = Revision::ABSENT.in_era(store.era().unwrap_or_default());
             let outcome = store.read(&key(&service)).await;
             let event = match outcome.as_ref().map(|o| o.as_ref().map(decode).transpose()) {
                 Ok(Ok(stored)) => rollout::Event::Read {
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -48,7 +48,7 @@
         self.dependencies.view.store(Arc::new(View {
             config,
             config_problems: self.config_problems,
-            store_era: self.membership.freshness().era(),
+            store_era: self.restores.era(),
             nodes,
             duties: self.membership.duties().map(|d| d.to_string()).collect(),
             rollouts: self.rollouts.states().clone(),
--- a/crates/node/tests/nodes/common/mesh.rs
+++ b/crates/node/tests/nodes/common/mesh.rs
@@ -61,7 +61,7 @@
 }
 
 impl ObjectStore for TestStore {
-    fn era(&self) -> StoreEra {
+    fn era(&self) -> Option<StoreEra> {
         self.memory.era()
     }
 
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -90,9 +90,9 @@
 /// [`Error::HistoryCompacted`], and a write on condition of one with [`Error::Conflict`],
 /// or with [`Error::ResponseLost`] when the store reported the new era only in its response.
 pub trait ObjectStore: Send + Sync {
-    /// The latest era that a response of the store has reported.
-    fn era(&self) -> StoreEra {
-        StoreEra::default()
+    /// The latest era that a response of the store has reported; `None` before the first one.
+    fn era(&self) -> Option<StoreEra> {
+        None
     }
 
     /// Reads an object; returns `None` when it does not exist.
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -353,8 +353,8 @@
 }
 
 impl ObjectStore for MemoryStore {
-    fn era(&self) -> StoreEra {
-        self.latest_revision().era
+    fn era(&self) -> Option<StoreEra> {
+        Some(self.latest_revision().era)
     }
 
     fn read<'a>(&'a self, key: &'a ObjectKey) -> StoreFuture<'a, Option<Object>> {
--- a/crates/store/tests/restore.rs
+++ b/crates/store/tests/restore.rs
@@ -35,7 +35,7 @@
     assert_eq!(store.latest_revision(), revision(0, 3));
 
     store.restore(&backup);
-    assert_eq!(store.era(), StoreEra(1));
+    assert_eq!(store.era(), Some(StoreEra(1)));
     assert_eq!(store.latest_revision(), revision(1, 1));
     assert_eq!(store.peek(&key("lost")), None);
     let kept = store.peek(&key("kept")).expect("an object");
@@ -52,7 +52,7 @@
     let copy_of_first = store.backup();
     store.restore(&copy_of_first);
     store.restore(&backup);
-    assert_eq!(store.era(), StoreEra(3));
+    assert_eq!(store.era(), Some(StoreEra(3)));
 }
 
 /// Guards against a watch that goes on from a revision which now means another change.
--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -27,8 +27,8 @@
 /// What a node knows about the newest configuration.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
-    /// The latest era that this node knows of.
-    era: StoreEra,
+    /// The latest era that this node knows of; `None` before the first.
+    era: Option<StoreEra>,
     /// The newest version that this node knows of.
     newest: ConfigVersion,
     /// The version in force on this node.
@@ -46,7 +46,7 @@
     /// again what it lost.
     pub fn store_answered(&mut self, now: Time, era: StoreEra, newest: ConfigVersion) {
         self.begin_era(era);
-        if era == self.era {
+        if Some(era) == self.era {
             self.confirm(newest.max(self.newest), now);
         }
     }
@@ -62,7 +62,7 @@
         if let Some(confirmation) = confirmation {
             self.begin_era(confirmation.era);
         }
-        let confirmation = confirmation.filter(|c| c.era == self.era);
+        let confirmation = confirmation.filter(|c| Some(c.era) == self.era);
         match confirmation {
             Some(confirmation) if version >= self.newest => {
                 let age = Duration::from_millis(confirmation.age_ms.into());
@@ -88,8 +88,8 @@
     /// Forgets the confirmation when a later era begins: the store may have lost the
     /// changes that the confirmation spoke of, and get others.
     fn begin_era(&mut self, era: StoreEra) {
-        if era > self.era {
-            self.era = era;
+        if Some(era) > self.era {
+            self.era = Some(era);
             self.confirmed_at = None;
         }
     }
@@ -103,8 +103,8 @@
 
 /// State.
 impl Freshness {
-    /// The latest era of the store that this node knows of.
-    pub fn era(&self) -> StoreEra {
+    /// The latest era of the store that this node knows of; `None` before the first.
+    pub fn era(&self) -> Option<StoreEra> {
         self.era
     }
 
@@ -125,8 +125,9 @@
         let confirmed_at = self.confirmed_at.filter(|_| self.applied >= self.newest)?;
         let age = now.since(confirmed_at);
         let is_valid = age < CONFIRMED_FOR;
-        is_valid.then_some(Confirmation {
-            era: self.era,
+        let era = self.era.filter(|_| is_valid)?;
+        Some(Confirmation {
+            era,
             age_ms: age.as_millis() as u16,
         })
     }
