--- a/crates/node/tests/nodes/common/mesh.rs
+++ b/crates/node/tests/nodes/common/mesh.rs
@@ -164,6 +164,7 @@
             Ok(Orders {
                 orders: Self::decode(listing.objects.into_iter()),
                 revision: listing.revision,
+                is_partial: false,
             })
         })
     }
@@ -176,6 +177,7 @@
             Ok(Orders {
                 orders: Self::decode(present),
                 revision: changes.revision,
+                is_partial: false,
             })
         })
     }
@@ -251,6 +253,7 @@
             Ok(SourceUpdate {
                 loaded,
                 revision: Revision::default(),
+                is_partial: false,
             })
         })
     }
