fix(node): a watch whose answer cannot be used is followed by a load

Cause: an answer of a watch that is longer than 8 MB, as after several large configurations, or that is no document, was requested again from the same revision for ever. The node kept its old configuration. The watch of the configuration counts such a store as one that answers, as that of orders does.

--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -107,11 +107,12 @@
     }
 }
 
-/// What a failed call says about the store: an unusable configuration was read from a
-/// store that answers.
+/// What a failed call says about the store: an unusable answer comes from a store that
+/// answers.
 fn unavailable(err: &Error) -> Event {
     match err {
-        Error::Store(StoreError::HistoryCompacted(_)) | Error::Unusable(_) => Event::SourceUnusable,
+        Error::Store(StoreError::HistoryCompacted(_) | StoreError::Malformed(_))
+        | Error::Unusable(_) => Event::SourceUnusable,
         Error::Store(_) => Event::SourceUnavailable,
     }
 }
--- a/crates/store/src/cursor.rs
+++ b/crates/store/src/cursor.rs
@@ -68,7 +68,8 @@
     /// Decides what follows a failed call.
     ///
     /// A watch without its history begins again with a load at once, unless the last load
-    /// did not help.
+    /// did not help. So does one whose response cannot be parsed, after a wait: a watch from
+    /// the same revision would get the same response again.
     pub fn failed(&mut self, error: &Error) -> Retry {
         match (error, self.position) {
             (Error::HistoryCompacted(_), Position::Watched(_)) => {
@@ -79,6 +80,10 @@
                 self.start_over();
                 Retry::AfterBackoff
             }
+            (Error::Malformed(_), _) => {
+                self.start_over();
+                Retry::AfterBackoff
+            }
             _ => Retry::AfterBackoff,
         }
     }
--- a/crates/store/tests/cursor.rs
+++ b/crates/store/tests/cursor.rs
@@ -60,6 +60,15 @@
     assert_eq!(cursor.next_call(), NextCall::Watch(next_era));
 }
 
+/// Guards against a watch that gets the same unusable response for ever.
+#[test]
+fn a_watch_whose_response_cannot_be_parsed_loads_after_a_wait() {
+    let mut cursor = watching();
+    let malformed = Error::Malformed("too long".into());
+    assert_eq!(cursor.failed(&malformed), Retry::AfterBackoff);
+    assert_eq!(cursor.next_call(), NextCall::Load);
+}
+
 /// Guards against loads without a pause, when the store has no history for any watch.
 #[test]
 fn a_watch_that_fails_right_after_a_load_waits() {
