fix(node): confirm results of orders that a newer one has replaced

Results of superseded orders are not reported, but were never confirmed either: the controller stayed, and with nine of them the next order of the service did not start. Change: a result of a lower number than that of the newest order is confirmed at once.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -223,17 +223,22 @@
             return false;
         }
         let service = &result.service;
+        let confirmed = rollout::Event::ResultWritten(result.ticket);
         let Some(config) = self.orders.config(service) else {
             if self.orders.is_loaded() {
-                let confirmed = rollout::Event::ResultWritten(result.ticket);
                 self.rollout_event(now, service, confirmed);
             }
             return true;
         };
+        // Only the progress of the newest order is reported.
+        if result.ticket < config.ticket {
+            self.rollout_event(now, service, confirmed);
+            return true;
+        }
         let progress = match result.outcome {
             rollout::Outcome::Completed { .. } => Progress::Completed,
             rollout::Outcome::PulledBack { .. } => Progress::PulledBack,
-            // A newer order has replaced this one, and only its progress is reported.
+            // The order that has replaced this one has not been read yet.
             rollout::Outcome::Superseded { .. } => return true,
         };
         if config.ticket == result.ticket {
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -9,7 +9,9 @@
 use knapweed_host::crash::{CrashRecord, Evidence as CrashEvidence, Subject};
 use knapweed_node::orders::Progress;
 use knapweed_rollout::result::PullBackReason;
-use knapweed_rollout::{Epoch, Evidence, Holder, Phase, RolloutState, Tenure};
+use knapweed_rollout::{
+    Epoch, Evidence, Holder, Outcome, Phase, RolloutState, Tenure, TicketResult,
+};
 use knapweed_store::{ObjectKey, Revision};
 use knapweed_wire::{StreamHead, decode, encode};
 use knapweed_world::config::{Caution, RolloutTerms, VersionShare};
@@ -326,3 +328,32 @@
     older.epoch = Epoch(2);
     assert_eq!(answers_to_holder(&mesh, older).await, [known]);
 }
+
+/// Guards against results of orders that were superseded and that nobody reads: they were never
+/// confirmed, and with nine of them the next order did not start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn results_of_superseded_orders_hold_up_no_order() {
+    let mut mesh = Mesh::new(&["calendar"]);
+    let mut ended = state("calendar", Phase::Completed);
+    ended.ticket = TicketNumber(20);
+    ended.owed = (1..=9)
+        .map(|number| TicketResult {
+            ticket: TicketNumber(number),
+            service: name("calendar"),
+            outcome: Outcome::Superseded {
+                at: ended.changed,
+                by: TicketNumber(number + 1),
+            },
+            evidence: Evidence::default(),
+        })
+        .collect();
+    mesh.store.put(&key("calendar"), &ended).await;
+    mesh.orders.put("calendar", "v3", None).await;
+    mesh.start().await;
+    until("the next rollout is stored", || {
+        let value = mesh.store.value(&key("calendar")).expect("a state");
+        let stored = serde_json::from_slice::<RolloutState>(&value).expect("a state");
+        stored.ticket == TicketNumber(21)
+    })
+    .await;
+}
