--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -104,7 +104,7 @@
     ) {
         self.record_store_reachable(now, true);
         // Before the orders, which may be older than the known states.
-        self.store_restored(now, self.dependencies.store.era());
+        self.restore_tick(now);
         // The update of a watch that has been stopped may not contain all orders.
         if self.orders.watch.is_none() {
             return;
