feat(callers): requests that are refused unread are logged and counted

hyper refuses a head that is malformed or too long before a handler sees the request. That was logged at level debug without a status and counted nowhere. It now gets a line at level info with the peer and the reason, within the rate limit of the other request lines, and is counted in knapweed_requests_refused_unread. Connections that end or are reset stay at level debug.

Test: a_request_that_cannot_be_read_is_logged_and_counted.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -4,14 +4,16 @@
 //! gotham handlers on connections that it tracks: idle connections are closed
 //! after the configured timeout, and all connections when the node stops.
 
+use crate::request_log;
 use gotham::handler::NewHandler;
 use gotham::service::call_handler;
 use gotham::state::State;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use knapweed_observe::part;
+use knapweed_observe::{Metrics, part};
 use knapweed_timer::TimerService;
 use knapweed_world::Time;
+use prometheus_client::metrics::counter::Counter;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, UnwindSafe};
@@ -39,6 +41,36 @@
     fn idle_timeout(&self) -> Duration;
 }
 
+/// Counters of the connections of callers; clones share them.
+#[derive(Clone, Debug)]
+pub struct ConnectionMetrics {
+    unread: Counter,
+}
+
+impl ConnectionMetrics {
+    /// Registers the metrics in `metrics`.
+    pub fn register(metrics: &Metrics) -> Self {
+        Self {
+            unread: metrics.register(
+                "requests_refused_unread",
+                "Requests refused before a handler read them",
+                Counter::default(),
+            ),
+        }
+    }
+}
+
+/// What the connections of callers need from the rest of the node.
+#[derive(Clone)]
+pub struct Dependencies {
+    /// Limits of the configuration in force.
+    pub limits: Arc<dyn ConnectionLimits>,
+    /// Counters of the connections.
+    pub metrics: ConnectionMetrics,
+    /// Clock for idle times.
+    pub timer: TimerService,
+}
+
 /// Activity of a connection, from which its idle time follows.
 #[derive(Debug)]
 struct Activity {
@@ -75,8 +107,7 @@
 pub async fn serve<H>(
     listener: TcpListener,
     handler: H,
-    limits: Arc<dyn ConnectionLimits>,
-    timer: TimerService,
+    dependencies: Dependencies,
     mut stop: watch::Receiver<bool>,
 ) where
     H: Clone + NewHandler + Send + Sync + UnwindSafe + 'static,
@@ -90,15 +121,14 @@
             Ok((stream, from)) => {
                 let connection = Connection {
                     from,
-                    limits: Arc::clone(&limits),
-                    timer: timer.clone(),
+                    dependencies: dependencies.clone(),
                     stop: stop.clone(),
                 };
                 tokio::spawn(connection.run(stream, handler.clone()));
             }
             Err(err) => {
                 log::warn!(target: part::INGRESS, "failed to accept a connection: {err}");
-                timer.sleep(ACCEPT_RETRY).await;
+                dependencies.timer.sleep(ACCEPT_RETRY).await;
             }
         }
     }
@@ -107,8 +137,7 @@
 /// One connection of a caller.
 struct Connection {
     from: SocketAddr,
-    limits: Arc<dyn ConnectionLimits>,
-    timer: TimerService,
+    dependencies: Dependencies,
     stop: watch::Receiver<bool>,
 }
 
@@ -124,14 +153,17 @@
             return;
         }
         let activity = Arc::new(Activity {
-            at: AtomicU64::new(self.timer.now().0),
+            at: AtomicU64::new(self.dependencies.timer.now().0),
             running: AtomicU64::new(0),
         });
         let service = self.service(Arc::clone(&activity), handler);
         let mut builder = http1::Builder::new();
-        builder
-            .timer(TokioTimer::new())
-            .max_buf_size(self.limits.max_header_bytes().max(MIN_BUFFER_LEN));
+        builder.timer(TokioTimer::new()).max_buf_size(
+            self.dependencies
+                .limits
+                .max_header_bytes()
+                .max(MIN_BUFFER_LEN),
+        );
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
         let ended = tokio::select! {
@@ -145,8 +177,15 @@
                 connection.await
             }
         };
-        if let Err(err) = result {
-            log::debug!(target: part::INGRESS, "connection of {} ended: {err}", self.from);
+        match result {
+            Err(err) if err.is_parse() => {
+                self.dependencies.metrics.unread.inc();
+                request_log::refused_unread(self.from, &err);
+            }
+            Err(err) => {
+                log::debug!(target: part::INGRESS, "connection of {} ended: {err}", self.from);
+            }
+            Ok(()) => {}
         }
     }
 
@@ -163,7 +202,7 @@
     where
         H: Clone + NewHandler + Send + UnwindSafe + 'static,
     {
-        let (from, timer) = (self.from, self.timer.clone());
+        let (from, timer) = (self.from, self.dependencies.timer.clone());
         hyper::service::service_fn(move |request| {
             let active_request = ActiveRequest::start(Arc::clone(&activity), timer.clone());
             let state = AssertUnwindSafe(State::from_request(request, from));
@@ -186,16 +225,16 @@
     /// the server stops.
     async fn wait_until_closing(&mut self, activity: &Activity) {
         loop {
-            let limit = self.limits.idle_timeout();
+            let limit = self.dependencies.limits.idle_timeout();
             let due = Time(activity.at.load(Ordering::Acquire)).after(limit);
-            let wait = due.since(self.timer.now());
+            let wait = due.since(self.dependencies.timer.now());
             let is_idle = activity.running.load(Ordering::Acquire) == 0;
             if wait.is_zero() && is_idle {
                 return;
             }
             let wait = if wait.is_zero() { limit } else { wait };
             tokio::select! {
-                () = self.timer.sleep(wait) => {}
+                () = self.dependencies.timer.sleep(wait) => {}
                 _ = self.stop.wait_for(|stop| *stop) => return,
             }
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,7 +1,7 @@
 //! Construction, signal handling and graceful stop of a node.
 
 use crate::announcer::Announcer;
-use crate::callers::{self, ConnectionLimits};
+use crate::callers::{self, ConnectionLimits, ConnectionMetrics};
 use crate::carrier::{LinkCarrier, LocalCarrier};
 use crate::control::event::{ControlHandle, Event};
 use crate::control::{Controller, View};
@@ -248,8 +248,11 @@
         tokio::spawn(callers::serve(
             listener,
             CallerHandler::new(ingress),
-            Arc::new(ConfiguredLimits(Arc::clone(&snapshots))),
-            timer.clone(),
+            callers::Dependencies {
+                limits: Arc::new(ConfiguredLimits(Arc::clone(&snapshots))),
+                metrics: ConnectionMetrics::register(&metrics),
+                timer: timer.clone(),
+            },
             stopping,
         ));
         log::info!(
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -193,6 +193,20 @@
     }
 }
 
+/// Logs a request that was refused before a handler read it: its head is malformed or
+/// too long.
+pub(crate) fn refused_unread(peer: SocketAddr, error: &dyn fmt::Display) {
+    if let Some(left_out) = permit(false) {
+        log::info!(
+            target: part::INGRESS,
+            peer:% = peer,
+            error:% = error,
+            left_out = left_out.0;
+            "not-run: the request head cannot be read"
+        );
+    }
+}
+
 /// Load of a backend server as the ingress saw it when it sent a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LoadAtSend {
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -2,6 +2,7 @@
 
 use arc_swap::ArcSwap;
 use knapweed_host::Drain;
+use knapweed_node::callers::ConnectionMetrics;
 use knapweed_node::control::View;
 use knapweed_node::egress::Egress;
 use knapweed_node::ingress::metrics::IngressMetrics;
@@ -77,6 +78,7 @@
 async fn the_page_lists_every_metric() {
     let metrics = Metrics::with_labels([("zone", "labasa-a".into())]);
     IngressMetrics::register(&metrics);
+    ConnectionMetrics::register(&metrics);
     let snapshots = snapshots(1);
     metrics.register_collector(ServiceMetrics::new(Arc::clone(&snapshots)));
     metrics.register_collector(NodeMetrics {
--- /dev/null
+++ b/crates/node/tests/refusals/callers.rs
@@ -0,0 +1,106 @@
+//! Connections of callers to an ingress without backend servers: a request that is read gets
+//! status 503.
+
+use crate::ingress;
+use knapweed_node::callers::{self, ConnectionLimits, ConnectionMetrics, Dependencies};
+use knapweed_node::ingress::handler::CallerHandler;
+use knapweed_observe::Metrics;
+use knapweed_timer::TimerService;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Time limit for a response; the ingress refuses at once.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Length of the buffer for a response.
+const RESPONSE_LEN: usize = 4 * 1024;
+
+struct Limits {
+    max_header_bytes: usize,
+}
+
+impl ConnectionLimits for Limits {
+    fn max_header_bytes(&self) -> usize {
+        self.max_header_bytes
+    }
+
+    fn idle_timeout(&self) -> Duration {
+        Duration::from_secs(60)
+    }
+}
+
+pub(crate) struct Callers {
+    address: SocketAddr,
+    metrics: Metrics,
+    _stop: watch::Sender<bool>,
+}
+
+impl Callers {
+    pub(crate) async fn start(max_header_bytes: usize) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let listener = listener.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let limits = Arc::new(Limits { max_header_bytes });
+        let metrics = Metrics::new();
+        let dependencies = Dependencies {
+            limits,
+            metrics: ConnectionMetrics::register(&metrics),
+            timer: TimerService::start(),
+        };
+        let (stop, stopping) = watch::channel(false);
+        let handler = CallerHandler::new(Arc::new(ingress::start()));
+        tokio::spawn(callers::serve(listener, handler, dependencies, stopping));
+        Self {
+            address,
+            metrics,
+            _stop: stop,
+        }
+    }
+
+    pub(crate) async fn connect(&self) -> Caller {
+        let stream = TcpStream::connect(self.address).await;
+        Caller(stream.expect("a connection"))
+    }
+
+    /// The samples of the counters, one per line.
+    pub(crate) fn counts(&self) -> String {
+        let text = self.metrics.to_text();
+        let samples: Vec<_> = text.lines().filter(|l| l.contains("_total")).collect();
+        samples.join("\n")
+    }
+}
+
+/// A connection of a caller.
+pub(crate) struct Caller(TcpStream);
+
+impl Caller {
+    /// Sends a request, and returns the status of its response; `None` when the connection
+    /// ends without one.
+    pub(crate) async fn send(&mut self, request: &str) -> Option<u16> {
+        // The connection may be closed before the whole request was read.
+        let _ = self.0.write_all(request.as_bytes()).await;
+        self.status().await
+    }
+
+    /// Like [`Caller::send`], and ends the sending half of the connection after the request.
+    pub(crate) async fn send_last(&mut self, request: &str) -> Option<u16> {
+        self.0
+            .write_all(request.as_bytes())
+            .await
+            .expect("an open connection");
+        self.0.shutdown().await.expect("an open connection");
+        self.status().await
+    }
+
+    async fn status(&mut self) -> Option<u16> {
+        let mut response = Vec::with_capacity(RESPONSE_LEN);
+        let read = self.0.read_buf(&mut response);
+        let read = tokio::time::timeout(RESPONSE_TIMEOUT, read).await;
+        read.expect("a response in time").ok()?;
+        let text = String::from_utf8_lossy(&response);
+        text.split(' ').nth(1)?.parse().ok()
+    }
+}
--- a/crates/node/tests/refusals/log_lines.rs
+++ b/crates/node/tests/refusals/log_lines.rs
@@ -4,9 +4,14 @@
 use log::{LevelFilter, Log, Metadata, Record};
 use std::fmt::Write;
 use std::sync::Mutex;
+use std::time::Duration;
 
 /// Fields that differ from run to run.
-const VARYING: [&str; 2] = ["took_ms", "left_out"];
+const VARYING: [&str; 3] = ["took_ms", "left_out", "peer"];
+/// Time limit for a line, which is written after the response was sent.
+const LINE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval at which the lines are searched.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 struct Lines(Mutex<Vec<String>>);
 
@@ -46,9 +51,21 @@
     log::set_max_level(LevelFilter::Info);
 }
 
-/// The last line that contains `text`.
-pub(crate) fn last(text: &str) -> String {
-    let lines = LINES.0.lock().expect("no panic");
-    let found = lines.iter().rev().find(|line| line.contains(text));
-    found.cloned().unwrap_or_default()
+/// Takes all lines.
+pub(crate) fn take() -> Vec<String> {
+    std::mem::take(&mut LINES.0.lock().expect("no panic"))
+}
+
+/// Takes the lines until one contains `text`, and returns that one.
+pub(crate) async fn until(text: &str) -> String {
+    let search = async {
+        loop {
+            if let Some(line) = take().into_iter().find(|line| line.contains(text)) {
+                return line;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let found = tokio::time::timeout(LINE_TIMEOUT, search).await;
+    found.expect("a line in time")
 }
--- a/crates/node/tests/refusals/main.rs
+++ b/crates/node/tests/refusals/main.rs
@@ -1,11 +1,14 @@
 //! Requests that are refused for a fault of their own: the log lines say what is wrong.
 
+mod callers;
 mod ingress;
 mod log_lines;
 
+use callers::Callers;
 use http::Method;
 use knapweed_node::body;
 use knapweed_node::ingress::CallerRequest;
+use std::fmt::Write;
 
 /// Sends a request to an ingress of the users' platform; returns its log line.
 async fn refused(path: &str, headers: &[(&'static str, &str)]) -> String {
@@ -21,7 +24,7 @@
         body: body::empty(),
     };
     ingress::start().run(request).await;
-    log_lines::last("not-run")
+    log_lines::until("not-run").await
 }
 
 /// Guards against a refusal whose cause cannot be found: the log had neither the host and path
@@ -43,3 +46,30 @@
     ];
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Guards against requests that are refused without a trace: what hyper refused was logged at
+/// level debug only and counted nowhere.
+#[tokio::test]
+async fn a_request_that_cannot_be_read_is_logged_and_counted() {
+    log_lines::collect();
+    let callers = Callers::start(16 * 1024).await;
+    let mut out = String::new();
+    let heads = [
+        "GET /calendar/1 HTTP/1.1\r\nbad header: 1\r\n\r\n".to_owned(),
+        "GET /calendar/1 HTTP/1.1\r\ncontent-length: x\r\n\r\n".to_owned(),
+        format!("GET /{} HTTP/1.1\r\n\r\n", "a".repeat(65_600)),
+        format!("GET / HTTP/1.1\r\nx-long: {}\r\n\r\n", "a".repeat(200_000)),
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_owned(),
+    ];
+    for head in &heads {
+        let status = callers.connect().await.send(head).await;
+        let line = log_lines::until("not-run").await;
+        writeln!(out, "{status:?} {line}").expect("a string");
+    }
+    drop(callers.connect().await);
+    let mut unfinished = callers.connect().await;
+    assert_eq!(unfinished.send_last("GET /calendar/1 HT").await, None);
+    assert_eq!(log_lines::take(), [""; 0]);
+    writeln!(out, "{}", callers.counts()).expect("a string");
+    insta::assert_snapshot!(out);
+}
