fix(platform): a deadline that has passed or has decimals is not malformed

A request whose X-Deadline-Ms was negative or had decimals was refused with 400, which callers do not repeat. A backend server computes the deadline of a nested call from a clock, so a proper call can have such a value. Negative numbers now mean that the deadline has passed, decimals are rounded down and numbers out of range are the largest time. Text that is no finite number stays 400. The native headers of the product stay whole numbers.

A request whose deadline has passed on arrival is refused at once with 503; before, it was sent on and could end with 504.

--- a/crates/host/src/request.rs
+++ b/crates/host/src/request.rs
@@ -39,6 +39,9 @@
     /// A numeric header holds something else; holds its name.
     #[error("{0} must be a whole number")]
     NotANumber(&'static str),
+    /// A header with a time holds something else; holds its name.
+    #[error("{0} must be a number of milliseconds")]
+    NotATime(&'static str),
     /// The call is deeper than [`MAX_DEPTH`]; holds its depth.
     #[error("calls are at most {MAX_DEPTH} deep, this one has depth {0}")]
     TooDeep(u8),
@@ -54,7 +57,7 @@
     /// The header that is absent or cannot be read; `None` when the error is another one.
     pub fn header(&self) -> Option<&'static str> {
         match self {
-            Self::Missing(name) | Self::NotANumber(name) => Some(name),
+            Self::Missing(name) | Self::NotANumber(name) | Self::NotATime(name) => Some(name),
             _ => None,
         }
     }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -117,8 +117,7 @@
         let result = match parsed {
             Ok((parsed, fields)) => {
                 log.set_request(&parsed);
-                let drain = &self.dependencies.drain;
-                match drain.check_deadline(start, parsed.deadline, parsed.idempotent) {
+                match self.check_deadline(start, &parsed) {
                     Ok(()) => {
                         self.try_run(&snapshot, parsed, fields, request, &mut log)
                             .await
@@ -146,6 +145,15 @@
         response
     }
 
+    /// Refuses a request whose deadline has passed, or is later than the end of this node.
+    fn check_deadline(&self, now: Time, request: &Request) -> Result<(), NotRun> {
+        if request.deadline <= now {
+            return Err(NotRun::DeadlinePassed);
+        }
+        let drain = &self.dependencies.drain;
+        drain.check_deadline(now, request.deadline, request.idempotent)
+    }
+
     /// Refuses a request before it is matched to a route.
     pub(crate) fn refuse(&self, request: &CallerRequest, reason: NotRun) -> Response {
         let mut response = Response::without_answer(Outcome::NotRun(reason));
--- a/crates/node/tests/refusals/main.rs
+++ b/crates/node/tests/refusals/main.rs
@@ -47,6 +47,22 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Guards against a request whose deadline has passed and that is sent on, or refused as
+/// malformed.
+#[tokio::test]
+async fn a_request_whose_deadline_has_passed_is_refused_at_once() {
+    for deadline in ["0", "-250", "0.9", "-0.5"] {
+        let line = refused(
+            "/calendar/1",
+            &[("x-request-id", "r-1"), ("x-deadline-ms", deadline)],
+        )
+        .await;
+        let expected = "INFO not-run: the deadline passed before the request was sent";
+        assert!(line.starts_with(expected), "{deadline}: {line}");
+        assert!(line.contains(" status=503 "), "{deadline}: {line}");
+    }
+}
+
 /// Guards against requests that are refused without a trace: what hyper refused was logged at
 /// level debug only and counted nowhere.
 #[tokio::test]
