fix(ingress): the limit of header fields is that of the configuration in force

MaxHeaderBytes was the length of hyper's buffer, set when the connection was accepted. A proper head was refused with 431 when an earlier, smaller limit was in force at that time, and when its header fields were nearly as long as the limit, since the buffer also holds the request line and the separators.

The buffer of a connection now has room for header fields of 64 KiB or the limit, whichever is longer, for a request line of 16 KiB and for separators. A connection that was accepted under a limit above 64 KiB keeps the buffer that it has.

A target of 65,600 bytes now fits the buffer and is refused with 414 instead of 431.

--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -63,6 +63,8 @@
     InvalidBody,
     /// The connection of the caller ended before the request body was complete.
     BodyLost,
+    /// The header fields of the request are longer than the configuration allows.
+    HeadersTooLong,
 }
 
 /// Why it is not known whether a send ran.
@@ -126,6 +128,7 @@
         match self {
             Self::InvalidHeader | Self::InvalidBody => 400,
             Self::NoRoute => 404,
+            Self::HeadersTooLong => 431,
             _ => 503,
         }
     }
@@ -169,6 +172,7 @@
             Self::CrashesServers => "the request crashed two backend servers",
             Self::CrashSuspect => "a request that crashed a backend server is being tried alone",
             Self::InvalidBody => "the framing of the request body is malformed",
+            Self::HeadersTooLong => "the header fields are longer than the configuration allows",
             Self::BodyLost => "the connection of the caller ended before the request body",
         }
     }
--- a/crates/host/src/request.rs
+++ b/crates/host/src/request.rs
@@ -42,6 +42,14 @@
     /// A header with a time holds something else; holds its name.
     #[error("{0} must be a number of milliseconds")]
     NotATime(&'static str),
+    /// The header fields are longer than the configuration allows.
+    #[error("the header fields have {len} bytes, {limit} are allowed")]
+    HeadersTooLong {
+        /// Length of the names and values, in bytes.
+        len: usize,
+        /// The limit of the configuration, in bytes.
+        limit: u32,
+    },
     /// The call is deeper than [`MAX_DEPTH`]; holds its depth.
     #[error("calls are at most {MAX_DEPTH} deep, this one has depth {0}")]
     TooDeep(u8),
@@ -65,6 +73,7 @@
     /// The outcome that is reported to the caller.
     pub fn reason(&self) -> NotRun {
         match self {
+            Self::HeadersTooLong { .. } => NotRun::HeadersTooLong,
             Self::TooDeep(_) => NotRun::TooDeep,
             Self::NoRoute => NotRun::NoRoute,
             Self::NoService => NotRun::NoServer,
--- a/crates/host/tests/outcome.rs
+++ b/crates/host/tests/outcome.rs
@@ -28,6 +28,7 @@
         N(NotRun::ReplacedServer),
         N(NotRun::InvalidBody),
         N(NotRun::BodyLost),
+        N(NotRun::HeadersTooLong),
         U(Unknown::DeadlinePassed),
         U(Unknown::ConnectionLost),
         U(Unknown::ServerCrashed),
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use knapweed_observe::{Metrics, part};
 use knapweed_timer::TimerService;
-use knapweed_world::Time;
+use knapweed_world::{SnapshotCell, Time};
 use prometheus_client::metrics::counter::Counter;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -28,19 +28,55 @@
 /// is out of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
-/// Smallest connection buffer that hyper accepts, in bytes.
-const MIN_BUFFER_LEN: usize = 8 * 1024;
+/// Length of the header fields for which the buffer of every connection has room, in bytes.
+/// The buffer of an open connection cannot grow, and a later configuration may raise the limit;
+/// the ingress enforces the limit of the configuration in force.
+const MIN_HEADERS_LEN: usize = 64 * 1024;
+/// Room for the request line in the buffer of a connection, in bytes.
+const REQUEST_LINE_LEN: usize = 16 * 1024;
+/// Room for the separators of the header lines in the buffer of a connection, in bytes: a
+/// colon, a space and the end of the line for each of 1,024 lines.
+const SEPARATORS_LEN: usize = 4 * 1024;
+
+/// Longest header fields, in bytes, when the configuration sets no limit.
+const DEFAULT_HEADER_BYTES: usize = 64 * 1024;
+/// Longest time that a connection may stay idle when the configuration sets no limit.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Limits of connections, read again whenever they apply, so that a change of the
 /// configuration takes effect.
 pub trait ConnectionLimits: Send + Sync {
-    /// Longest request head, in bytes; read when a connection is accepted.
+    /// Longest names and values of the header fields of a request, in bytes; read when a
+    /// connection is accepted.
     fn max_header_bytes(&self) -> usize;
 
     /// Time after which an idle connection is closed.
     fn idle_timeout(&self) -> Duration;
 }
 
+/// Connection limits of the configuration in force.
+#[derive(Debug)]
+pub struct ConfiguredLimits(Arc<SnapshotCell>);
+
+impl ConfiguredLimits {
+    /// The limits of the current snapshot in `snapshots`.
+    pub fn new(snapshots: Arc<SnapshotCell>) -> Self {
+        Self(snapshots)
+    }
+}
+
+impl ConnectionLimits for ConfiguredLimits {
+    fn max_header_bytes(&self) -> usize {
+        let limit = self.0.load().limits().max_header_bytes;
+        limit.map_or(DEFAULT_HEADER_BYTES, |bytes| bytes as usize)
+    }
+
+    fn idle_timeout(&self) -> Duration {
+        let limit = self.0.load().limits().idle_timeout_ms;
+        limit.map_or(DEFAULT_IDLE_TIMEOUT, |ms| Duration::from_millis(ms.into()))
+    }
+}
+
 /// Counters of the connections of callers; clones share them.
 #[derive(Clone, Debug)]
 pub struct ConnectionMetrics {
@@ -134,6 +170,12 @@
     }
 }
 
+/// Length of the buffer of a connection, in bytes, when the header fields may have
+/// `max_header_bytes`.
+fn buffer_len(max_header_bytes: usize) -> usize {
+    max_header_bytes.max(MIN_HEADERS_LEN) + REQUEST_LINE_LEN + SEPARATORS_LEN
+}
+
 /// One connection of a caller.
 struct Connection {
     from: SocketAddr,
@@ -158,12 +200,9 @@
         });
         let service = self.service(Arc::clone(&activity), handler);
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).max_buf_size(
-            self.dependencies
-                .limits
-                .max_header_bytes()
-                .max(MIN_BUFFER_LEN),
-        );
+        builder
+            .timer(TokioTimer::new())
+            .max_buf_size(buffer_len(self.dependencies.limits.max_header_bytes()));
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
         let ended = tokio::select! {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -213,6 +213,7 @@
         request: &CallerRequest,
         now: Time,
     ) -> Result<(Request, CallerFields), Error> {
+        check_len(&request.headers, snapshot.limits().max_header_bytes)?;
         let fields = self.dependencies.protocol.read(&request.headers)?;
         let host = request.headers.get(http::header::HOST);
         let incoming = IncomingRequest {
@@ -232,6 +233,21 @@
     }
 }
 
+/// Checks the limit of header fields. It bounds the names and the values, without the
+/// separators, so that a caller that counts less than all bytes of a head stays within it.
+fn check_len(headers: &HeaderMap, limit: Option<u32>) -> Result<(), Error> {
+    let Some(limit) = limit else {
+        return Ok(());
+    };
+    let fields = headers.iter();
+    let len = fields.map(|(name, value)| name.as_str().len() + value.len());
+    let len: usize = len.sum();
+    match len > limit as usize {
+        true => Err(Error::HeadersTooLong { len, limit }),
+        false => Ok(()),
+    }
+}
+
 /// The reason that is reported for a request that cannot be accepted.
 fn refusal(err: &Error) -> NotRun {
     err.reason()
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,7 +1,7 @@
 //! Construction, signal handling and graceful stop of a node.
 
 use crate::announcer::Announcer;
-use crate::callers::{self, ConnectionLimits, ConnectionMetrics};
+use crate::callers::{self, ConfiguredLimits, ConnectionMetrics};
 use crate::carrier::{LinkCarrier, LocalCarrier};
 use crate::control::event::{ControlHandle, Event};
 use crate::control::{Controller, View};
@@ -52,10 +52,6 @@
 const LAST_MESSAGES_WAIT: Duration = Duration::from_millis(200);
 /// Interval at which a stopping node checks whether its requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
-/// Longest request head, in bytes, when the configuration sets no limit.
-const DEFAULT_HEADER_BYTES: usize = 64 * 1024;
-/// Longest time that a connection may stay idle when the configuration sets no limit.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Name, location and addresses of a node.
 #[derive(Clone, Debug)]
@@ -249,7 +245,7 @@
             listener,
             CallerHandler::new(ingress),
             callers::Dependencies {
-                limits: Arc::new(ConfiguredLimits(Arc::clone(&snapshots))),
+                limits: Arc::new(ConfiguredLimits::new(Arc::clone(&snapshots))),
                 metrics: ConnectionMetrics::register(&metrics),
                 timer: timer.clone(),
             },
@@ -438,21 +434,6 @@
     }
 }
 
-/// Connection limits of the configuration in force.
-struct ConfiguredLimits(Arc<SnapshotCell>);
-
-impl ConnectionLimits for ConfiguredLimits {
-    fn max_header_bytes(&self) -> usize {
-        let limit = self.0.load().limits().max_header_bytes;
-        limit.map_or(DEFAULT_HEADER_BYTES, |bytes| bytes as usize)
-    }
-
-    fn idle_timeout(&self) -> Duration {
-        let limit = self.0.load().limits().idle_timeout_ms;
-        limit.map_or(DEFAULT_IDLE_TIMEOUT, |ms| Duration::from_millis(ms.into()))
-    }
-}
-
 /// Binds a TCP listener.
 ///
 /// # Errors
--- a/crates/node/tests/refusals/callers.rs
+++ b/crates/node/tests/refusals/callers.rs
@@ -2,10 +2,11 @@
 //! status 503.
 
 use crate::ingress;
-use knapweed_node::callers::{self, ConnectionLimits, ConnectionMetrics, Dependencies};
+use knapweed_node::callers::{self, ConfiguredLimits, ConnectionMetrics, Dependencies};
 use knapweed_node::ingress::handler::CallerHandler;
 use knapweed_observe::Metrics;
 use knapweed_timer::TimerService;
+use knapweed_world::SnapshotCell;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,48 +21,43 @@
 /// Length of the buffer for a response.
 const RESPONSE_LEN: usize = 4 * 1024;
 
-struct Limits {
-    max_header_bytes: usize,
-}
-
-impl ConnectionLimits for Limits {
-    fn max_header_bytes(&self) -> usize {
-        self.max_header_bytes
-    }
-
-    fn idle_timeout(&self) -> Duration {
-        Duration::from_secs(60)
-    }
-}
-
 pub(crate) struct Callers {
     address: SocketAddr,
+    snapshots: Arc<SnapshotCell>,
     metrics: Metrics,
     _stop: watch::Sender<bool>,
 }
 
 impl Callers {
-    pub(crate) async fn start(max_header_bytes: usize) -> Self {
+    pub(crate) async fn start(max_header_bytes: u32) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let limits = Arc::new(Limits { max_header_bytes });
+        let snapshots = ingress::snapshots(Some(max_header_bytes));
         let metrics = Metrics::new();
         let dependencies = Dependencies {
-            limits,
+            limits: Arc::new(ConfiguredLimits::new(Arc::clone(&snapshots))),
             metrics: ConnectionMetrics::register(&metrics),
             timer: TimerService::start(),
         };
         let (stop, stopping) = watch::channel(false);
-        let handler = CallerHandler::new(Arc::new(ingress::start()));
+        let handler = CallerHandler::new(Arc::new(ingress::start_with(Arc::clone(&snapshots))));
         tokio::spawn(callers::serve(listener, handler, dependencies, stopping));
         Self {
             address,
+            snapshots,
             metrics,
             _stop: stop,
         }
     }
 
+    /// Puts a configuration with another limit of header fields in force.
+    pub(crate) fn set_max_header_bytes(&self, max_header_bytes: u32) {
+        let snapshot = ingress::snapshot(Some(max_header_bytes));
+        let replaced = self.snapshots.replace(snapshot);
+        replaced.expect("no older configuration");
+    }
+
     pub(crate) async fn connect(&self) -> Caller {
         let stream = TcpStream::connect(self.address).await;
         Caller(stream.expect("a connection"))
--- a/crates/node/tests/refusals/ingress.rs
+++ b/crates/node/tests/refusals/ingress.rs
@@ -15,7 +15,7 @@
 use knapweed_wire::RequestHead;
 use knapweed_world::config::{Config, Destination, Idempotence, RouteConfig, ServiceConfig};
 use knapweed_world::snapshot::{Builder, HostEntry};
-use knapweed_world::{ConfigVersion, Name, SnapshotCell, TicketNumber};
+use knapweed_world::{ConfigVersion, Name, Snapshot, SnapshotCell, TicketNumber};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -73,7 +73,12 @@
     config
 }
 
-fn snapshots() -> Arc<SnapshotCell> {
+pub(crate) fn snapshots(max_header_bytes: Option<u32>) -> Arc<SnapshotCell> {
+    Arc::new(SnapshotCell::new(snapshot(max_header_bytes)))
+}
+
+/// The only host has no backend server.
+pub(crate) fn snapshot(max_header_bytes: Option<u32>) -> Snapshot {
     let host = HostEntry {
         name: name("a1"),
         zone: name("labasa-a"),
@@ -81,15 +86,21 @@
         address: ([127, 0, 0, 1], 1).into(),
         announcements: Vec::new(),
     };
-    let config = config();
+    let mut config = config();
+    config.limits.max_header_bytes = max_header_bytes;
     let snapshot = Builder::new(host.name.clone(), &config).hosts([host]);
-    Arc::new(SnapshotCell::new(snapshot.build().expect("a whole mesh")))
+    snapshot.build().expect("a whole mesh")
 }
 
+/// Starts an ingress without limits of header fields.
 pub(crate) fn start() -> Ingress {
+    start_with(snapshots(None))
+}
+
+pub(crate) fn start_with(snapshots: Arc<SnapshotCell>) -> Ingress {
     let timer = TimerService::start();
     Ingress::new(Dependencies {
-        snapshots: snapshots(),
+        snapshots,
         protocol: Box::new(PlatformHeaders),
         origin: None,
         choice: Box::new(ExpectedTime::default()),
--- a/crates/node/tests/refusals/main.rs
+++ b/crates/node/tests/refusals/main.rs
@@ -129,3 +129,68 @@
     writeln!(out, "{}", callers.counts()).expect("a string");
     insta::assert_snapshot!(out);
 }
+
+/// A request whose header fields have `len` bytes, without separators, in `lines` lines.
+fn with_fields(path: &str, len: usize, lines: usize) -> String {
+    let id = "x-request-idr-1".len();
+    let per_line = (len - id) / lines;
+    let mut head = format!("GET {path} HTTP/1.1\r\nx-request-id: r-1\r\n");
+    for line in 0..lines {
+        let name = format!("x-{line}");
+        let rest = if line == 0 { (len - id) % lines } else { 0 };
+        let value = "v".repeat(per_line + rest - name.len());
+        write!(head, "{name}: {value}\r\n").expect("a string");
+    }
+    head + "\r\n"
+}
+
+/// Guards against a proper request that is refused with 431: the limit of the header fields
+/// bounded the request line and the separators too.
+#[tokio::test]
+async fn header_fields_may_be_as_long_as_the_limit() {
+    const LIMIT: usize = 16 * 1024;
+    log_lines::collect();
+    let callers = Callers::start(LIMIT as u32).await;
+    let long_path = format!("/calendar/{}", "a".repeat(8 * 1024));
+    let mut out = String::new();
+    for path in ["/calendar/1", &long_path] {
+        for (len, lines) in [(LIMIT, 1), (LIMIT, 90), (LIMIT + 1, 1), (LIMIT + 1, 90)] {
+            let request = with_fields(path, len, lines);
+            let status = callers.connect().await.send(&request).await;
+            let line = log_lines::until("not-run").await;
+            let line = line.replace(&"a".repeat(118), "..");
+            writeln!(out, "{len} bytes in {lines} lines: {status:?} {line}").expect("a string");
+        }
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against an open connection on which the limit of an earlier configuration holds.
+#[tokio::test]
+async fn the_limit_of_the_configuration_in_force_holds_on_open_connections() {
+    log_lines::collect();
+    let callers = Callers::start(8 * 1024).await;
+    let mut caller = callers.connect().await;
+    assert_eq!(
+        caller.send(&with_fields("/calendar/1", 1_000, 1)).await,
+        Some(503)
+    );
+    callers.set_max_header_bytes(60 * 1024);
+    assert_eq!(
+        caller
+            .send(&with_fields("/calendar/1", 60 * 1024, 10))
+            .await,
+        Some(503)
+    );
+    callers.set_max_header_bytes(4 * 1024);
+    assert_eq!(
+        caller.send(&with_fields("/calendar/1", 4 * 1024, 10)).await,
+        Some(503)
+    );
+    assert_eq!(
+        caller
+            .send(&with_fields("/calendar/1", 4 * 1024 + 1, 10))
+            .await,
+        Some(431)
+    );
+}
--- a/crates/world/src/config.rs
+++ b/crates/world/src/config.rs
@@ -154,7 +154,7 @@
 /// Limits that a node enforces on callers; `None` applies the node's own default.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
-    /// Maximum length of a request head, in bytes.
+    /// Maximum length of the names and values of the header fields of a request, in bytes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub max_header_bytes: Option<u32>,
     /// Maximum length of a request body, in bytes.
