fix(callers): a request may have more than 100 header lines

hyper refuses more than 100 header lines with 431 by default. No limit of the configuration bounds their number, so a proper request could be refused. 1,024 lines are allowed now.

Test: a_request_may_have_hundreds_of_header_lines (431 with 101 lines before, the request id included).

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -34,9 +34,12 @@
 const MIN_HEADERS_LEN: usize = 64 * 1024;
 /// Room for the request line in the buffer of a connection, in bytes.
 const REQUEST_LINE_LEN: usize = 16 * 1024;
+/// Maximum number of header lines of a request. hyper's default of 100 refused requests that
+/// no limit of the configuration forbids.
+const MAX_HEADER_LINES: usize = 1_024;
 /// Room for the separators of the header lines in the buffer of a connection, in bytes: a
-/// colon, a space and the end of the line for each of 1,024 lines.
-const SEPARATORS_LEN: usize = 4 * 1024;
+/// colon, a space and the end of the line for each.
+const SEPARATORS_LEN: usize = 4 * MAX_HEADER_LINES;
 
 /// Longest header fields, in bytes, when the configuration sets no limit.
 const DEFAULT_HEADER_BYTES: usize = 64 * 1024;
@@ -202,6 +205,7 @@
         let mut builder = http1::Builder::new();
         builder
             .timer(TokioTimer::new())
+            .max_headers(MAX_HEADER_LINES)
             .max_buf_size(buffer_len(self.dependencies.limits.max_header_bytes()));
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
--- a/crates/node/tests/refusals/main.rs
+++ b/crates/node/tests/refusals/main.rs
@@ -194,3 +194,16 @@
         Some(431)
     );
 }
+
+/// Guards against a proper request that is refused because of the number of its header lines,
+/// which no limit of the configuration bounds.
+#[tokio::test]
+async fn a_request_may_have_hundreds_of_header_lines() {
+    log_lines::collect();
+    let callers = Callers::start(16 * 1024).await;
+    for lines in [99, 100, 101, 1_000] {
+        let request = with_fields("/calendar/1", 8 * 1024, lines);
+        let status = callers.connect().await.send(&request).await;
+        assert_eq!(status, Some(503), "{lines} lines");
+    }
+}
