fix(carrier): a head that is too long for another node is not malformed

A head that does not fit a stream between nodes, 96 KiB, was refused with 400 as a malformed header, although the configuration may allow it. It is now not run with 503 and a reason of its own, since nothing was sent.

Test: a_head_that_cannot_be_sent_to_another_node_is_not_the_callers_mistake (400 before).

--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -65,6 +65,9 @@
     BodyLost,
     /// The header fields of the request are longer than the configuration allows.
     HeadersTooLong,
+    /// The head of the request, which the configuration allows, does not fit the connection
+    /// between nodes.
+    TooLongToForward,
 }
 
 /// Why it is not known whether a send ran.
@@ -173,6 +176,7 @@
             Self::CrashSuspect => "a request that crashed a backend server is being tried alone",
             Self::InvalidBody => "the framing of the request body is malformed",
             Self::HeadersTooLong => "the header fields are longer than the configuration allows",
+            Self::TooLongToForward => "the head is too long for the connection between nodes",
             Self::BodyLost => "the connection of the caller ended before the request body",
         }
     }
--- a/crates/host/tests/outcome.rs
+++ b/crates/host/tests/outcome.rs
@@ -29,6 +29,7 @@
         N(NotRun::InvalidBody),
         N(NotRun::BodyLost),
         N(NotRun::HeadersTooLong),
+        N(NotRun::TooLongToForward),
         U(Unknown::DeadlinePassed),
         U(Unknown::ConnectionLost),
         U(Unknown::ServerCrashed),
--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -110,7 +110,7 @@
         body: &mut RequestBody,
     ) -> Result<Response, Outcome> {
         let buf = encode(&StreamHead::Request(Box::new(head)))
-            .map_err(|_| Outcome::NotRun(NotRun::InvalidHeader))?;
+            .map_err(|_| Outcome::NotRun(NotRun::TooLongToForward))?;
         let (link, mut tx, rx) = self
             .peers
             .open_with_link(node)
@@ -120,7 +120,7 @@
         // The egress acts on complete heads only, so a partial head never runs. Once
         // the write has begun, it is unknown whether the complete head arrived.
         tx.head(&buf).await.map_err(|err| match err {
-            Error::HeadTooLong(_) => Outcome::NotRun(NotRun::InvalidHeader),
+            Error::HeadTooLong(_) => Outcome::NotRun(NotRun::TooLongToForward),
             Error::Cancelled | Error::Lost(_) => Outcome::Unknown(Unknown::ConnectionLost),
         })?;
         let upload = Upload::start(body, tx, pending);
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -6,5 +6,6 @@
 mod endless;
 mod foreign_answers;
 mod limits;
+mod long_heads;
 mod lost_exchanges;
 mod retries;
