fix(platform): the length of a request id is not limited

A request id of more than 128 bytes was refused with 400. That limit is the one of idempotency keys in the native headers; the platform states none, and a nested call has the id of its parent and a suffix. The header format now states its limit, and the native one keeps 128 bytes.

Test: a_request_with_a_long_id_is_not_malformed (400 with 216 bytes before).

--- a/crates/host/src/request.rs
+++ b/crates/host/src/request.rs
@@ -21,6 +21,22 @@
 
 /// Maximum length of an idempotency key, in bytes.
 pub const MAX_ID_LEN: usize = 128;
+/// Maximum length of the identifier that a caller gives its request, in bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct IdLimit(pub usize);
+
+impl IdLimit {
+    /// Only the limit of the header fields applies.
+    pub const NONE: Self = Self(usize::MAX);
+}
+
+impl Default for IdLimit {
+    /// The limit of an idempotency key, [`MAX_ID_LEN`].
+    fn default() -> Self {
+        Self(MAX_ID_LEN)
+    }
+}
+
 /// Maximum depth of a call; deeper ones are refused with [`NotRun::TooDeep`].
 pub const MAX_DEPTH: u8 = 8;
 
@@ -113,6 +129,8 @@
     pub path: &'a [u8],
     /// The caller's idempotency key.
     pub id: Option<Bytes>,
+    /// Limit of its length.
+    pub id_limit: IdLimit,
     /// Time until the caller's deadline; `None` when it states none.
     pub time_left: Option<Duration>,
     /// Depth of the request that caused it; 0 when the caller is outside the mesh.
@@ -165,7 +183,7 @@
         let route = snapshot.route(key);
         let service = route.destination(incoming.draw).ok_or(Error::NoService)?;
         let identity = match &incoming.id {
-            Some(id) => identity(id)?,
+            Some(id) => identity(id, incoming.id_limit)?,
             None => RequestId(incoming.random),
         };
         let depth = incoming.depth.saturating_add(1);
@@ -200,11 +218,11 @@
     }
 }
 
-fn identity(id: &Bytes) -> Result<RequestId, Error> {
+fn identity(id: &Bytes, limit: IdLimit) -> Result<RequestId, Error> {
     match id.len() {
         0 => Err(Error::EmptyId),
-        1..=MAX_ID_LEN => Ok(RequestId(short_digest(blake3::hash(id)))),
-        n => Err(Error::IdTooLong(n)),
+        n if n > limit.0 => Err(Error::IdTooLong(n)),
+        _ => Ok(RequestId(short_digest(blake3::hash(id)))),
     }
 }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -221,6 +221,7 @@
             method: request.method.as_str().as_bytes(),
             path: request.uri.path().as_bytes(),
             id: fields.id.clone(),
+            id_limit: self.dependencies.protocol.id_limit(),
             time_left: fields.time_left,
             depth: fields.depth,
             is_nested: fields.is_nested,
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::response;
-use knapweed_host::request::Error;
+use knapweed_host::request::{Error, IdLimit};
 use knapweed_host::{NotRun, Outcome, Unknown};
 use knapweed_wire::RequestHead;
 use knapweed_world::backend_server::Announcement;
@@ -41,6 +41,9 @@
     /// The caller's identifier of the request, also when [`CallerProtocol::read`] fails.
     fn id(&self, headers: &HeaderMap) -> Option<Bytes>;
 
+    /// Limit of the length of the caller's identifier.
+    fn id_limit(&self) -> IdLimit;
+
     /// Whether a header of the caller is forwarded to the backend server.
     fn is_forwarded(&self, name: &HeaderName) -> bool;
 
--- a/crates/node/src/protocol/native.rs
+++ b/crates/node/src/protocol/native.rs
@@ -7,7 +7,7 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{StatusCode, response};
 use knapweed_host::request::{
-    DEADLINE_MS, DEPTH, Error, IDEMPOTENCY_KEY, OUTCOME, REASON, SHED, parse_number,
+    DEADLINE_MS, DEPTH, Error, IDEMPOTENCY_KEY, IdLimit, OUTCOME, REASON, SHED, parse_number,
 };
 use knapweed_host::{NotRun, Outcome};
 use knapweed_wire::RequestHead;
@@ -46,6 +46,10 @@
         id.map(|id| Bytes::copy_from_slice(id.as_bytes()))
     }
 
+    fn id_limit(&self) -> IdLimit {
+        IdLimit::default()
+    }
+
     fn is_forwarded(&self, name: &HeaderName) -> bool {
         ![OUTCOME, REASON].contains(&name.as_str())
     }
--- a/crates/node/tests/refusals/main.rs
+++ b/crates/node/tests/refusals/main.rs
@@ -47,6 +47,15 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Guards against a proper request that is refused because of the length of its id, which the
+/// platform does not limit.
+#[tokio::test]
+async fn a_request_with_a_long_id_is_not_malformed() {
+    let id = "9c41d07be2a35f68".to_owned() + &".3".repeat(100);
+    let line = refused("/calendar/1", &[("x-request-id", &id)]).await;
+    assert!(line.ends_with(" status=503"), "{line}");
+}
+
 /// Guards against a request whose deadline has passed and that is sent on, or refused as
 /// malformed.
 #[tokio::test]
