fix(ingress): a body that is not complete at the deadline is not awaited

A request whose caller stopped sending its body, with the connection open, got no answer: the body was read without a time limit. It is now not run with 503 when its deadline passes.

Test: a_body_that_is_not_complete_at_the_deadline_is_not_awaited (no answer within 5 s before, with a deadline of 200 ms).

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -174,7 +174,11 @@
         request: CallerRequest,
         log: &mut IngressLog<'_>,
     ) -> Result<Response, Outcome> {
-        let body = body::read_up_to(request.body, MAX_BUFFERED_LEN, &self.buffered).await;
+        let body = body::read_up_to(request.body, MAX_BUFFERED_LEN, &self.buffered);
+        let left = parsed.deadline.since(self.dependencies.timer.now());
+        let body = tokio::time::timeout(left, body)
+            .await
+            .map_err(|_| Outcome::NotRun(NotRun::DeadlinePassed))?;
         let body = body.map_err(|err| {
             let cause = body::root_cause(&err);
             log.set_refused((&request.uri, &request.headers), &cause, None);
--- a/crates/node/tests/refusals/main.rs
+++ b/crates/node/tests/refusals/main.rs
@@ -98,6 +98,20 @@
     insta::assert_snapshot!(out);
 }
 
+/// Guards against a request whose caller stops sending its body, and that gets no answer at its
+/// deadline.
+#[tokio::test]
+async fn a_body_that_is_not_complete_at_the_deadline_is_not_awaited() {
+    log_lines::collect();
+    let callers = Callers::start(16 * 1024).await;
+    let request = "POST /calendar/1 HTTP/1.1\r\nx-request-id: r-1\r\nx-deadline-ms: 200\r\n\
+                   content-length: 10\r\n\r\n12345";
+    assert_eq!(callers.connect().await.send(request).await, Some(503));
+    let line = log_lines::until("not-run").await;
+    let expected = "INFO not-run: the deadline passed before the request was sent";
+    assert!(line.starts_with(expected), "{line}");
+}
+
 /// Guards against a line of a lost connection that is missing or says that the body is malformed.
 #[tokio::test]
 async fn a_body_whose_connection_is_reset_is_lost() {
