--- a/crates/node/tests/refusals/main.rs
+++ b/crates/node/tests/refusals/main.rs
@@ -112,6 +112,20 @@
     assert!(line.starts_with(expected), "{line}");
 }
 
+/// Guards against a head that the limits allow and that does not fit the buffer of its
+/// connection, since the limit is above the room that every connection has.
+#[tokio::test]
+async fn a_head_at_all_limits_is_read() {
+    const LIMIT: usize = 100 * 1024;
+    log_lines::collect();
+    let callers = Callers::start(LIMIT as u32).await;
+    let path = format!("/calendar/{}", "a".repeat(16 * 1024 - 40));
+    let request = with_fields(&path, LIMIT, 1_000);
+    let status = callers.connect().await.send(&request).await;
+    assert_eq!(status, Some(503));
+    assert_eq!(callers.counts(), "knapweed_requests_refused_unread_total 0");
+}
+
 /// Guards against a line of a lost connection that is missing or says that the body is malformed.
 #[tokio::test]
 async fn a_body_whose_connection_is_reset_is_lost() {
