--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -65,6 +65,11 @@
     InvalidBody,
     /// The connection of the caller ended before the request body was complete.
     BodyLost,
+    /// The header fields of the request are longer than the configuration allows.
+    HeadersTooLong,
+    /// The head of the request, which the configuration allows, does not fit the connection
+    /// between nodes.
+    TooLongToForward,
 }
 
 /// Why it is not known whether a send ran.
@@ -128,6 +133,7 @@
         match self {
             Self::InvalidHeader | Self::InvalidBody => 400,
             Self::NoRoute => 404,
+            Self::HeadersTooLong => 431,
             _ => 503,
         }
     }
@@ -172,6 +178,8 @@
             Self::CrashesServers => "the request crashed two backend servers",
             Self::CrashSuspect => "a request that crashed a backend server is being tried alone",
             Self::InvalidBody => "the framing of the request body is malformed",
+            Self::HeadersTooLong => "the header fields are longer than the configuration allows",
+            Self::TooLongToForward => "the head is too long for the connection between nodes",
             Self::BodyLost => "the connection of the caller ended before the request body",
         }
     }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -177,7 +177,11 @@
         request: CallerRequest,
         log: &mut IngressLog<'_>,
     ) -> Result<Response, Outcome> {
-        let body = body::read_up_to(request.body, MAX_BUFFERED_LEN, &self.buffered).await;
+        let body = body::read_up_to(request.body, MAX_BUFFERED_LEN, &self.buffered);
+        let left = parsed.deadline.since(self.dependencies.timer.now());
+        let body = tokio::time::timeout(left, body)
+            .await
+            .map_err(|_| Outcome::NotRun(NotRun::DeadlinePassed))?;
         let body = body.map_err(|err| {
             let cause = body::root_cause(&err);
             log.set_refused((&request.uri, &request.headers), &cause, None);
@@ -216,6 +220,7 @@
         request: &CallerRequest,
         now: Time,
     ) -> Result<(Request, CallerFields), Error> {
+        check_len(&request.headers, snapshot.limits().max_header_bytes)?;
         let fields = self.dependencies.protocol.read(&request.headers)?;
         let host = request.headers.get(http::header::HOST);
         let incoming = IncomingRequest {
@@ -223,6 +228,7 @@
             method: request.method.as_str().as_bytes(),
             path: request.uri.path().as_bytes(),
             id: fields.id.clone(),
+            id_limit: self.dependencies.protocol.id_limit(),
             time_left: fields.time_left,
             depth: fields.depth,
             is_nested: fields.is_nested,
@@ -248,6 +254,21 @@
     }
 }
 
+/// Checks the limit of header fields. It bounds the names and the values, without the
+/// separators, so that a caller that counts less than all bytes of a head stays within it.
+fn check_len(headers: &HeaderMap, limit: Option<u32>) -> Result<(), Error> {
+    let Some(limit) = limit else {
+        return Ok(());
+    };
+    let fields = headers.iter();
+    let len = fields.map(|(name, value)| name.as_str().len() + value.len());
+    let len: usize = len.sum();
+    match len > limit as usize {
+        true => Err(Error::HeadersTooLong { len, limit }),
+        false => Ok(()),
+    }
+}
+
 /// The reason that is reported for a request whose body cannot be read to its end.
 fn unreadable_body(err: &io::Error) -> NotRun {
     match body::is_malformed(err) {
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod foreign_answers;
 mod limits;
+mod long_heads;
 mod lost_exchanges;
 mod restored;
 mod retries;
