test(node): property test of the configuration through losses of the store

Change: plans of changes and disturbances are played in virtual time with the membership, the version floor, the configuration store, the ticket source and MemoryStore. The watch loop is a copy of the decisions of control::watch, because its task does not offer them. The client is modelled as it is: revisions are numbers without an era.

--- /dev/null
+++ b/crates/node/tests/configuration/main.rs
@@ -0,0 +1,84 @@
+//! The configuration on the nodes of a mesh follows that of the operator, whatever happens
+//! to the store, its answers, the network and the nodes.
+//!
+//! Plans of changes and disturbances are played in virtual time, with the decisions of the
+//! nodes and without I/O. `CONFIGURATION_CASES` and `CONFIGURATION_SEED` set the number of
+//! plans and the seed they are drawn from.
+//!
+//! - (a) No node denies a route that every configuration has that may be in force.
+//! - (b) No process goes back to an older version.
+//! - (c) All nodes have the newest version 3 s after the last disturbance.
+//! - (d) A version has the same content on all nodes.
+
+mod client;
+mod mesh;
+mod operator;
+mod plan;
+mod process;
+mod watch_loop;
+
+use mesh::Mesh;
+use plan::Plan;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use std::time::Duration;
+
+/// Seed of the plans unless `CONFIGURATION_SEED` sets another.
+const SEED: u64 = 35;
+/// Numbers of nodes in the availability zones of the mesh.
+const ZONES: [usize; 3] = [2, 2, 1];
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn setting(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |text| text.parse().expect("a number"))
+}
+
+fn assert_holds(zones: &[usize], plans: impl Strategy<Value = Plan>, cases: u64) {
+    let config = Config {
+        cases: setting("CONFIGURATION_CASES", cases) as u32,
+        rng_seed: RngSeed::Fixed(setting("CONFIGURATION_SEED", SEED)),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    // Waits of the store need a timer, which no run gets to.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime");
+    let _guard = runtime.enter();
+    let play = |plan: Plan| Mesh::play(zones, &plan).map_err(TestCaseError::fail);
+    if let Err(err) = TestRunner::new(config).run(&plans, play) {
+        panic!("{err}");
+    }
+}
+
+/// Guards against a node that watches from a revision which the store gave out before a
+/// loss, and misses the changes below it.
+#[test]
+fn a_node_follows_the_operator_after_losses_of_the_store() {
+    assert_holds(&[1], plan::losses(), 300);
+}
+
+/// Guards against a node that keeps an old configuration although it reads the store, or
+/// denies routes for one that may be old.
+#[test]
+fn a_node_follows_the_operator_through_disturbances() {
+    assert_holds(&[1], plan::disturbances(1), 200);
+}
+
+/// Guards against a mesh that keeps an old configuration after a loss of the store.
+#[test]
+fn a_mesh_follows_the_operator_after_losses_of_the_store() {
+    assert_holds(&ZONES, plan::losses(), 100);
+}
+
+/// Guards against nodes that keep an old configuration, or deny routes for one that may be
+/// old, while others have the newest one.
+#[test]
+fn a_mesh_follows_the_operator_through_disturbances() {
+    assert_holds(&ZONES, plan::disturbances(ZONES.iter().sum()), 100);
+}
--- /dev/null
+++ b/crates/node/tests/configuration/mesh.rs
@@ -0,0 +1,665 @@
+//! Discrete-event simulation of a mesh, its operator and its store.
+
+use crate::client::Client;
+use crate::ms;
+use crate::operator::{APPLY_BOUND, Operator, put};
+use crate::plan::{Loss, Plan, Step};
+use crate::process::{Effect, Process, Purpose};
+use futures_util::FutureExt;
+use knapweed_link::{Delta, PartTag};
+use knapweed_node::source::tickets::TicketSource;
+use knapweed_node::source::{ConfigSource, Error, SourceUpdate};
+use knapweed_store::memory::{Faults, Limits};
+use knapweed_store::{Backup, Error as StoreError, MemoryStore, ObjectKey, Revision};
+use knapweed_world::snapshot::HostEntry;
+use knapweed_world::{ConfigVersion, Name, Time};
+use knapweed_zone::Message;
+use knapweed_zone::directory::{Digest, SharedRecord};
+use knapweed_zone::floor::{self, Source};
+use knapweed_zone::membership::TICK_INTERVAL;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time before the first step, in which the nodes find each other and take their duties.
+const WARM_UP: Duration = ms(5_000);
+/// Longest wait of one watch call, as in `control::watch`.
+const WATCH_WAIT: Duration = ms(1_000);
+/// Interval at which a waiting watch looks for changes.
+const WATCH_POLL: Duration = ms(10);
+/// Time after which a call without an answer fails.
+const CALL_TIMEOUT: Duration = ms(700);
+/// Interval of the copies from which the store may come back.
+const COPY_INTERVAL: Duration = ms(250);
+/// Number of copies that are kept.
+const MAX_COPIES: usize = 20;
+/// Interval at which the nodes are compared with the configurations that may be in force.
+const CHECK_INTERVAL: Duration = ms(10);
+/// Latency between nodes of one availability zone, in microseconds.
+const ZONE_DELAY_US: std::ops::Range<u64> = 100..600;
+/// Latency of one direction of a call to the store, in microseconds.
+const STORE_DELAY_US: std::ops::Range<u64> = 500..5_000;
+/// Additional latency between availability zones.
+const REMOTE_DELAY: Duration = ms(5);
+/// Probability that a message between nodes is lost.
+const MESSAGE_LOSS: f64 = 0.01;
+
+/// A node in the arena of the mesh.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct NodeKey(pub(crate) usize);
+
+/// One process of a node; answers to an earlier one are dropped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct ProcessKey {
+    node: NodeKey,
+    generation: u32,
+}
+
+struct Node {
+    entry: HostEntry,
+    process: Option<Process>,
+    generation: u32,
+    /// The newest version of the running process.
+    version: ConfigVersion,
+    /// Times until which the node does not reach the store, or anything at all.
+    cut_until: Time,
+    isolated_until: Time,
+    answer_delay: Duration,
+    delayed_until: Time,
+    lost_answers: u8,
+    spoiled_answers: u8,
+}
+
+/// A call to the store.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    caller: ProcessKey,
+    purpose: Purpose,
+    after: Option<Revision>,
+    /// Revision that the first page of a listing has reported.
+    first_page: Option<Revision>,
+    deadline: Time,
+}
+
+/// Something that happens at a node.
+#[derive(Clone, Debug)]
+enum Delivery {
+    Message(SocketAddr, Message),
+    FetchConfig(ProcessKey, Vec<PartTag>),
+    FetchMembers(ProcessKey, Digest),
+    QueryFloor(ProcessKey, Source),
+}
+
+/// Something that happens at one process, if it still runs.
+#[derive(Debug)]
+enum Reply {
+    Tick,
+    Delta(SocketAddr, Option<Delta>),
+    Members(Vec<SharedRecord>),
+    Floor(floor::Event),
+    Store(Purpose, Result<SourceUpdate, Error>),
+    WatchAgain(u32),
+}
+
+enum Work {
+    Deliver(NodeKey, Delivery),
+    Reply(ProcessKey, Reply),
+    /// A call arrives at the store.
+    Arrive(Call),
+    /// The store looks for the answer to a call.
+    Answer(Call),
+    Step(Step),
+    /// The store is back from an older copy.
+    Restore(Loss, Backup),
+    EndOutage,
+    Rewrite,
+    Start(NodeKey),
+    Copy,
+    Check,
+}
+
+/// A mesh with its store and operator.
+pub(crate) struct Mesh {
+    now: Time,
+    nodes: Vec<Node>,
+    store: Arc<MemoryStore>,
+    operator: Operator,
+    copies: VecDeque<(Time, Backup)>,
+    /// Whether the store does not answer.
+    is_away: bool,
+    /// Whether the operator writes its configuration again as soon as the store is back.
+    rewrites: bool,
+    /// Changes that the operator could not write while the store was away.
+    postponed: Vec<Step>,
+    /// Number of writes of servers so far.
+    server_writes: u64,
+    /// End of the last disturbance or change so far.
+    quiet_from: Time,
+    queue: BTreeMap<(Time, u64), Work>,
+    order: u64,
+    rng: SmallRng,
+    violation: Option<String>,
+}
+
+/// Construction and whole runs.
+impl Mesh {
+    /// A mesh with these numbers of nodes in its availability zones.
+    fn new(zones: &[usize], seed: u64) -> Self {
+        let store = Arc::new(MemoryStore::with_limits(Limits::NONE));
+        let now = Time::default();
+        let operator = Operator::new(now, &store);
+        let mut mesh = Self {
+            now,
+            nodes: Vec::new(),
+            store,
+            operator,
+            copies: VecDeque::new(),
+            is_away: false,
+            rewrites: false,
+            postponed: Vec::new(),
+            server_writes: 0,
+            quiet_from: now.after(WARM_UP),
+            queue: BTreeMap::new(),
+            order: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            violation: None,
+        };
+        for (zone, members) in zones.iter().enumerate() {
+            mesh.nodes.extend((0..*members).map(|m| Node::new(zone, m)));
+        }
+        for node in 0..mesh.nodes.len() {
+            mesh.schedule(ms(0), Work::Start(NodeKey(node)));
+        }
+        mesh.schedule(ms(0), Work::Copy);
+        mesh.schedule(ms(0), Work::Check);
+        mesh
+    }
+
+    /// Plays a plan.
+    ///
+    /// # Errors
+    ///
+    /// The first violation of a property.
+    pub(crate) fn play(zones: &[usize], plan: &Plan) -> Result<(), String> {
+        let mut mesh = Self::new(zones, plan.seed);
+        let mut at = WARM_UP;
+        for (pause, step) in &plan.steps {
+            at += ms((*pause).into());
+            mesh.schedule(at, Work::Step(*step));
+        }
+        mesh.quiet_from = Time::default().after(at);
+        mesh.run();
+        match mesh.violation {
+            Some(violation) => Err(violation),
+            None => mesh.check_end(),
+        }
+    }
+
+    /// Runs until [`APPLY_BOUND`] after the last disturbance.
+    fn run(&mut self) {
+        while let Some(entry) = self.queue.first_entry() {
+            let at = entry.key().0;
+            if at > self.quiet_from.after(APPLY_BOUND) || self.violation.is_some() {
+                return;
+            }
+            let work = entry.remove();
+            self.now = at;
+            self.execute(work);
+        }
+    }
+
+    fn execute(&mut self, work: Work) {
+        match work {
+            Work::Deliver(node, delivery) => self.deliver(node, delivery),
+            Work::Reply(process, reply) => self.reply(process, reply),
+            Work::Arrive(call) => self.arrive(call),
+            Work::Answer(call) => self.answer(call),
+            Work::Step(step) => self.step(step),
+            Work::Restore(loss, backup) => self.restore(loss, &backup),
+            Work::EndOutage => self.end_outage(),
+            Work::Rewrite => self.rewrite(),
+            Work::Start(node) => self.start(node),
+            Work::Copy => {
+                self.copies.push_front((self.now, self.store.backup()));
+                self.copies.truncate(MAX_COPIES);
+                self.schedule(COPY_INTERVAL, Work::Copy);
+            }
+            Work::Check => {
+                self.check();
+                self.schedule(CHECK_INTERVAL, Work::Check);
+            }
+        }
+    }
+
+    fn schedule(&mut self, wait: Duration, work: Work) {
+        self.order += 1;
+        self.queue.insert((self.now.after(wait), self.order), work);
+    }
+
+    /// Notes a disturbance that lasts for `length`, and returns its end.
+    fn disturb(&mut self, length: Duration) -> Time {
+        let end = self.now.after(length);
+        self.quiet_from = self.quiet_from.max(end);
+        end
+    }
+}
+
+impl Node {
+    fn new(zone: usize, member: usize) -> Self {
+        let name = |text: String| text.parse::<Name>().expect("a valid name");
+        let address = SocketAddr::from(([127, 1, zone as u8, 0], 1_000 + member as u16));
+        Self {
+            entry: HostEntry {
+                name: name(format!("host-{zone}-{member}")),
+                zone: name(format!("zone-{zone}")),
+                region: name("west".into()),
+                address,
+                announcements: Vec::new(),
+            },
+            process: None,
+            generation: 0,
+            version: ConfigVersion(0),
+            cut_until: Time::default(),
+            isolated_until: Time::default(),
+            answer_delay: Duration::ZERO,
+            delayed_until: Time::default(),
+            lost_answers: 0,
+            spoiled_answers: 0,
+        }
+    }
+}
+
+/// Steps of the plan.
+impl Mesh {
+    fn step(&mut self, step: Step) {
+        let until = |mesh: &mut Self, length: u16| mesh.disturb(ms(length.into()));
+        match step {
+            Step::Change { adds, removes } => {
+                if self.is_away {
+                    return self.postponed.push(step);
+                }
+                self.disturb(ms(0));
+                let above = self.rng.random_range(1..4);
+                let (now, store) = (self.now, &self.store);
+                self.operator.change(now, store, adds, removes, above);
+            }
+            Step::ServerWrites(count) => self.write_as_servers(count),
+            Step::Lose(loss) => self.lose(loss),
+            Step::Outage(length) => {
+                if !self.is_away {
+                    until(self, length);
+                    self.set_away(true);
+                    self.schedule(ms(length.into()), Work::EndOutage);
+                }
+            }
+            Step::Compact => self.store.compact_history(),
+            Step::CutFromStore(node, length) => {
+                self.nodes[node.0].cut_until = until(self, length);
+            }
+            Step::Isolate(node, length) => {
+                self.nodes[node.0].isolated_until = until(self, length);
+            }
+            Step::LoseAnswers(node, count) => {
+                self.nodes[node.0].lost_answers = count;
+                until(self, u16::from(count) * CALL_TIMEOUT.as_millis() as u16);
+            }
+            Step::SpoilAnswers(node, count) => {
+                self.nodes[node.0].spoiled_answers = count;
+                until(self, u16::from(count) * WATCH_WAIT.as_millis() as u16);
+            }
+            Step::DelayAnswers(node, delay, length) => {
+                self.nodes[node.0].answer_delay = ms(delay.into());
+                self.nodes[node.0].delayed_until = until(self, length);
+            }
+            Step::Restart(node, length) => {
+                self.nodes[node.0].process = None;
+                until(self, length);
+                self.schedule(ms(length.into()), Work::Start(node));
+            }
+        }
+    }
+
+    fn write_as_servers(&mut self, count: u8) {
+        if self.is_away {
+            return;
+        }
+        for _ in 0..count {
+            self.server_writes += 1;
+            let key = ObjectKey::new("instances", format!("{}", self.server_writes % 5));
+            put(&self.store, &key, self.server_writes.to_string());
+        }
+    }
+
+    fn set_away(&mut self, is_away: bool) {
+        self.is_away = is_away;
+        self.store.set_faults(Faults {
+            outage: is_away,
+            ..Faults::default()
+        });
+    }
+
+    fn lose(&mut self, loss: Loss) {
+        if self.is_away {
+            return;
+        }
+        let taken = self.now.before(ms(loss.copy_age_ms.into()));
+        let copy = self.copies.iter().find(|(at, _)| *at <= taken);
+        let copy = copy.or(self.copies.back()).map(|(_, copy)| copy.clone());
+        let away = ms(loss.away_ms.into());
+        self.disturb(away + ms(loss.rewritten_after_ms.into()));
+        self.set_away(true);
+        self.schedule(away, Work::Restore(loss, copy.expect("a copy")));
+    }
+
+    fn restore(&mut self, loss: Loss, backup: &Backup) {
+        self.store.restore(backup);
+        self.copies.clear();
+        self.copies.push_front((self.now, self.store.backup()));
+        self.operator.store_lost(self.now, &self.store);
+        self.end_outage();
+        self.write_as_servers(loss.server_writes);
+        self.schedule(ms(loss.rewritten_after_ms.into()), Work::Rewrite);
+    }
+
+    fn end_outage(&mut self) {
+        self.set_away(false);
+        if std::mem::take(&mut self.rewrites) {
+            self.rewrite();
+        }
+        for step in std::mem::take(&mut self.postponed) {
+            self.step(step);
+        }
+    }
+
+    fn rewrite(&mut self) {
+        match self.is_away {
+            true => self.rewrites = true,
+            false => self.operator.write(self.now, &self.store),
+        }
+    }
+
+    fn start(&mut self, key: NodeKey) {
+        let others = self.nodes.iter().enumerate().filter(|(n, _)| *n != key.0);
+        let zone = &self.nodes[key.0].entry.zone;
+        let in_zone = others.filter(|(_, other)| other.entry.zone == *zone);
+        let mut seeds: Vec<_> = in_zone.map(|(_, n)| n.entry.address).collect();
+        if seeds.is_empty() {
+            let others = self.nodes.iter().enumerate().filter(|(n, _)| *n != key.0);
+            seeds = others.map(|(_, n)| n.entry.address).collect();
+        }
+        let seed = self.rng.random();
+        let node = &mut self.nodes[key.0];
+        node.generation += 1;
+        node.version = ConfigVersion(0);
+        let generation = node.generation;
+        node.process = Some(Process::start(self.now, node.entry.clone(), seeds, seed));
+        let process = ProcessKey {
+            node: key,
+            generation,
+        };
+        let phase = TICK_INTERVAL.mul_f64(self.rng.random_range(0.0..1.0));
+        self.schedule(phase, Work::Reply(process, Reply::Tick));
+    }
+}
+
+/// The network between nodes.
+impl Mesh {
+    fn node_at(&self, address: SocketAddr) -> NodeKey {
+        let mut nodes = self.nodes.iter();
+        let index = nodes.position(|n| n.entry.address == address);
+        NodeKey(index.expect("an address of a node"))
+    }
+
+    /// Latency between two nodes; `None` when the message is lost.
+    fn delay(&mut self, from: NodeKey, to: NodeKey) -> Option<Duration> {
+        let (a, b) = (&self.nodes[from.0], &self.nodes[to.0]);
+        let is_cut = self.now < a.isolated_until.max(b.isolated_until);
+        let is_remote = a.entry.zone != b.entry.zone;
+        if is_cut || self.rng.random_bool(MESSAGE_LOSS) {
+            return None;
+        }
+        let near = Duration::from_micros(self.rng.random_range(ZONE_DELAY_US));
+        Some(near + REMOTE_DELAY * is_remote.into())
+    }
+
+    fn send(&mut self, from: NodeKey, to: NodeKey, delivery: Delivery) {
+        if let Some(delay) = self.delay(from, to) {
+            self.schedule(delay, Work::Deliver(to, delivery));
+        }
+    }
+
+    fn send_reply(&mut self, from: NodeKey, to: ProcessKey, reply: Reply) {
+        if let Some(delay) = self.delay(from, to.node) {
+            self.schedule(delay, Work::Reply(to, reply));
+        }
+    }
+
+    fn deliver(&mut self, key: NodeKey, delivery: Delivery) {
+        let now = self.now;
+        let entry = |mesh: &Self, process: ProcessKey| mesh.nodes[process.node.0].entry.clone();
+        let Some(mut process) = self.nodes[key.0].process.take() else {
+            return;
+        };
+        match delivery {
+            Delivery::Message(from, message) => process.received(now, from, message),
+            Delivery::FetchConfig(from, have) => {
+                let delta = process.configs.delta_for(have).ok();
+                let delta = delta.and_then(|bytes| Delta::decompress(&bytes).ok());
+                let address = self.nodes[key.0].entry.address;
+                self.send_reply(key, from, Reply::Delta(address, delta));
+            }
+            Delivery::FetchMembers(from, digest) => {
+                let directory = process.membership.directory();
+                let records = directory.differing_records(now, &digest);
+                self.send_reply(key, from, Reply::Members(records));
+            }
+            Delivery::QueryFloor(from, source) => {
+                let answer = process.floor_answer(source, &entry(self, from).name);
+                let event = floor::Event::Answer(answer);
+                self.send_reply(key, from, Reply::Floor(event));
+            }
+        }
+        self.nodes[key.0].process = Some(process);
+        self.execute_effects(key);
+    }
+
+    fn reply(&mut self, to: ProcessKey, reply: Reply) {
+        let now = self.now;
+        let node = &mut self.nodes[to.node.0];
+        let process = node.process.as_mut();
+        let Some(process) = process.filter(|_| node.generation == to.generation) else {
+            return;
+        };
+        match reply {
+            Reply::Tick => {
+                process.tick(now);
+                self.schedule(TICK_INTERVAL, Work::Reply(to, Reply::Tick));
+            }
+            Reply::Delta(from, delta) => process.delta(now, from, delta),
+            Reply::Members(records) => process.members(now, records),
+            Reply::Floor(event) => process.floor_event(now, event),
+            Reply::Store(purpose, result) => process.store_answered(now, purpose, result),
+            Reply::WatchAgain(watch) => process.watch_again(watch),
+        }
+        self.execute_effects(to.node);
+    }
+
+    fn execute_effects(&mut self, key: NodeKey) {
+        let node = &mut self.nodes[key.0];
+        let me = ProcessKey {
+            node: key,
+            generation: node.generation,
+        };
+        let Some(process) = &mut node.process else {
+            return;
+        };
+        let (tags, digest) = (
+            process.configs.tags(),
+            process.membership.directory().digest(),
+        );
+        let address = node.entry.address;
+        for effect in process.take_effects() {
+            let delivery = match effect {
+                Effect::Send(to, message) => (to, Delivery::Message(address, message)),
+                Effect::FetchConfig(to) => (to, Delivery::FetchConfig(me, tags.clone())),
+                Effect::FetchMembers(to) => (to, Delivery::FetchMembers(me, digest.clone())),
+                Effect::QueryFloor(source, to) => (to, Delivery::QueryFloor(me, source)),
+                Effect::Call(purpose, after) => {
+                    self.call(me, purpose, after);
+                    continue;
+                }
+                Effect::WatchAgain(watch, wait) => {
+                    self.schedule(wait, Work::Reply(me, Reply::WatchAgain(watch)));
+                    continue;
+                }
+            };
+            let to = self.node_at(delivery.0);
+            self.send(key, to, delivery.1);
+        }
+    }
+}
+
+/// Calls to the store.
+impl Mesh {
+    fn call(&mut self, caller: ProcessKey, purpose: Purpose, after: Option<Revision>) {
+        let call = Call {
+            caller,
+            purpose,
+            after,
+            first_page: None,
+            deadline: self.now.after(WATCH_WAIT),
+        };
+        let delay = Duration::from_micros(self.rng.random_range(STORE_DELAY_US));
+        self.schedule(delay, Work::Arrive(call));
+    }
+
+    /// Whether a node reaches a store that answers.
+    fn reaches_store(&self, node: NodeKey) -> bool {
+        let node = &self.nodes[node.0];
+        !self.is_away && self.now >= node.cut_until.max(node.isolated_until)
+    }
+
+    /// A failed call is noticed after a reset, or only after a time-out.
+    fn fail(&mut self, call: Call) {
+        let err = StoreError::Unavailable("no connection".into());
+        let wait = match self.rng.random_bool(0.5) {
+            true => Duration::from_micros(self.rng.random_range(STORE_DELAY_US)),
+            false => CALL_TIMEOUT,
+        };
+        let reply = Reply::Store(call.purpose, Err(err.into()));
+        self.schedule(wait, Work::Reply(call.caller, reply));
+    }
+
+    fn arrive(&mut self, mut call: Call) {
+        if !self.reaches_store(call.caller.node) {
+            return self.fail(call);
+        }
+        let node = &self.nodes[call.caller.node.0];
+        let is_slow = self.now < node.delayed_until;
+        let delay = if is_slow { node.answer_delay } else { ms(0) };
+        if call.after.is_none() {
+            call.first_page = Some(self.store.latest_revision());
+        }
+        self.schedule(delay, Work::Answer(call));
+    }
+
+    fn answer(&mut self, call: Call) {
+        let node = call.caller.node;
+        if !self.reaches_store(node) {
+            return self.fail(call);
+        }
+        let is_over = self.now >= call.deadline;
+        let client = Client {
+            store: Arc::clone(&self.store),
+            first_page: call.first_page,
+            is_spoiled: self.nodes[node.0].spoiled_answers > 0,
+            is_over,
+        };
+        let source = TicketSource::new(Arc::new(client));
+        let Some(process) = &self.nodes[node.0].process else {
+            return;
+        };
+        let known = process.configs.cache().clone();
+        let result = match call.after {
+            Some(after) => source.watch(after, WATCH_WAIT, known).now_or_never(),
+            None => source.load(known).now_or_never(),
+        };
+        let Some(result) = result else {
+            return self.schedule(WATCH_POLL, Work::Answer(call));
+        };
+        let state = &mut self.nodes[node.0];
+        state.spoiled_answers = state.spoiled_answers.saturating_sub(1);
+        let (wait, result) = match state.lost_answers {
+            0 => {
+                let wait = self.rng.random_range(STORE_DELAY_US);
+                (Duration::from_micros(wait), result)
+            }
+            _ => {
+                state.lost_answers -= 1;
+                let err = StoreError::ResponseLost("no answer in time".into());
+                (CALL_TIMEOUT, Err(err.into()))
+            }
+        };
+        let reply = Reply::Store(call.purpose, result);
+        self.schedule(wait, Work::Reply(call.caller, reply));
+    }
+}
+
+/// Properties.
+impl Mesh {
+    fn violate(&mut self, violation: String) {
+        let at = Duration::from_micros(self.now.0);
+        self.violation
+            .get_or_insert_with(|| format!("at {at:?}: {violation}"));
+    }
+
+    fn check(&mut self) {
+        let routes = self.operator.certain_routes(self.now);
+        for index in 0..self.nodes.len() {
+            let node = &self.nodes[index];
+            let Some(process) = &node.process else {
+                continue;
+            };
+            let (version, before) = (process.version(), node.version);
+            let config = process.configs.config();
+            let is_same = version.0 == 0 || self.operator.written(version) == Some(&**config);
+            let denied = routes.iter().find(|route| process.denies(route));
+            let violation = if let Some(route) = denied {
+                let in_force = self.operator.in_force(self.now);
+                Some(format!(
+                    "(a) node {index} with version {version} denies {route}, which all of \
+                     {in_force:?} have"
+                ))
+            } else if version < before {
+                Some(format!("(b) node {index} went from {before} to {version}"))
+            } else if !is_same {
+                Some(format!(
+                    "(d) version {version} on node {index} is not what was written"
+                ))
+            } else {
+                None
+            };
+            self.nodes[index].version = version;
+            if let Some(violation) = violation {
+                self.violate(violation);
+            }
+        }
+    }
+
+    /// Compares the nodes with the newest version after a quiet time.
+    fn check_end(&self) -> Result<(), String> {
+        let newest = self.operator.newest();
+        let versions = self.nodes.iter().map(|n| n.process.as_ref());
+        let versions: Vec<_> = versions.map(|p| p.map(|p| p.version())).collect();
+        match versions.iter().all(|v| *v == Some(newest)) {
+            true => Ok(()),
+            false => Err(format!(
+                "(c) {APPLY_BOUND:?} after the last disturbance the newest version is {newest}, \
+                 the nodes have {versions:?}"
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/configuration/process.rs
@@ -0,0 +1,275 @@
+//! One process of a node: its decisions as its control thread joins them, without I/O.
+
+use crate::watch_loop::WatchLoop;
+use knapweed_link::Delta;
+use knapweed_node::control::config::ConfigStore;
+use knapweed_node::source::{Error, LoadedConfig, SourceUpdate};
+use knapweed_store::{Error as StoreError, Revision};
+use knapweed_world::snapshot::HostEntry;
+use knapweed_world::{ConfigVersion, Name, Time, UnixMillis};
+use knapweed_zone::directory::SharedRecord;
+use knapweed_zone::floor::{self, FloorAnswer, Source, VersionFloor};
+use knapweed_zone::membership::{self, Action};
+use knapweed_zone::{Incarnation, MemberRecord, Membership, Message};
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Unix time in milliseconds at the start of a run.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// Why a process calls the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Purpose {
+    /// A step of the watch with this number.
+    Watch(u32),
+    /// The version floor.
+    Floor,
+    /// A configuration that no other node has.
+    Load,
+}
+
+/// What a process asks the mesh to do.
+#[derive(Clone, Debug)]
+pub(crate) enum Effect {
+    Send(SocketAddr, Message),
+    FetchConfig(SocketAddr),
+    FetchMembers(SocketAddr),
+    QueryFloor(Source, SocketAddr),
+    /// Calls the store: a watch from this revision, or else a load.
+    Call(Purpose, Option<Revision>),
+    /// Calls [`Process::watch_again`] after this time.
+    WatchAgain(u32, Duration),
+}
+
+/// A process of a node.
+pub(crate) struct Process {
+    pub(crate) membership: Membership,
+    pub(crate) configs: ConfigStore,
+    floor: VersionFloor,
+    watch: Option<WatchLoop>,
+    /// Number of watches so far; answers to an earlier one are dropped.
+    watches: u32,
+    rng: SmallRng,
+    effects: Vec<Effect>,
+}
+
+/// Start, and state that is compared.
+impl Process {
+    pub(crate) fn start(now: Time, entry: HostEntry, seeds: Vec<SocketAddr>, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut derived = || SmallRng::seed_from_u64(rng.random());
+        let incarnation = Incarnation::choose(None, UnixMillis(EPOCH_MS + now.0 / 1_000));
+        let record = MemberRecord::new(entry, incarnation);
+        Self {
+            membership: Membership::new(now, record, seeds, derived()),
+            configs: ConfigStore::default(),
+            floor: VersionFloor::new(now, derived()),
+            watch: None,
+            watches: 0,
+            rng,
+            effects: Vec::new(),
+        }
+    }
+
+    pub(crate) fn version(&self) -> ConfigVersion {
+        self.configs.head().version
+    }
+
+    /// Whether a request for this route is answered with "no such route", which is final.
+    pub(crate) fn denies(&self, route: &Name) -> bool {
+        self.floor.is_serving() && !self.configs.config().routes.contains_key(route)
+    }
+
+    /// The effects since the last call.
+    pub(crate) fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+}
+
+/// Members and versions.
+impl Process {
+    pub(crate) fn tick(&mut self, now: Time) {
+        self.member_event(now, membership::Event::Tick);
+        let own = self.membership.own();
+        let members = self.membership.directory().present().map(|(_, r)| r);
+        let peers = members.filter(|r| r.zone == own.zone && r.host != own.host);
+        let peers = peers.count();
+        self.floor_event(now, floor::Event::Peers(peers));
+        self.floor_event(now, floor::Event::Tick);
+    }
+
+    pub(crate) fn received(&mut self, now: Time, from: SocketAddr, message: Message) {
+        self.member_event(now, membership::Event::Received { from, message });
+    }
+
+    pub(crate) fn members(&mut self, now: Time, records: Vec<SharedRecord>) {
+        self.member_event(now, membership::Event::Members(records));
+    }
+
+    pub(crate) fn delta(&mut self, now: Time, from: SocketAddr, delta: Option<Delta>) {
+        let applied = delta.map(|delta| self.configs.apply_delta(delta));
+        match applied {
+            Some(Ok(newer)) => self.applied(now, newer),
+            Some(Err(_)) | None => {
+                self.member_event(now, membership::Event::FetchFailed { from });
+            }
+        }
+    }
+
+    fn loaded(&mut self, now: Time, loaded: LoadedConfig) {
+        let newer = self.configs.replace(&loaded.head, loaded.cache);
+        self.applied(now, newer.unwrap_or(false));
+    }
+
+    fn applied(&mut self, now: Time, newer: bool) {
+        if newer {
+            let version = self.version();
+            self.member_event(now, membership::Event::ConfigApplied(version));
+            self.floor_event(now, floor::Event::Fetched(version));
+        }
+    }
+
+    fn member_event(&mut self, now: Time, event: membership::Event) {
+        for action in self.membership.handle(now, event) {
+            match action {
+                Action::Send { to, message } => self.effects.push(Effect::Send(to, message)),
+                Action::FetchConfig { from } => self.effects.push(Effect::FetchConfig(from)),
+                Action::FetchMembers { from } => self.effects.push(Effect::FetchMembers(from)),
+                Action::WatchHead(on) => self.watch_head(on),
+                Action::RecordChanged(_)
+                | Action::MembersChanged
+                | Action::RoleChanged(_)
+                | Action::AnnouncementRefused(_) => {}
+            }
+        }
+    }
+}
+
+/// Calls to the store.
+impl Process {
+    fn watch_head(&mut self, on: bool) {
+        self.watches += 1;
+        self.watch = on.then(WatchLoop::default);
+        self.watch_again(self.watches);
+    }
+
+    /// Makes the next call of a watch, unless it has ended.
+    pub(crate) fn watch_again(&mut self, watch: u32) {
+        if let Some(state) = self.watch.as_ref().filter(|_| watch == self.watches) {
+            let call = Effect::Call(Purpose::Watch(watch), state.after());
+            self.effects.push(call);
+        }
+    }
+
+    /// Handles the result of a call to the store.
+    pub(crate) fn store_answered(
+        &mut self,
+        now: Time,
+        purpose: Purpose,
+        result: Result<SourceUpdate, Error>,
+    ) {
+        match purpose {
+            Purpose::Watch(watch) => self.watch_answered(now, watch, result),
+            Purpose::Floor => {
+                let event = match &result {
+                    Ok(update) => floor::Event::Answer(FloorAnswer {
+                        source: Source::Platform,
+                        served: update
+                            .loaded
+                            .as_ref()
+                            .map(|loaded| loaded.head.version)
+                            .unwrap_or_default(),
+                        is_serving: true,
+                    }),
+                    Err(_) => floor::Event::Failed(Source::Platform),
+                };
+                if let Ok(update) = result {
+                    self.source_updated(now, update);
+                }
+                self.floor_event(now, event);
+            }
+            Purpose::Load => {
+                if let Ok(update) = result {
+                    self.source_updated(now, update);
+                }
+            }
+        }
+    }
+
+    fn watch_answered(&mut self, now: Time, watch: u32, result: Result<SourceUpdate, Error>) {
+        let Some(state) = self.watch.as_mut().filter(|_| watch == self.watches) else {
+            return;
+        };
+        let wait = state.finished(result.as_ref(), &mut self.rng);
+        self.effects.push(Effect::WatchAgain(watch, wait));
+        match result {
+            Ok(update) => self.source_updated(now, update),
+            Err(Error::Store(StoreError::HistoryCompacted(_))) => {}
+            Err(err) => {
+                let reached = matches!(err, Error::Unusable(_));
+                self.member_event(now, membership::Event::StoreReached(reached));
+            }
+        }
+    }
+
+    fn source_updated(&mut self, now: Time, update: SourceUpdate) {
+        self.member_event(now, membership::Event::StoreReached(true));
+        if let Some(loaded) = update.loaded {
+            self.loaded(now, loaded);
+        }
+    }
+}
+
+/// The version floor after a start.
+impl Process {
+    pub(crate) fn floor_event(&mut self, now: Time, event: floor::Event) {
+        if self.floor.is_serving() {
+            return;
+        }
+        for action in self.floor.handle(now, event) {
+            match action {
+                floor::Action::Ask {
+                    source: Source::Platform,
+                    ..
+                } => self.effects.push(Effect::Call(Purpose::Floor, None)),
+                floor::Action::Ask { source, count } => self.query_nodes(now, source, count),
+                floor::Action::Fetch(version) => self.fetch_at_least(version),
+                floor::Action::Serve { .. } | floor::Action::RetryLater { .. } => {}
+            }
+        }
+    }
+
+    fn query_nodes(&mut self, now: Time, source: Source, count: usize) {
+        let own = self.membership.own();
+        let members = self.membership.directory().present().map(|(_, r)| r);
+        let others = members.filter(|r| r.host != own.host);
+        let eligible = others.filter(|r| (r.zone == own.zone) == (source == Source::Peers));
+        let nodes = eligible
+            .map(|r| r.address)
+            .choose_multiple(&mut self.rng, count);
+        for _ in nodes.len()..count {
+            self.floor_event(now, floor::Event::Failed(source));
+        }
+        let queries = nodes.into_iter().map(|to| Effect::QueryFloor(source, to));
+        self.effects.extend(queries);
+    }
+
+    fn fetch_at_least(&mut self, version: ConfigVersion) {
+        let members = self.membership.directory().present().map(|(_, r)| r);
+        let up_to_date = members.filter(|r| r.applied >= version && version > ConfigVersion(0));
+        let from = up_to_date.map(|r| r.address).choose(&mut self.rng);
+        self.effects.push(match from {
+            Some(from) => Effect::FetchConfig(from),
+            None => Effect::Call(Purpose::Load, None),
+        });
+    }
+
+    /// The reply to the floor query of a host.
+    pub(crate) fn floor_answer(&self, source: Source, host: &Name) -> FloorAnswer {
+        let (directory, own) = (self.membership.directory(), self.membership.own());
+        FloorAnswer::of_member(source, directory, own, self.floor.is_serving(), host)
+    }
+}
