test(node): lost and spoiled answers of the property test end with their disturbance

Cause: both were counted in answers. An outage kept the count, so the answers after the last disturbance were still spoiled, and (c) failed although the nodes had no chance: one node, SpoilAnswers(3), Outage(2778), Outage(0), a change.

Change: both last for a time, and (c) counts from its end.

--- a/crates/node/tests/configuration/mesh.rs
+++ b/crates/node/tests/configuration/mesh.rs
@@ -71,8 +71,9 @@
     isolated_until: Time,
     answer_delay: Duration,
     delayed_until: Time,
-    lost_answers: u8,
-    spoiled_answers: u8,
+    /// Times until which the answers of the store to the node are lost or spoiled.
+    lost_until: Time,
+    spoiled_until: Time,
     /// The latest era of the store that an answer has reported to the running process.
     known_era: StoreEra,
 }
@@ -272,8 +273,8 @@
             isolated_until: Time::default(),
             answer_delay: Duration::ZERO,
             delayed_until: Time::default(),
-            lost_answers: 0,
-            spoiled_answers: 0,
+            lost_until: Time::default(),
+            spoiled_until: Time::default(),
             known_era: StoreEra::default(),
         }
     }
@@ -309,13 +310,11 @@
             Step::Isolate(node, length) => {
                 self.nodes[node.0].isolated_until = until(self, length);
             }
-            Step::LoseAnswers(node, count) => {
-                self.nodes[node.0].lost_answers = count;
-                until(self, u16::from(count) * CALL_TIMEOUT.as_millis() as u16);
+            Step::LoseAnswers(node, length) => {
+                self.nodes[node.0].lost_until = until(self, length);
             }
-            Step::SpoilAnswers(node, count) => {
-                self.nodes[node.0].spoiled_answers = count;
-                until(self, u16::from(count) * WATCH_WAIT.as_millis() as u16);
+            Step::SpoilAnswers(node, length) => {
+                self.nodes[node.0].spoiled_until = until(self, length);
             }
             Step::DelayAnswers(node, delay, length) => {
                 self.nodes[node.0].answer_delay = ms(delay.into());
@@ -590,7 +589,7 @@
             store: Arc::clone(&self.store),
             known_era: self.nodes[node.0].known_era,
             first_page: call.first_page,
-            is_spoiled: self.nodes[node.0].spoiled_answers > 0,
+            is_spoiled: self.now < self.nodes[node.0].spoiled_until,
             is_over,
         };
         let source = TicketSource::new(Arc::new(client));
@@ -607,18 +606,16 @@
         };
         let era = self.store.era();
         let state = &mut self.nodes[node.0];
-        state.spoiled_answers = state.spoiled_answers.saturating_sub(1);
-        let (wait, result) = match state.lost_answers {
-            0 => {
+        let (wait, result) = match self.now < state.lost_until {
+            true => {
+                let err = StoreError::ResponseLost("no answer in time".into());
+                (CALL_TIMEOUT, Err(err.into()))
+            }
+            false => {
                 state.known_era = state.known_era.max(era);
                 let wait = self.rng.random_range(STORE_DELAY_US);
                 (Duration::from_micros(wait), result)
             }
-            _ => {
-                state.lost_answers -= 1;
-                let err = StoreError::ResponseLost("no answer in time".into());
-                (CALL_TIMEOUT, Err(err.into()))
-            }
         };
         let reply = Reply::Store(call.purpose, result);
         self.schedule(wait, Work::Reply(call.caller, reply));
--- a/crates/node/tests/configuration/plan.rs
+++ b/crates/node/tests/configuration/plan.rs
@@ -48,10 +48,10 @@
     CutFromStore(NodeKey, u16),
     /// A node reaches neither the store nor other nodes for a time.
     Isolate(NodeKey, u16),
-    /// The next answers of the store to a node are lost.
-    LoseAnswers(NodeKey, u8),
-    /// The next answers of the store to a node contain an entry that cannot be read.
-    SpoilAnswers(NodeKey, u8),
+    /// The answers of the store to a node are lost for a time.
+    LoseAnswers(NodeKey, u16),
+    /// The answers of the store to a node contain an entry that cannot be read, for a time.
+    SpoilAnswers(NodeKey, u16),
     /// The answers of the store to a node take this long, for a time.
     DelayAnswers(NodeKey, u16, u16),
     /// The process of a node is killed and started again after this time.
@@ -102,8 +102,8 @@
         1 => (0..3_000u16).prop_map(Step::Outage),
         1 => (node(), length()).prop_map(|(n, ms)| Step::CutFromStore(n, ms)),
         1 => (node(), length()).prop_map(|(n, ms)| Step::Isolate(n, ms)),
-        1 => (node(), 1..4u8).prop_map(|(n, count)| Step::LoseAnswers(n, count)),
-        1 => (node(), 1..4u8).prop_map(|(n, count)| Step::SpoilAnswers(n, count)),
+        1 => (node(), 0..3_000u16).prop_map(|(n, ms)| Step::LoseAnswers(n, ms)),
+        1 => (node(), 0..3_000u16).prop_map(|(n, ms)| Step::SpoilAnswers(n, ms)),
         1 => (node(), 0..600u16, length()).prop_map(|(n, d, ms)| Step::DelayAnswers(n, d, ms)),
         1 => (node(), 0..1_000u16).prop_map(|(n, ms)| Step::Restart(n, ms)),
     ]
