test(node): the property test denies routes only where Freshness says so

Change: a process denies a route only until Freshness::current_until, and tells the membership what the store has, as control::watch does. A part of the delay of an answer now comes after the store has made it.

--- a/crates/node/tests/configuration/mesh.rs
+++ b/crates/node/tests/configuration/mesh.rs
@@ -561,13 +561,21 @@
         self.schedule(wait, Work::Reply(call.caller, reply));
     }
 
+    /// Random part of the delay of the answers to a node, before the store has made an answer
+    /// or after it.
+    fn answer_delay(&mut self, node: NodeKey) -> Duration {
+        let node = &self.nodes[node.0];
+        match self.now < node.delayed_until {
+            true => node.answer_delay.mul_f64(self.rng.random_range(0.0..1.0)),
+            false => Duration::ZERO,
+        }
+    }
+
     fn arrive(&mut self, mut call: Call) {
         if !self.reaches_store(call.caller.node) {
             return self.fail(call);
         }
-        let node = &self.nodes[call.caller.node.0];
-        let is_slow = self.now < node.delayed_until;
-        let delay = if is_slow { node.answer_delay } else { ms(0) };
+        let delay = self.answer_delay(call.caller.node);
         if call.after.is_none() {
             call.first_page = Some(self.store.latest_revision());
         }
@@ -614,7 +622,8 @@
             false => {
                 state.known_era = state.known_era.max(era);
                 let wait = self.rng.random_range(STORE_DELAY_US);
-                (Duration::from_micros(wait), result)
+                let slow = self.answer_delay(node);
+                (slow + Duration::from_micros(wait), result)
             }
         };
         let reply = Reply::Store(call.purpose, result);
@@ -640,7 +649,7 @@
             let (version, before) = (process.version(), node.version);
             let config = process.configs.config();
             let is_same = version.0 == 0 || self.operator.written(version) == Some(&**config);
-            let denied = routes.iter().find(|route| process.denies(route));
+            let denied = routes.iter().find(|route| process.denies(self.now, route));
             let violation = if let Some(route) = denied {
                 let in_force = self.operator.in_force(self.now);
                 Some(format!(
--- a/crates/node/tests/configuration/process.rs
+++ b/crates/node/tests/configuration/process.rs
@@ -6,7 +6,7 @@
 use knapweed_node::source::{Error, LoadedConfig, SourceUpdate};
 use knapweed_store::{Error as StoreError, Revision};
 use knapweed_world::snapshot::HostEntry;
-use knapweed_world::{ConfigVersion, Name, Time, UnixMillis};
+use knapweed_world::{ConfigVersion, Name, StoreEra, Time, UnixMillis};
 use knapweed_zone::directory::SharedRecord;
 use knapweed_zone::floor::{self, FloorAnswer, Source, VersionFloor};
 use knapweed_zone::membership::{self, Action};
@@ -52,6 +52,8 @@
     watch: Option<WatchLoop>,
     /// Number of watches so far; answers to an earlier one are dropped.
     watches: u32,
+    /// Version of the configuration that the store had at the last read, and its era.
+    stored_config: (StoreEra, ConfigVersion),
     rng: SmallRng,
     effects: Vec<Effect>,
 }
@@ -69,6 +71,7 @@
             floor: VersionFloor::new(now, derived()),
             watch: None,
             watches: 0,
+            stored_config: Default::default(),
             rng,
             effects: Vec::new(),
         }
@@ -79,8 +82,10 @@
     }
 
     /// Whether a request for this route is answered with "no such route", which is final.
-    pub(crate) fn denies(&self, route: &Name) -> bool {
-        self.floor.is_serving() && !self.configs.config().routes.contains_key(route)
+    pub(crate) fn denies(&self, now: Time, route: &Name) -> bool {
+        let is_current = now < self.membership.freshness().current_until();
+        let has_route = self.configs.config().routes.contains_key(route);
+        self.floor.is_serving() && is_current && !has_route
     }
 
     /// The effects since the last call.
@@ -217,9 +222,19 @@
 
     fn source_updated(&mut self, now: Time, update: SourceUpdate) {
         self.member_event(now, membership::Event::StoreReached(true));
+        let era = update.revision.era;
+        let (known_era, known) = self.stored_config;
+        let unchanged = known_era == era;
+        let version = match &update.loaded {
+            Some(loaded) => loaded.head.version,
+            None if unchanged => known,
+            None => ConfigVersion::default(),
+        };
+        self.stored_config = (era, version);
         if let Some(loaded) = update.loaded {
             self.loaded(now, loaded);
         }
+        self.member_event(now, membership::Event::ConfigConfirmed { era, version });
     }
 }
 
