--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,7 +1,7 @@
 //! Construction, signal handling and graceful stop of a node.
 
 use crate::announcer::Announcer;
-use crate::callers::{self, ConnectionLimits};
+use crate::callers::{self, ConnectionLimits, ConnectionMetrics};
 use crate::carrier::{LinkCarrier, LocalCarrier};
 use crate::control::event::{ControlHandle, Event};
 use crate::control::{Controller, View};
@@ -222,6 +222,8 @@
         metrics.register_collector(NodeMetrics {
             snapshots: Arc::clone(&snapshots),
             view: Arc::clone(&view),
+            currency: Arc::clone(&currency),
+            timer: timer.clone(),
             drain: Arc::clone(&drain),
             egress: Arc::clone(&egress),
             peers: endpoint.peers(),
@@ -252,8 +254,11 @@
         tokio::spawn(callers::serve(
             listener,
             CallerHandler::new(ingress),
-            Arc::new(ConfiguredLimits(Arc::clone(&snapshots))),
-            timer.clone(),
+            callers::Dependencies {
+                limits: Arc::new(ConfiguredLimits(Arc::clone(&snapshots))),
+                metrics: ConnectionMetrics::register(&metrics),
+                timer: timer.clone(),
+            },
             stopping,
         ));
         log::info!(
