--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -6,7 +6,8 @@
 use crate::orders::{Order, Progress, RolloutOrders};
 use knapweed_observe::part;
 use knapweed_rollout::{self as rollout, RolloutState, TicketResult};
-use knapweed_store::{Error, ObjectStore, Revision};
+use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
+use knapweed_store::{Error, ObjectStore};
 use knapweed_world::config::{Caution, RolloutTerms, ServiceConfig, VersionShare};
 use knapweed_world::{ConfigVersion, Name, Share, TicketNumber, Time};
 use rand::Rng;
@@ -263,30 +264,35 @@
 
 async fn watch(source: Arc<dyn RolloutOrders>, store: Arc<dyn ObjectStore>, handle: ControlHandle) {
     let mut limit = INITIAL_BACKOFF;
-    let mut after: Option<Revision> = None;
+    let mut cursor = WatchCursor::default();
     loop {
-        let update = match after {
-            Some(revision) => source.watch(revision, WATCH_WAIT).await,
-            None => source.load().await,
+        let update = match cursor.next_call() {
+            NextCall::Watch(revision) => source.watch(revision, WATCH_WAIT).await,
+            NextCall::Load => source.load().await,
         };
         let update = match update {
-            Ok(update) => with_states(&*store, update.orders)
+            Ok(update) => with_states(&*store, &update.orders)
                 .await
-                .map(|orders| (orders, update.revision)),
+                .map(|orders| (orders, update)),
             Err(err) => Err(err),
         };
         match update {
-            Ok((orders, revision)) => {
+            Ok((orders, update)) => {
                 limit = INITIAL_BACKOFF;
-                after = Some(revision);
+                match update.is_partial {
+                    true => cursor.advanced_partially(update.revision),
+                    false => cursor.advanced(update.revision),
+                }
                 handle.send(Event::Ordered(orders)).await;
             }
-            Err(Error::HistoryCompacted(_)) => after = None,
             Err(err) => {
+                if cursor.failed(&err) == Retry::AtOnce {
+                    continue;
+                }
                 log::warn!(target: part::ROLLOUT, "the watch of orders failed: {err}");
                 handle
                     .send(match err {
-                        Error::Malformed(_) => Event::SourceUnusable,
+                        Error::HistoryCompacted(_) | Error::Malformed(_) => Event::SourceUnusable,
                         _ => Event::SourceUnavailable,
                     })
                     .await;
@@ -300,14 +306,14 @@
 /// is already being carried out from a new one.
 async fn with_states(
     store: &dyn ObjectStore,
-    orders: Vec<Order>,
+    orders: &[Order],
 ) -> Result<Vec<(Order, Option<RolloutState>)>, Error> {
     let mut found = Vec::with_capacity(orders.len());
     for order in orders {
         let object = store.read(&super::rollouts::key(&order.service)).await?;
         let state = object.as_ref().map(super::rollouts::decode).transpose();
         let state = state.map_err(|err| Error::Malformed(err.to_string()))?;
-        found.push((order, state.map(|(_, state)| state)));
+        found.push((order.clone(), state.map(|(_, state)| state)));
     }
     Ok(found)
 }
--- a/crates/node/tests/configuration/client.rs
+++ b/crates/node/tests/configuration/client.rs
@@ -84,6 +84,7 @@
                 Some(found) => found?,
                 None if self.is_over => Changes {
                     changes: Vec::new(),
+                    is_partial: false,
                     revision: self.store.latest_revision(),
                 },
                 None => std::future::pending().await,
