test(node): the property test uses the cursor of the watch, and entries can be left out

Cause: the decisions of the watch loop were a copy. The client also leaves out entries that it cannot read, which no plan had.

Change: the model of the watch is WatchCursor with the waits of its task. A spoiled answer has either a value or a whole entry that cannot be read.

A load whose listing lacks the entry counts as complete, and the watch goes on after the change.

--- a/crates/node/tests/configuration/client.rs
+++ b/crates/node/tests/configuration/client.rs
@@ -1,10 +1,11 @@
 //! Model of a node's client of the platform's store: one call over the protocol, in which
 //! revisions are plain numbers, and each answer reports the era of the store.
 
+use crate::plan::Spoiled;
 use futures_util::FutureExt;
 use knapweed_store::{
-    Changes, Condition, Error, Listing, MemoryStore, Object, ObjectKey, ObjectStore, Revision,
-    StoreEra, StoreFuture,
+    Change, Changes, Condition, Error, Listing, MemoryStore, Object, ObjectKey, ObjectStore,
+    Revision, StoreEra, StoreFuture,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,8 +21,8 @@
     pub(crate) known_era: StoreEra,
     /// Revision that the first page of a listing reported; the objects are on a later one.
     pub(crate) first_page: Option<Revision>,
-    /// Whether objects in the answer cannot be read.
-    pub(crate) is_spoiled: bool,
+    /// What cannot be read of the entries in the answer.
+    pub(crate) spoiled: Option<Spoiled>,
     /// Whether a watch has waited long enough and is answered without changes.
     pub(crate) is_over: bool,
 }
@@ -41,11 +42,24 @@
         }
     }
 
-    fn object(&self, mut object: Object) -> Object {
-        if self.is_spoiled {
-            object.value = "{".into();
+    /// An object of an answer; `None` when the client leaves it out.
+    fn object(&self, mut object: Object) -> Option<Object> {
+        match self.spoiled {
+            None => {}
+            Some(Spoiled::Value) => object.value = "{".into(),
+            Some(Spoiled::Entry) => return None,
         }
-        object
+        Some(object)
+    }
+}
+
+impl Client {
+    /// A change of an answer; `None` when the client leaves it out.
+    fn change(&self, mut change: Change) -> Option<Change> {
+        if let Some(object) = change.object {
+            change.object = Some(self.object(object)?);
+        }
+        Some(change)
     }
 }
 
@@ -53,7 +67,7 @@
     fn read<'a>(&'a self, key: &'a ObjectKey) -> StoreFuture<'a, Option<Object>> {
         Box::pin(async move {
             let object = self.store.read(key).await?;
-            Ok(object.map(|o| self.object(o)))
+            Ok(object.and_then(|o| self.object(o)))
         })
     }
 
@@ -62,7 +76,9 @@
             let listing = self.store.list(kind).await?;
             let objects = listing.objects.into_iter();
             Ok(Listing {
-                objects: objects.map(|(key, o)| (key, self.object(o))).collect(),
+                objects: objects
+                    .filter_map(|(key, o)| Some((key, self.object(o)?)))
+                    .collect(),
                 revision: self.listed(listing.revision)?,
             })
         })
@@ -92,9 +108,10 @@
             if changes.revision.era != after.era {
                 return Err(Error::HistoryCompacted(after));
             }
-            for change in &mut changes.changes {
-                change.object = change.object.take().map(|o| self.object(o));
-            }
+            let count = changes.changes.len();
+            let read = changes.changes.into_iter();
+            changes.changes = read.filter_map(|c| self.change(c)).collect();
+            changes.is_partial |= changes.changes.len() < count;
             Ok(changes)
         })
     }
--- a/crates/node/tests/configuration/mesh.rs
+++ b/crates/node/tests/configuration/mesh.rs
@@ -3,12 +3,13 @@
 use crate::client::Client;
 use crate::ms;
 use crate::operator::{APPLY_BOUND, Operator, put};
-use crate::plan::{Loss, Plan, Step};
+use crate::plan::{Loss, Plan, Spoiled, Step};
 use crate::process::{Effect, Process, Purpose};
 use futures_util::FutureExt;
 use knapweed_link::{Delta, PartTag};
 use knapweed_node::source::tickets::TicketSource;
 use knapweed_node::source::{ConfigSource, Error, SourceUpdate};
+use knapweed_store::cursor::NextCall;
 use knapweed_store::memory::{Faults, Limits};
 use knapweed_store::{
     Backup, Error as StoreError, MemoryStore, ObjectKey, ObjectStore, Revision, StoreEra,
@@ -74,6 +75,7 @@
     /// Times until which the answers of the store to the node are lost or spoiled.
     lost_until: Time,
     spoiled_until: Time,
+    spoiled: Spoiled,
     /// The latest era of the store that an answer has reported to the running process.
     known_era: StoreEra,
 }
@@ -83,7 +85,7 @@
 struct Call {
     caller: ProcessKey,
     purpose: Purpose,
-    after: Option<Revision>,
+    request: NextCall,
     /// Revision that the first page of a listing has reported.
     first_page: Option<Revision>,
     /// Revision of the store at which a watch found no change.
@@ -275,6 +277,7 @@
             delayed_until: Time::default(),
             lost_until: Time::default(),
             spoiled_until: Time::default(),
+            spoiled: Spoiled::Value,
             known_era: StoreEra::default(),
         }
     }
@@ -313,7 +316,8 @@
             Step::LoseAnswers(node, length) => {
                 self.nodes[node.0].lost_until = until(self, length);
             }
-            Step::SpoilAnswers(node, length) => {
+            Step::SpoilAnswers(node, spoiled, length) => {
+                self.nodes[node.0].spoiled = spoiled;
                 self.nodes[node.0].spoiled_until = until(self, length);
             }
             Step::DelayAnswers(node, delay, length) => {
@@ -514,8 +518,8 @@
                 Effect::FetchConfig(to) => (to, Delivery::FetchConfig(me, tags.clone())),
                 Effect::FetchMembers(to) => (to, Delivery::FetchMembers(me, digest.clone())),
                 Effect::QueryFloor(source, to) => (to, Delivery::QueryFloor(me, source)),
-                Effect::Call(purpose, after) => {
-                    self.call(me, purpose, after);
+                Effect::Call(purpose, request) => {
+                    self.call(me, purpose, request);
                     continue;
                 }
                 Effect::WatchAgain(watch, wait) => {
@@ -531,11 +535,11 @@
 
 /// Calls to the store.
 impl Mesh {
-    fn call(&mut self, caller: ProcessKey, purpose: Purpose, after: Option<Revision>) {
+    fn call(&mut self, caller: ProcessKey, purpose: Purpose, request: NextCall) {
         let call = Call {
             caller,
             purpose,
-            after,
+            request,
             first_page: None,
             unchanged_at: None,
             deadline: self.now.after(WATCH_WAIT),
@@ -576,7 +580,7 @@
             return self.fail(call);
         }
         let delay = self.answer_delay(call.caller.node);
-        if call.after.is_none() {
+        if call.request == NextCall::Load {
             call.first_page = Some(self.store.latest_revision());
         }
         self.schedule(delay, Work::Answer(call));
@@ -593,11 +597,12 @@
             return self.schedule(WATCH_POLL, Work::Answer(call));
         }
         call.unchanged_at = revision;
+        let state = &self.nodes[node.0];
         let client = Client {
             store: Arc::clone(&self.store),
-            known_era: self.nodes[node.0].known_era,
+            known_era: state.known_era,
             first_page: call.first_page,
-            is_spoiled: self.now < self.nodes[node.0].spoiled_until,
+            spoiled: (self.now < state.spoiled_until).then_some(state.spoiled),
             is_over,
         };
         let source = TicketSource::new(Arc::new(client));
@@ -605,9 +610,9 @@
             return;
         };
         let known = process.configs.cache().clone();
-        let result = match call.after {
-            Some(after) => source.watch(after, WATCH_WAIT, known).now_or_never(),
-            None => source.load(known).now_or_never(),
+        let result = match call.request {
+            NextCall::Watch(after) => source.watch(after, WATCH_WAIT, known).now_or_never(),
+            NextCall::Load => source.load(known).now_or_never(),
         };
         let Some(result) = result else {
             return self.schedule(WATCH_POLL, Work::Answer(call));
--- a/crates/node/tests/configuration/plan.rs
+++ b/crates/node/tests/configuration/plan.rs
@@ -26,6 +26,15 @@
     pub(crate) server_writes: u8,
 }
 
+/// Which part of an entry cannot be read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Spoiled {
+    /// Its value: the configuration cannot be used.
+    Value,
+    /// All of it: the client leaves the entry out.
+    Entry,
+}
+
 /// One step of a plan.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Step {
@@ -50,8 +59,8 @@
     Isolate(NodeKey, u16),
     /// The answers of the store to a node are lost for a time.
     LoseAnswers(NodeKey, u16),
-    /// The answers of the store to a node contain an entry that cannot be read, for a time.
-    SpoilAnswers(NodeKey, u16),
+    /// The entries in the answers of the store to a node cannot be read, for a time.
+    SpoilAnswers(NodeKey, Spoiled, u16),
     /// The answers of the store to a node take this long, for a time.
     DelayAnswers(NodeKey, u16, u16),
     /// The process of a node is killed and started again after this time.
@@ -93,6 +102,10 @@
     ]
 }
 
+fn spoiled() -> impl Strategy<Value = Spoiled> {
+    prop_oneof![Just(Spoiled::Value), Just(Spoiled::Entry)]
+}
+
 /// Writes, losses of the store and all other disturbances.
 fn any_step(nodes: usize) -> impl Strategy<Value = Step> {
     let node = move || (0..nodes).prop_map(NodeKey);
@@ -103,7 +116,7 @@
         1 => (node(), length()).prop_map(|(n, ms)| Step::CutFromStore(n, ms)),
         1 => (node(), length()).prop_map(|(n, ms)| Step::Isolate(n, ms)),
         1 => (node(), 0..3_000u16).prop_map(|(n, ms)| Step::LoseAnswers(n, ms)),
-        1 => (node(), 0..3_000u16).prop_map(|(n, ms)| Step::SpoilAnswers(n, ms)),
+        1 => (node(), spoiled(), 0..3_000u16).prop_map(|(n, s, ms)| Step::SpoilAnswers(n, s, ms)),
         1 => (node(), 0..600u16, length()).prop_map(|(n, d, ms)| Step::DelayAnswers(n, d, ms)),
         1 => (node(), 0..1_000u16).prop_map(|(n, ms)| Step::Restart(n, ms)),
     ]
--- a/crates/node/tests/configuration/process.rs
+++ b/crates/node/tests/configuration/process.rs
@@ -4,7 +4,8 @@
 use knapweed_link::Delta;
 use knapweed_node::control::config::ConfigStore;
 use knapweed_node::source::{Error, LoadedConfig, SourceUpdate};
-use knapweed_store::{Error as StoreError, Revision};
+use knapweed_store::Error as StoreError;
+use knapweed_store::cursor::NextCall;
 use knapweed_world::snapshot::HostEntry;
 use knapweed_world::{ConfigVersion, Name, StoreEra, Time, UnixMillis};
 use knapweed_zone::directory::SharedRecord;
@@ -38,8 +39,8 @@
     FetchConfig(SocketAddr),
     FetchMembers(SocketAddr),
     QueryFloor(Source, SocketAddr),
-    /// Calls the store: a watch from this revision, or else a load.
-    Call(Purpose, Option<Revision>),
+    /// Calls the store.
+    Call(Purpose, NextCall),
     /// Calls [`Process::watch_again`] after this time.
     WatchAgain(u32, Duration),
 }
@@ -164,7 +165,7 @@
     /// Makes the next call of a watch, unless it has ended.
     pub(crate) fn watch_again(&mut self, watch: u32) {
         if let Some(state) = self.watch.as_ref().filter(|_| watch == self.watches) {
-            let call = Effect::Call(Purpose::Watch(watch), state.after());
+            let call = Effect::Call(Purpose::Watch(watch), state.next_call());
             self.effects.push(call);
         }
     }
@@ -208,13 +209,23 @@
         let Some(state) = self.watch.as_mut().filter(|_| watch == self.watches) else {
             return;
         };
-        let wait = state.finished(result.as_ref(), &mut self.rng);
-        self.effects.push(Effect::WatchAgain(watch, wait));
+        let wait = match &result {
+            Ok(update) => {
+                state.succeeded(update);
+                None
+            }
+            Err(err) => state.failed(err, &mut self.rng),
+        };
+        let again = Effect::WatchAgain(watch, wait.unwrap_or_default());
+        self.effects.push(again);
         match result {
             Ok(update) => self.source_updated(now, update),
-            Err(Error::Store(StoreError::HistoryCompacted(_))) => {}
+            Err(_) if wait.is_none() => {}
             Err(err) => {
-                let reached = matches!(err, Error::Unusable(_));
+                let reached = matches!(
+                    err,
+                    Error::Store(StoreError::HistoryCompacted(_)) | Error::Unusable(_)
+                );
                 self.member_event(now, membership::Event::StoreReached(reached));
             }
         }
@@ -249,7 +260,9 @@
                 floor::Action::Ask {
                     source: Source::Platform,
                     ..
-                } => self.effects.push(Effect::Call(Purpose::Floor, None)),
+                } => self
+                    .effects
+                    .push(Effect::Call(Purpose::Floor, NextCall::Load)),
                 floor::Action::Ask { source, count } => self.query_nodes(now, source, count),
                 floor::Action::Fetch(version) => self.fetch_at_least(version),
                 floor::Action::Serve { .. } | floor::Action::RetryLater { .. } => {}
@@ -278,7 +291,7 @@
         let from = up_to_date.map(|r| r.address).choose(&mut self.rng);
         self.effects.push(match from {
             Some(from) => Effect::FetchConfig(from),
-            None => Effect::Call(Purpose::Load, None),
+            None => Effect::Call(Purpose::Load, NextCall::Load),
         });
     }
 
--- a/crates/node/tests/configuration/watch_loop.rs
+++ b/crates/node/tests/configuration/watch_loop.rs
@@ -1,8 +1,8 @@
-//! Copy of the decisions of the watch of the configuration (`control::watch`), whose task
-//! has them between its calls: what to call next, and how long to wait after a failure.
+//! The watch of the configuration between its calls: the cursor in the history of the store,
+//! with the waits of the task in `control::watch`.
 
 use knapweed_node::source::{Error, SourceUpdate};
-use knapweed_store::{Error as StoreError, Revision};
+use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
 use rand::Rng;
 use std::time::Duration;
 
@@ -12,47 +12,47 @@
 /// State of one watch.
 #[derive(Debug)]
 pub(crate) struct WatchLoop {
-    /// Revision from which the next call watches; the next call loads when there is none.
-    after: Option<Revision>,
+    cursor: WatchCursor,
     limit: Duration,
 }
 
 impl Default for WatchLoop {
     fn default() -> Self {
         Self {
-            after: None,
+            cursor: WatchCursor::default(),
             limit: INITIAL_BACKOFF,
         }
     }
 }
 
 impl WatchLoop {
-    pub(crate) fn after(&self) -> Option<Revision> {
-        self.after
+    pub(crate) fn next_call(&self) -> NextCall {
+        self.cursor.next_call()
     }
 
-    /// Handles the result of a call, and returns the wait before the next one.
-    pub(crate) fn finished(
-        &mut self,
-        result: Result<&SourceUpdate, &Error>,
-        rng: &mut impl Rng,
-    ) -> Duration {
-        match result {
-            Ok(update) => {
-                self.limit = INITIAL_BACKOFF;
-                self.after = Some(update.revision);
-                Duration::ZERO
-            }
-            Err(Error::Store(StoreError::HistoryCompacted(_))) => {
-                self.after = None;
-                Duration::ZERO
-            }
-            Err(err) => {
-                self.after = self.after.filter(|_| matches!(err, Error::Store(_)));
-                let wait = rng.random_range(Duration::ZERO..=self.limit);
-                self.limit = (self.limit * 2).min(MAX_BACKOFF);
-                wait
+    pub(crate) fn succeeded(&mut self, update: &SourceUpdate) {
+        self.limit = INITIAL_BACKOFF;
+        match update.is_partial {
+            true => self.cursor.advanced_partially(update.revision),
+            false => self.cursor.advanced(update.revision),
+        }
+    }
+
+    /// Handles a failed call; returns the wait before the next one, or `None` when the task
+    /// makes it at once and reports nothing.
+    pub(crate) fn failed(&mut self, err: &Error, rng: &mut impl Rng) -> Option<Duration> {
+        let retry = match err {
+            Error::Store(err) => self.cursor.failed(err),
+            Error::Unusable(_) => {
+                self.cursor.start_over();
+                Retry::AfterBackoff
             }
+        };
+        if retry == Retry::AtOnce {
+            return None;
         }
+        let wait = rng.random_range(Duration::ZERO..=self.limit);
+        self.limit = (self.limit * 2).min(MAX_BACKOFF);
+        Some(wait)
     }
 }
