--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -11,6 +11,7 @@
 pub mod query;
 pub mod registry;
 pub mod reports;
+mod restored;
 mod results;
 mod rollouts;
 mod streams;
@@ -40,6 +41,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use registry::Registry;
+use restored::Restores;
 use results::PendingResults;
 use rollouts::Rollouts;
 use std::collections::BTreeSet;
@@ -104,6 +106,8 @@
     verdicts: VerdictCalls,
     /// Recent tickets that are known to have a final result.
     finished_tickets: BTreeSet<TicketNumber>,
+    /// Eras of the object store.
+    restores: Restores,
     /// Whether this node has left the gossip.
     is_stopped: bool,
     /// Entries that the source of the configuration in force could not use as written; 0
@@ -166,6 +170,7 @@
             crash_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             rollout_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             finished_tickets: BTreeSet::new(),
+            restores: Restores::default(),
             is_stopped: false,
             config_problems: 0,
             was_current: false,
@@ -211,7 +216,7 @@
             };
             log::info!(
                 target: part::CONFIG,
-                applied = applied.0, newest_known = newest.0, era = freshness.era().0;
+                applied = applied.0, newest_known = newest.0, era = freshness.era().map(|era| era.0);
                 "the configuration in force {state}"
             );
         }
@@ -228,6 +233,7 @@
     fn tick(&mut self, now: Time) {
         self.member_event(now, membership::Event::Tick);
         self.floor_tick(now);
+        self.restore_tick(now);
         self.registry_tick(now);
         self.order_tick();
         self.rollout_tick(now);
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -127,6 +127,7 @@
         };
         let ticket = tracked.config.ticket;
         self.orders.tracked.insert(order.service.clone(), tracked);
+        self.report_unreported(now, &order, ticket);
         if !is_new {
             return;
         }
@@ -135,17 +136,32 @@
             "order {ticket}: service {} to version {} within {:?}, reported {:?}",
             order.service, order.target, order.time, order.reported
         );
-        if order.reported.is_none() {
-            self.report_order(&order.service, &order.target, ticket, Progress::Running);
-        }
         // Starts the move without waiting for the next tick of rollout control.
         self.control_rollouts(now);
     }
 
+    /// Reports the progress of an order whose source has none, or no end: it is new, or the
+    /// store has lost what was reported.
+    fn report_unreported(&mut self, now: Time, order: &Order, ticket: TicketNumber) {
+        let state = self.rollouts.states().get(&order.service);
+        let has_ended = state.is_some_and(|s| s.ticket == ticket && s.phase.is_final());
+        match (has_ended, order.reported) {
+            (true, None | Some(Progress::Running)) => {
+                let missing = rollout::Event::ResultMissing(ticket);
+                self.rollout_event(now, &order.service, missing);
+            }
+            (false, None) => {
+                self.report_order(&order.service, &order.target, ticket, Progress::Running);
+            }
+            _ => {}
+        }
+    }
+
     /// Configuration of the service as a ticket with this order would set it.
     ///
     /// Orders are numbered per service. An order to another target than that of the
-    /// known rollout state gets the number after that of the state.
+    /// known rollout state gets the number after that of the state. An order that is read
+    /// again before its state is stored keeps its number and terms.
     fn config_for_order(&self, order: &Order) -> ServiceConfig {
         let target = vec![VersionShare {
             version: order.target.clone(),
@@ -157,7 +173,12 @@
             Some(state) => (state.ticket, state.terms.clone()),
             None => {
                 let last = state.map_or(TicketNumber(0), |state| state.ticket);
-                (TicketNumber(last.0 + 1), self.terms(order, state))
+                let ticket = TicketNumber(last.0 + 1);
+                let tracked = self.orders.config(&order.service);
+                let same = tracked.filter(|c| c.ticket == ticket && c.versions == target);
+                let terms = same.and_then(|config| config.rollout.clone());
+                let terms = terms.filter(|t| t.deadline.since(t.start) == order.time);
+                (ticket, terms.unwrap_or_else(|| self.terms(order, state)))
             }
         };
         ServiceConfig {
@@ -195,10 +216,20 @@
 /// Reporting the progress of orders to their source.
 impl Controller {
     /// Reports the end of a rollout; returns whether it belongs to an order.
-    pub(super) fn report_end(&mut self, result: &TicketResult) -> bool {
+    ///
+    /// With a source of orders all rollouts do. An order that the source does not have, such
+    /// as one that the store has lost, needs no report until it is there again.
+    pub(super) fn report_end(&mut self, now: Time, result: &TicketResult) -> bool {
+        if self.dependencies.orders.is_none() {
+            return false;
+        }
         let service = &result.service;
         let Some(config) = self.orders.config(service) else {
-            return false;
+            if self.orders.is_loaded() {
+                let confirmed = rollout::Event::ResultWritten(result.ticket);
+                self.rollout_event(now, service, confirmed);
+            }
+            return true;
         };
         let progress = match result.outcome {
             rollout::Outcome::Completed { .. } => Progress::Completed,
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -132,18 +132,26 @@
     pub(super) fn source_updated(&mut self, update: SourceUpdate) {
         let now = self.now();
         self.record_store_reachable(now, true);
+        // An update that left something out may lack a newer version.
+        if !update.is_partial {
+            self.config_confirmed(now, &update);
+        }
+        if let Some(loaded) = update.loaded {
+            self.config_loaded(loaded);
+        }
+    }
+
+    /// Records which version the store has; an update without a configuration confirms the
+    /// one before.
+    fn config_confirmed(&mut self, now: Time, update: &SourceUpdate) {
         let era = update.revision.era;
         let (known_era, known) = self.stored_config;
-        let unchanged = known_era == era;
         let version = match &update.loaded {
             Some(loaded) => loaded.head.version,
-            None if unchanged => known,
+            None if known_era == era => known,
             None => ConfigVersion::default(),
         };
         self.stored_config = (era, version);
-        if let Some(loaded) = update.loaded {
-            self.config_loaded(loaded);
-        }
         self.member_event(now, membership::Event::ConfigConfirmed { era, version });
     }
 }
--- a/crates/node/tests/configuration/client.rs
+++ b/crates/node/tests/configuration/client.rs
@@ -30,7 +30,7 @@
 impl Client {
     /// A revision as the store understands it: a number in its own era.
     fn understood(&self, revision: Revision) -> Revision {
-        Revision::new(revision.number).in_era(self.store.era())
+        Revision::new(revision.number).in_era(self.store.latest_revision().era)
     }
 
     /// Revision of a listing whose pages are all of one era.
--- a/crates/node/tests/configuration/mesh.rs
+++ b/crates/node/tests/configuration/mesh.rs
@@ -12,7 +12,7 @@
 use knapweed_store::cursor::NextCall;
 use knapweed_store::memory::{Faults, Limits};
 use knapweed_store::{
-    Backup, Error as StoreError, MemoryStore, ObjectKey, ObjectStore, Revision, StoreEra,
+    Backup, Error as StoreError, MemoryStore, ObjectKey, Revision, StoreEra,
 };
 use knapweed_world::snapshot::HostEntry;
 use knapweed_world::{ConfigVersion, Name, Time};
@@ -617,7 +617,7 @@
         let Some(result) = result else {
             return self.schedule(WATCH_POLL, Work::Answer(call));
         };
-        let era = self.store.era();
+        let era = self.store.latest_revision().era;
         let state = &mut self.nodes[node.0];
         let (wait, result) = match self.now < state.lost_until {
             true => {
