--- a/crates/node/tests/configuration/mesh.rs
+++ b/crates/node/tests/configuration/mesh.rs
@@ -11,9 +11,7 @@
 use knapweed_node::source::{ConfigSource, Error, SourceUpdate};
 use knapweed_store::cursor::NextCall;
 use knapweed_store::memory::{Faults, Limits};
-use knapweed_store::{
-    Backup, Error as StoreError, MemoryStore, ObjectKey, Revision, StoreEra,
-};
+use knapweed_store::{Backup, Error as StoreError, MemoryStore, ObjectKey, Revision, StoreEra};
 use knapweed_world::snapshot::HostEntry;
 use knapweed_world::{ConfigVersion, Name, Time};
 use knapweed_zone::Message;
--- a/crates/node/tests/configuration/process.rs
+++ b/crates/node/tests/configuration/process.rs
@@ -224,7 +224,8 @@
             Err(err) => {
                 let reached = matches!(
                     err,
-                    Error::Store(StoreError::HistoryCompacted(_)) | Error::Unusable(_)
+                    Error::Store(StoreError::HistoryCompacted(_) | StoreError::Malformed(_))
+                        | Error::Unusable(_)
                 );
                 self.member_event(now, membership::Event::StoreReached(reached));
             }
