test(node): partial updates confirm nothing in the property test

Cause: control::watch ignores the version of an update that left something out, and the model did not.

Change: the model has the same rule.

--- a/crates/node/tests/configuration/process.rs
+++ b/crates/node/tests/configuration/process.rs
@@ -234,18 +234,23 @@
 
     fn source_updated(&mut self, now: Time, update: SourceUpdate) {
         self.member_event(now, membership::Event::StoreReached(true));
+        if !update.is_partial {
+            self.config_confirmed(now, &update);
+        }
+        if let Some(loaded) = update.loaded {
+            self.loaded(now, loaded);
+        }
+    }
+
+    fn config_confirmed(&mut self, now: Time, update: &SourceUpdate) {
         let era = update.revision.era;
         let (known_era, known) = self.stored_config;
-        let unchanged = known_era == era;
         let version = match &update.loaded {
             Some(loaded) => loaded.head.version,
-            None if unchanged => known,
+            None if known_era == era => known,
             None => ConfigVersion::default(),
         };
         self.stored_config = (era, version);
-        if let Some(loaded) = update.loaded {
-            self.loaded(now, loaded);
-        }
         self.member_event(now, membership::Event::ConfigConfirmed { era, version });
     }
 }
