--- a/crates/node/src/control/restored.rs
+++ b/crates/node/src/control/restored.rs
@@ -28,6 +28,11 @@
     pub(super) fn era(&self) -> StoreEra {
         self.era.unwrap_or_default()
     }
+
+    /// Whether what the operator wrote since the copy may still be missing.
+    pub(super) fn is_recent(&self) -> bool {
+        self.second_check.is_some()
+    }
 }
 
 impl Controller {
@@ -41,6 +46,7 @@
         if self.restores.second_check.is_some_and(|at| now >= at) {
             self.restores.second_check = None;
             self.forget_confirmations();
+            self.read_held_orders();
         }
     }
 
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -9,7 +9,10 @@
 use knapweed_host::crash::{CrashRecord, Evidence as CrashEvidence, Subject};
 use knapweed_node::orders::Progress;
 use knapweed_rollout::result::PullBackReason;
-use knapweed_rollout::{Epoch, Evidence, Holder, Phase, RolloutState, Tenure};
+use knapweed_rollout::{
+    Epoch, Evidence, Holder, Outcome, Phase, RolloutState, Tenure, TicketResult,
+};
+use knapweed_store::memory::Faults;
 use knapweed_store::{ObjectKey, Revision};
 use knapweed_wire::{StreamHead, decode, encode};
 use knapweed_world::config::{Caution, RolloutTerms, VersionShare};
@@ -326,3 +329,151 @@
     older.epoch = Epoch(2);
     assert_eq!(answers_to_holder(&mesh, older).await, [known]);
 }
+
+/// Guards against results of orders that were superseded and that nobody reads: they were never
+/// confirmed, and with nine of them the next order did not start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn results_of_superseded_orders_hold_up_no_order() {
+    let mut mesh = Mesh::new(&["calendar"]);
+    let mut ended = state("calendar", Phase::Completed);
+    ended.ticket = TicketNumber(20);
+    ended.owed = (1..=9)
+        .map(|number| TicketResult {
+            ticket: TicketNumber(number),
+            service: name("calendar"),
+            outcome: Outcome::Superseded {
+                at: ended.changed,
+                by: TicketNumber(number + 1),
+            },
+            evidence: Evidence::default(),
+        })
+        .collect();
+    mesh.store.put(&key("calendar"), &ended).await;
+    mesh.orders.put("calendar", "v3", None).await;
+    mesh.start().await;
+    until("the next rollout is stored", || {
+        let value = mesh.store.value(&key("calendar")).expect("a state");
+        let stored = serde_json::from_slice::<RolloutState>(&value).expect("a state");
+        stored.ticket == TicketNumber(21)
+    })
+    .await;
+}
+
+/// Guards against a holder that spends the platform's rate limit on comparing states while the
+/// store fails: each service that was still to be compared repeated its read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn few_states_are_compared_at_a_time() {
+    const STATES: usize = 64;
+    const OUTAGE: Duration = Duration::from_secs(3);
+    let mut mesh = Mesh::new(&["calendar"]);
+    let services: Vec<_> = (0..STATES).map(|i| format!("service-{i}")).collect();
+    for service in &services {
+        let ended = state(service, Phase::Completed);
+        mesh.store.put(&key(service), &ended).await;
+        let reported = Some(Progress::Completed);
+        mesh.orders.put(service, "v2", reported).await;
+    }
+    mesh.start().await;
+    until("the node knows all states", || {
+        mesh.nodes[0].view().load().rollouts.len() == STATES
+    })
+    .await;
+    let backup = mesh.store.memory.backup();
+    mesh.store.memory.restore(&backup);
+    mesh.store.memory.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    let states_read = || {
+        let kinds = mesh.store.kinds_read.lock();
+        kinds.iter().filter(|k| *k == "mesh-rollouts").count()
+    };
+    let before = states_read();
+    tokio::time::sleep(OUTAGE).await;
+    let reads = states_read() - before;
+    assert!((16..=160).contains(&reads), "{reads} reads in {OUTAGE:?}");
+    mesh.store.memory.set_faults(Faults::default());
+    let before = states_read();
+    until("all states are compared", || {
+        states_read() >= before + STATES
+    })
+    .await;
+}
+
+/// Guards against an older order in the restored store that passes for a new one: traffic moved
+/// back to the version before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_older_order_moves_no_traffic_back() {
+    let services = ["calendar", "mail"];
+    let mut mesh = Mesh::new(&services);
+    let reported = [Progress::Completed, Progress::Running];
+    for (service, reported) in services.iter().zip(reported) {
+        let mut older = state(service, Phase::Completed);
+        older.ticket = TicketNumber(3);
+        older.target = vec![share("v1")];
+        older.terms.from = vec![share("v0")];
+        mesh.store.put(&key(service), &older).await;
+        mesh.orders.put(service, "v1", Some(reported)).await;
+    }
+    let older = mesh.store.memory.backup();
+    for service in services {
+        let ended = state(service, Phase::Completed);
+        mesh.store.put(&key(service), &ended).await;
+        let reported = Some(Progress::Completed);
+        mesh.orders.put(service, "v2", reported).await;
+    }
+    mesh.start().await;
+    until("the node knows all states", || {
+        mesh.nodes[0].view().load().rollouts.len() == services.len()
+    })
+    .await;
+    mesh.store.memory.restore(&older);
+    tokio::time::sleep(QUIET_TIME).await;
+    for service in services {
+        mesh.orders.put(service, "v2", None).await;
+    }
+    tokio::time::sleep(QUIET_TIME).await;
+    let mut out = String::new();
+    for service in services {
+        let known = mesh.nodes[0].view().load().rollouts[&name(service)].clone();
+        let value = mesh.store.value(&key(service)).expect("a state");
+        let stored: RolloutState = serde_json::from_slice(&value).expect("a state");
+        for (label, state) in [("known", known), ("stored", stored)] {
+            let target = &state.target[0].version;
+            let (ticket, phase) = (state.ticket, &state.phase);
+            writeln!(
+                out,
+                "{service}, {label}: ticket {ticket} to {target}, {phase:?}"
+            )
+            .expect("a string");
+        }
+    }
+    let reports = mesh.orders.reports.lock().clone();
+    let reports = reports.iter().map(|report| format!("{report:?}"));
+    let reports: BTreeSet<_> = reports.collect();
+    writeln!(out, "reports: {reports:?}").expect("a string");
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against an order that is held for good because its first holder reported it as running
+/// and ended before it stored the state.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_held_order_starts_after_a_while() {
+    let mut mesh = Mesh::new(&["calendar"]);
+    let ended = state("calendar", Phase::Completed);
+    mesh.store.put(&key("calendar"), &ended).await;
+    let reported = Some(Progress::Running);
+    mesh.orders.put("calendar", "v3", reported).await;
+    let backup = mesh.store.memory.backup();
+    mesh.store.memory.restore(&backup);
+    let before = ended.ticket;
+    mesh.start().await;
+    tokio::time::sleep(QUIET_TIME).await;
+    let ticket = || {
+        let value = mesh.store.value(&key("calendar")).expect("a state");
+        let stored = serde_json::from_slice::<RolloutState>(&value);
+        stored.expect("a state").ticket
+    };
+    assert_eq!(ticket(), before);
+    until("the order has started", || ticket() > before).await;
+}
