fix(node): compare few states at a time after the store has lost data

Cause: the comparison started 16 controllers per tick, whose reads repeat while the store fails. Change: at most 16 ended rollouts are compared at a time.

--- a/crates/node/src/control/rollouts/duty.rs
+++ b/crates/node/src/control/rollouts/duty.rs
@@ -10,10 +10,10 @@
 use knapweed_zone::epidemic::Origin;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Number of services per tick of rollout control whose stored state is compared with the
-/// known one after the object store has come back from an older copy: 80 reads per second,
-/// a small part of the rate limit that all nodes share.
-const CHECKS_PER_TICK: usize = 16;
+/// Largest number of ended rollouts whose stored state is compared with the known one at a
+/// time, after the object store has come back from an older copy: 80 reads per second, a
+/// small part of the rate limit that all nodes share.
+const MAX_CHECKS: usize = 16;
 
 /// What a holder of the duty does after the object store has come back from an older copy.
 impl Controller {
@@ -119,7 +119,7 @@
         needed.retain(is_missing);
         let unsaved = self.rollouts.unsaved.iter();
         let unchecked = unsaved.filter(|name| is_missing(name) && !needed.contains(name));
-        let unchecked: Vec<_> = unchecked.take(CHECKS_PER_TICK).cloned().collect();
+        let unchecked: Vec<_> = unchecked.take(self.free_checks()).cloned().collect();
         needed.extend(unchecked);
         for service in needed {
             let strategies = Box::new(rollout::ByDuration);
@@ -142,6 +142,14 @@
         });
     }
 
+    /// How many more ended rollouts may be compared with their stored state.
+    fn free_checks(&self) -> usize {
+        let controllers = self.rollouts.controllers.values();
+        let states = controllers.filter_map(|controller| controller.state());
+        let checking = states.filter(|state| state.phase.is_final()).count();
+        MAX_CHECKS.saturating_sub(checking)
+    }
+
     fn capacity(&self, service: &Name) -> Vec<ZoneCapacity> {
         let mut slots: BTreeMap<(Name, Name), u32> = BTreeMap::new();
         for (_, record) in self.membership.directory().present() {
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -12,6 +12,7 @@
 use knapweed_rollout::{
     Epoch, Evidence, Holder, Outcome, Phase, RolloutState, Tenure, TicketResult,
 };
+use knapweed_store::memory::Faults;
 use knapweed_store::{ObjectKey, Revision};
 use knapweed_wire::{StreamHead, decode, encode};
 use knapweed_world::config::{Caution, RolloutTerms, VersionShare};
@@ -357,3 +358,44 @@
     })
     .await;
 }
+
+/// Guards against a holder that spends the platform's rate limit on comparing states while the
+/// store fails: each service that was still to be compared repeated its read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn few_states_are_compared_at_a_time() {
+    const STATES: usize = 64;
+    const OUTAGE: Duration = Duration::from_secs(3);
+    let mut mesh = Mesh::new(&["calendar"]);
+    let services: Vec<_> = (0..STATES).map(|i| format!("service-{i}")).collect();
+    for service in &services {
+        let ended = state(service, Phase::Completed);
+        mesh.store.put(&key(service), &ended).await;
+        let reported = Some(Progress::Completed);
+        mesh.orders.put(service, "v2", reported).await;
+    }
+    mesh.start().await;
+    until("the node knows all states", || {
+        mesh.nodes[0].view().load().rollouts.len() == STATES
+    })
+    .await;
+    let backup = mesh.store.memory.backup();
+    mesh.store.memory.restore(&backup);
+    mesh.store.memory.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    let states_read = || {
+        let kinds = mesh.store.kinds_read.lock();
+        kinds.iter().filter(|k| *k == "mesh-rollouts").count()
+    };
+    let before = states_read();
+    tokio::time::sleep(OUTAGE).await;
+    let reads = states_read() - before;
+    assert!((16..=160).contains(&reads), "{reads} reads in {OUTAGE:?}");
+    mesh.store.memory.set_faults(Faults::default());
+    let before = states_read();
+    until("all states are compared", || {
+        states_read() >= before + STATES
+    })
+    .await;
+}
