fix(node): start no order that is older than the known state

After a restore, the store may have an older order of a service. It has another target than the known state, so it passed for a new one, and traffic moved back to the version before. Result: crates/node/tests/nodes/restored.rs: before, both services had ticket 6 after the operator had written the order again, ticket 5 having moved their traffic back; now they keep ticket 4.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -37,6 +37,8 @@
     tracked: BTreeMap<Name, TrackedOrder>,
     /// Whether the source has been read since this node holds the duty.
     is_loaded: bool,
+    /// Whether an order was not started because it may be older than the known state.
+    has_held_orders: bool,
     /// Services whose final progress is being reported.
     reporting: BTreeSet<Name>,
     watch: Option<Watch>,
@@ -100,6 +102,8 @@
         orders: Vec<(Order, Option<RolloutState>)>,
     ) {
         self.record_store_reachable(now, true);
+        // Before the orders, which may be older than the known states.
+        self.store_restored(now, self.dependencies.store.era());
         // The update of a watch that has been stopped may not contain all orders.
         if self.orders.watch.is_none() {
             return;
@@ -117,6 +121,16 @@
     }
 
     fn start_order(&mut self, now: Time, order: Order) {
+        if self.is_outdated(&order) {
+            log::warn!(
+                target: part::ROLLOUT,
+                "did not start the order of service {} to version {}, reported {:?}: \
+                 a newer one is known",
+                order.service, order.target, order.reported
+            );
+            self.orders.has_held_orders = true;
+            return;
+        }
         let config = self.config_for_order(&order);
         let known = self.orders.tracked.get(&order.service);
         let is_new = known.is_none_or(|tracked| tracked.config.ticket != config.ticket);
@@ -139,6 +153,29 @@
         self.control_rollouts(now);
     }
 
+    /// Whether an order is older than the known state, from a store that has lost a later one.
+    ///
+    /// An order to another target than that of the state is new, and nothing is reported for
+    /// its target. A holder that ended before it stored the state may have reported it as
+    /// running, so such an order is held for a while only.
+    fn is_outdated(&self, order: &Order) -> bool {
+        let state = self.rollouts.states().get(&order.service);
+        let is_other = |s: &RolloutState| s.target.iter().any(|v| v.version != order.target);
+        state.is_some_and(is_other)
+            && match order.reported {
+                Some(Progress::Completed | Progress::PulledBack) => true,
+                Some(Progress::Running) => self.restores.is_recent(),
+                None => false,
+            }
+    }
+
+    /// Reads all orders again if one was held.
+    pub(super) fn read_held_orders(&mut self) {
+        if self.orders.has_held_orders {
+            self.orders = OrderBook::default();
+        }
+    }
+
     /// Reports the progress of an order whose source has none, or no end: it is new, or the
     /// store has lost what was reported.
     fn report_unreported(&mut self, now: Time, order: &Order, ticket: TicketNumber) {
--- a/crates/node/src/control/restored.rs
+++ b/crates/node/src/control/restored.rs
@@ -27,6 +27,11 @@
     pub(super) fn era(&self) -> StoreEra {
         self.era
     }
+
+    /// Whether what the operator wrote since the copy may still be missing.
+    pub(super) fn is_recent(&self) -> bool {
+        self.second_check.is_some()
+    }
 }
 
 impl Controller {
@@ -36,6 +41,7 @@
         if self.restores.second_check.is_some_and(|at| now >= at) {
             self.restores.second_check = None;
             self.forget_confirmations();
+            self.read_held_orders();
         }
     }
 
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -399,3 +399,81 @@
     })
     .await;
 }
+
+/// Guards against an older order in the restored store that passes for a new one: traffic moved
+/// back to the version before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_older_order_moves_no_traffic_back() {
+    let services = ["calendar", "mail"];
+    let mut mesh = Mesh::new(&services);
+    let reported = [Progress::Completed, Progress::Running];
+    for (service, reported) in services.iter().zip(reported) {
+        let mut older = state(service, Phase::Completed);
+        older.ticket = TicketNumber(3);
+        older.target = vec![share("v1")];
+        older.terms.from = vec![share("v0")];
+        mesh.store.put(&key(service), &older).await;
+        mesh.orders.put(service, "v1", Some(reported)).await;
+    }
+    let older = mesh.store.memory.backup();
+    for service in services {
+        let ended = state(service, Phase::Completed);
+        mesh.store.put(&key(service), &ended).await;
+        let reported = Some(Progress::Completed);
+        mesh.orders.put(service, "v2", reported).await;
+    }
+    mesh.start().await;
+    until("the node knows all states", || {
+        mesh.nodes[0].view().load().rollouts.len() == services.len()
+    })
+    .await;
+    mesh.store.memory.restore(&older);
+    tokio::time::sleep(QUIET_TIME).await;
+    for service in services {
+        mesh.orders.put(service, "v2", None).await;
+    }
+    tokio::time::sleep(QUIET_TIME).await;
+    let mut out = String::new();
+    for service in services {
+        let known = mesh.nodes[0].view().load().rollouts[&name(service)].clone();
+        let value = mesh.store.value(&key(service)).expect("a state");
+        let stored: RolloutState = serde_json::from_slice(&value).expect("a state");
+        for (label, state) in [("known", known), ("stored", stored)] {
+            let target = &state.target[0].version;
+            let (ticket, phase) = (state.ticket, &state.phase);
+            writeln!(
+                out,
+                "{service}, {label}: ticket {ticket} to {target}, {phase:?}"
+            )
+            .expect("a string");
+        }
+    }
+    let reports = mesh.orders.reports.lock().clone();
+    let reports = reports.iter().map(|report| format!("{report:?}"));
+    let reports: BTreeSet<_> = reports.collect();
+    writeln!(out, "reports: {reports:?}").expect("a string");
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against an order that is held for good because its first holder reported it as running
+/// and ended before it stored the state.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_held_order_starts_after_a_while() {
+    let mut mesh = Mesh::new(&["calendar"]);
+    let ended = state("calendar", Phase::Completed);
+    mesh.store.put(&key("calendar"), &ended).await;
+    let reported = Some(Progress::Running);
+    mesh.orders.put("calendar", "v3", reported).await;
+    let backup = mesh.store.memory.backup();
+    mesh.store.memory.restore(&backup);
+    let before = ended.ticket;
+    mesh.start().await;
+    tokio::time::sleep(QUIET_TIME).await;
+    let ticket = || {
+        let value = mesh.store.value(&key("calendar")).expect("a state");
+        let stored = serde_json::from_slice::<RolloutState>(&value);
+        stored.expect("a state").ticket
+    };
+    assert_eq!(ticket(), before);
+    until("the order has started", || ticket() > before).await;
+}
