--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -108,7 +108,7 @@
         let stored = value.and_then(|v| serde_json::from_slice::<RolloutState>(&v).ok());
         stored.is_some_and(|s| s.cmp_precedence(&before[&name(service)]).is_ge())
     };
-    holds_soon(|| SERVICES.iter().all(|s| is_stored(s))).await;
+    holds_soon(|| SERVICES.iter().all(is_stored)).await;
     let mut out = String::new();
     for service in SERVICES {
         writeln!(out, "{service}: stored {}", is_stored(&service)).expect("a string");
@@ -185,11 +185,11 @@
         mesh.store.value(&key).is_some()
     };
     until("all hosts are registered", || {
-        hosts.iter().all(|h| is_registered(h))
+        hosts.iter().all(is_registered)
     })
     .await;
     mesh.store.memory.restore(&empty);
-    let all = holds_soon(|| hosts.iter().all(|h| is_registered(h))).await;
+    let all = holds_soon(|| hosts.iter().all(is_registered)).await;
     let found: Vec<_> = hosts.iter().filter(|h| is_registered(h)).collect();
     assert!(all, "found only {found:?}");
 }
