--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -256,7 +256,7 @@
                 self.member_event(now, membership::Event::Members(records));
             }
             Event::LoadedConfig(loaded) => self.config_loaded(loaded),
-            Event::SourceUpdate(update) => self.source_updated(update),
+            Event::SourceUpdate { update, age } => self.source_updated(update, age),
             Event::SourceUnavailable => {
                 self.record_store_reachable(now, false);
             }
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -14,6 +14,7 @@
 use knapweed_zone::directory::SharedRecord;
 use knapweed_zone::floor;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
 /// Capacity of the event queue of the control thread.
@@ -50,7 +51,11 @@
     /// A configuration was loaded outside the watch, after a ticket was accepted.
     LoadedConfig(LoadedConfig),
     /// A load or watch of the configuration source succeeded.
-    SourceUpdate(SourceUpdate),
+    SourceUpdate {
+        update: SourceUpdate,
+        /// Largest age of the state that it describes.
+        age: Duration,
+    },
     /// A watch of configurations or orders failed.
     SourceUnavailable,
     /// The store answered, but what it holds cannot be used.
--- a/crates/node/src/control/floor.rs
+++ b/crates/node/src/control/floor.rs
@@ -113,11 +113,15 @@
     /// node has served a version that the source does not have.
     fn query_source(&self) {
         let (configs, handle) = (Arc::clone(&self.dependencies.configs), self.handle.clone());
+        let timer = self.dependencies.timer.clone();
         tokio::spawn(async move {
-            let event = match configs.load(known_parts(&handle).await).await {
+            let known = known_parts(&handle).await;
+            let started = timer.now();
+            let event = match configs.load(known).await {
                 Ok(update) => {
+                    let age = timer.now().since(started);
                     let newest = update.loaded.as_ref().map(|loaded| loaded.head.version);
-                    handle.send(Event::SourceUpdate(update)).await;
+                    handle.send(Event::SourceUpdate { update, age }).await;
                     floor::Event::Answer(FloorAnswer {
                         source: Source::Platform,
                         served: newest.unwrap_or_default(),
--- a/crates/node/src/control/restored.rs
+++ b/crates/node/src/control/restored.rs
@@ -51,14 +51,17 @@
     }
 
     fn era_begun(&mut self, now: Time, era: StoreEra) {
-        // What this process knows is not older than the first era that it learns of.
-        let Some(before) = self.restores.era.replace(era) else {
-            return self.publish_view();
-        };
-        log::warn!(
-            target: part::PLATFORM,
-            "the store came back from an older copy: era {era} after {before}"
-        );
+        match self.restores.era.replace(era) {
+            Some(before) => log::warn!(
+                target: part::PLATFORM,
+                "the store came back from an older copy: era {era} after {before}"
+            ),
+            // The store may have lost changes before this process started.
+            None if era > StoreEra(0) => {
+                log::info!(target: part::PLATFORM, "the store is in era {era}");
+            }
+            None => return,
+        }
         self.restores.second_check = Some(now.after(SECOND_CHECK_DELAY));
         self.forget_confirmations();
         self.rollouts_restored(now);
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -9,6 +9,7 @@
 use knapweed_observe::part;
 use knapweed_store::Error as StoreError;
 use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
+use knapweed_timer::TimerService;
 use knapweed_world::{ConfigVersion, Time};
 use knapweed_zone::membership;
 use rand::Rng;
@@ -44,17 +45,23 @@
         self.watch = Watch::default();
         if on {
             let (source, handle) = (Arc::clone(&self.dependencies.configs), self.handle.clone());
-            self.watch = Watch(Some(tokio::spawn(watch(source, handle))));
+            let timer = self.dependencies.timer.clone();
+            self.watch = Watch(Some(tokio::spawn(watch(source, handle, timer))));
         }
     }
 
     /// Loads the configuration once from its source.
     pub(super) fn load_from_source(&self) {
         let (source, handle) = (Arc::clone(&self.dependencies.configs), self.handle.clone());
+        let timer = self.dependencies.timer.clone();
         tokio::spawn(async move {
             let known = known_parts(&handle).await;
+            let started = timer.now();
             match source.load(known).await {
-                Ok(update) => handle.send(Event::SourceUpdate(update)).await,
+                Ok(update) => {
+                    let age = timer.now().since(started);
+                    handle.send(Event::SourceUpdate { update, age }).await;
+                }
                 Err(err) => {
                     log::debug!(target: part::CONFIG, "could not load the configuration: {err}");
                 }
@@ -63,14 +70,18 @@
     }
 }
 
-async fn watch(source: Arc<dyn ConfigSource>, handle: ControlHandle) {
+async fn watch(source: Arc<dyn ConfigSource>, handle: ControlHandle, timer: TimerService) {
     let mut limit = INITIAL_BACKOFF;
     let mut cursor = WatchCursor::default();
     loop {
         let known = known_parts(&handle).await;
-        let update = match cursor.next_call() {
-            NextCall::Watch(revision) => source.watch(revision, WATCH_WAIT, known).await,
-            NextCall::Load => source.load(known).await,
+        let started = timer.now();
+        let (update, wait) = match cursor.next_call() {
+            NextCall::Watch(revision) => {
+                let update = source.watch(revision, WATCH_WAIT, known).await;
+                (update, WATCH_WAIT)
+            }
+            NextCall::Load => (source.load(known).await, Duration::ZERO),
         };
         match update {
             Ok(update) => {
@@ -79,7 +90,8 @@
                     true => cursor.advanced_partially(update.revision),
                     false => cursor.advanced(update.revision),
                 }
-                handle.send(Event::SourceUpdate(update)).await;
+                let age = update.age(timer.now().since(started), wait);
+                handle.send(Event::SourceUpdate { update, age }).await;
             }
             Err(err) => {
                 if failed(&mut cursor, &err) == Retry::AtOnce {
@@ -130,12 +142,12 @@
         self.member_event(now, membership::Event::StoreReached(reached));
     }
 
-    pub(super) fn source_updated(&mut self, update: SourceUpdate) {
+    pub(super) fn source_updated(&mut self, update: SourceUpdate, age: Duration) {
         let now = self.now();
         self.record_store_reachable(now, true);
         // An update that left something out may lack a newer version.
         if !update.is_partial {
-            self.config_confirmed(now, &update);
+            self.config_confirmed(now, &update, age);
         }
         if let Some(loaded) = update.loaded {
             self.config_loaded(loaded);
@@ -144,7 +156,7 @@
 
     /// Records which version the store has; an update without a configuration confirms the
     /// one before.
-    fn config_confirmed(&mut self, now: Time, update: &SourceUpdate) {
+    fn config_confirmed(&mut self, now: Time, update: &SourceUpdate, age: Duration) {
         let era = update.revision.era;
         let (known_era, known) = self.stored_config;
         let version = match &update.loaded {
@@ -153,7 +165,8 @@
             None => ConfigVersion::default(),
         };
         self.stored_config = (era, version);
-        self.member_event(now, membership::Event::ConfigConfirmed { era, version });
+        let at = now.before(age);
+        self.member_event(now, membership::Event::ConfigConfirmed { era, version, at });
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,6 +33,7 @@
 use knapweed_wire::{StreamHead, decode};
 use knapweed_world::snapshot::{Builder as SnapshotBuilder, HostEntry};
 use knapweed_world::{Config, Name, SnapshotCell};
+use knapweed_zone::freshness::CONFIRMED_FOR;
 use knapweed_zone::{Incarnation, MemberRecord, Membership};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -97,6 +98,7 @@
     link_rate: Option<LinkRate>,
     drain: drain::Options,
     retries: retry::Options,
+    in_force_within: Duration,
 }
 
 impl Builder {
@@ -126,6 +128,13 @@
         self
     }
 
+    /// Sets the time within which a new configuration must be in force, 3 s by default. For as
+    /// long as that, a configuration counts as the newest after the store has confirmed it.
+    pub fn in_force_within(mut self, time: Duration) -> Self {
+        self.in_force_within = time;
+        self
+    }
+
     /// Starts the node.
     ///
     /// # Errors
@@ -165,6 +174,7 @@
             link_rate: None,
             drain: drain::Options::default(),
             retries: retry::Options::default(),
+            in_force_within: CONFIRMED_FOR,
         }
     }
 
@@ -207,7 +217,7 @@
             timer: timer.clone(),
             view: Arc::clone(&view),
         };
-        let membership = membership(&node_identity, &timer);
+        let membership = membership(&node_identity, &timer).confirmed_for(settings.in_force_within);
         start_control(
             Controller::new(dependencies, control.clone(), membership),
             events,
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -46,6 +46,20 @@
     pub revision: Revision,
 }
 
+impl SourceUpdate {
+    /// Largest age of the state that this answer describes, if the call took `elapsed`.
+    ///
+    /// A watch that found no change for `wait` was answered at the end of that time; 0 for a
+    /// load.
+    pub fn age(&self, elapsed: Duration, wait: Duration) -> Duration {
+        let is_unchanged = self.loaded.is_none() && !self.is_partial;
+        match is_unchanged && elapsed >= wait {
+            true => elapsed - wait,
+            false => elapsed,
+        }
+    }
+}
+
 /// A source of configurations.
 pub trait ConfigSource: Send + Sync {
     /// Loads the newest configuration. Parts in `known` need not be read again.
--- a/crates/node/tests/configuration/mesh.rs
+++ b/crates/node/tests/configuration/mesh.rs
@@ -4,7 +4,7 @@
 use crate::ms;
 use crate::operator::{APPLY_BOUND, Operator, put};
 use crate::plan::{Loss, Plan, Spoiled, Step};
-use crate::process::{Effect, Process, Purpose};
+use crate::process::{Asked, Effect, Process, Purpose};
 use futures_util::FutureExt;
 use knapweed_link::{Delta, PartTag};
 use knapweed_node::source::tickets::TicketSource;
@@ -91,6 +91,18 @@
     deadline: Time,
 }
 
+impl Call {
+    fn asked(&self) -> Asked {
+        Asked {
+            at: self.deadline.before(WATCH_WAIT),
+            wait: match self.request {
+                NextCall::Watch(_) => WATCH_WAIT,
+                NextCall::Load => Duration::ZERO,
+            },
+        }
+    }
+}
+
 /// Something that happens at a node.
 #[derive(Clone, Debug)]
 enum Delivery {
@@ -107,7 +119,7 @@
     Delta(SocketAddr, Option<Delta>),
     Members(Vec<SharedRecord>),
     Floor(floor::Event),
-    Store(Purpose, Result<SourceUpdate, Error>),
+    Store(Purpose, Asked, Result<SourceUpdate, Error>),
     WatchAgain(u32),
 }
 
@@ -490,7 +502,9 @@
             Reply::Delta(from, delta) => process.delta(now, from, delta),
             Reply::Members(records) => process.members(now, records),
             Reply::Floor(event) => process.floor_event(now, event),
-            Reply::Store(purpose, result) => process.store_answered(now, purpose, result),
+            Reply::Store(purpose, asked, result) => {
+                process.store_answered(now, purpose, asked, result);
+            }
             Reply::WatchAgain(watch) => process.watch_again(watch),
         }
         self.execute_effects(to.node);
@@ -559,7 +573,7 @@
             true => Duration::from_micros(self.rng.random_range(STORE_DELAY_US)),
             false => CALL_TIMEOUT,
         };
-        let reply = Reply::Store(call.purpose, Err(err.into()));
+        let reply = Reply::Store(call.purpose, call.asked(), Err(err.into()));
         self.schedule(wait, Work::Reply(call.caller, reply));
     }
 
@@ -629,7 +643,7 @@
                 (slow + Duration::from_micros(wait), result)
             }
         };
-        let reply = Reply::Store(call.purpose, result);
+        let reply = Reply::Store(call.purpose, call.asked(), result);
         self.schedule(wait, Work::Reply(call.caller, reply));
     }
 }
--- a/crates/node/tests/configuration/process.rs
+++ b/crates/node/tests/configuration/process.rs
@@ -21,6 +21,13 @@
 /// Unix time in milliseconds at the start of a run.
 const EPOCH_MS: u64 = 1_700_000_000_000;
 
+/// When a call to the store began, and how long it lets the store wait for a change.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Asked {
+    pub(crate) at: Time,
+    pub(crate) wait: Duration,
+}
+
 /// Why a process calls the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Purpose {
@@ -175,10 +182,11 @@
         &mut self,
         now: Time,
         purpose: Purpose,
+        asked: Asked,
         result: Result<SourceUpdate, Error>,
     ) {
         match purpose {
-            Purpose::Watch(watch) => self.watch_answered(now, watch, result),
+            Purpose::Watch(watch) => self.watch_answered(now, watch, asked, result),
             Purpose::Floor => {
                 let event = match &result {
                     Ok(update) => floor::Event::Answer(FloorAnswer {
@@ -193,19 +201,25 @@
                     Err(_) => floor::Event::Failed(Source::Platform),
                 };
                 if let Ok(update) = result {
-                    self.source_updated(now, update);
+                    self.source_updated(now, asked, update);
                 }
                 self.floor_event(now, event);
             }
             Purpose::Load => {
                 if let Ok(update) = result {
-                    self.source_updated(now, update);
+                    self.source_updated(now, asked, update);
                 }
             }
         }
     }
 
-    fn watch_answered(&mut self, now: Time, watch: u32, result: Result<SourceUpdate, Error>) {
+    fn watch_answered(
+        &mut self,
+        now: Time,
+        watch: u32,
+        asked: Asked,
+        result: Result<SourceUpdate, Error>,
+    ) {
         let Some(state) = self.watch.as_mut().filter(|_| watch == self.watches) else {
             return;
         };
@@ -219,7 +233,7 @@
         let again = Effect::WatchAgain(watch, wait.unwrap_or_default());
         self.effects.push(again);
         match result {
-            Ok(update) => self.source_updated(now, update),
+            Ok(update) => self.source_updated(now, asked, update),
             Err(_) if wait.is_none() => {}
             Err(err) => {
                 let reached = matches!(
@@ -232,17 +246,18 @@
         }
     }
 
-    fn source_updated(&mut self, now: Time, update: SourceUpdate) {
+    fn source_updated(&mut self, now: Time, asked: Asked, update: SourceUpdate) {
         self.member_event(now, membership::Event::StoreReached(true));
         if !update.is_partial {
-            self.config_confirmed(now, &update);
+            let age = update.age(now.since(asked.at), asked.wait);
+            self.config_confirmed(now, now.before(age), &update);
         }
         if let Some(loaded) = update.loaded {
             self.loaded(now, loaded);
         }
     }
 
-    fn config_confirmed(&mut self, now: Time, update: &SourceUpdate) {
+    fn config_confirmed(&mut self, now: Time, at: Time, update: &SourceUpdate) {
         let era = update.revision.era;
         let (known_era, known) = self.stored_config;
         let version = match &update.loaded {
@@ -251,7 +266,7 @@
             None => ConfigVersion::default(),
         };
         self.stored_config = (era, version);
-        self.member_event(now, membership::Event::ConfigConfirmed { era, version });
+        self.member_event(now, membership::Event::ConfigConfirmed { era, version, at });
     }
 }
 
--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -1,19 +1,18 @@
 //! Whether the configuration on this node is known to be the newest one.
 //!
 //! A node that reads the store learns which version is the newest; its messages pass that on
-//! with its age. A node that has not learned it for [`CONFIRMED_FOR`], or that knows of a
-//! newer version than its own, cannot tell a route that does not exist from one that it
+//! with its age. A node that has not learned it for a while, or that knows of a newer version
+//! than its own, cannot tell a route that does not exist from one that it
 //! has not received yet.
 
 use knapweed_world::{ConfigVersion, StoreEra, Time};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Time for which a configuration counts as the newest after the store has confirmed it.
-///
-/// It covers several rounds of pings, by which confirmations spread in an availability zone,
-/// and is about the time within which a new configuration must be in force.
-pub const CONFIRMED_FOR: Duration = Duration::from_secs(4);
+/// Default of the time for which a configuration counts as the newest after the store has
+/// confirmed it: that within which a new configuration must be in force (bound B1). A
+/// configuration that was accepted meanwhile may still be unknown on any node.
+pub const CONFIRMED_FOR: Duration = Duration::from_secs(3);
 
 /// Statement that a version was the newest one in the store.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -25,8 +24,10 @@
 }
 
 /// What a node knows about the newest configuration.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Freshness {
+    /// Time for which a confirmation holds.
+    valid_for: Duration,
     /// The latest era that this node knows of; `None` before the first.
     era: Option<StoreEra>,
     /// The newest version that this node knows of.
@@ -38,16 +39,36 @@
     confirmed_at: Option<Time>,
 }
 
+impl Default for Freshness {
+    fn default() -> Self {
+        Self::new(CONFIRMED_FOR)
+    }
+}
+
+/// Construction.
+impl Freshness {
+    /// A node that knows no configuration. Confirmations hold for `valid_for`.
+    pub fn new(valid_for: Duration) -> Self {
+        Self {
+            valid_for,
+            era: None,
+            newest: ConfigVersion::default(),
+            applied: ConfigVersion::default(),
+            confirmed_at: None,
+        }
+    }
+}
+
 /// Events.
 impl Freshness {
-    /// Handles an answer of the store whose newest version is `newest`.
+    /// Handles an answer of the store whose newest version was `newest` at the time `at`.
     ///
     /// The store may have an older version than the mesh, until the operators have written
     /// again what it lost.
-    pub fn store_answered(&mut self, now: Time, era: StoreEra, newest: ConfigVersion) {
+    pub fn store_answered(&mut self, at: Time, era: StoreEra, newest: ConfigVersion) {
         self.begin_era(era);
         if Some(era) == self.era {
-            self.confirm(newest.max(self.newest), now);
+            self.confirm(newest.max(self.newest), at);
         }
     }
 
@@ -117,14 +138,14 @@
     /// start of the process when it does not.
     pub fn current_until(&self) -> Time {
         let confirmed_at = self.confirmed_at.filter(|_| self.applied >= self.newest);
-        confirmed_at.map_or(Time::default(), |at| at.after(CONFIRMED_FOR))
+        confirmed_at.map_or(Time::default(), |at| at.after(self.valid_for))
     }
 
     /// What this node tells others about the version that it has applied.
     pub fn confirmation(&self, now: Time) -> Option<Confirmation> {
         let confirmed_at = self.confirmed_at.filter(|_| self.applied >= self.newest)?;
         let age = now.since(confirmed_at);
-        let is_valid = age < CONFIRMED_FOR;
+        let is_valid = age < self.valid_for;
         let era = self.era.filter(|_| is_valid)?;
         Some(Confirmation {
             era,
--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -88,6 +88,8 @@
         era: StoreEra,
         /// Version of the configuration in the store.
         version: ConfigVersion,
+        /// Time at which the store had that version.
+        at: Time,
     },
     /// This node has applied a configuration version.
     ConfigApplied(ConfigVersion),
@@ -247,6 +249,16 @@
     }
 }
 
+/// Settings.
+impl Membership {
+    /// Sets the time for which a configuration counts as the newest after the store has
+    /// confirmed it; [`CONFIRMED_FOR`](crate::freshness::CONFIRMED_FOR) by default.
+    pub fn confirmed_for(mut self, time: Duration) -> Self {
+        self.freshness = Freshness::new(time);
+        self
+    }
+}
+
 /// Current state.
 impl Membership {
     /// All member records that this node knows.
@@ -304,8 +316,8 @@
             Event::LocalAnnouncement(announcement) => self.announce(now, announcement),
             Event::StoreReached(reached) => self.store_reached(now, reached),
             Event::LocalError(error) => self.change_own(now, |own| own.last_error = error),
-            Event::ConfigConfirmed { era, version } => {
-                self.freshness.store_answered(now, era, version);
+            Event::ConfigConfirmed { era, version, at } => {
+                self.freshness.store_answered(at, era, version);
             }
             Event::ConfigApplied(version) => self.config_applied(now, version),
             Event::ConfigRefused(version) => {
--- a/crates/zone/tests/freshness.rs
+++ b/crates/zone/tests/freshness.rs
@@ -122,6 +122,7 @@
         let confirmed = Event::ConfigConfirmed {
             era: FIRST_ERA,
             version: V1,
+            at: sim.now,
         };
         sim.handle(node, confirmed);
     }
