fix(zone): keep fetches that make progress, and send few long deltas at a time

Cause: a fetch was replaced 500 ms after its start, however long the delta, and a node served all requesters at once. Deltas of 200 KB over shared links of 1 MB/s were dropped and began again from nothing.

--- a/crates/zone/src/dissemination.rs
+++ b/crates/zone/src/dissemination.rs
@@ -6,6 +6,7 @@
 
 pub mod fetch;
 pub mod peers;
+pub mod transfers;
 
 use crate::directory::{Directory, MemberKey};
 use crate::message::{Body, Message, RecordSpace};
@@ -227,6 +228,17 @@
         next.map(Request::FetchConfig).into_iter().collect()
     }
 
+    /// Handles a part of the answer to a configuration fetch.
+    pub(crate) fn fetch_progressed(&mut self, now: Time, from: SocketAddr) {
+        self.fetch.progressed(now, from);
+    }
+
+    /// Handles a configuration fetch that its source was too busy to answer.
+    pub(crate) fn fetch_busy(&mut self, now: Time, from: SocketAddr) -> Vec<Request> {
+        let next = self.fetch.busy(now, from, &mut self.rng);
+        next.map(Request::FetchConfig).into_iter().collect()
+    }
+
     /// Queues a changed record for other availability zones, on relays and gateways.
     pub(crate) fn record_changed(&mut self, member: MemberKey) {
         if (self.role.is_relay || self.role.is_gateway) && !self.outbound.contains(&member) {
--- a/crates/zone/src/dissemination/fetch.rs
+++ b/crates/zone/src/dissemination/fetch.rs
@@ -5,13 +5,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time after which an unanswered fetch is retried from another source.
+/// Time without a byte of the answer after which a fetch is retried from another source.
 pub const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Upper limit of the random time added to [`FETCH_TIMEOUT`].
 pub const FETCH_JITTER: Duration = Duration::from_millis(100);
 /// Delay of a fetch from another region, in which another node of the own region may
 /// fetch the version first and offer it at lower cost.
 pub const REMOTE_FETCH_DELAY: Duration = Duration::from_millis(300);
+/// Lower limit of the time after which a source that was busy is asked again: half the time
+/// in which it sends a delta of 200 KB over a link of 10 Mbit/s.
+pub const BUSY_DELAY: Duration = Duration::from_millis(100);
+/// Upper limit of the random time added to [`BUSY_DELAY`].
+pub const BUSY_JITTER: Duration = Duration::from_millis(100);
 /// Maximum number of sources of newer versions that are remembered.
 pub const MAX_SOURCES: usize = 8;
 
@@ -22,6 +27,14 @@
     version: ConfigVersion,
     /// Earliest time of a fetch from this node.
     earliest: Time,
+    /// Time until which it is not asked again, because it was busy.
+    busy_until: Time,
+}
+
+impl Source {
+    fn is_ready(&self, now: Time) -> bool {
+        self.earliest.max(self.busy_until) <= now
+    }
 }
 
 /// Scheduler of configuration fetches, with at most one in progress.
@@ -57,6 +70,7 @@
         }
         let known = self.sources.iter().find(|s| s.address == address);
         let earliest = known.map_or(now.after(delay), |s| s.earliest.min(now.after(delay)));
+        let busy_until = known.map_or(now, |s| s.busy_until);
         self.sources.retain(|s| s.address != address);
         if self.sources.len() == MAX_SOURCES {
             self.sources.remove(0);
@@ -65,6 +79,7 @@
             address,
             version,
             earliest,
+            busy_until,
         });
         self.next(now, rng)
     }
@@ -107,6 +122,31 @@
         self.next(now, rng)
     }
 
+    /// Handles a part of the answer of the node at `address`: the fetch goes on.
+    pub fn progressed(&mut self, now: Time, address: SocketAddr) {
+        if let Some(outstanding) = self.outstanding.as_mut().filter(|o| o.from == address) {
+            outstanding.deadline = now.after(FETCH_TIMEOUT);
+        }
+    }
+
+    /// Handles the answer of the node at `address` that it serves enough others already.
+    /// It is asked again after [`BUSY_DELAY`] at the earliest.
+    pub fn busy(
+        &mut self,
+        now: Time,
+        address: SocketAddr,
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        let jitter = BUSY_JITTER.mul_f64(rng.random_range(0.0..1.0));
+        if let Some(source) = self.sources.iter_mut().find(|s| s.address == address) {
+            source.busy_until = now.after(BUSY_DELAY + jitter);
+        }
+        if self.outstanding.is_some_and(|o| o.from == address) {
+            self.outstanding = None;
+        }
+        self.next(now, rng)
+    }
+
     /// Retries a fetch that has timed out, or starts one whose delay is over.
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Option<SocketAddr> {
         let Some(timed_out) = self.outstanding.filter(|o| o.deadline <= now) else {
@@ -143,7 +183,7 @@
         if self.outstanding.is_some() {
             return None;
         }
-        let from = self.sources.iter().rfind(|s| s.earliest <= now)?.address;
+        let from = self.sources.iter().rfind(|s| s.is_ready(now))?.address;
         let jitter = FETCH_JITTER.mul_f64(rng.random_range(0.0..1.0));
         let deadline = now.after(FETCH_TIMEOUT + jitter);
         self.outstanding = Some(Outstanding { from, deadline });
--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -98,6 +98,17 @@
         /// Address of the node that the configuration was fetched from.
         from: SocketAddr,
     },
+    /// A part of the answer to [`Action::FetchConfig`] has arrived. Sent at most every
+    /// [`TICK_INTERVAL`], and before [`crate::dissemination::fetch::FETCH_TIMEOUT`].
+    FetchProgressed {
+        /// Address of the node that the configuration is fetched from.
+        from: SocketAddr,
+    },
+    /// The node asked by [`Action::FetchConfig`] serves enough others already.
+    FetchBusy {
+        /// Address of that node.
+        from: SocketAddr,
+    },
     /// Contact addresses in other availability zones, from their status objects.
     Contacts(Vec<SocketAddr>),
     /// This node will stop soon and accepts no new work.
@@ -316,6 +327,11 @@
                 let requests = self.dissemination.fetch_failed(now, from);
                 self.execute(requests);
             }
+            Event::FetchProgressed { from } => self.dissemination.fetch_progressed(now, from),
+            Event::FetchBusy { from } => {
+                let requests = self.dissemination.fetch_busy(now, from);
+                self.execute(requests);
+            }
             Event::Contacts(contacts) => self.dissemination.set_contacts(contacts),
             Event::Leave => self.change_own(now, |own| own.state = MemberState::Leaving),
             Event::Stop => self.change_own(now, |own| own.state = MemberState::Dead),
--- a/crates/zone/tests/dissemination.rs
+++ b/crates/zone/tests/dissemination.rs
@@ -5,11 +5,15 @@
 
 use knapweed_world::backend_server::ServerState;
 use knapweed_world::{ConfigVersion, Time};
-use knapweed_zone::dissemination::fetch::{FETCH_JITTER, FETCH_TIMEOUT, Fetch, REMOTE_FETCH_DELAY};
+use knapweed_zone::dissemination::fetch::{
+    BUSY_DELAY, BUSY_JITTER, FETCH_JITTER, FETCH_TIMEOUT, Fetch, REMOTE_FETCH_DELAY,
+};
+use knapweed_zone::dissemination::transfers::{MAX_SHORT_LEN, MAX_TRANSFERS, Transfers};
 use knapweed_zone::membership::Event;
 use knapweed_zone::{Duty, MemberState};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use sim::link::Rules;
 use sim::results::{median, worst};
 use sim::seeds::for_seeds;
 use sim::{Sim, announcement, ms, name};
@@ -279,3 +283,110 @@
     }
     assert_eq!(sim.network.remote_fetches, versions);
 }
+
+/// Time after which a simulated version counts as one that does not reach all members.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(30);
+
+/// Returns the times that versions take to reach all members, up to [`MAX_TRANSFER_TIME`],
+/// when each delta of 200 KB passes the link of its sender, of 1 MB/s. The gateways have
+/// each version at once.
+fn transfer_times(zones: &[usize], seed: u64, is_former: bool) -> Vec<Duration> {
+    let mut sim = Sim::new(zones, seed);
+    sim.run(ms(6_000));
+    sim.link_rules = Some(Rules {
+        delta_len: 200_000,
+        bytes_per_s: 1_000_000.0,
+        is_former,
+    });
+    let gateways = sim.holders().into_iter();
+    let gateways: Vec<_> = gateways
+        .filter(|(duty, _)| matches!(duty, Duty::Gateway { .. }))
+        .flat_map(|(_, nodes)| nodes)
+        .collect();
+    let mut times = Vec::new();
+    for version in (1..=3).map(ConfigVersion) {
+        let start = sim.now;
+        for node in &gateways {
+            sim.apply(*node, version);
+        }
+        sim.run_until(MAX_TRANSFER_TIME, |s| s.all_applied(version));
+        times.push(sim.now.since(start));
+        sim.run(ms(2_000));
+    }
+    times
+}
+
+fn assert_transferred(zones: &[usize]) {
+    for is_former in [true, false] {
+        let times = for_seeds(SEEDS, |seed| transfer_times(zones, seed, is_former)).concat();
+        let (median, worst) = (median(&times), worst(&times));
+        println!("former rules {is_former}: median {median:?}, worst {worst:?}");
+        assert!(
+            is_former || worst <= IN_FORCE_BOUND,
+            "worst {worst:?} of {times:?}"
+        );
+    }
+}
+
+/// Guards against transfers that are dropped and begin again because a large delta takes
+/// longer than a fixed timeout on a link that several of them share (bound B1).
+#[test]
+fn a_large_delta_reaches_six_small_zones_over_slow_links() {
+    assert_transferred(&[14; 6]);
+}
+
+#[test]
+fn a_large_delta_reaches_five_large_zones_over_slow_links() {
+    assert_transferred(&ZONES);
+}
+
+/// Guards against a second fetch while the first one makes progress, and against one that
+/// stops to make progress and keeps the node from trying the others.
+#[test]
+fn a_fetch_that_makes_progress_is_not_replaced() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let (now, version) = (Time::from_millis(0), ConfigVersion(1));
+    let mut fetch = Fetch::default();
+    fetch.received(now, address(1), version, Duration::ZERO, &mut rng);
+    fetch.received(now, address(2), version, Duration::ZERO, &mut rng);
+    let early = now.after(FETCH_TIMEOUT - ms(1));
+    fetch.progressed(early, address(1));
+    let late = now.after(FETCH_TIMEOUT + FETCH_JITTER);
+    assert_eq!(fetch.tick(late, &mut rng), None);
+    fetch.progressed(late, address(2));
+    let silent = early.after(FETCH_TIMEOUT);
+    assert_eq!(fetch.tick(silent, &mut rng), Some(address(2)));
+}
+
+/// Guards against a node that asks a busy source again at once, or never again.
+#[test]
+fn a_busy_source_is_asked_again_after_a_delay() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let (now, version) = (Time::from_millis(0), ConfigVersion(1));
+    let mut fetch = Fetch::default();
+    let mut received =
+        |f: &mut Fetch, at, port| f.received(at, address(port), version, Duration::ZERO, &mut rng);
+    assert_eq!(received(&mut fetch, now, 1), Some(address(1)));
+    assert_eq!(received(&mut fetch, now, 2), None);
+    let mut other = SmallRng::seed_from_u64(2);
+    assert_eq!(fetch.busy(now, address(1), &mut other), Some(address(2)));
+    assert_eq!(fetch.busy(now, address(2), &mut other), None);
+    let early = now.after(BUSY_DELAY - ms(1));
+    assert_eq!(received(&mut fetch, early, 1), None);
+    assert_eq!(fetch.tick(early, &mut other), None);
+    let late = now.after(BUSY_DELAY + BUSY_JITTER);
+    assert_eq!(fetch.tick(late, &mut other), Some(address(1)));
+}
+
+/// Guards against a limit that short deltas count for, or that is not given back.
+#[test]
+fn few_long_deltas_are_sent_at_a_time() {
+    let transfers = Transfers::default();
+    let long = MAX_SHORT_LEN + 1;
+    let mut active: Vec<_> = (0..MAX_TRANSFERS).map(|_| transfers.start(long)).collect();
+    assert!(active.iter().all(Option::is_some));
+    assert!(transfers.start(long).is_none());
+    assert!(transfers.start(MAX_SHORT_LEN).is_some());
+    active.pop();
+    assert!(transfers.start(long).is_some());
+}
--- a/crates/zone/tests/sim/mod.rs
+++ b/crates/zone/tests/sim/mod.rs
@@ -1,6 +1,7 @@
 //! Discrete-event simulation of many members over a fake network.
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
+pub mod link;
 pub mod network;
 pub mod results;
 pub mod roles;
@@ -53,6 +54,10 @@
         generation: u32,
         version: ConfigVersion,
     },
+    Busy {
+        from: usize,
+    },
+    LinkStep,
     FetchMembers {
         from: usize,
         digest: Digest,
@@ -94,6 +99,9 @@
     pub network: Network,
     pub observations: Vec<Observation>,
     pub rng: SmallRng,
+    /// How deltas take time on the links; `None` when they take none.
+    pub link_rules: Option<link::Rules>,
+    links: Vec<link::Link>,
     queue: BTreeMap<(Time, u64), (usize, Delivery)>,
     order: u64,
     by_address: HashMap<SocketAddr, usize>,
@@ -121,6 +129,8 @@
             network: Network::new(seed),
             observations: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
+            link_rules: None,
+            links: Vec::new(),
             queue: BTreeMap::new(),
             order: 0,
             by_address: HashMap::new(),
@@ -152,6 +162,7 @@
         self.by_address.insert(address, index);
         self.by_host.insert(entry.name.clone(), index);
         self.network.zones.push(zone);
+        self.links.push(link::Link::default());
         self.nodes.push(Node {
             entry,
             membership: None,
@@ -322,14 +333,7 @@
             }
             Delivery::FetchConfig { from } => {
                 if let Some(version) = self.version(node) {
-                    self.send(
-                        node,
-                        from,
-                        Delivery::Config {
-                            from: node,
-                            version,
-                        },
-                    );
+                    self.send_delta(node, from, version);
                 }
             }
             Delivery::Config { version, .. } => {
@@ -339,6 +343,11 @@
                 };
                 self.schedule(self.now.after(APPLY_TIME), node, applied);
             }
+            Delivery::Busy { from } => {
+                let from = self.nodes[from].entry.address;
+                self.handle(node, Event::FetchBusy { from });
+            }
+            Delivery::LinkStep => self.link_step(node),
             Delivery::Applied {
                 generation: started,
                 version,
