fix(node): fetch a delta chunk by chunk, and answer busy while another is sent

Cause: the whole transfer of a delta had to end within 500 ms. A delta of 200 KB takes 200 ms on an idle link of 10 Mbit/s, and longer than that limit when several nodes fetch at once. Change: the limit holds for the first byte and between two chunks; the whole transfer has an upper bound that follows from the longest delta and the slowest link. A reply begins with a FetchReply, which is Delta or Busy. A place is free again once the delta has arrived, or after the time that it takes on a slow link, so that a stalled receiver blocks no others. Result: a delta that takes 1 s in 10 chunks arrives; a source that stops after two chunks is left after 500 ms.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -3,6 +3,7 @@
 
 pub mod config;
 mod crashes;
+pub mod deltas;
 pub mod event;
 mod floor;
 mod members;
@@ -35,6 +36,7 @@
 use knapweed_timer::TimerService;
 use knapweed_transport::Peers;
 use knapweed_world::{ConfigVersion, Name, SnapshotCell, StoreEra, TicketNumber, Time};
+use knapweed_zone::dissemination::transfers::Transfers;
 use knapweed_zone::floor::{self as floor_decision, VersionFloor};
 use knapweed_zone::{Epidemic, Membership, membership};
 use orders::OrderBook;
@@ -90,6 +92,8 @@
     handle: ControlHandle,
     membership: Membership,
     configs: ConfigStore,
+    /// Long deltas that are being sent to other nodes.
+    transfers: Transfers,
     registry: Registry,
     established: EstablishedVersions,
     floor: VersionFloor,
@@ -161,6 +165,7 @@
             handle,
             membership,
             configs: ConfigStore::default(),
+            transfers: Transfers::default(),
             watch: Watch::default(),
             stored_config: Default::default(),
             rollouts: Rollouts::default(),
@@ -252,6 +257,12 @@
             Event::Stream { head, incoming } => self.stream_opened(now, *head, incoming),
             Event::Announced(announcement) => self.announcement_received(now, announcement),
             Event::Delta { from, delta } => self.delta_received(from, delta),
+            Event::FetchProgressed { from } => {
+                self.member_event(now, membership::Event::FetchProgressed { from });
+            }
+            Event::FetchBusy { from } => {
+                self.member_event(now, membership::Event::FetchBusy { from });
+            }
             Event::Members(records) => {
                 self.member_event(now, membership::Event::Members(records));
             }
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -45,6 +45,16 @@
         /// The decompressed delta.
         delta: Option<Delta>,
     },
+    /// A part of a configuration delta arrived.
+    FetchProgressed {
+        /// Address of the node that was queried.
+        from: SocketAddr,
+    },
+    /// A node sends enough deltas to others.
+    FetchBusy {
+        /// Address of the node that was queried.
+        from: SocketAddr,
+    },
     /// Membership records arrived from another node.
     Members(Vec<SharedRecord>),
     /// A configuration was loaded outside the watch, after a ticket was accepted.
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -1,6 +1,7 @@
 //! Handles streams of other nodes, and fetches configurations from them.
 
-use super::messages::{query_node, reply, reply_with_bytes};
+use super::deltas::{self, Fetched};
+use super::messages::reply;
 use super::{Controller, Event, Staleness};
 use crate::source::LoadedConfig;
 use knapweed_link::Delta;
@@ -11,21 +12,16 @@
 use knapweed_zone::membership;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Maximum number of problems of one configuration that are logged.
 const MAX_LOGGED_PROBLEMS: usize = 20;
-/// Longest compressed delta, in bytes.
-const MAX_DELTA_LEN: usize = 8 * 1024 * 1024;
-/// Time limit for fetching a delta.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Dispatch of the streams that other nodes open.
 impl Controller {
     pub(super) fn stream_opened(&mut self, now: Time, head: StreamHead, incoming: IncomingStream) {
         match head {
             StreamHead::FetchConfig { have } => match self.configs.delta_for(have) {
-                Ok(delta) => reply_with_bytes(incoming, delta),
+                Ok(delta) => deltas::reply_with_delta(&self.transfers, incoming, delta),
                 Err(err) => log::error!(target: part::CONFIG, "could not build a delta: {err}"),
             },
             StreamHead::FetchMembers(digest) => {
@@ -53,17 +49,20 @@
         };
         let (peers, handle) = (Arc::clone(&self.dependencies.peers), self.handle.clone());
         tokio::spawn(async move {
-            let fetch = async {
-                let packed = query_node(&peers, from, &query, MAX_DELTA_LEN).await?;
-                anyhow::Ok(Delta::decompress(&packed)?)
-            };
-            let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch).await;
-            let fetched = fetched.unwrap_or_else(|_| Err(anyhow::anyhow!("no reply in time")));
-            let delta = fetched.inspect_err(|err| {
+            let progressed = || handle.send(Event::FetchProgressed { from });
+            let fetched = deltas::fetch(&peers, from, &query, progressed).await;
+            let fetched = fetched.inspect_err(|err| {
                 log::debug!(target: part::CONFIG, "no configuration from {from}: {err}");
             });
-            let delta = delta.ok();
-            handle.send(Event::Delta { from, delta }).await;
+            let event = match fetched {
+                Ok(Fetched::Delta(delta)) => Event::Delta {
+                    from,
+                    delta: Some(delta),
+                },
+                Ok(Fetched::Busy) => Event::FetchBusy { from },
+                Err(_) => Event::Delta { from, delta: None },
+            };
+            handle.send(event).await;
         });
     }
 
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod crashes;
 mod cut_answers;
+mod deltas;
 mod endless;
 mod foreign_answers;
 mod limits;
--- a/crates/transport/src/stream.rs
+++ b/crates/transport/src/stream.rs
@@ -83,6 +83,12 @@
         let _ = self.inner.finish();
     }
 
+    /// Waits until the peer has received everything up to [`Sender::finish`], has cancelled
+    /// the stream, or the connection is lost.
+    pub async fn delivered(&self) {
+        let _ = self.inner.stopped().await;
+    }
+
     /// Waits until the peer cancels the stream. Does not complete when the connection
     /// is lost, because the peer may still inquire about the outcome of the exchange.
     pub fn cancelled(&self) -> impl Future<Output = ()> + Send + use<> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use codec::{Error, decode, encode};
 pub use request::{Header, RequestHead, ResponseHead};
-pub use stream::StreamHead;
+pub use stream::{FetchReply, StreamHead};
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -15,7 +15,8 @@
     /// Sends a request; its body follows. The response is a [`crate::ResponseHead`]
     /// and a body.
     Request(Box<RequestHead>),
-    /// Asks for the configuration. The reply is a compressed [`knapweed_link::Delta`].
+    /// Asks for the configuration. The reply is a [`FetchReply`] and the rest
+    /// that it announces.
     FetchConfig {
         /// Tags of the configuration parts that the sender has already.
         have: Vec<PartTag>,
@@ -62,6 +63,15 @@
     },
 }
 
+/// First message of the reply to [`StreamHead::FetchConfig`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum FetchReply {
+    /// A compressed [`knapweed_link::Delta`] follows.
+    Delta,
+    /// The node sends enough long deltas to others already; nothing follows.
+    Busy,
+}
+
 /// Reply to [`StreamHead::CompareCrashes`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReply {
