fix(source): load again after a list whose configuration cannot be read

Cause: entries that cannot be read are left out of a list, and a list without the configuration counted as a store without one, so that a node kept its old table until the next change. Change: lists say that entries were left out; a load without the configuration among the readable ones is malformed, and the watch loads again after a wait.

--- a/crates/node/src/source/tickets.rs
+++ b/crates/node/src/source/tickets.rs
@@ -4,7 +4,7 @@
 use futures_util::future::BoxFuture;
 use knapweed_contract::drive::{self, SystemClock};
 use knapweed_contract::{Driver, Head, PartCache, head};
-use knapweed_store::{Object, ObjectStore, Revision};
+use knapweed_store::{Error as StoreError, Object, ObjectStore, Revision};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,6 +41,11 @@
         let object = listing.objects.iter().find(|(key, _)| is_head(key));
         let loaded = match object {
             Some((_, object)) => Some(self.loaded(object, known).await?),
+            // One of the entries that cannot be read may be the head.
+            None if listing.is_partial => {
+                let reason = "a list without the head has entries that cannot be read";
+                return Err(StoreError::Malformed(reason.into()).into());
+            }
             None => None,
         };
         Ok(SourceUpdate {
--- a/crates/node/tests/configuration/client.rs
+++ b/crates/node/tests/configuration/client.rs
@@ -74,11 +74,13 @@
     fn list<'a>(&'a self, kind: &'a str) -> StoreFuture<'a, Listing> {
         Box::pin(async move {
             let listing = self.store.list(kind).await?;
+            let count = listing.objects.len();
             let objects = listing.objects.into_iter();
+            let read = objects.filter_map(|(key, o)| Some((key, self.object(o)?)));
+            let objects: Vec<_> = read.collect();
             Ok(Listing {
-                objects: objects
-                    .filter_map(|(key, o)| Some((key, self.object(o)?)))
-                    .collect(),
+                is_partial: listing.is_partial || objects.len() < count,
+                objects,
                 revision: self.listed(listing.revision)?,
             })
         })
--- a/crates/node/tests/configuration/main.rs
+++ b/crates/node/tests/configuration/main.rs
@@ -17,8 +17,8 @@
 mod process;
 mod watch_loop;
 
-use mesh::Mesh;
-use plan::Plan;
+use mesh::{Mesh, NodeKey};
+use plan::{Plan, Spoiled, Step};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use std::time::Duration;
@@ -70,6 +70,22 @@
     assert_holds(&[1], plan::disturbances(1), 200);
 }
 
+/// Guards against a node that takes a list whose only entry it cannot read for a store without
+/// a configuration, and does not load again (issue 35).
+#[test]
+fn a_node_loads_again_after_a_list_that_cannot_be_read() {
+    let change = Step::Change {
+        adds: false,
+        removes: false,
+    };
+    let plans = (0..u64::MAX).prop_map(move |seed| {
+        let spoiled = Step::SpoilAnswers(NodeKey(0), Spoiled::Entry, 243);
+        let steps = vec![(0, spoiled), (0, change), (13, Step::Outage(0))];
+        Plan { seed, steps }
+    });
+    assert_holds(&[1], plans, 100);
+}
+
 /// Guards against a mesh that keeps an old configuration after a loss of the store.
 #[test]
 fn a_mesh_follows_the_operator_after_losses_of_the_store() {
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -56,6 +56,9 @@
 pub struct Listing {
     /// Objects sorted by name.
     pub objects: Vec<(ObjectKey, Object)>,
+    /// Whether entries that cannot be read were left out, so that an object which is not in
+    /// the listing may exist.
+    pub is_partial: bool,
     /// Revision of the store at the time of the listing, from which to start a watch.
     pub revision: Revision,
 }
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -372,6 +372,7 @@
             let objects = objects.filter(|(key, _)| key.kind() == kind);
             Ok(Listing {
                 objects: objects.map(|(k, o)| (k.clone(), o.clone())).collect(),
+                is_partial: false,
                 revision: store.contents.last,
             })
         })
