--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -31,8 +31,9 @@
 pub enum NotRun {
     /// No route matches the path.
     NoRoute,
-    /// No route matches the path, but the node may not have the newest routes.
-    OutdatedRoutes,
+    /// No route matches the path, or a limit is exceeded, but the node may not have the newest
+    /// configuration.
+    OutdatedConfig,
     /// A header of the request is malformed.
     InvalidHeader,
     /// The chain of calls is too deep.
@@ -162,7 +163,9 @@
     pub const fn text(self) -> &'static str {
         match self {
             Self::NoRoute => "no route matches the path",
-            Self::OutdatedRoutes => "no route matches the path, and newer routes may exist",
+            Self::OutdatedConfig => {
+                "the configuration does not allow the request, and a newer one may exist"
+            }
             Self::InvalidHeader => "a request header is malformed",
             Self::TooDeep => "the chain of calls is too deep",
             Self::NoServer => "no backend server can take the request",
--- a/crates/host/tests/outcome.rs
+++ b/crates/host/tests/outcome.rs
@@ -12,7 +12,7 @@
         Answered(Answer::Complete),
         Answered(Answer::NotStored),
         N(NotRun::NoRoute),
-        N(NotRun::OutdatedRoutes),
+        N(NotRun::OutdatedConfig),
         N(NotRun::InvalidHeader),
         N(NotRun::TooDeep),
         N(NotRun::NoServer),
--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -59,6 +59,11 @@
         tags
     }
 
+    /// Whether the delta for a node that has the parts `have` is at hand.
+    pub fn has_delta_for(&self, have: &[PartTag]) -> bool {
+        self.cached_delta.as_ref().is_some_and(|d| d.have == have)
+    }
+
     /// The compressed delta for a node that has the parts `have`.
     ///
     /// # Errors
--- a/crates/node/src/control/deltas.rs
+++ b/crates/node/src/control/deltas.rs
@@ -91,17 +91,32 @@
     });
 }
 
+/// Sends the answer that too many deltas are being sent.
+pub fn reply_busy(incoming: IncomingStream) {
+    let from = incoming.from;
+    tokio::spawn(async move {
+        if let Err(err) = send_busy(incoming).await {
+            log::debug!(target: part::CONFIG, "answer to {from} was cut short: {err}");
+        }
+    });
+}
+
+async fn send_busy(incoming: IncomingStream) -> anyhow::Result<()> {
+    let mut sender = incoming.sender;
+    sender.head(&encode(&FetchReply::Busy)?).await?;
+    sender.finish();
+    Ok(())
+}
+
 async fn send(
     incoming: IncomingStream,
     transfer: Option<Transfer>,
     delta: Bytes,
 ) -> anyhow::Result<()> {
-    let mut sender = incoming.sender;
     let Some(transfer) = transfer else {
-        sender.head(&encode(&FetchReply::Busy)?).await?;
-        sender.finish();
-        return Ok(());
+        return send_busy(incoming).await;
     };
+    let mut sender = incoming.sender;
     let turn = FETCH_TIMEOUT + longest_time(delta.len());
     let whole = async {
         sender.head(&encode(&FetchReply::Delta)?).await?;
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -4,7 +4,7 @@
 use super::messages::reply;
 use super::{Controller, Event, Staleness};
 use crate::source::LoadedConfig;
-use knapweed_link::Delta;
+use knapweed_link::{Delta, PartTag};
 use knapweed_observe::part;
 use knapweed_transport::IncomingStream;
 use knapweed_wire::StreamHead;
@@ -20,10 +20,7 @@
 impl Controller {
     pub(super) fn stream_opened(&mut self, now: Time, head: StreamHead, incoming: IncomingStream) {
         match head {
-            StreamHead::FetchConfig { have } => match self.configs.delta_for(have) {
-                Ok(delta) => deltas::reply_with_delta(&self.transfers, incoming, delta),
-                Err(err) => log::error!(target: part::CONFIG, "could not build a delta: {err}"),
-            },
+            StreamHead::FetchConfig { have } => self.reply_with_delta(have, incoming),
             StreamHead::FetchMembers(digest) => {
                 reply(
                     incoming,
@@ -41,8 +38,20 @@
     }
 }
 
-/// Fetching and applying configurations.
+/// Sending, fetching and applying configurations.
 impl Controller {
+    /// Replies with a delta, or that this node is busy. While it sends a long delta, it builds
+    /// no other one, which takes the control thread of a small host a while.
+    fn reply_with_delta(&mut self, have: Vec<PartTag>, incoming: IncomingStream) {
+        if self.transfers.is_full() && !self.configs.has_delta_for(&have) {
+            return deltas::reply_busy(incoming);
+        }
+        match self.configs.delta_for(have) {
+            Ok(delta) => deltas::reply_with_delta(&self.transfers, incoming, delta),
+            Err(err) => log::error!(target: part::CONFIG, "could not build a delta: {err}"),
+        }
+    }
+
     pub(super) fn fetch_config(&self, from: SocketAddr) {
         let query = StreamHead::FetchConfig {
             have: self.configs.tags(),
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -242,12 +242,14 @@
 
     /// The reason that is reported for a request that cannot be accepted.
     ///
-    /// A node that does not know whether its routes are the newest does not claim that
-    /// there is no route.
+    /// A node that does not know whether its configuration is the newest does not claim that
+    /// there is no route, or that a limit holds.
     fn refusal(&self, err: &Error, now: Time) -> NotRun {
         match err.reason() {
-            NotRun::NoRoute if !self.dependencies.currency.is_current(now) => {
-                NotRun::OutdatedRoutes
+            NotRun::NoRoute | NotRun::HeadersTooLong
+                if !self.dependencies.currency.is_current(now) =>
+            {
+                NotRun::OutdatedConfig
             }
             reason => reason,
         }
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -208,7 +208,7 @@
         dependencies.timer.clone(),
     );
     let ingress = Ingress::new(dependencies);
-    let outdated = Outcome::NotRun(NotRun::OutdatedRoutes);
+    let outdated = Outcome::NotRun(NotRun::OutdatedConfig);
     assert_eq!(run(&ingress, "/nowhere", &[]).await, outdated);
     currency.set_until(timer.now().after(Duration::from_secs(60)));
     let no_route = Outcome::NotRun(NotRun::NoRoute);
--- a/crates/zone/src/dissemination/transfers.rs
+++ b/crates/zone/src/dissemination/transfers.rs
@@ -28,6 +28,11 @@
 }
 
 impl Transfers {
+    /// Whether no further long delta may be sent now.
+    pub fn is_full(&self) -> bool {
+        self.active.load(Ordering::Relaxed) >= MAX_TRANSFERS
+    }
+
     /// Starts the transfer of a delta of `len` bytes; `None` while [`MAX_TRANSFERS`] long
     /// ones are in progress.
     pub fn start(&self, len: usize) -> Option<Transfer> {
--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -63,12 +63,12 @@
 impl Freshness {
     /// Handles an answer of the store whose newest version was `newest` at the time `at`.
     ///
-    /// The store may have an older version than the mesh, until the operators have written
-    /// again what it lost.
+    /// A store with an older version than the mesh has lost changes, perhaps also some that
+    /// no node has received. It confirms nothing until the operators have written them again.
     pub fn store_answered(&mut self, at: Time, era: StoreEra, newest: ConfigVersion) {
         self.begin_era(era);
-        if Some(era) == self.era {
-            self.confirm(newest.max(self.newest), at);
+        if Some(era) == self.era && newest >= self.newest {
+            self.confirm(newest, at);
         }
     }
 
