--- a/crates/node/tests/configuration/mesh.rs
+++ b/crates/node/tests/configuration/mesh.rs
@@ -119,7 +119,7 @@
     Delta(SocketAddr, Option<Delta>),
     Members(Vec<SharedRecord>),
     Floor(floor::Event),
-    Store(Purpose, Asked, Result<SourceUpdate, Error>),
+    Store(Purpose, Asked, Box<Result<SourceUpdate, Error>>),
     WatchAgain(u32),
 }
 
@@ -503,7 +503,7 @@
             Reply::Members(records) => process.members(now, records),
             Reply::Floor(event) => process.floor_event(now, event),
             Reply::Store(purpose, asked, result) => {
-                process.store_answered(now, purpose, asked, result);
+                process.store_answered(now, purpose, asked, *result);
             }
             Reply::WatchAgain(watch) => process.watch_again(watch),
         }
@@ -573,7 +573,7 @@
             true => Duration::from_micros(self.rng.random_range(STORE_DELAY_US)),
             false => CALL_TIMEOUT,
         };
-        let reply = Reply::Store(call.purpose, call.asked(), Err(err.into()));
+        let reply = Reply::Store(call.purpose, call.asked(), Box::new(Err(err.into())));
         self.schedule(wait, Work::Reply(call.caller, reply));
     }
 
@@ -643,7 +643,7 @@
                 (slow + Duration::from_micros(wait), result)
             }
         };
-        let reply = Reply::Store(call.purpose, call.asked(), result);
+        let reply = Reply::Store(call.purpose, call.asked(), Box::new(result));
         self.schedule(wait, Work::Reply(call.caller, reply));
     }
 }
