--- a/crates/node/src/control/floor.rs
+++ b/crates/node/src/control/floor.rs
@@ -37,18 +37,18 @@
             return;
         }
         for action in self.floor.handle(now, event) {
-            self.floor_action(now, action);
+            self.floor_action(action);
         }
     }
 
-    fn floor_action(&mut self, now: Time, action: Action) {
+    fn floor_action(&mut self, action: Action) {
         match action {
             Action::Ask {
                 source: Source::Platform,
                 ..
             } => self.query_source(),
             Action::Ask { source, count } => self.query_nodes(source, count),
-            Action::Fetch(version) => self.fetch_at_least(now, version),
+            Action::Fetch(version) => self.fetch_at_least(version),
             Action::Serve { floor } => {
                 log::info!(target: part::CONFIG, "serves callers; the version floor is {floor}");
                 self.dependencies.ready.store(true, Ordering::Relaxed);
@@ -60,14 +60,13 @@
     }
 
     /// Fetches the configuration from a member that has applied `version`, or from its
-    /// source when there is none and no load is running.
-    fn fetch_at_least(&mut self, now: Time, version: ConfigVersion) {
+    /// source when there is none.
+    fn fetch_at_least(&self, version: ConfigVersion) {
         let members = self.membership.directory().present().map(|(_, r)| r);
         let up_to_date = members.filter(|r| r.applied >= version && version > ConfigVersion(0));
         match up_to_date.map(|r| r.address).choose(&mut rand::rng()) {
             Some(from) => self.fetch_config(from),
-            None if self.floor.start_load(now) => self.load_from_source(),
-            None => {}
+            None => self.load_from_source(),
         }
     }
 }
--- a/crates/node/tests/configuration/process.rs
+++ b/crates/node/tests/configuration/process.rs
@@ -285,7 +285,7 @@
                     .effects
                     .push(Effect::Call(Purpose::Floor, NextCall::Load)),
                 floor::Action::Ask { source, count } => self.query_nodes(now, source, count),
-                floor::Action::Fetch(version) => self.fetch_at_least(now, version),
+                floor::Action::Fetch(version) => self.fetch_at_least(version),
                 floor::Action::Serve { .. } | floor::Action::RetryLater { .. } => {}
             }
         }
@@ -306,14 +306,13 @@
         self.effects.extend(queries);
     }
 
-    fn fetch_at_least(&mut self, now: Time, version: ConfigVersion) {
+    fn fetch_at_least(&mut self, version: ConfigVersion) {
         let members = self.membership.directory().present().map(|(_, r)| r);
         let up_to_date = members.filter(|r| r.applied >= version && version > ConfigVersion(0));
         let from = up_to_date.map(|r| r.address).choose(&mut self.rng);
-        self.effects.extend(match from {
-            Some(from) => Some(Effect::FetchConfig(from)),
-            None if self.floor.start_load(now) => Some(Effect::Call(Purpose::Load, NextCall::Load)),
-            None => None,
+        self.effects.push(match from {
+            Some(from) => Effect::FetchConfig(from),
+            None => Effect::Call(Purpose::Load, NextCall::Load),
         });
     }
 
--- a/crates/zone/src/floor.rs
+++ b/crates/zone/src/floor.rs
@@ -23,27 +23,12 @@
 pub const ROUND_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Number of nodes of an availability zone that query the platform in the first round; it
-/// doubles with each round without a confirmation, or with each [`LOAD_TIME`] while peers
-/// answer. The others learn from these. When hundreds of nodes
-/// start together, each would otherwise read the whole configuration from the store, half of
-/// them from another region.
+/// doubles with each round without a confirmation. The others learn from these. When
+/// hundreds of nodes start together, each would otherwise read the whole configuration from
+/// the store, half of them from another region.
 pub const PLATFORM_QUERIES_PER_ZONE: usize = 8;
-/// Time in which the nodes that query the platform have loaded the configuration. With a
-/// doubling in each round, all 45 nodes of a region shared a link of 60 Mbit/s after 1 s;
-/// 24 nodes load 0.9 MB over it in 3 s.
-pub const LOAD_TIME: Duration = Duration::from_secs(5);
-/// Time after which a query of the platform without a result counts as failed.
-const MAX_LOAD_TIME: Duration = Duration::from_secs(30);
-/// Upper limit of the wait before a round of queries to members only. They cost little, and
-/// a node must learn soon that the first peer serves.
-pub const MAX_PEER_INTERVAL: Duration = Duration::from_millis(400);
-/// Fetches from members after which any confirmed node may load from the platform. A node
-/// learns within some 100 ms which members have applied a version.
-const MAX_MEMBER_FETCHES: u32 = 3;
-/// Longest wait of a starting node for other members, before the first round. It registers
-/// itself in the store and lists the others, which takes three round trips of 60 ms from
-/// another region; with 100 ms, each node of such a region queried the platform.
-pub const MAX_PEER_WAIT: Duration = Duration::from_millis(300);
+/// Longest wait of a starting node for other members, before the first round.
+pub const MAX_PEER_WAIT: Duration = Duration::from_millis(100);
 
 /// Kind of node or service that is queried for the version floor.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -165,19 +150,6 @@
     rounds: u32,
     /// Other members of the availability zone that the node knows.
     peers: usize,
-    started_at: Time,
-    /// Position among the nodes of the availability zone, from 0 to 1. The first ones query
-    /// the platform.
-    position: f64,
-    /// Time until which a load from the platform counts as running; `None` when it has ended.
-    /// It may take longer than a round, and a second one would slow both down.
-    loads_until: Option<Time>,
-    /// Whether a peer has replied in the current or last round.
-    have_peers_replied: bool,
-    /// Whether the current or last round queried the platform, or found it being queried.
-    uses_platform: bool,
-    /// Number of [`Action::Fetch`] so far.
-    fetches: u32,
     rng: SmallRng,
 }
 
@@ -194,12 +166,6 @@
             fetched: None,
             rounds: 0,
             peers: 0,
-            started_at: now,
-            position: 0.0,
-            loads_until: None,
-            have_peers_replied: false,
-            uses_platform: false,
-            fetches: 0,
             rng,
         }
     }
@@ -218,46 +184,6 @@
     }
 }
 
-/// Queries of the platform.
-impl VersionFloor {
-    /// Whether the caller may load from the platform because no member has the version of an
-    /// [`Action::Fetch`]. The load then counts as running for [`LOAD_TIME`].
-    pub fn start_load(&mut self, now: Time) -> bool {
-        let may_load = self.is_among_first(now) || self.fetches > MAX_MEMBER_FETCHES;
-        let starts = may_load && !self.is_loading(now);
-        if starts {
-            self.loads_until = Some(now.after(LOAD_TIME));
-        }
-        starts
-    }
-
-    fn is_loading(&self, now: Time) -> bool {
-        self.loads_until.is_some_and(|until| now < until)
-    }
-
-    /// Whether this node is one of those that load for their availability zone.
-    fn is_among_first(&self, now: Time) -> bool {
-        let periods = now.since(self.started_at).as_secs() / LOAD_TIME.as_secs();
-        let doublings = periods.min(MAX_DOUBLINGS.into());
-        let count = PLATFORM_QUERIES_PER_ZONE << doublings;
-        self.position * ((self.peers + 1) as f64) < count as f64
-    }
-
-    /// Whether the platform is due in a round that starts now.
-    fn is_platform_due(&mut self, now: Time) -> bool {
-        if self.have_peers_replied {
-            return self.is_among_first(now);
-        }
-        let doublings = match self.is_confirmed {
-            true => 0,
-            false => (self.rounds - 1).min(MAX_DOUBLINGS),
-        };
-        let drawn = self.rng.random_range(0..=self.peers);
-        self.position = drawn as f64 / (self.peers + 1) as f64;
-        drawn < PLATFORM_QUERIES_PER_ZONE << doublings
-    }
-}
-
 /// Event handling.
 impl VersionFloor {
     /// Handles an event and returns the resulting actions, in order.
@@ -293,7 +219,6 @@
 
     fn record_answer(&mut self, now: Time, answer: FloorAnswer) -> Vec<Action> {
         self.floor = self.floor.max(answer.served);
-        self.have_peers_replied |= answer.source == Source::Peers;
         self.is_confirmed |= match answer.source {
             Source::Peers => answer.is_serving,
             Source::Relay => false,
@@ -302,18 +227,14 @@
         self.close_query(now, answer.source)
     }
 
-    /// Closes one query of a source, and ends the round after the last one. An answer after
-    /// the end of its round counts too.
+    /// Closes one query of a source, and ends the round after the last one.
     fn close_query(&mut self, now: Time, source: Source) -> Vec<Action> {
-        if source == Source::Platform {
-            self.loads_until = None;
-        }
         let Phase::Asking {
             deadline,
             mut unanswered,
         } = self.phase
         else {
-            return self.serve_if_safe();
+            return Vec::new();
         };
         if let Some(index) = QUERIES.iter().position(|(s, _)| *s == source) {
             unanswered[index] = unanswered[index].saturating_sub(1);
@@ -333,14 +254,12 @@
 impl VersionFloor {
     fn start_round(&mut self, now: Time) -> Vec<Action> {
         self.rounds += 1;
-        let is_due = self.is_platform_due(now);
-        let is_loading = self.is_loading(now);
-        let asks_platform = is_due && !is_loading;
-        self.uses_platform = is_due || is_loading;
-        if asks_platform {
-            self.loads_until = Some(now.after(MAX_LOAD_TIME));
-        }
-        self.have_peers_replied = false;
+        let doublings = match self.is_confirmed {
+            true => 0,
+            false => (self.rounds - 1).min(MAX_DOUBLINGS),
+        };
+        let queries_of_zone = PLATFORM_QUERIES_PER_ZONE << doublings;
+        let asks_platform = self.rng.random_range(0..=self.peers) < queries_of_zone;
         let queries = QUERIES.map(|(source, count)| match source {
             Source::Platform if !asks_platform => (source, 0),
             _ => (source, count),
@@ -370,7 +289,6 @@
         // There is nothing to fetch before the first configuration; its version comes with
         // the messages of other members.
         let fetch = (self.floor > ConfigVersion(0)).then_some(Action::Fetch(self.floor));
-        self.fetches += u32::from(fetch.is_some());
         let retry = Action::RetryLater { retry_after };
         fetch.into_iter().chain([retry]).collect()
     }
@@ -390,12 +308,7 @@
     /// Exponential backoff with full jitter.
     fn backoff(&mut self) -> Duration {
         let doublings = self.rounds.saturating_sub(1).min(MAX_DOUBLINGS);
-        let only_members = self.have_peers_replied && !self.uses_platform;
-        let max = match only_members && self.fetches <= MAX_MEMBER_FETCHES {
-            true => MAX_PEER_INTERVAL,
-            false => MAX_BACKOFF,
-        };
-        let limit = (FIRST_BACKOFF * 2u32.pow(doublings)).min(max);
+        let limit = (FIRST_BACKOFF * 2u32.pow(doublings)).min(MAX_BACKOFF);
         limit.mul_f64(self.rng.random_range(0.0..1.0))
     }
 }
