--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -143,6 +143,9 @@
     /// Logs the outcome of the request.
     pub(crate) fn record_outcome(&mut self, response: &ResponseHead) {
         self.is_finished = true;
+        if let Some(refusal) = &self.refusal {
+            return self.write_refusal(response.outcome, refusal);
+        }
         let is_answered = matches!(response.outcome, Outcome::Answered(_));
         let is_routine = self.tries <= 1 && is_answered && response.status < SERVER_ERROR;
         self.write(response.outcome, response, is_routine);
@@ -158,7 +161,6 @@
         let service = request.map(|r| self.snapshot.service(r.service).name.as_str());
         let deadline = request.map(|r| ms(r.deadline.since(now)));
         let objective = request.and_then(|r| r.objective);
-        let refusal = self.refusal.as_ref();
         log::info!(
             target: part::INGRESS,
             request:% = RequestId(self.id.as_ref()),
@@ -172,12 +174,31 @@
             objective_left_ms = objective.map(|time| ms(time.since(now))),
             deadline_left_ms = deadline,
             retry_after_ms = response.retry_after_us.map(|us| us / 1_000),
-            authority = refusal.and_then(|r| r.authority.as_deref()),
-            path = refusal.map(|r| r.path.as_str()),
-            routes = refusal.map(|_| self.snapshot.route_count()),
-            header = refusal.and_then(|r| r.header),
-            value = refusal.and_then(|r| r.value.as_deref()),
-            error = refusal.map(|r| r.error.as_str()),
+            left_out = left_out.0;
+            "{outcome}"
+        );
+    }
+
+    /// Logs a request that was refused for what it holds, with what is wrong.
+    fn write_refusal(&self, outcome: Outcome, refusal: &Refusal) {
+        let Some(left_out) = permit(false) else {
+            return;
+        };
+        let request = self.request.as_ref();
+        let route = request.map(|r| self.snapshot.route(r.route).name.as_str());
+        log::info!(
+            target: part::INGRESS,
+            request:% = RequestId(self.id.as_ref()),
+            config = self.snapshot.version().0,
+            routes = self.snapshot.route_count(),
+            route = route,
+            status = outcome.status(),
+            took_ms = ms(self.timer.now().since(self.arrived)),
+            authority = refusal.authority.as_deref(),
+            path = refusal.path.as_str(),
+            header = refusal.header,
+            value = refusal.value.as_deref(),
+            error = refusal.error.as_str(),
             left_out = left_out.0;
             "{outcome}"
         );
