fix(node): a version that operators see in force is served

Cause: the view with a new version was published before the node began to serve, so a caller that had waited for the version could get 503 'the node is not serving'. Change: the view is published after the floor event.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -332,12 +332,13 @@
             log::error!(target: part::CONFIG, "kept the old snapshot: {err}");
             return;
         }
-        self.publish_view();
         if version > before {
             log::info!(target: part::CONFIG, "version {version} is in force on this node");
             let now = self.now();
             self.member_event(now, membership::Event::ConfigApplied(version));
             self.floor_event(now, floor_decision::Event::Fetched(version));
         }
+        // After the floor event, so that a version which operators see in force is served.
+        self.publish_view();
     }
 }
