refactor(node): what the store has is decided in one place, also for the property test

Cause: the property test repeated how an update of the source confirms a version (control/watch.rs and configuration/process.rs), so it did not guard the real code. Change: StoredConfig in source.rs, used by both; tests/common/by_time.rs; the comment at MAX_TRANSFERS gives its reason only. Behaviour is unchanged.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -24,7 +24,7 @@
 use crate::currency::RouteCurrency;
 use crate::egress::Egress;
 use crate::orders::RolloutOrders;
-use crate::source::ConfigSource;
+use crate::source::{ConfigSource, StoredConfig};
 use crate::trial::Trials;
 use arc_swap::ArcSwap;
 use config::ConfigStore;
@@ -35,7 +35,7 @@
 use knapweed_store::ObjectStore;
 use knapweed_timer::TimerService;
 use knapweed_transport::Peers;
-use knapweed_world::{ConfigVersion, Name, SnapshotCell, StoreEra, TicketNumber, Time};
+use knapweed_world::{Name, SnapshotCell, TicketNumber, Time};
 use knapweed_zone::dissemination::transfers::Transfers;
 use knapweed_zone::floor::{self as floor_decision, VersionFloor};
 use knapweed_zone::{Epidemic, Membership, membership};
@@ -98,8 +98,8 @@
     established: EstablishedVersions,
     floor: VersionFloor,
     watch: Watch,
-    /// Version of the configuration that the store had at the last read, and its era.
-    stored_config: (StoreEra, ConfigVersion),
+    /// The configuration that the store had at the last read.
+    stored_config: StoredConfig,
     rollouts: Rollouts,
     orders: OrderBook,
     results: PendingResults,
@@ -167,7 +167,7 @@
             configs: ConfigStore::default(),
             transfers: Transfers::default(),
             watch: Watch::default(),
-            stored_config: Default::default(),
+            stored_config: StoredConfig::default(),
             rollouts: Rollouts::default(),
             orders: OrderBook::default(),
             results: PendingResults::default(),
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -10,7 +10,7 @@
 use knapweed_store::Error as StoreError;
 use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
 use knapweed_timer::TimerService;
-use knapweed_world::{ConfigVersion, Time};
+use knapweed_world::Time;
 use knapweed_zone::membership;
 use rand::Rng;
 use std::sync::Arc;
@@ -145,29 +145,14 @@
     pub(super) fn source_updated(&mut self, update: SourceUpdate, age: Duration) {
         let now = self.now();
         self.record_store_reachable(now, true);
-        // An update that left something out may lack a newer version.
-        if !update.is_partial {
-            self.config_confirmed(now, &update, age);
+        if let Some((era, version)) = self.stored_config.update(&update) {
+            let at = now.before(age);
+            self.member_event(now, membership::Event::ConfigConfirmed { era, version, at });
         }
         if let Some(loaded) = update.loaded {
             self.config_loaded(loaded);
         }
     }
-
-    /// Records which version the store has; an update without a configuration confirms the
-    /// one before.
-    fn config_confirmed(&mut self, now: Time, update: &SourceUpdate, age: Duration) {
-        let era = update.revision.era;
-        let (known_era, known) = self.stored_config;
-        let version = match &update.loaded {
-            Some(loaded) => loaded.head.version,
-            None if known_era == era => known,
-            None => ConfigVersion::default(),
-        };
-        self.stored_config = (era, version);
-        let at = now.before(age);
-        self.member_event(now, membership::Event::ConfigConfirmed { era, version, at });
-    }
 }
 
 /// Configuration parts that this node has and need not read from the store.
--- a/crates/node/src/operators/node_metrics.rs
+++ b/crates/node/src/operators/node_metrics.rs
@@ -28,7 +28,7 @@
     pub view: Arc<ArcSwap<View>>,
     /// Whether the configuration in force is known to be the newest one.
     pub currency: Arc<RouteCurrency>,
-    /// Clock by which it is.
+    /// Clock that tells whether it still is.
     pub timer: TimerService,
     /// Counts the running requests.
     pub drain: Arc<Drain>,
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -8,7 +8,8 @@
 
 use futures_util::future::BoxFuture;
 use knapweed_contract::{Head, PartCache};
-use knapweed_store::Revision;
+use knapweed_store::{Revision, StoreEra};
+use knapweed_world::ConfigVersion;
 use std::time::Duration;
 
 /// The reason why a source returned no configuration.
@@ -60,6 +61,32 @@
     }
 }
 
+/// The version of the configuration that the store had at the last read.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoredConfig {
+    era: StoreEra,
+    version: ConfigVersion,
+}
+
+impl StoredConfig {
+    /// Takes note of an answer of the source, and returns the era of the store and the version
+    /// that it has. An answer without a configuration confirms the version before, unless the
+    /// store has lost it; `None` when the answer may lack a newer one.
+    pub fn update(&mut self, update: &SourceUpdate) -> Option<(StoreEra, ConfigVersion)> {
+        if update.is_partial {
+            return None;
+        }
+        let era = update.revision.era;
+        let version = match &update.loaded {
+            Some(loaded) => loaded.head.version,
+            None if self.era == era => self.version,
+            None => ConfigVersion::default(),
+        };
+        *self = Self { era, version };
+        Some((era, version))
+    }
+}
+
 /// A source of configurations.
 pub trait ConfigSource: Send + Sync {
     /// Loads the newest configuration. Parts in `known` need not be read again.
--- a/crates/node/tests/configuration/process.rs
+++ b/crates/node/tests/configuration/process.rs
@@ -3,11 +3,11 @@
 use crate::watch_loop::WatchLoop;
 use knapweed_link::Delta;
 use knapweed_node::control::config::ConfigStore;
-use knapweed_node::source::{Error, LoadedConfig, SourceUpdate};
+use knapweed_node::source::{Error, LoadedConfig, SourceUpdate, StoredConfig};
 use knapweed_store::Error as StoreError;
 use knapweed_store::cursor::NextCall;
 use knapweed_world::snapshot::HostEntry;
-use knapweed_world::{ConfigVersion, Name, StoreEra, Time, UnixMillis};
+use knapweed_world::{ConfigVersion, Name, Time, UnixMillis};
 use knapweed_zone::directory::SharedRecord;
 use knapweed_zone::floor::{self, FloorAnswer, Source, VersionFloor};
 use knapweed_zone::membership::{self, Action};
@@ -52,7 +52,8 @@
     WatchAgain(u32, Duration),
 }
 
-/// A process of a node.
+/// The parts of a node's process that decide about its configuration, without its
+/// connections and tasks.
 pub(crate) struct Process {
     pub(crate) membership: Membership,
     pub(crate) configs: ConfigStore,
@@ -61,7 +62,7 @@
     /// Number of watches so far; answers to an earlier one are dropped.
     watches: u32,
     /// Version of the configuration that the store had at the last read, and its era.
-    stored_config: (StoreEra, ConfigVersion),
+    stored_config: StoredConfig,
     rng: SmallRng,
     effects: Vec<Effect>,
 }
@@ -79,7 +80,7 @@
             floor: VersionFloor::new(now, derived()),
             watch: None,
             watches: 0,
-            stored_config: Default::default(),
+            stored_config: StoredConfig::default(),
             rng,
             effects: Vec::new(),
         }
@@ -248,26 +249,15 @@
 
     fn source_updated(&mut self, now: Time, asked: Asked, update: SourceUpdate) {
         self.member_event(now, membership::Event::StoreReached(true));
-        if !update.is_partial {
-            let age = update.age(now.since(asked.at), asked.wait);
-            self.config_confirmed(now, now.before(age), &update);
+        let age = update.age(now.since(asked.at), asked.wait);
+        if let Some((era, version)) = self.stored_config.update(&update) {
+            let at = now.before(age);
+            self.member_event(now, membership::Event::ConfigConfirmed { era, version, at });
         }
         if let Some(loaded) = update.loaded {
             self.loaded(now, loaded);
         }
     }
-
-    fn config_confirmed(&mut self, now: Time, at: Time, update: &SourceUpdate) {
-        let era = update.revision.era;
-        let (known_era, known) = self.stored_config;
-        let version = match &update.loaded {
-            Some(loaded) => loaded.head.version,
-            None if known_era == era => known,
-            None => ConfigVersion::default(),
-        };
-        self.stored_config = (era, version);
-        self.member_event(now, membership::Event::ConfigConfirmed { era, version, at });
-    }
 }
 
 /// The version floor after a start.
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! configurations and states.
 #![allow(dead_code, missing_docs, unreachable_pub, clippy::unwrap_used)]
 
+pub mod by_time;
 pub mod platform;
 pub mod replay;
 pub mod scenario;
--- a/crates/rollout/tests/restored.rs
+++ b/crates/rollout/tests/restored.rs
@@ -2,18 +2,16 @@
 
 mod common;
 
+use common::by_time::ByTime;
 use common::platform::FakePlatform;
 use common::{START, capacity, config, name};
 use insta::assert_snapshot;
 use knapweed_rollout::control::WriteResult;
 use knapweed_rollout::counters::{LoadLevel, Sample, SeriesId, Warmth};
-use knapweed_rollout::judge::TimeOnlyJudge;
-use knapweed_rollout::planner::RampPlanner;
 use knapweed_rollout::{
     Action, ByDuration, ChooseStrategy, Counters, Event, Phase, Revision, RolloutController,
-    RolloutState, StoreEra, Strategy, ZoneReport,
+    RolloutState, StoreEra, ZoneReport,
 };
-use knapweed_world::config::RolloutTerms;
 use knapweed_world::{Share, Time, UnixMillis};
 use std::fmt::Write;
 
@@ -21,19 +19,6 @@
 const RECOVERY_MS: u64 = 1_000;
 const STEP_MS: u64 = 250;
 
-/// Chooses the judge and planner that follow the clock alone.
-#[derive(Debug)]
-struct ByTime;
-
-impl ChooseStrategy for ByTime {
-    fn choose(&self, _terms: &RolloutTerms) -> Strategy {
-        Strategy {
-            judge: Box::new(TimeOnlyJudge),
-            planner: Box::new(RampPlanner),
-        }
-    }
-}
-
 /// Rollout control with a platform that answers at once.
 struct Holder {
     control: RolloutController,
--- a/crates/rollout/tests/tickets.rs
+++ b/crates/rollout/tests/tickets.rs
@@ -2,31 +2,16 @@
 
 mod common;
 
+use common::by_time::ByTime;
 use common::platform::FakePlatform;
 use common::{START, capacity, config, name};
 use insta::assert_snapshot;
-use knapweed_rollout::judge::TimeOnlyJudge;
-use knapweed_rollout::planner::RampPlanner;
 use knapweed_rollout::{
-    Action, ChooseStrategy, Counters, Event, Phase, RolloutController, RolloutState, Strategy,
-    ZoneReport,
+    Action, Counters, Event, Phase, RolloutController, RolloutState, ZoneReport,
 };
-use knapweed_world::config::{RolloutTerms, ServiceConfig};
+use knapweed_world::config::ServiceConfig;
 use knapweed_world::{Share, Time, UnixMillis};
 
-/// Chooses the judge and planner that follow the clock alone.
-#[derive(Debug)]
-struct ByTime;
-
-impl ChooseStrategy for ByTime {
-    fn choose(&self, _terms: &RolloutTerms) -> Strategy {
-        Strategy {
-            judge: Box::new(TimeOnlyJudge),
-            planner: Box::new(RampPlanner),
-        }
-    }
-}
-
 /// Rollout control with a platform that answers immediately.
 struct Holder {
     control: RolloutController,
--- a/crates/zone/src/dissemination/transfers.rs
+++ b/crates/zone/src/dissemination/transfers.rs
@@ -9,9 +9,8 @@
 /// Longest delta, in bytes, that does not count as a transfer: about 16 ms of a link of
 /// 10 Mbit/s.
 pub const MAX_SHORT_LEN: usize = 16 * 1024;
-/// Maximum number of long deltas that a node sends at a time. A version reaches all members
-/// sooner the fewer there are: in a simulation with 280 members and 200 KB over 10 Mbit/s,
-/// after 2.5 s with one, 3.0 s with two and 3.7 s with three.
+/// Maximum number of long deltas that a node sends at a time. Transfers that share a link all
+/// end late, and a version spreads only from nodes that have received it.
 pub const MAX_TRANSFERS: usize = 1;
 
 /// Counts the long deltas that a node is sending.
