--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -219,6 +219,29 @@
     assert_eq!(run(&ingress, "/calendar/ok", &[]).await, answered);
 }
 
+/// Guards against a final 431 for a head that a configuration allows which the node has not
+/// received yet.
+#[tokio::test]
+async fn a_limit_of_an_outdated_configuration_is_not_final() {
+    let mut config = config();
+    config.limits.max_header_bytes = Some(1);
+    let host = local("a1", "labasa-a", "labasa");
+    let snapshot = Builder::new(host.name.clone(), &config).hosts([host]);
+    let snapshots = SnapshotCell::new(snapshot.build().expect("a valid mesh"));
+    let dependencies = dependencies(Arc::new(snapshots), &Metrics::new(), Drain::default());
+    let (currency, timer) = (
+        Arc::clone(&dependencies.currency),
+        dependencies.timer.clone(),
+    );
+    let ingress = Ingress::new(dependencies);
+    let long = [("x-long", "ab")];
+    let outdated = Outcome::NotRun(NotRun::OutdatedConfig);
+    assert_eq!(run(&ingress, "/calendar/ok", &long).await, outdated);
+    currency.set_until(timer.now().after(Duration::from_secs(60)));
+    let too_long = Outcome::NotRun(NotRun::HeadersTooLong);
+    assert_eq!(run(&ingress, "/calendar/ok", &long).await, too_long);
+}
+
 /// Guards against server errors, refusals and requests without a route being
 /// counted for the wrong service or not at all.
 #[tokio::test]
--- a/crates/zone/tests/dissemination.rs
+++ b/crates/zone/tests/dissemination.rs
@@ -385,8 +385,10 @@
     let long = MAX_SHORT_LEN + 1;
     let mut active: Vec<_> = (0..MAX_TRANSFERS).map(|_| transfers.start(long)).collect();
     assert!(active.iter().all(Option::is_some));
+    assert!(transfers.is_full());
     assert!(transfers.start(long).is_none());
     assert!(transfers.start(MAX_SHORT_LEN).is_some());
     active.pop();
+    assert!(!transfers.is_full());
     assert!(transfers.start(long).is_some());
 }
