--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -60,6 +60,8 @@
     let reply = mesh.file(hosts[0], &first_ticket()).await?;
     anyhow::ensure!(reply.status == 200, "ticket 1: {:?}", reply.body);
     mesh.until_in_force(&hosts, 1, FIRST_TICKET_TIMEOUT).await?;
+    mesh.until_announced(&hosts, backends.len(), JOIN_TIMEOUT)
+        .await?;
     Ok(())
 }
 
--- a/crates/demo/src/mesh.rs
+++ b/crates/demo/src/mesh.rs
@@ -336,6 +336,37 @@
         Ok(known.iter().filter(|n| n["state"] == "alive").count())
     }
 
+    /// Waits until each of `hosts` knows `servers` ready backend servers.
+    ///
+    /// # Errors
+    ///
+    /// One of them does not within `wait`.
+    pub async fn until_announced(
+        &self,
+        hosts: &[&str],
+        servers: usize,
+        wait: Duration,
+    ) -> anyhow::Result<()> {
+        for host in hosts {
+            let what = format!("host {host} knows {servers} ready backend servers");
+            self.until(&what, wait, || async move {
+                (self.ready_servers_at(host).await.ok()? >= servers).then_some(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Number of ready backend servers that the node of `host` knows.
+    async fn ready_servers_at(&self, host: &str) -> anyhow::Result<usize> {
+        let known = self.nodes_of(host).await?;
+        let servers = known
+            .iter()
+            .filter_map(|n| n["backend_servers"].as_array())
+            .flatten();
+        Ok(servers.filter(|s| s["state"] == "ready").count())
+    }
+
     /// Lists the nodes that the node of `host` knows, in the JSON form of `/v1/nodes`.
     ///
     /// # Errors
