--- a/crates/node/src/currency.rs
+++ b/crates/node/src/currency.rs
@@ -5,7 +5,8 @@
 
 /// The time until which the configuration in force counts as the newest.
 ///
-/// The control thread sets it, and the ingress reads it for requests without a route.
+/// The control thread sets it after it has replaced the snapshot. The ingress reads it before
+/// it loads the snapshot, for requests without a route.
 #[derive(Debug, Default)]
 pub struct RouteCurrency {
     /// In the unit of [`Time`].
@@ -13,13 +14,14 @@
 }
 
 impl RouteCurrency {
-    /// Sets the time until which the configuration in force counts as the newest.
+    /// Sets the time until which the configuration in force counts as the newest. The snapshot
+    /// of that configuration is in force already.
     pub fn set_until(&self, until: Time) {
-        self.until.store(until.0, Ordering::Relaxed);
+        self.until.store(until.0, Ordering::Release);
     }
 
     /// Whether a path without a route has none in the newest configuration either.
     pub fn is_current(&self, now: Time) -> bool {
-        now < Time(self.until.load(Ordering::Relaxed))
+        now < Time(self.until.load(Ordering::Acquire))
     }
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -111,6 +111,9 @@
         if !self.dependencies.ready.load(Ordering::Relaxed) {
             return self.refuse(&request, NotRun::NotServing);
         }
+        // Read before the snapshot, which is replaced before the currency is set: the routes
+        // that are looked up are never older than those that the currency speaks of.
+        let is_current = self.dependencies.currency.is_current(start);
         // All attempts use one snapshot, so that the request sees a single version
         // of the configuration.
         let snapshot = self.dependencies.snapshots.load_full();
@@ -132,7 +135,7 @@
             Err(err) => {
                 let address = (&request.uri, &request.headers);
                 log.set_refused(address, &err, err.header());
-                Err(Outcome::NotRun(self.refusal(&err, start)))
+                Err(Outcome::NotRun(refusal(&err, is_current)))
             }
         };
         let mut response = result.unwrap_or_else(Response::without_answer);
@@ -239,20 +242,16 @@
             Request::from_incoming(snapshot, &incoming, &self.dependencies.wait_estimator, now)?;
         Ok((parsed, fields))
     }
+}
 
-    /// The reason that is reported for a request that cannot be accepted.
-    ///
-    /// A node that does not know whether its configuration is the newest does not claim that
-    /// there is no route, or that a limit holds.
-    fn refusal(&self, err: &Error, now: Time) -> NotRun {
-        match err.reason() {
-            NotRun::NoRoute | NotRun::HeadersTooLong
-                if !self.dependencies.currency.is_current(now) =>
-            {
-                NotRun::OutdatedConfig
-            }
-            reason => reason,
-        }
+/// The reason that is reported for a request that cannot be accepted.
+///
+/// A node that does not know whether its configuration is the newest does not claim that
+/// there is no route, or that a limit holds.
+fn refusal(err: &Error, is_current: bool) -> NotRun {
+    match err.reason() {
+        NotRun::NoRoute | NotRun::HeadersTooLong if !is_current => NotRun::OutdatedConfig,
+        reason => reason,
     }
 }
 
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -1,11 +1,14 @@
 //! Tests of the ingress: counters by service, and the byte budget of calls to other
 //! regions.
 
+use bytes::Bytes;
 use futures_util::future::BoxFuture;
+use http::header::HeaderName;
 use http::{HeaderMap, Method};
 use knapweed_host::choice::ExpectedTime;
 use knapweed_host::drain;
 use knapweed_host::outcome::Answer;
+use knapweed_host::request::{Error, IdLimit};
 use knapweed_host::{Drain, NotRun, Outcome, Unknown, WaitEstimator};
 use knapweed_link::LinkBudget;
 use knapweed_node::body::{self, RequestBody};
@@ -14,6 +17,7 @@
 use knapweed_node::ingress::metrics::IngressMetrics;
 use knapweed_node::ingress::{CallerRequest, Dependencies, Ingress};
 use knapweed_node::protocol::native::NativeHeaders;
+use knapweed_node::protocol::{CallerFields, CallerProtocol};
 use knapweed_observe::Metrics;
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
@@ -219,6 +223,59 @@
     assert_eq!(run(&ingress, "/calendar/ok", &[]).await, answered);
 }
 
+/// Header format that runs an action when the ingress reads the identifier of a request, which
+/// it does while it already uses a snapshot.
+struct Interrupted<F>(F);
+
+impl<F: Fn() + Send + Sync> CallerProtocol for Interrupted<F> {
+    fn read(&self, headers: &HeaderMap) -> Result<CallerFields, Error> {
+        NativeHeaders.read(headers)
+    }
+
+    fn id(&self, headers: &HeaderMap) -> Option<Bytes> {
+        (self.0)();
+        NativeHeaders.id(headers)
+    }
+
+    fn id_limit(&self) -> IdLimit {
+        NativeHeaders.id_limit()
+    }
+
+    fn is_forwarded(&self, name: &HeaderName) -> bool {
+        NativeHeaders.is_forwarded(name)
+    }
+
+    fn describe(&self, outcome: Outcome, wait: Option<Duration>, headers: &mut HeaderMap) {
+        NativeHeaders.describe(outcome, wait, headers);
+    }
+}
+
+/// Guards against a 404 by an outdated table, while the configuration that has the route comes
+/// into force and is confirmed (`DENIED`, issue 35).
+#[tokio::test]
+async fn a_confirmation_of_newer_routes_does_not_count_for_older_ones() {
+    let host = local("a1", "labasa-a", "labasa");
+    let empty = Config::default();
+    let before = Builder::new(host.name.clone(), &empty).hosts([host.clone()]);
+    let snapshots = Arc::new(SnapshotCell::new(before.build().expect("a valid mesh")));
+    let mut dependencies = dependencies(Arc::clone(&snapshots), &Metrics::new(), Drain::default());
+    let (currency, timer) = (
+        Arc::clone(&dependencies.currency),
+        dependencies.timer.clone(),
+    );
+    let mut newer = config();
+    newer.version = ConfigVersion(2);
+    dependencies.protocol = Box::new(Interrupted(move || {
+        let after = Builder::new(host.name.clone(), &newer).hosts([host.clone()]);
+        let after = after.build().expect("a valid mesh");
+        snapshots.replace(after).expect("a newer version");
+        currency.set_until(timer.now().after(Duration::from_secs(60)));
+    }));
+    let ingress = Ingress::new(dependencies);
+    let outdated = Outcome::NotRun(NotRun::OutdatedConfig);
+    assert_eq!(run(&ingress, "/calendar/ok", &[]).await, outdated);
+}
+
 /// Guards against a final 431 for a head that a configuration allows which the node has not
 /// received yet.
 #[tokio::test]
