fix(node): a late load does not lower the version that the store is known to have

Cause: the version of the last answer replaced the one before. A load of a starting node that began before a change and ended after the watch had reported it set the stored version back, and each later watch without a change confirmed the older one. Until the next change the node confirmed nothing, and if all gateways had started together, the mesh answered 503 for every unknown path. An answer of an era that had ended reset it as well.

Change: the version only rises within an era, and answers of an earlier era are ignored.

--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -72,16 +72,19 @@
     /// Takes note of an answer of the source, and returns the era of the store and the version
     /// that it has. An answer without a configuration confirms the version before, unless the
     /// store has lost it; `None` when the answer may lack a newer one.
+    ///
+    /// Within an era the version only rises: an answer with a lower one is of an earlier call.
     pub fn update(&mut self, update: &SourceUpdate) -> Option<(StoreEra, ConfigVersion)> {
-        if update.is_partial {
+        let era = update.revision.era;
+        if update.is_partial || era < self.era {
             return None;
         }
-        let era = update.revision.era;
-        let version = match &update.loaded {
-            Some(loaded) => loaded.head.version,
-            None if self.era == era => self.version,
-            None => ConfigVersion::default(),
+        let loaded = update.loaded.as_ref().map(|loaded| loaded.head.version);
+        let known = match era == self.era {
+            true => self.version,
+            false => ConfigVersion::default(),
         };
+        let version = known.max(loaded.unwrap_or_default());
         *self = Self { era, version };
         Some((era, version))
     }
