fix(zone): a store that came back confirms the version that it kept only after a while

Cause: after a loss the version that the store still had was confirmed at once when no node knew a newer one. The store may have lost a version that no node had received, whose routes then got 404 until the operators wrote it again.

Change: in an era after the first, the version of the store counts as the newest 10 s after the era began, or once it has risen. A process that starts in a later era waits too, unless another node confirms the version.

--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -14,6 +14,10 @@
 /// configuration that was accepted meanwhile may still be unknown on any node.
 pub const CONFIRMED_FOR: Duration = Duration::from_secs(3);
 
+/// Time after the start of an era within which the operators write again what the store has
+/// lost. The lost version may be one that no node has received.
+pub const REWRITTEN_WITHIN: Duration = Duration::from_secs(10);
+
 /// Statement that a version was the newest one in the store.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Confirmation {
@@ -34,6 +38,8 @@
     newest: ConfigVersion,
     /// The version in force on this node.
     applied: ConfigVersion,
+    /// When the version in the store counts as the newest one, unless it rises before.
+    settled_at: Time,
     /// When `newest` was last known to be the newest version; `None` when it is not known
     /// since the era began or since a newer version was heard of.
     confirmed_at: Option<Time>,
@@ -54,6 +60,7 @@
             era: None,
             newest: ConfigVersion::default(),
             applied: ConfigVersion::default(),
+            settled_at: Time::default(),
             confirmed_at: None,
         }
     }
@@ -63,12 +70,21 @@
 impl Freshness {
     /// Handles an answer of the store whose newest version was `newest` at the time `at`.
     ///
-    /// A store with an older version than the mesh has lost changes, perhaps also some that
-    /// no node has received. It confirms nothing until the operators have written them again.
+    /// A store with an older version than the mesh has lost changes, and confirms nothing. One
+    /// with the same version may have lost a later one that no node has received. It confirms
+    /// nothing for [`REWRITTEN_WITHIN`], unless its version rises.
     pub fn store_answered(&mut self, at: Time, era: StoreEra, newest: ConfigVersion) {
-        self.begin_era(era);
-        if Some(era) == self.era && newest >= self.newest {
-            self.confirm(newest, at);
+        self.begin_era(at, era);
+        if Some(era) != self.era || newest < self.newest {
+            return;
+        }
+        let has_risen = newest > self.newest && self.newest > ConfigVersion::default();
+        if has_risen {
+            self.settled_at = at;
+        }
+        match at >= self.settled_at {
+            true => self.confirm(newest, at),
+            false => self.newest = newest,
         }
     }
 
@@ -81,7 +97,7 @@
         confirmation: Option<Confirmation>,
     ) {
         if let Some(confirmation) = confirmation {
-            self.begin_era(confirmation.era);
+            self.begin_era(now, confirmation.era);
         }
         let confirmation = confirmation.filter(|c| Some(c.era) == self.era);
         match confirmation {
@@ -107,11 +123,16 @@
     }
 
     /// Forgets the confirmation when a later era begins: the store may have lost the
-    /// changes that the confirmation spoke of, and get others.
-    fn begin_era(&mut self, era: StoreEra) {
-        if Some(era) > self.era {
-            self.era = Some(era);
-            self.confirmed_at = None;
+    /// changes that the confirmation spoke of, and get others. A process that starts in a
+    /// later era than the first does not know when it began.
+    fn begin_era(&mut self, at: Time, era: StoreEra) {
+        if Some(era) <= self.era {
+            return;
+        }
+        self.era = Some(era);
+        self.confirmed_at = None;
+        if era > StoreEra::default() {
+            self.settled_at = at.after(REWRITTEN_WITHIN);
         }
     }
 
