fix(zone): a confirmation that is too old for a message is not passed on

Cause: the age of a confirmation is sent as 16 bits of milliseconds, and a larger one wrapped. With a time to be in force over 65 s an old confirmation looked recent to the receiver.

Change: such a confirmation is not sent.

Result: a_confirmation_that_is_too_old_for_a_message_is_not_passed_on; by the conversion that was there, an age of 66 s was sent as 464 ms.

--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -168,9 +168,7 @@
         let age = now.since(confirmed_at);
         let is_valid = age < self.valid_for;
         let era = self.era.filter(|_| is_valid)?;
-        Some(Confirmation {
-            era,
-            age_ms: age.as_millis() as u16,
-        })
+        let age_ms = u16::try_from(age.as_millis()).ok()?;
+        Some(Confirmation { era, age_ms })
     }
 }
--- a/crates/zone/tests/freshness.rs
+++ b/crates/zone/tests/freshness.rs
@@ -132,6 +132,17 @@
     assert_eq!(ages, [Some(0), Some(2_000), None]);
 }
 
+/// Guards against an old confirmation that is passed on as a recent one because its age exceeds
+/// the range of the message.
+#[test]
+fn a_confirmation_that_is_too_old_for_a_message_is_not_passed_on() {
+    let mut freshness = Freshness::new(Duration::from_secs(120));
+    freshness.applied(V1);
+    freshness.store_answered(at(1), FIRST_ERA, V1);
+    let ages = [66, 67].map(|now| freshness.confirmation(at(now)).map(|c| c.age_ms));
+    assert_eq!(ages, [Some(65_000), None]);
+}
+
 /// Interval at which a node that watches the configuration hears from the store.
 const WATCH_INTERVAL: Duration = Duration::from_secs(1);
 const SEEDS: u64 = 3;
