fix(contract): a throttled store is not taken for an unavailable one

Cause: concurrent_filers_give_gapless_versions files 300 tickets from four threads into a store that admits 400 writes a second, with a burst of 400. A throttled call counted as a fault of the store: after the sixth one of a ticket, after waits of 1.25 s on average, the ticket was answered `Unavailable { reason: "rate limit exceeded" }`, although the store served the other filers meanwhile. Change: RetryCause::Throttled. Its waits (up to 100 ms) do not grow, up to 100 retries. The waits after faults and throttled calls together stay within the 2.5 s that a filing had before, so operators get a response within 3 s. An outage is retried as before.

--- a/crates/contract/src/accept.rs
+++ b/crates/contract/src/accept.rs
@@ -58,10 +58,22 @@
 pub enum RetryCause {
     /// A conditional write failed because another process wrote first.
     Contention,
+    /// The object store refused a call because of its rate limit.
+    Throttled,
     /// The object store failed, or an object could not be decoded.
     Fault(String),
 }
 
+impl From<&Error> for RetryCause {
+    fn from(error: &Error) -> Self {
+        match error {
+            Error::Conflict { .. } => Self::Contention,
+            Error::Throttled => Self::Throttled,
+            error => Self::Fault(error.to_string()),
+        }
+    }
+}
+
 /// Output of the state machine: what the caller does next.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
@@ -145,7 +157,7 @@
             Event::Start | Event::Waited => self.read(head::key(), Step::ReadHead),
             Event::Read(Ok(object)) => self.on_read(step, object, now),
             Event::Written(Ok(revision)) => self.on_written(step, revision),
-            Event::Read(Err(e)) => Action::Wait(RetryCause::Fault(e.to_string())),
+            Event::Read(Err(e)) => Action::Wait(RetryCause::from(&e)),
             Event::Written(Err(e)) => self.on_write_error(step, e),
         }
     }
@@ -154,6 +166,7 @@
     pub fn give_up(&self, reason: &RetryCause) -> Outcome {
         let reason = match reason {
             RetryCause::Contention => "other processes wrote first on every attempt".to_owned(),
+            RetryCause::Throttled => Error::Throttled.to_string(),
             RetryCause::Fault(reason) => reason.clone(),
         };
         match self.accepted {
@@ -205,8 +218,7 @@
                 let condition = current.map_or(Condition::Absent, Condition::Revision);
                 self.write_part(digest, condition)
             }
-            (_, Error::Conflict { .. }) => Action::Wait(RetryCause::Contention),
-            (_, e) => Action::Wait(RetryCause::Fault(e.to_string())),
+            (_, e) => Action::Wait(RetryCause::from(&e)),
         }
     }
 }
--- a/crates/contract/src/drive.rs
+++ b/crates/contract/src/drive.rs
@@ -209,7 +209,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(e) => e,
             };
-            if !backoff.wait(&RetryCause::Fault(e.to_string())).await {
+            if !backoff.wait(&RetryCause::from(&e)).await {
                 return Err(e);
             }
         }
@@ -303,7 +303,7 @@
                 }
                 Err(e) => {
                     wrote |= e.may_have_effect();
-                    (RetryCause::Fault(e.to_string()), e.into())
+                    (RetryCause::from(&e), e.into())
                 }
             };
             if !backoff.wait(&cause).await {
--- a/crates/contract/src/drive/backoff.rs
+++ b/crates/contract/src/drive/backoff.rs
@@ -15,12 +15,18 @@
 pub struct BackoffOptions {
     /// Maximum number of retries after faults of the object store.
     pub max_faults: u32,
+    /// Maximum number of retries after calls that the object store throttled.
+    pub max_throttled: u32,
     /// Maximum number of retries after conflicts with other writers.
     pub max_conflicts: u32,
     /// Upper bound of the wait after the first fault; doubles with each further one.
     pub first: Duration,
     /// Upper bound of the wait after any fault.
     pub longest: Duration,
+    /// Upper bound of the wait after a throttled call.
+    pub throttled: Duration,
+    /// Upper bound of the sum of the waits after faults and throttled calls.
+    pub total: Duration,
     /// Upper bound of the wait after a conflict.
     pub conflict: Duration,
     /// Seed of the jitter; `None` for a random seed.
@@ -30,12 +36,14 @@
 impl Default for BackoffOptions {
     fn default() -> Self {
         Self {
-            // The waits add up to at most 2.5 s, so that operators get a response
-            // within 3 s during an outage.
             max_faults: 5,
+            max_throttled: 100,
             max_conflicts: 100,
             first: Duration::from_millis(100),
             longest: Duration::from_secs(1),
+            throttled: Duration::from_millis(100),
+            // Operators get a response within 3 s during an outage.
+            total: Duration::from_millis(2_500),
             conflict: Duration::from_millis(20),
             seed: None,
         }
@@ -47,7 +55,10 @@
     options: &'a BackoffOptions,
     rng: SmallRng,
     faults: u32,
+    throttled: u32,
     conflicts: u32,
+    /// Sum of the waits after faults and throttled calls.
+    waited: Duration,
 }
 
 impl<'a> Backoff<'a> {
@@ -58,7 +69,9 @@
             options,
             rng: SmallRng::seed_from_u64(seed),
             faults: 0,
+            throttled: 0,
             conflicts: 0,
+            waited: Duration::ZERO,
         }
     }
 
@@ -69,6 +82,9 @@
         };
         let share: f64 = self.rng.random();
         let wait = longest.mul_f64(share);
+        if *cause != RetryCause::Contention {
+            self.waited += wait;
+        }
         if !wait.is_zero() {
             tokio::time::sleep(wait).await;
         }
@@ -82,13 +98,31 @@
                 self.conflicts += 1;
                 (self.conflicts <= options.max_conflicts).then_some(options.conflict)
             }
+            // A throttled call shows that the store is up and admits calls again soon, so the
+            // waits do not grow.
+            RetryCause::Throttled => {
+                self.throttled += 1;
+                let is_left = self.throttled <= options.max_throttled;
+                self.wait_left()
+                    .filter(|_| is_left)
+                    .map(|left| options.throttled.min(left))
+            }
             RetryCause::Fault(_) => {
                 let doublings = self.faults.min(MAX_DOUBLINGS);
                 self.faults += 1;
                 let longest = options.first.saturating_mul(1 << doublings);
                 let longest = longest.min(options.longest);
-                (self.faults <= options.max_faults).then_some(longest)
+                let is_left = self.faults <= options.max_faults;
+                self.wait_left()
+                    .filter(|_| is_left)
+                    .map(|left| longest.min(left))
             }
         }
     }
+
+    /// What is left of the sum of the waits; `None` when nothing is.
+    fn wait_left(&self) -> Option<Duration> {
+        let left = self.options.total.checked_sub(self.waited)?;
+        (!left.is_zero()).then_some(left)
+    }
 }
--- a/crates/contract/tests/common/world.rs
+++ b/crates/contract/tests/common/world.rs
@@ -137,6 +137,7 @@
 pub(crate) fn no_waits() -> BackoffOptions {
     BackoffOptions {
         first: Duration::ZERO,
+        throttled: Duration::ZERO,
         conflict: Duration::ZERO,
         seed: Some(1),
         ..BackoffOptions::default()
