fix(transport): a connection without a stateless reset token is not used for long

Cause: a node that opens a connection sends its stateless reset tokens in NEW_CONNECTION_ID frames after the handshake, later than its first datagram: the library makes them in the task of the endpoint. A process that ends in between leaves its peer with a connection for which it cannot recognise the reset of the next process, and which it uses until the idle timeout of 30 s. Change: a connection on which no token has arrived within 300 ms of its opening is not used for new streams and datagrams; the next use opens another one. Its open streams go on. The path of a request has one more atomic load once the token is known.

--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::sync::Mutex;
 
@@ -19,6 +19,10 @@
 /// once, and both stay in use.
 const SIMULTANEOUS_OPEN: Duration = Duration::from_secs(1);
 
+/// Time after the opening of a connection within which the peer's first stateless reset token
+/// arrives: several round trips to the other region.
+const RESET_TOKEN_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Error of reaching a peer. Nothing was sent to it.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
@@ -58,6 +62,8 @@
     current: ArcSwapOption<Connection>,
     /// Time at which the connection was opened.
     opened: ArcSwap<Instant>,
+    /// Whether a stateless reset token of the peer has arrived on the connection in use.
+    has_reset_token: AtomicBool,
     /// Held during a handshake, so that concurrent requests open only one connection.
     dialing: Mutex<()>,
 }
@@ -67,24 +73,41 @@
         Self {
             current: ArcSwapOption::default(),
             opened: ArcSwap::from_pointee(Instant::now()),
+            has_reset_token: AtomicBool::new(false),
             dialing: Mutex::default(),
         }
     }
 }
 
 impl PeerSlot {
-    /// The connection in use, unless it is closed.
+    /// The connection in use, unless it is closed or a restart of the peer would go unnoticed.
     fn open_connection(&self) -> Option<Arc<Connection>> {
         self.current
             .load_full()
-            .filter(|c| c.close_reason().is_none())
+            .filter(|c| c.close_reason().is_none() && self.notices_restart(c))
+    }
+
+    /// Whether a restart of the peer is noticed on the connection in use.
+    ///
+    /// That takes a stateless reset token of the peer, which a process that ends at once after
+    /// it has opened the connection may not have sent. Such a connection stays open for the
+    /// streams that it has, but is not used for new ones.
+    fn notices_restart(&self, connection: &Connection) -> bool {
+        if self.has_reset_token.load(Ordering::Relaxed) {
+            return true;
+        }
+        let has_token = connection.stats().frame_rx.new_connection_id > 0;
+        if has_token {
+            self.has_reset_token.store(true, Ordering::Relaxed);
+        }
+        has_token || self.opened.load().elapsed() < RESET_TOKEN_TIMEOUT
     }
 }
 
 /// The connections of one node to its peers.
 ///
-/// Looking up an open connection takes two atomic loads; locks are taken only to
-/// open a connection.
+/// Looking up an open connection takes three atomic loads. Locks are taken only to open a
+/// connection, and until the first stateless reset token of the peer has arrived on it.
 #[derive(Debug)]
 pub struct Peers {
     endpoint: quinn::Endpoint,
@@ -263,6 +286,7 @@
     /// Replaces the connection of a slot.
     fn replace(&self, slot: &PeerSlot, connection: Arc<Connection>) {
         slot.opened.store(Arc::new(Instant::now()));
+        slot.has_reset_token.store(false, Ordering::Relaxed);
         if let Some(old) = slot.current.swap(Some(connection)) {
             self.count_closed(&old);
         }
--- a/crates/transport/tests/endpoint.rs
+++ b/crates/transport/tests/endpoint.rs
@@ -216,6 +216,91 @@
     assert!(after.received >= before.received, "{before:?} {after:?}");
 }
 
+/// Relays packets between one client and `target`; returns the addresses that the client and
+/// the target know. While `handshake_only` is set, the client's packets get through only as far
+/// as they belong to the handshake.
+async fn filter(target: SocketAddr, handshake_only: Arc<AtomicBool>) -> (SocketAddr, SocketAddr) {
+    /// Bit of the first byte that is set in packets of the handshake only.
+    const LONG_HEADER: u8 = 0x80;
+    let any_port = (Ipv4Addr::LOCALHOST, 0);
+    let client_side = UdpSocket::bind(any_port).await.expect("a socket");
+    let target_side = UdpSocket::bind(any_port).await.expect("a socket");
+    let addresses = (
+        client_side.local_addr().expect("an address"),
+        target_side.local_addr().expect("an address"),
+    );
+    tokio::spawn(async move {
+        let (mut to_target, mut to_client) = ([0; 2_048], [0; 2_048]);
+        let mut client = None;
+        loop {
+            tokio::select! {
+                Ok((len, from)) = client_side.recv_from(&mut to_target) => {
+                    client = Some(from);
+                    let is_handshake = to_target[0] & LONG_HEADER != 0;
+                    if is_handshake || !handshake_only.load(Ordering::Relaxed) {
+                        let _ = target_side.send_to(&to_target[..len], target).await;
+                    }
+                }
+                Ok((len, _)) = target_side.recv_from(&mut to_client) => {
+                    if let Some(client) = client {
+                        let _ = client_side.send_to(&to_client[..len], client).await;
+                    }
+                }
+            }
+        }
+    });
+    addresses
+}
+
+/// Guards against a node that is unreachable for the idle timeout of 30 s, because its previous
+/// process ended before its peer got a stateless reset token of the connection.
+#[tokio::test]
+async fn a_peer_notices_the_restart_of_a_process_that_ended_after_the_handshake() {
+    let authority = Authority::new().expect("an authority");
+    let restarting = identity(&authority);
+    let (a, _arrivals) = open(&authority);
+    let handshake_only = Arc::new(AtomicBool::new(true));
+    let a_address = a.local_address().expect("an address");
+    let (to_a, to_b) = filter(a_address, Arc::clone(&handshake_only)).await;
+
+    // A separate runtime, so that the first endpoint ends without closing its connections.
+    let first = tokio::runtime::Runtime::new().expect("a runtime");
+    let guard = first.enter();
+    let any_port = (Ipv4Addr::LOCALHOST, 0).into();
+    let (b, _b_arrivals) = Endpoint::open(any_port, &restarting).expect("an endpoint");
+    drop(guard);
+    let address = b.local_address().expect("an address");
+    let peers = b.peers();
+    let send = async move { peers.send(to_a, Bytes::from("before")).await };
+    first.spawn(send).await.expect("a task").expect("sent");
+    for _ in 0..100 {
+        if a.peers().traffic().connections == 1 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(a.peers().traffic().connections, 1);
+    first.shutdown_background();
+    drop(b);
+
+    let (_b, mut b_arrivals) = reopen(address, &restarting).await;
+    handshake_only.store(false, Ordering::Relaxed);
+    let peers = a.peers();
+    let arrived = async {
+        loop {
+            let _ = peers.send(to_b, Bytes::from("after")).await;
+            let wait = Duration::from_millis(50);
+            if let Ok(Some((_, datagram))) =
+                tokio::time::timeout(wait, b_arrivals.datagrams.recv()).await
+            {
+                return datagram;
+            }
+        }
+    };
+    let datagram = tokio::time::timeout(Duration::from_secs(1), arrived).await;
+    assert_eq!(datagram.expect("in time"), Bytes::from("after"));
+}
+
 /// Relays datagrams between one client and `target`, and delays them while `paused` is
 /// set.
 async fn relay(target: SocketAddr, paused: Arc<AtomicBool>) -> SocketAddr {
