fix(demo): the load of a test lasts as long as its faults

Cause: answers_belong_to_their_requests_while_backend_servers_fail sent 2,000 requests, which takes 6 to 7 s, while its rounds of faults wait for real processes. On a busy machine the requests had ended before the last round, in which all servers are killed, so none was refused. Change: Load::run_until sends further requests until the last round is over, at most 20,000. The test still sends at least 2,000, and all its checks are unchanged.

--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -5,7 +5,7 @@
 use http::Method;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// Request header with the deadline, in milliseconds.
@@ -15,6 +15,9 @@
 /// Response header with the outcome of a request.
 const OUTCOME: &str = "knapweed-outcome";
 
+/// Maximum number of requests of a load that lasts until it may end.
+pub const MAX_REQUESTS: usize = 20_000;
+
 /// Parameters of a closed-loop load.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -22,7 +25,7 @@
     pub addresses: Vec<SocketAddr>,
     /// Number of the first request; the idempotency keys are derived from the numbers.
     pub first: usize,
-    /// Total number of requests.
+    /// Number of requests, at least.
     pub requests: usize,
     /// Number of callers, each of which has one request in flight at a time.
     pub callers: usize,
@@ -65,6 +68,23 @@
     pub detail: Option<String>,
 }
 
+/// Progress of a load, which its callers share.
+#[derive(Debug)]
+struct Progress {
+    /// Number of the next request, counted from 0.
+    next: AtomicUsize,
+    /// Whether the load ends after the requested number.
+    may_end: Arc<AtomicBool>,
+}
+
+impl Progress {
+    /// Whether request `number` is not sent any more.
+    fn is_over(&self, number: usize, requests: usize) -> bool {
+        number >= MAX_REQUESTS.max(requests)
+            || (number >= requests && self.may_end.load(Ordering::Relaxed))
+    }
+}
+
 impl Load {
     /// Sends all requests and returns the result of each, in no particular order.
     ///
@@ -72,10 +92,31 @@
     ///
     /// The task of a caller panicked.
     pub async fn run(self, client: &Client) -> anyhow::Result<Vec<FinishedRequest>> {
-        let next = Arc::new(AtomicUsize::new(0));
+        let may_end = Arc::new(AtomicBool::new(true));
+        self.run_until(client, may_end).await
+    }
+
+    /// Sends all requests, and further ones until `may_end` is true or [`MAX_REQUESTS`] have been
+    /// sent. Returns the result of each, in no particular order.
+    ///
+    /// # Errors
+    ///
+    /// The task of a caller panicked.
+    pub async fn run_until(
+        self,
+        client: &Client,
+        may_end: Arc<AtomicBool>,
+    ) -> anyhow::Result<Vec<FinishedRequest>> {
+        let progress = Arc::new(Progress {
+            next: AtomicUsize::new(0),
+            may_end,
+        });
         let load = Arc::new(self);
         let callers: Vec<_> = (0..load.callers)
-            .map(|_| tokio::spawn(call(Arc::clone(&load), client.clone(), Arc::clone(&next))))
+            .map(|_| {
+                let (load, progress) = (Arc::clone(&load), Arc::clone(&progress));
+                tokio::spawn(call(load, client.clone(), progress))
+            })
             .collect();
         let mut ended = Vec::with_capacity(load.requests);
         for caller in callers {
@@ -116,11 +157,11 @@
     }
 }
 
-async fn call(load: Arc<Load>, client: Client, next: Arc<AtomicUsize>) -> Vec<FinishedRequest> {
+async fn call(load: Arc<Load>, client: Client, progress: Arc<Progress>) -> Vec<FinishedRequest> {
     let mut ended = Vec::new();
     loop {
-        let number = next.fetch_add(1, Ordering::Relaxed);
-        if number >= load.requests {
+        let number = progress.next.fetch_add(1, Ordering::Relaxed);
+        if progress.is_over(number, load.requests) {
             return ended;
         }
         ended.push(load.request(&client, load.first + number).await);
--- a/crates/demo/tests/answers.rs
+++ b/crates/demo/tests/answers.rs
@@ -7,6 +7,8 @@
 use knapweed_demo::stand_in::identities;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Hosts with a backend server.
@@ -37,13 +39,19 @@
         let mut mesh = fleet::start(&NODES, &BACKENDS).await?;
         let load = load(&mesh);
         let client = mesh.client.clone();
-        let running = tokio::spawn(async move { load.run(&client).await });
+        // The rounds wait for real processes, so the load lasts as long as they do.
+        let may_end = Arc::new(AtomicBool::new(false));
+        let running = tokio::spawn({
+            let may_end = Arc::clone(&may_end);
+            async move { load.run_until(&client, may_end).await }
+        });
         let mut ledgers = Ledgers::default();
         for _ in 0..ROUNDS {
             inject_faults(&mut mesh, &mut ledgers, &[KILLED]).await?;
         }
         // While no server runs, requests are refused as not run.
         inject_faults(&mut mesh, &mut ledgers, &BACKENDS).await?;
+        may_end.store(true, Ordering::Relaxed);
         let finished = running.await??;
         for host in BACKENDS {
             ledgers.add(&mesh, &server_name(host)).await?;
