feat(demo): denials, times of regressions and losses of the store for tests

A request of a load keeps the status with which a node denied it (300 to 499, except 408, 421 and 429, which promise that it has not run). Until now a 404 counted as not run, like a 503. A regression has the times of both observations, so that a check can tell whether the node restarted between them. The stand-in of the platform can be told to copy its objects and to come back from the copy.

--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{Client, Reply};
 use bytes::Bytes;
-use http::Method;
+use http::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -60,6 +60,8 @@
     pub outcome: Outcome,
     /// Time from sending the request to its end.
     pub took: Duration,
+    /// Status with which the node itself denied the request, see [`denial`].
+    pub denial: Option<StatusCode>,
     /// Status and start of the body of an unexpected response, or the error. `None` if the request
     /// was answered.
     pub detail: Option<String>,
@@ -110,6 +112,7 @@
         FinishedRequest {
             identity,
             outcome,
+            denial: reply.as_ref().ok().and_then(denial),
             took: start.elapsed(),
             detail,
         }
@@ -138,6 +141,16 @@
     }
 }
 
+/// Status with which a node itself denies a request as wrong: one from 300 to 499, except 408, 421
+/// and 429, which promise that the request has not run and may be sent again. `None` if the node does
+/// not deny it, or passes on the status of a backend server.
+pub fn denial(reply: &Reply) -> Option<StatusCode> {
+    let is_own = reply.header(OUTCOME) != "answered";
+    let is_denial = (300..500).contains(&reply.status.as_u16());
+    let is_promise = matches!(reply.status.as_u16(), 408 | 421 | 429);
+    (is_own && is_denial && !is_promise).then_some(reply.status)
+}
+
 /// Returns the idempotency key of request `number`.
 fn identity(number: usize) -> String {
     format!("request-{number}")
--- a/crates/demo/src/stand_in.rs
+++ b/crates/demo/src/stand_in.rs
@@ -27,6 +27,33 @@
         put_faults(&self.client, self.platform(), faults).await
     }
 
+    /// Makes the platform's stand-in keep a copy of its objects, instead of an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// The stand-in does not respond.
+    pub async fn back_up_platform(&self) -> anyhow::Result<()> {
+        self.control_platform("/backup").await
+    }
+
+    /// Makes the platform's stand-in come back from the last copy: all later changes are lost.
+    ///
+    /// # Errors
+    ///
+    /// The stand-in does not respond, or has no copy.
+    pub async fn restore_platform(&self) -> anyhow::Result<()> {
+        self.control_platform("/restore").await
+    }
+
+    async fn control_platform(&self, path: &str) -> anyhow::Result<()> {
+        let sent = self
+            .client
+            .send(Method::POST, self.platform(), path, &[], "{}");
+        let reply = sent.await?;
+        anyhow::ensure!(reply.status == 200, "{path} refused: {:?}", reply.body);
+        Ok(())
+    }
+
     /// Reads how many calls the platform's stand-in has received since its start.
     ///
     /// # Errors
--- a/crates/demo/src/versions.rs
+++ b/crates/demo/src/versions.rs
@@ -24,6 +24,10 @@
     pub from: u64,
     /// Lower version observed after it.
     pub to: u64,
+    /// Time of the first observation of the highest version.
+    pub reached: Instant,
+    /// Time of the observation of the lower version.
+    pub at: Instant,
 }
 
 /// Versions observed at one node.
@@ -38,16 +42,19 @@
     /// Adds an observation. Version 0 is ignored: a node that has started reports it until it has a
     /// configuration, and refuses all requests meanwhile.
     fn add(&mut self, host: &'static str, version: u64, now: Instant) {
-        let highest = self.increases.last().map_or(0, |(v, _)| *v);
         if version == 0 {
             return;
         }
-        if version > highest {
-            self.increases.push((version, now));
-        } else if version < highest {
-            let from = highest;
-            let to = version;
-            self.regressions.push(Regression { host, from, to });
+        match self.increases.last().copied() {
+            Some((from, reached)) if version < from => self.regressions.push(Regression {
+                host,
+                from,
+                to: version,
+                reached,
+                at: now,
+            }),
+            Some((highest, _)) if version == highest => {}
+            _ => self.increases.push((version, now)),
         }
     }
 }
