feat(soak): the store comes back from older copies, nodes reload

Checks that are new, for both kinds: no node denies a request (300 to 499 but 408, 421, 429) on a route that all configurations which may be in force have; each node is sent requests of the routes of all accepted tickets. A ticket is never refused, also when it is filed again. After the faults all lost tickets and a further one must be accepted, and the routes of all tickets be served by all nodes, within the bounds that held before for the newest one. A return to an older version is a violation as before, unless the store had lost the newer one and another process of the node had started since.

--- a/crates/soak/src/bin/knapweed-soak.rs
+++ b/crates/soak/src/bin/knapweed-soak.rs
@@ -1,7 +1,7 @@
 //! Program `knapweed-soak`: runs one or more seeds, one after the other.
 
 use clap::Parser;
-use knapweed_soak::run;
+use knapweed_soak::{Kind, run};
 use serde_json::Value;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,6 +20,9 @@
     /// Number of consecutive seeds to run.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=MAX_SEEDS))]
     seeds: u64,
+    /// Adds losses of the store and reloads of nodes to the faults of each seed.
+    #[arg(long)]
+    losses: bool,
 }
 
 #[tokio::main]
@@ -39,9 +42,13 @@
     let first = args
         .seed
         .unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let kind = match args.losses {
+        true => Kind::WithLosses,
+        false => Kind::Faults,
+    };
     let mut code = ExitCode::SUCCESS;
     for seed in first..first.saturating_add(args.seeds) {
-        match run(seed).await {
+        match run(kind, seed).await {
             Ok(report) => {
                 println!("{}", Value::from(&report));
                 if !report.broken.is_empty() {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod invariants;
 pub mod plan;
+pub mod probes;
 pub mod proxy;
 pub mod run;
+pub mod tickets;
 
-pub use plan::Plan;
+pub use plan::{Kind, Plan};
 pub use run::{Report, run};
