fix(node): a signal during the start does not end the process

The handlers of SIGTERM, SIGINT and SIGHUP were installed by Node::run, after the node had opened its addresses and joined its mesh. Until then SIGHUP had its default action and ended the process, and SIGTERM cut the requests that had been accepted. Now the programs install them (node::Signals) before they open an address, and Node::run handles what has arrived meanwhile.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -7,6 +7,7 @@
 use knapweed_node::node::{Adapters, Node, NodeIdentity, listen};
 use knapweed_node::operators;
 use knapweed_node::protocol::native::NativeHeaders;
+use knapweed_node::signals::Signals;
 use knapweed_node::source::tickets::TicketSource;
 use knapweed_observe::{Logs, part};
 use knapweed_platform::store::HttpStore;
@@ -22,6 +23,7 @@
 /// Fails when an address cannot be bound, or the certificate or key cannot be
 /// loaded.
 pub async fn run(options: Options, logs: Logs) -> anyhow::Result<ExitCode> {
+    let signals = Signals::install()?;
     let client = HttpStore::builder(options.platform)
         .request_timeout(options.platform_timeout)
         .build();
@@ -52,7 +54,7 @@
         std::future::ready(Ok(stream))
     }));
     log::info!(target: part::PROGRAM, "serves operators on {}", options.operators);
-    node.run(|node| reload(node, &options)).await
+    Ok(node.run(signals, |node| reload(node, &options)).await)
 }
 
 /// Reloads the certificate and the key of the node, so that they can be renewed
--- a/crates/demo/tests/drain.rs
+++ b/crates/demo/tests/drain.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown of backend servers and nodes, and reload of a node, under load.
 
-use anyhow::ensure;
+use anyhow::{Context, ensure};
 use http::Method;
 use knapweed_demo::Mesh;
 use knapweed_demo::fleet::{self, NODES, limited};
@@ -25,6 +25,10 @@
 const EXIT_TIMEOUT: Duration = Duration::from_secs(12);
 /// Run time of a long request.
 const LONG_WORK_TIME: Duration = Duration::from_millis(1_200);
+/// Number of starts of a node that are observed.
+const STARTS: usize = 5;
+/// Bit of SIGHUP in the masks of signals of a process.
+const SIGHUP_BIT: u64 = 1;
 /// Length of a large response or upload, in bytes.
 const LARGE_LEN: usize = 5_000_000;
 const LARGE_PATH: &str = "/bytes/5000000";
@@ -119,6 +123,35 @@
     .await
 }
 
+/// Guards against a node that SIGHUP ends while it starts: it must have a handler of the signal
+/// before it accepts its first connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_starts_handles_a_reload() -> anyhow::Result<()> {
+    limited(async {
+        let mut mesh = Mesh::new(&NODES[..1])?;
+        let host = NODES[0].host;
+        for round in 0..STARTS {
+            mesh.start_node(host)?;
+            let operators = mesh.node(host).operators;
+            while tokio::net::TcpStream::connect(operators).await.is_err() {
+                tokio::task::yield_now().await;
+            }
+            let status = format!("/proc/{}/status", mesh.process(host).id());
+            let handled = handled_signals(&std::fs::read_to_string(status)?)?;
+            ensure!(handled & SIGHUP_BIT != 0, "start {round}: {handled:#x}");
+        }
+        Ok(())
+    })
+    .await
+}
+
+/// The mask of the signals that a process handles, from its status in `/proc`.
+fn handled_signals(status: &str) -> anyhow::Result<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+    let mask = line.context("the status has no mask of handled signals")?;
+    Ok(u64::from_str_radix(mask.trim(), 16)?)
+}
+
 fn start_load(mesh: &Mesh, hosts: &[&str]) -> JoinHandle<anyhow::Result<Vec<FinishedRequest>>> {
     let load = Load {
         addresses: hosts.iter().map(|h| mesh.node(h).callers).collect(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod protocol;
 pub mod registrar;
 pub mod request_log;
+pub mod signals;
 pub mod source;
 mod streamed;
 pub mod trial;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,6 +16,7 @@
 use crate::orders::RolloutOrders;
 use crate::protocol::{CallerProtocol, ServerProtocol};
 use crate::registrar::Registrar;
+use crate::signals::Signals;
 use crate::source::ConfigSource;
 use crate::trial::Trials;
 use anyhow::Context;
@@ -44,7 +45,6 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// Exit code when a second signal terminates the process before requests have ended.
@@ -381,14 +381,12 @@
 impl Node {
     /// Runs until SIGTERM or SIGINT and then stops gracefully; a second one
     /// terminates at once. SIGHUP calls `reload`.
-    ///
-    /// # Errors
-    ///
-    /// The signal handlers cannot be installed.
-    pub async fn run(mut self, mut reload: impl FnMut(&mut Self)) -> anyhow::Result<ExitCode> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let mut hangup = signal(SignalKind::hangup())?;
+    pub async fn run(mut self, signals: Signals, mut reload: impl FnMut(&mut Self)) -> ExitCode {
+        let Signals {
+            mut terminate,
+            mut interrupt,
+            mut hangup,
+        } = signals;
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
@@ -410,7 +408,7 @@
             };
             let Some(now) = now else {
                 if self.drain.leave(self.timer.now()) == StopAction::Terminate {
-                    return Ok(ExitCode::from(EXIT_TERMINATED));
+                    return ExitCode::from(EXIT_TERMINATED);
                 }
                 continue;
             };
@@ -423,7 +421,7 @@
         self.leave_members().await;
         self.endpoint.close().await;
         log::info!(target: part::PROGRAM, "stopped");
-        Ok(ExitCode::SUCCESS)
+        ExitCode::SUCCESS
     }
 
     /// Sends the members a last message that this node has left.
