test(soak): only nodes that accept connections are reloaded

A process that has not run any code yet cannot handle SIGHUP, whose default action ends it; on a busy machine this took 0.1 s after the start. From its first address on a node must handle it, so the step now looks for that.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,6 +16,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -301,7 +302,13 @@
                     self.schedule(REFILE_INTERVAL, Undo::Refile);
                 }
             }
-            Step::ReloadNode(host) => self.node(host).signal("HUP")?,
+            Step::ReloadNode(host) => {
+                // The default action of the signal ends a process that has not run any code yet.
+                let operators = self.mesh.node(HOSTS[host].host).operators;
+                if TcpStream::connect(operators).await.is_ok() {
+                    self.node(host).signal("HUP")?;
+                }
+            }
             Step::BackUpStore => {
                 self.tickets.back_up();
                 self.mesh.back_up_platform().await?;
