refactor(node): decisions about orders, eras and known states are free of I/O

Cause: which ticket and terms an order gets, what its source lacks, whether it is outdated, which services need a controller and what a holder is sent back were parts of the control thread, so no test could play them without connections and a store. Change: orders::book::OrderBook, control::rollouts::known::KnownStates and control::restored::Restores decide; the control thread carries out. No decision changes.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -12,9 +12,9 @@
 pub mod query;
 pub mod registry;
 pub mod reports;
-mod restored;
+pub mod restored;
 mod results;
-mod rollouts;
+pub mod rollouts;
 mod streams;
 mod verdicts;
 mod versions;
@@ -39,7 +39,7 @@
 use knapweed_zone::dissemination::transfers::Transfers;
 use knapweed_zone::floor::{self as floor_decision, VersionFloor};
 use knapweed_zone::{Epidemic, Membership, membership};
-use orders::OrderBook;
+use orders::OrderWatch;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use registry::Registry;
@@ -101,7 +101,7 @@
     /// The configuration that the store had at the last read.
     stored_config: StoredConfig,
     rollouts: Rollouts,
-    orders: OrderBook,
+    orders: OrderWatch,
     results: PendingResults,
     /// Chooses the members that get crash records.
     crash_peers: Epidemic,
@@ -169,7 +169,7 @@
             watch: Watch::default(),
             stored_config: StoredConfig::default(),
             rollouts: Rollouts::default(),
-            orders: OrderBook::default(),
+            orders: OrderWatch::default(),
             results: PendingResults::default(),
             verdicts: VerdictCalls::default(),
             crash_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -3,15 +3,14 @@
 
 use super::{Controller, Event};
 use crate::control::event::ControlHandle;
+use crate::orders::book::{Decision, EndDecision, Known, Missing, OrderBook};
 use crate::orders::{Order, Progress, RolloutOrders};
 use knapweed_observe::part;
 use knapweed_rollout::{self as rollout, RolloutState, TicketResult};
 use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
 use knapweed_store::{Error, ObjectStore};
-use knapweed_world::config::{Caution, RolloutTerms, ServiceConfig, VersionShare};
-use knapweed_world::{ConfigVersion, Name, Share, TicketNumber, Time};
+use knapweed_world::{Name, TicketNumber, Time};
 use rand::Rng;
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -24,24 +23,10 @@
 /// deadline, about a second later.
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
 
-/// An order that this node carries out while it holds the duty of rollout control.
-#[derive(Clone, Debug)]
-struct TrackedOrder {
-    /// Configuration of the service as a ticket with this order would set it.
-    config: ServiceConfig,
-    reported: Option<Progress>,
-}
-
-/// The newest order of each service.
+/// The newest order of each service, and the watch for further ones.
 #[derive(Debug, Default)]
-pub(super) struct OrderBook {
-    tracked: BTreeMap<Name, TrackedOrder>,
-    /// Whether the source has been read since this node holds the duty.
-    is_loaded: bool,
-    /// Whether an order was not started because it may be older than the known state.
-    has_held_orders: bool,
-    /// Services whose final progress is being reported.
-    reporting: BTreeSet<Name>,
+pub(super) struct OrderWatch {
+    pub(super) book: OrderBook,
     watch: Option<Watch>,
 }
 
@@ -55,28 +40,6 @@
     }
 }
 
-impl OrderBook {
-    /// Configuration of a service according to its newest order.
-    pub(super) fn config(&self, service: &Name) -> Option<&ServiceConfig> {
-        self.tracked.get(service).map(|tracked| &tracked.config)
-    }
-
-    /// Whether all orders are known that the source had when this node took the duty.
-    pub(super) fn is_loaded(&self) -> bool {
-        self.is_loaded
-    }
-
-    /// Services with an order whose end has not been reported.
-    pub(super) fn open(&self) -> impl Iterator<Item = &Name> {
-        let is_open = |tracked: &TrackedOrder| {
-            let ends = [Some(Progress::Completed), Some(Progress::PulledBack)];
-            !ends.contains(&tracked.reported)
-        };
-        let open = self.tracked.iter().filter(move |(_, p)| is_open(p));
-        open.map(|(service, _)| service)
-    }
-}
-
 /// Watching for orders, and starting their rollouts.
 impl Controller {
     /// Starts or stops the watch of orders with the duty of rollout control.
@@ -88,7 +51,7 @@
         if watches == self.orders.watch.is_some() {
             return;
         }
-        self.orders = OrderBook::default();
+        self.orders = OrderWatch::default();
         if watches {
             let (source, store) = (Arc::clone(source), Arc::clone(&self.dependencies.store));
             let task = tokio::spawn(watch(source, store, self.handle.clone()));
@@ -109,7 +72,7 @@
         if self.orders.watch.is_none() {
             return;
         }
-        self.orders.is_loaded = true;
+        self.orders.book.loaded();
         for (order, stored) in orders {
             if let Some(stored) = stored
                 && self.join(&stored)
@@ -122,26 +85,41 @@
     }
 
     fn start_order(&mut self, now: Time, order: Order) {
-        if self.is_outdated(&order) {
+        let known = Known {
+            state: self.rollouts.known.states().get(&order.service),
+            may_be_lost: self.restores.is_recent(),
+            wall: self.dependencies.timer.wall_clock(),
+        };
+        let directory = self.membership.directory();
+        let established = || {
+            let versions = &self.established;
+            versions.shares_before(&order.service, &order.target, directory)
+        };
+        let decision = self.orders.book.read(&order, known, established);
+        let Decision::Tracked {
+            ticket,
+            is_new,
+            missing,
+        } = decision
+        else {
             log::warn!(
                 target: part::ROLLOUT,
                 "did not start the order of service {} to version {}, reported {:?}: \
                  a newer one is known",
                 order.service, order.target, order.reported
             );
-            self.orders.has_held_orders = true;
             return;
-        }
-        let config = self.config_for_order(&order);
-        let known = self.orders.tracked.get(&order.service);
-        let is_new = known.is_none_or(|tracked| tracked.config.ticket != config.ticket);
-        let tracked = TrackedOrder {
-            config,
-            reported: order.reported,
         };
-        let ticket = tracked.config.ticket;
-        self.orders.tracked.insert(order.service.clone(), tracked);
-        self.report_unreported(now, &order, ticket);
+        match missing {
+            Some(Missing::End) => {
+                let missing = rollout::Event::ResultMissing(ticket);
+                self.rollout_event(now, &order.service, missing);
+            }
+            Some(Missing::Start) => {
+                self.report_order(&order.service, &order.target, ticket, Progress::Running);
+            }
+            None => {}
+        }
         if !is_new {
             return;
         }
@@ -154,98 +132,10 @@
         self.control_rollouts(now);
     }
 
-    /// Whether an order is older than the known state, from a store that has lost a later one.
-    ///
-    /// An order to another target than that of the state is new, and nothing is reported for
-    /// its target. A holder that ended before it stored the state may have reported it as
-    /// running, so such an order is held for a while only.
-    fn is_outdated(&self, order: &Order) -> bool {
-        let state = self.rollouts.states().get(&order.service);
-        let is_other = |s: &RolloutState| s.target.iter().any(|v| v.version != order.target);
-        state.is_some_and(is_other)
-            && match order.reported {
-                Some(Progress::Completed | Progress::PulledBack) => true,
-                Some(Progress::Running) => self.restores.is_recent(),
-                None => false,
-            }
-    }
-
     /// Reads all orders again if one was held.
     pub(super) fn read_held_orders(&mut self) {
-        if self.orders.has_held_orders {
-            self.orders = OrderBook::default();
-        }
-    }
-
-    /// Reports the progress of an order whose source has none, or no end: it is new, or the
-    /// store has lost what was reported.
-    fn report_unreported(&mut self, now: Time, order: &Order, ticket: TicketNumber) {
-        let state = self.rollouts.states().get(&order.service);
-        let has_ended = state.is_some_and(|s| s.ticket == ticket && s.phase.is_final());
-        match (has_ended, order.reported) {
-            (true, None | Some(Progress::Running)) => {
-                let missing = rollout::Event::ResultMissing(ticket);
-                self.rollout_event(now, &order.service, missing);
-            }
-            (false, None) => {
-                self.report_order(&order.service, &order.target, ticket, Progress::Running);
-            }
-            _ => {}
-        }
-    }
-
-    /// Configuration of the service as a ticket with this order would set it.
-    ///
-    /// Orders are numbered per service. An order to another target than that of the
-    /// known rollout state gets the number after that of the state. An order that is read
-    /// again before its state is stored keeps its number and terms.
-    fn config_for_order(&self, order: &Order) -> ServiceConfig {
-        let target = vec![VersionShare {
-            version: order.target.clone(),
-            share: Share::ALL,
-        }];
-        let state = self.rollouts.states().get(&order.service);
-        let known = state.filter(|state| state.target == target);
-        let (ticket, terms) = match known {
-            Some(state) => (state.ticket, state.terms.clone()),
-            None => {
-                let last = state.map_or(TicketNumber(0), |state| state.ticket);
-                let ticket = TicketNumber(last.0 + 1);
-                let tracked = self.orders.config(&order.service);
-                let same = tracked.filter(|c| c.ticket == ticket && c.versions == target);
-                let terms = same.and_then(|config| config.rollout.clone());
-                let terms = terms.filter(|t| t.deadline.since(t.start) == order.time);
-                (ticket, terms.unwrap_or_else(|| self.terms(order, state)))
-            }
-        };
-        ServiceConfig {
-            versions: target,
-            rollout: Some(terms),
-            ticket,
-            changed_at: ConfigVersion(ticket.0),
-            max_connections: None,
-            health_path: None,
-        }
-    }
-
-    fn terms(&self, order: &Order, state: Option<&RolloutState>) -> RolloutTerms {
-        let start = self.dependencies.timer.wall_clock();
-        let in_force = match state {
-            Some(state) => state.shares(),
-            None => self.established.shares_before(
-                &order.service,
-                &order.target,
-                self.membership.directory(),
-            ),
-        };
-        let old = in_force.into_iter();
-        let old = old.filter(|s| s.version != order.target && s.share > Share::NONE);
-        RolloutTerms {
-            start,
-            deadline: start.after(order.time),
-            min_old_capacity: 0,
-            caution: Caution::Careful,
-            from: old.collect(),
+        if self.orders.book.has_held_orders() {
+            self.orders = OrderWatch::default();
         }
     }
 }
@@ -253,35 +143,20 @@
 /// Reporting the progress of orders to their source.
 impl Controller {
     /// Reports the end of a rollout; returns whether it belongs to an order.
-    ///
-    /// With a source of orders all rollouts do. An order that the source does not have, such
-    /// as one that the store has lost, needs no report until it is there again.
     pub(super) fn report_end(&mut self, now: Time, result: &TicketResult) -> bool {
         if self.dependencies.orders.is_none() {
             return false;
         }
         let service = &result.service;
-        let confirmed = rollout::Event::ResultWritten(result.ticket);
-        let Some(config) = self.orders.config(service) else {
-            if self.orders.is_loaded() {
+        match self.orders.book.ended(result) {
+            EndDecision::Wait => {}
+            EndDecision::Unneeded => {
+                let confirmed = rollout::Event::ResultWritten(result.ticket);
                 self.rollout_event(now, service, confirmed);
             }
-            return true;
-        };
-        // Only the progress of the newest order is reported.
-        if result.ticket < config.ticket {
-            self.rollout_event(now, service, confirmed);
-            return true;
-        }
-        let progress = match result.outcome {
-            rollout::Outcome::Completed { .. } => Progress::Completed,
-            rollout::Outcome::PulledBack { .. } => Progress::PulledBack,
-            // The order that has replaced this one has not been read yet.
-            rollout::Outcome::Superseded { .. } => return true,
-        };
-        if config.ticket == result.ticket {
-            let target = config.versions[0].version.clone();
-            self.report_order(service, &target, result.ticket, progress);
+            EndDecision::Report { target, progress } => {
+                self.report_order(service, &target, result.ticket, progress);
+            }
         }
         true
     }
@@ -297,7 +172,7 @@
             return;
         };
         let is_end = progress != Progress::Running;
-        if is_end && !self.orders.reporting.insert(service.clone()) {
+        if is_end && !self.orders.book.begin_report(service) {
             return;
         }
         let (source, handle) = (Arc::clone(source), self.handle.clone());
@@ -323,7 +198,7 @@
 
     /// Handles the confirmation that the end of an order was reported.
     pub(super) fn order_reported(&mut self, now: Time, service: &Name, ticket: TicketNumber) {
-        self.orders.reporting.remove(service);
+        self.orders.book.end_reported(service);
         self.rollout_event(now, service, rollout::Event::ResultWritten(ticket));
     }
 }
--- a/crates/node/src/control/restored.rs
+++ b/crates/node/src/control/restored.rs
@@ -16,23 +16,51 @@
 
 /// The era of the object store.
 #[derive(Debug, Default)]
-pub(super) struct Restores {
+pub struct Restores {
     /// The latest one that this node knows; `None` before the first.
     era: Option<StoreEra>,
     /// When the confirmations are forgotten once more.
     second_check: Option<Time>,
 }
 
+/// A later era that this node has learnt of.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Begun {
+    /// The era known before; `None` after a start.
+    pub before: Option<StoreEra>,
+    /// The later era.
+    pub era: StoreEra,
+}
+
 impl Restores {
     /// The latest known era.
-    pub(super) fn era(&self) -> StoreEra {
+    pub fn era(&self) -> StoreEra {
         self.era.unwrap_or_default()
     }
 
     /// Whether what the operator wrote since the copy may still be missing.
-    pub(super) fn is_recent(&self) -> bool {
+    pub fn is_recent(&self) -> bool {
         self.second_check.is_some()
     }
+
+    /// Handles an era that was reported. Returns it if the store may have lost changes since
+    /// the one that was known before, or before this process started.
+    pub fn reported(&mut self, now: Time, era: StoreEra) -> Option<Begun> {
+        if Some(era) <= self.era {
+            return None;
+        }
+        let before = self.era.replace(era);
+        if before.is_none() && era == StoreEra(0) {
+            return None;
+        }
+        self.second_check = Some(now.after(SECOND_CHECK_DELAY));
+        Some(Begun { before, era })
+    }
+
+    /// Whether the second check is due, once for each era.
+    pub fn take_second_check(&mut self, now: Time) -> bool {
+        self.second_check.take_if(|at| now >= *at).is_some()
+    }
 }
 
 impl Controller {
@@ -40,29 +68,23 @@
     pub(super) fn restore_tick(&mut self, now: Time) {
         let reported = self.dependencies.store.era();
         let era = reported.max(self.membership.freshness().era());
-        if let Some(era) = era.filter(|era| Some(*era) > self.restores.era) {
-            self.era_begun(now, era);
+        if let Some(begun) = era.and_then(|era| self.restores.reported(now, era)) {
+            self.era_begun(now, begun);
         }
-        if self.restores.second_check.is_some_and(|at| now >= at) {
-            self.restores.second_check = None;
+        if self.restores.take_second_check(now) {
             self.forget_confirmations();
             self.read_held_orders();
         }
     }
 
-    fn era_begun(&mut self, now: Time, era: StoreEra) {
-        match self.restores.era.replace(era) {
+    fn era_begun(&mut self, now: Time, Begun { before, era }: Begun) {
+        match before {
             Some(before) => log::warn!(
                 target: part::PLATFORM,
                 "the store came back from an older copy: era {era} after {before}"
             ),
-            // The store may have lost changes before this process started.
-            None if era > StoreEra(0) => {
-                log::info!(target: part::PLATFORM, "the store is in era {era}");
-            }
-            None => return,
+            None => log::info!(target: part::PLATFORM, "the store is in era {era}"),
         }
-        self.restores.second_check = Some(now.after(SECOND_CHECK_DELAY));
         self.forget_confirmations();
         self.rollouts_restored(now);
         self.publish_view();
--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -1,9 +1,11 @@
 //! Rollout states known to this node, and their exchange with other nodes.
 
 mod duty;
+pub mod known;
 mod reporting;
 mod store;
 
+use known::KnownStates;
 pub(super) use store::{decode, key};
 
 use super::reports::ReportAggregator;
@@ -15,7 +17,7 @@
 use knapweed_world::{Name, StoreEra, Time};
 use knapweed_zone::epidemic::Origin;
 use knapweed_zone::{Incarnation, MemberRecord, MemberState, Role};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -28,11 +30,7 @@
 /// Rollout states, and the state of reporting and rollout control.
 #[derive(Debug, Default)]
 pub(super) struct Rollouts {
-    /// The newest state of each service.
-    states: BTreeMap<Name, RolloutState>,
-    /// Services whose state the object store may have lost, until this node has found it
-    /// there or written it while it held the duty.
-    unsaved: BTreeSet<Name>,
+    pub(super) known: KnownStates,
     /// The newest known holder of the duty of rollout control.
     holder: Option<Holder>,
     /// Tenure of this node, while it holds the duty.
@@ -52,12 +50,6 @@
     last_repair: Time,
 }
 
-impl Rollouts {
-    pub(super) fn states(&self) -> &BTreeMap<Name, RolloutState> {
-        &self.states
-    }
-}
-
 /// Periodic reports, control ticks and repairs of lost publications.
 impl Controller {
     pub(super) fn rollout_tick(&mut self, now: Time) {
@@ -78,7 +70,7 @@
 
     /// Pushes the states of active rollouts to one random member.
     fn repair_states(&mut self) {
-        let states = self.rollouts.states.values();
+        let states = self.rollouts.known.states().values();
         let active: Vec<_> = states.filter(|s| !s.phase.is_final()).cloned().collect();
         if !active.is_empty() {
             let (directory, own) = (self.membership.directory(), self.membership.own());
@@ -94,7 +86,7 @@
     pub(super) fn shares(&self) -> Vec<(Name, Vec<VersionShare>)> {
         let services = self.configs.config().services.iter();
         let in_force = services.map(|(name, config)| {
-            let state = self.rollouts.states.get(name);
+            let state = self.rollouts.known.states().get(name);
             let shares = match (state, config.versions.is_empty()) {
                 (None, true) => self.established.shares(name),
                 _ => rollout::shares::in_force(config, state),
@@ -133,19 +125,10 @@
         }
     }
 
-    /// Sends ended rollouts to a holder that takes them for running, and all newer states
-    /// once the object store has lost some.
-    ///
-    /// A pull-back is published before it is stored, so a new holder may know neither. From a
-    /// store that came back from an older copy, it may have read any earlier state.
+    /// Sends newer states back to a holder.
     fn return_newer(&self, received: &[RolloutState], holder: Option<Holder>) {
         let may_be_lost = self.restores.era() > StoreEra(0);
-        let newer = |state: &RolloutState| {
-            let known = self.rollouts.states.get(&state.service)?;
-            let is_behind = known.cmp_precedence(state).is_gt();
-            (is_behind && (known.phase.is_final() || may_be_lost)).then(|| known.clone())
-        };
-        let newer: Vec<_> = received.iter().filter_map(newer).collect();
+        let newer = self.rollouts.known.newer_than(received, may_be_lost);
         let others = holder.filter(|holder| holder.address != self.membership.own().address);
         if !newer.is_empty()
             && let Some(holder) = others
@@ -167,23 +150,14 @@
 
     /// Joins a state with the known one; returns whether it was newer.
     pub(super) fn join(&mut self, state: &RolloutState) -> bool {
-        let known = self.rollouts.states.get(&state.service);
-        if known.is_some_and(|known| known.cmp_precedence(state).is_ge()) {
+        let may_be_lost = self.restores.era() > StoreEra(0);
+        let Some(joined) = self.rollouts.known.join(state, may_be_lost) else {
             return false;
-        }
-        let joined = match known.cloned() {
-            Some(known) => known.join(state.clone()),
-            None => state.clone(),
         };
         log::info!(
             target: part::ROLLOUT,
             "service {}, ticket {}: {:?}", state.service, state.ticket, joined.phase
         );
-        self.rollouts.states.insert(state.service.clone(), joined);
-        // The copy of a node may be all that is left of a state that was stored.
-        if self.restores.era() > StoreEra(0) {
-            self.rollouts.unsaved.insert(state.service.clone());
-        }
         true
     }
 
@@ -193,7 +167,7 @@
         let now = self.now();
         self.dependencies
             .trials
-            .update(&self.rollouts.states, zone, now);
+            .update(self.rollouts.known.states(), zone, now);
     }
 
     /// Sends all states to a node whose process is new, if this node has a duty. A
@@ -210,11 +184,11 @@
             .known_incarnations
             .insert(record.host.clone(), new_incarnation);
         let has_duty = self.membership.role() != Role::default();
-        if known == Some(new_incarnation) || !has_duty || self.rollouts.states.is_empty() {
+        if known == Some(new_incarnation) || !has_duty || self.rollouts.known.states().is_empty() {
             return;
         }
         let head = StreamHead::Rollouts {
-            states: self.rollouts.states.values().cloned().collect(),
+            states: self.rollouts.known.states().values().cloned().collect(),
             holder: self.rollouts.holder,
         };
         self.send_one_way(record.address, &head);
--- a/crates/node/src/control/rollouts/duty.rs
+++ b/crates/node/src/control/rollouts/duty.rs
@@ -2,6 +2,7 @@
 
 use crate::control::Controller;
 use crate::control::reports::ReportAggregator;
+use crate::control::rollouts::known::Moved;
 use knapweed_observe::part;
 use knapweed_rollout::{self as rollout, Holder, RolloutState, Tenure, ZoneCapacity};
 use knapweed_world::backend_server::ServerState;
@@ -10,17 +11,11 @@
 use knapweed_zone::epidemic::Origin;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Largest number of ended rollouts whose stored state is compared with the known one at a
-/// time, after the object store has come back from an older copy: 80 reads per second, a
-/// small part of the rate limit that all nodes share.
-const MAX_CHECKS: usize = 16;
-
 /// What a holder of the duty does after the object store has come back from an older copy.
 impl Controller {
     /// Compares all known states with the stored ones, also those of ended rollouts.
     pub(in crate::control) fn rollouts_restored(&mut self, now: Time) {
-        let known = self.rollouts.states.keys().cloned();
-        self.rollouts.unsaved.extend(known);
+        self.rollouts.known.restored();
         let services: Vec<_> = self.rollouts.controllers.keys().cloned().collect();
         for service in services {
             self.announce_era(now, &service);
@@ -88,66 +83,47 @@
     /// Configuration of a service with its newest order; `None` while the orders are not
     /// known.
     fn known_config(&self, service: &Name) -> Option<&ServiceConfig> {
-        if self.dependencies.orders.is_some() && !self.orders.is_loaded() {
+        if self.dependencies.orders.is_some() && !self.orders.book.is_loaded() {
             return None;
         }
-        let ordered = self.orders.config(service);
+        let ordered = self.orders.book.config(service);
         ordered.or_else(|| self.configs.config().services.get(service))
     }
 
     /// Creates controllers for services with a rollout that has no final result or a
     /// state that is not final, and drops idle ones.
     fn start_controllers(&mut self, now: Time) {
-        let config = self.configs.config();
-        let open: BTreeSet<_> = self.orders.open().collect();
-        let mut needed = Vec::new();
-        for (name, service) in &config.services {
-            let service = self.orders.config(name).unwrap_or(service);
-            let state = self.rollouts.states.get(name);
-            let active = state.is_some_and(|s| !s.phase.is_final());
-            let not_started =
-                service.rollout.is_some() && state.is_none_or(|s| s.ticket < service.ticket);
-            let unconfirmed = match self.dependencies.orders {
-                Some(_) => open.contains(name),
-                None => !self.finished_tickets.contains(&service.ticket),
+        let open: BTreeSet<_> = self.orders.book.open().cloned().collect();
+        let has_orders = self.dependencies.orders.is_some();
+        let services = self.configs.config().services.iter();
+        let services = services.map(|(name, service)| {
+            let config = self.orders.book.config(name).unwrap_or(service);
+            let has_open_result = match has_orders {
+                true => open.contains(name),
+                false => !self.finished_tickets.contains(&config.ticket),
             };
-            if active || not_started || (service.rollout.is_some() && unconfirmed) {
-                needed.push(name.clone());
+            Moved {
+                name,
+                config,
+                has_open_result,
             }
-        }
-        let is_missing = |name: &Name| !self.rollouts.controllers.contains_key(name);
-        needed.retain(is_missing);
-        let unsaved = self.rollouts.unsaved.iter();
-        let unchecked = unsaved.filter(|name| is_missing(name) && !needed.contains(name));
-        let unchecked: Vec<_> = unchecked.take(self.free_checks()).cloned().collect();
-        needed.extend(unchecked);
+        });
+        let controllers = &self.rollouts.controllers;
+        let needed = self.rollouts.known.needed(services, controllers);
         for service in needed {
             let strategies = Box::new(rollout::ByDuration);
             let controller = rollout::RolloutController::new(service.clone(), strategies);
             self.rollouts
                 .controllers
                 .insert(service.clone(), controller);
-            if let Some(state) = self.rollouts.states.get(&service).cloned() {
+            if let Some(state) = self.rollouts.known.states().get(&service).cloned() {
                 self.rollout_event(now, &service, rollout::Event::Seen(state));
             }
             self.announce_era(now, &service);
         }
-        let unsaved = &mut self.rollouts.unsaved;
-        self.rollouts.controllers.retain(|service, controller| {
-            let is_done = controller.is_idle() && controller.state().is_some();
-            if is_done {
-                unsaved.remove(service);
-            }
-            !is_done
-        });
-    }
-
-    /// How many more ended rollouts may be compared with their stored state.
-    fn free_checks(&self) -> usize {
-        let controllers = self.rollouts.controllers.values();
-        let states = controllers.filter_map(|controller| controller.state());
-        let checking = states.filter(|state| state.phase.is_final()).count();
-        MAX_CHECKS.saturating_sub(checking)
+        self.rollouts
+            .known
+            .drop_done(&mut self.rollouts.controllers);
     }
 
     fn capacity(&self, service: &Name) -> Vec<ZoneCapacity> {
@@ -174,7 +150,7 @@
     /// Whether all hosts with ready servers of a service have reported their totals for its
     /// rollout, and the controller has received them.
     fn has_all_reports(&self, service: &Name) -> bool {
-        let Some(state) = self.rollouts.states.get(service) else {
+        let Some(state) = self.rollouts.known.states().get(service) else {
             return false;
         };
         let reports = &self.rollouts.reports;
@@ -193,8 +169,12 @@
 
     /// Passes the merged counts of each availability zone to rollout control.
     fn flush_reports(&mut self, now: Time) {
-        let states = &self.rollouts.states;
-        let ended = states.values().filter(|s| s.phase.is_final());
+        let ended = self
+            .rollouts
+            .known
+            .states()
+            .values()
+            .filter(|s| s.phase.is_final());
         for state in ended {
             self.rollouts.reports.remove(&state.service);
         }
--- a/crates/node/src/control/rollouts/reporting.rs
+++ b/crates/node/src/control/rollouts/reporting.rs
@@ -18,7 +18,7 @@
 impl Controller {
     /// Report interval: short rollouts are judged on short windows.
     pub(super) fn report_interval(&self) -> Duration {
-        let states = self.rollouts.states.values();
+        let states = self.rollouts.known.states().values();
         let mut active = states.filter(|s| !s.phase.is_final());
         match active.any(|s| knapweed_rollout::strategy::is_short(&s.terms)) {
             true => SHORT_ROLLOUT_REPORT_INTERVAL,
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -51,7 +51,7 @@
             store_era: self.restores.era(),
             nodes,
             duties: self.membership.duties().map(|d| d.to_string()).collect(),
-            rollouts: self.rollouts.states().clone(),
+            rollouts: self.rollouts.known.states().clone(),
         }));
     }
 }
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -4,6 +4,8 @@
 //! Tickets put their moves into the configuration and need no orders. An adapter to
 //! an external system may supply orders instead.
 
+pub mod book;
+
 use futures_util::future::BoxFuture;
 use knapweed_store::{Error, Revision};
 use knapweed_world::Name;
--- /dev/null
+++ b/crates/node/src/orders/book.rs
@@ -0,0 +1,269 @@
+//! Decides what an order means that was read from its source: whether it is new, which ticket
+//! and terms it gets, and what its source does not know of its progress.
+
+use crate::orders::{Order, Progress};
+use knapweed_rollout::{Outcome, RolloutState, TicketResult};
+use knapweed_world::config::{Caution, RolloutTerms, ServiceConfig, VersionShare};
+use knapweed_world::{ConfigVersion, Name, Share, TicketNumber, UnixMillis};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What is known of a service when its order is read.
+#[derive(Clone, Copy, Debug)]
+pub struct Known<'a> {
+    /// State of its newest rollout; `None` before the first.
+    pub state: Option<&'a RolloutState>,
+    /// Whether the store came back from an older copy and may not have the newest order yet.
+    pub may_be_lost: bool,
+    /// The wall-clock time, from which a new order counts.
+    pub wall: UnixMillis,
+}
+
+/// What the source of an order does not know of its progress.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Missing {
+    /// That traffic is being moved.
+    Start,
+    /// How the rollout ended.
+    End,
+}
+
+/// What follows from an order that was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// It is not started, since a newer one is known.
+    Held,
+    /// It is the order of its service.
+    Tracked {
+        /// Its number.
+        ticket: TicketNumber,
+        /// Whether it was not known before.
+        is_new: bool,
+        /// What is to be reported.
+        missing: Option<Missing>,
+    },
+}
+
+/// What follows from the end of a rollout.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EndDecision {
+    /// Nothing yet: its order has not been read, or the end is being reported.
+    Wait,
+    /// No source needs the end.
+    Unneeded,
+    /// The end is reported for the order to this version.
+    Report {
+        /// The version.
+        target: Name,
+        /// The end.
+        progress: Progress,
+    },
+}
+
+/// An order that this node carries out while it holds the duty of rollout control.
+#[derive(Clone, Debug)]
+struct TrackedOrder {
+    /// Configuration of the service as a ticket with this order would set it.
+    config: ServiceConfig,
+    reported: Option<Progress>,
+}
+
+/// The newest order of each service.
+#[derive(Debug, Default)]
+pub struct OrderBook {
+    tracked: BTreeMap<Name, TrackedOrder>,
+    is_loaded: bool,
+    has_held_orders: bool,
+    /// Services whose end is being reported.
+    reporting: BTreeSet<Name>,
+}
+
+/// Orders that were read.
+impl OrderBook {
+    /// Notes that all orders of the source have been read.
+    pub fn loaded(&mut self) {
+        self.is_loaded = true;
+    }
+
+    /// Decides about an order that was read. `established` returns the shares in force of a
+    /// service without a known rollout.
+    pub fn read(
+        &mut self,
+        order: &Order,
+        known: Known<'_>,
+        established: impl FnOnce() -> Vec<VersionShare>,
+    ) -> Decision {
+        if is_outdated(order, known) {
+            self.has_held_orders = true;
+            return Decision::Held;
+        }
+        let config = self.config_for(order, known, established);
+        let ticket = config.ticket;
+        let before = self.tracked.get(&order.service);
+        let is_new = before.is_none_or(|tracked| tracked.config.ticket != ticket);
+        let tracked = TrackedOrder {
+            config,
+            reported: order.reported,
+        };
+        self.tracked.insert(order.service.clone(), tracked);
+        Decision::Tracked {
+            ticket,
+            is_new,
+            missing: missing(order, known.state, ticket),
+        }
+    }
+
+    /// Configuration of the service as a ticket with this order would set it.
+    ///
+    /// Orders are numbered per service. An order to another target than that of the
+    /// known rollout state gets the number after that of the state. An order that is read
+    /// again before its state is stored keeps its number and terms.
+    fn config_for(
+        &self,
+        order: &Order,
+        known: Known<'_>,
+        established: impl FnOnce() -> Vec<VersionShare>,
+    ) -> ServiceConfig {
+        let target = vec![VersionShare {
+            version: order.target.clone(),
+            share: Share::ALL,
+        }];
+        let (ticket, terms) = match known.state.filter(|state| state.target == target) {
+            Some(state) => (state.ticket, state.terms.clone()),
+            None => {
+                let last = known.state.map_or(TicketNumber(0), |state| state.ticket);
+                let ticket = TicketNumber(last.0 + 1);
+                let tracked = self.config(&order.service);
+                let same = tracked.filter(|c| c.ticket == ticket && c.versions == target);
+                let terms = same.and_then(|config| config.rollout.clone());
+                let terms = terms.filter(|t| t.deadline.since(t.start) == order.time);
+                (
+                    ticket,
+                    terms.unwrap_or_else(|| new_terms(order, known, established)),
+                )
+            }
+        };
+        ServiceConfig {
+            versions: target,
+            rollout: Some(terms),
+            ticket,
+            changed_at: ConfigVersion(ticket.0),
+            max_connections: None,
+            health_path: None,
+        }
+    }
+}
+
+/// Whether an order is older than the known state, from a store that has lost a later one.
+///
+/// An order to another target than that of the state is new, and nothing is reported for
+/// its target. A holder that ended before it stored the state may have reported it as
+/// running, so such an order is held for a while only.
+fn is_outdated(order: &Order, known: Known<'_>) -> bool {
+    let is_other = |s: &RolloutState| s.target.iter().any(|v| v.version != order.target);
+    known.state.is_some_and(is_other)
+        && match order.reported {
+            Some(Progress::Completed | Progress::PulledBack) => true,
+            Some(Progress::Running) => known.may_be_lost,
+            None => false,
+        }
+}
+
+/// What a source without this progress, or without the end, does not know: the order is new,
+/// or the store has lost what was reported.
+fn missing(order: &Order, state: Option<&RolloutState>, ticket: TicketNumber) -> Option<Missing> {
+    let has_ended = state.is_some_and(|s| s.ticket == ticket && s.phase.is_final());
+    match (has_ended, order.reported) {
+        (true, None | Some(Progress::Running)) => Some(Missing::End),
+        (false, None) => Some(Missing::Start),
+        _ => None,
+    }
+}
+
+fn new_terms(
+    order: &Order,
+    known: Known<'_>,
+    established: impl FnOnce() -> Vec<VersionShare>,
+) -> RolloutTerms {
+    let in_force = known.state.map_or_else(established, RolloutState::shares);
+    let old = in_force.into_iter();
+    let old = old.filter(|s| s.version != order.target && s.share > Share::NONE);
+    RolloutTerms {
+        start: known.wall,
+        deadline: known.wall.after(order.time),
+        min_old_capacity: 0,
+        caution: Caution::Careful,
+        from: old.collect(),
+    }
+}
+
+/// Reports of ends.
+impl OrderBook {
+    /// Decides what is reported about the end of a rollout.
+    ///
+    /// With a source of orders all rollouts belong to one. An order that the source does not
+    /// have, such as one that the store has lost, needs no report until it is there again.
+    pub fn ended(&self, result: &TicketResult) -> EndDecision {
+        let Some(config) = self.config(&result.service) else {
+            return match self.is_loaded {
+                true => EndDecision::Unneeded,
+                false => EndDecision::Wait,
+            };
+        };
+        // Only the progress of the newest order is reported.
+        if result.ticket < config.ticket {
+            return EndDecision::Unneeded;
+        }
+        let progress = match result.outcome {
+            Outcome::Completed { .. } => Progress::Completed,
+            Outcome::PulledBack { .. } => Progress::PulledBack,
+            // The order that has replaced this one has not been read yet.
+            Outcome::Superseded { .. } => return EndDecision::Wait,
+        };
+        if config.ticket != result.ticket {
+            return EndDecision::Wait;
+        }
+        EndDecision::Report {
+            target: config.versions[0].version.clone(),
+            progress,
+        }
+    }
+
+    /// Notes that the end of a service's rollout is being reported; returns false if it is
+    /// already.
+    pub fn begin_report(&mut self, service: &Name) -> bool {
+        self.reporting.insert(service.clone())
+    }
+
+    /// Notes that the end of a service's rollout was reported.
+    pub fn end_reported(&mut self, service: &Name) {
+        self.reporting.remove(service);
+    }
+}
+
+/// Queries.
+impl OrderBook {
+    /// Configuration of a service according to its newest order.
+    pub fn config(&self, service: &Name) -> Option<&ServiceConfig> {
+        self.tracked.get(service).map(|tracked| &tracked.config)
+    }
+
+    /// Whether all orders are known that the source had when this node took the duty.
+    pub fn is_loaded(&self) -> bool {
+        self.is_loaded
+    }
+
+    /// Whether an order was not started because it may be older than the known state.
+    pub fn has_held_orders(&self) -> bool {
+        self.has_held_orders
+    }
+
+    /// Services with an order whose end has not been reported.
+    pub fn open(&self) -> impl Iterator<Item = &Name> {
+        let is_open = |tracked: &TrackedOrder| {
+            let ends = [Some(Progress::Completed), Some(Progress::PulledBack)];
+            !ends.contains(&tracked.reported)
+        };
+        let open = self.tracked.iter().filter(move |(_, p)| is_open(p));
+        open.map(|(service, _)| service)
+    }
+}
