fix(node): a node that missed the end of a rollout learns it from those it tells

Cause: a publication of an ended state is not repeated once its controller is dropped, and the repair pushes only states of running rollouts. A node that missed a pull-back kept its share on the bad version; the node that got its push each second knew better, but told only the holder. Change: newer states go back to the sender as well. Result: a_node_that_missed_the_end_of_a_rollout_learns_it failed before (assertion `left == right` failed, left: []) and passes.

--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -17,7 +17,7 @@
 use knapweed_world::{Name, StoreEra, Time};
 use knapweed_zone::epidemic::Origin;
 use knapweed_zone::{Incarnation, MemberRecord, MemberState, Role};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -101,10 +101,11 @@
     pub(super) fn states_received(
         &mut self,
         now: Time,
+        from: SocketAddr,
         states: Vec<RolloutState>,
         holder: Option<Holder>,
     ) {
-        self.return_newer(&states, holder);
+        self.return_newer(from, &states, holder);
         let is_new_holder = self.learn_holder(holder);
         let mut changed = Vec::new();
         for state in &states {
@@ -125,15 +126,14 @@
         }
     }
 
-    /// Sends newer states back to a holder.
-    fn return_newer(&self, received: &[RolloutState], holder: Option<Holder>) {
+    /// Sends newer states back to the sender and to the holder.
+    fn return_newer(&self, from: SocketAddr, received: &[RolloutState], holder: Option<Holder>) {
         let may_be_lost = self.restores.era() > StoreEra(0);
         let newer = self.rollouts.known.newer_than(received, may_be_lost);
-        let others = holder.filter(|holder| holder.address != self.membership.own().address);
-        if !newer.is_empty()
-            && let Some(holder) = others
-        {
-            self.push_states(newer, [holder.address]);
+        let own = self.membership.own().address;
+        let behind = BTreeSet::from([from, holder.map_or(from, |holder| holder.address)]);
+        if !newer.is_empty() {
+            self.push_states(newer, behind.into_iter().filter(|to| *to != own));
         }
     }
 
--- a/crates/node/src/control/rollouts/known.rs
+++ b/crates/node/src/control/rollouts/known.rs
@@ -58,11 +58,13 @@
         self.states.get(service)
     }
 
-    /// The states that a holder should get which has sent `received`: ended rollouts that it
-    /// takes for running, and all newer states once the object store has lost some.
+    /// The states that a node should get which has sent `received`, and the holder that it
+    /// knows: ended rollouts that it takes for running, and all newer states once the object
+    /// store has lost some.
     ///
-    /// A pull-back is published before it is stored, so a new holder may know neither. From a
-    /// store that came back from an older copy, it may have read any earlier state.
+    /// A node may have missed the publication of an end, which is not repeated. A pull-back is
+    /// published before it is stored, so a new holder may know neither. From a store that came
+    /// back from an older copy, it may have read any earlier state.
     pub fn newer_than(&self, received: &[RolloutState], may_be_lost: bool) -> Vec<RolloutState> {
         let newer = |state: &RolloutState| {
             let known = self.states.get(&state.service)?;
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -27,7 +27,9 @@
                     &self.membership.directory().differing_records(now, &digest),
                 );
             }
-            StreamHead::Rollouts { states, holder } => self.states_received(now, states, holder),
+            StreamHead::Rollouts { states, holder } => {
+                self.states_received(now, incoming.from, states, holder);
+            }
             StreamHead::Report { service, report } => self.report_received(&service, &report),
             StreamHead::Floor { host } => self.reply_with_floor(&host, incoming),
             StreamHead::Crashes(records) => self.dependencies.egress.merge_crashes(records),
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -285,17 +285,28 @@
 
 /// Sends a state as a holder of the duty, and returns the states that the node sends back.
 async fn answers_to_holder(mesh: &Mesh, stored: RolloutState) -> Vec<RolloutState> {
-    let NodeEndpoint {
-        endpoint,
-        mut inbound,
-    } = NodeEndpoint::open(&mesh.authority);
+    let opened = NodeEndpoint::open(&mesh.authority);
     let holder = Holder {
         tenure: Tenure(wall_clock().after(Duration::from_secs(60)).0),
-        address: endpoint.local_address().expect("an address"),
+        address: opened.endpoint.local_address().expect("an address"),
     };
+    answers_to(opened, mesh, stored, Some(holder)).await
+}
+
+/// Sends a state, and returns the states that the node sends back.
+async fn answers_to(
+    opened: NodeEndpoint,
+    mesh: &Mesh,
+    stored: RolloutState,
+    holder: Option<Holder>,
+) -> Vec<RolloutState> {
+    let NodeEndpoint {
+        endpoint,
+        mut inbound,
+    } = opened;
     let head = StreamHead::Rollouts {
         states: vec![stored],
-        holder: Some(holder),
+        holder,
     };
     let node = mesh.nodes[0].node_identity().nodes;
     let (mut tx, _rx) = endpoint.peers().open(node).await.expect("a stream");
@@ -330,6 +341,21 @@
     assert_eq!(answers_to_holder(&mesh, older).await, [known]);
 }
 
+/// Guards against a node that missed a pull-back, or a completion, and keeps its traffic where it
+/// was: it sends its state to others, which told only the holder that there is a newer one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_missed_the_end_of_a_rollout_learns_it() {
+    let mesh = mesh_with_rollouts().await;
+    for ended in &states()[..2] {
+        let mut running = ended.clone();
+        (running.phase, running.epoch) = (Phase::Ramping(Share(500)), Epoch(2));
+        let opened = NodeEndpoint::open(&mesh.authority);
+        let answers = answers_to(opened, &mesh, running, None).await;
+        let known = mesh.nodes[0].view().load().rollouts[&ended.service].clone();
+        assert_eq!(answers, [known]);
+    }
+}
+
 /// Guards against results of orders that were superseded and that nobody reads: they were never
 /// confirmed, and with nine of them the next order did not start.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
