fix(rollout): a version that is pulled back while it is superseded stays without traffic

Cause: the first state of a newer ticket starts from the shares in force when it is proposed. A pull-back that was decided while that write was under way, or by another holder, has the lower ticket, so it lost, and the faulty version had its share again; if the newer ticket was pulled back too, it kept that share. Change: a controller that knows the pull-back lets the newer ticket start from the shares that it left, and writes that state.

--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -236,7 +236,7 @@
                 self.current = Some(current);
                 return;
             }
-            Some(current) => current.join(state),
+            Some(current) => state.superseding(&current),
             None => state,
         };
         if self.judged_ticket == Some(joined.ticket) {
--- a/crates/rollout/src/state.rs
+++ b/crates/rollout/src/state.rs
@@ -179,6 +179,31 @@
 
 /// Transitions to the next state.
 impl RolloutState {
+    /// This state of a newer ticket, after `earlier` is known as well. The versions from which
+    /// `earlier` was pulled back get no share at its start.
+    ///
+    /// The shares at its start were those in force when it was proposed. The pull-back may have
+    /// been decided while it was being written, or by another holder.
+    pub fn superseding(self, earlier: &Self) -> Self {
+        let share = |list: &[VersionShare], version: &Name| {
+            let found = list.iter().find(|s| s.version == *version);
+            found.map_or(Share::NONE, |s| s.share)
+        };
+        let has_returned =
+            |version: &Name| share(&self.terms.from, version) > share(&earlier.terms.from, version);
+        let is_pulled_back = matches!(earlier.phase, Phase::PulledBack(_));
+        let is_newer = self.ticket > earlier.ticket && self.phase != Phase::Completed;
+        let must_change =
+            is_newer && is_pulled_back && earlier.new_versions().iter().any(has_returned);
+        if !must_change {
+            return self;
+        }
+        let mut next = self;
+        next.epoch = Epoch(next.epoch.0 + 1);
+        next.terms.from = earlier.shares();
+        next
+    }
+
     /// The next state of the same ticket, with its epoch increased by one.
     pub fn next(&self, phase: Phase, now: UnixMillis, evidence: &Evidence) -> Self {
         Self {
