fix(node): an older order without progress waits until the newest is written again

Cause: an order to another target than that of the known state passed for a new one while nothing was reported for it. A store that came back from a copy taken within about 100 ms of an order has just such an order, also when its version was pulled back since and a newer one was ordered: traffic went back to the faulty version. Change: for 10 s after a loss was learnt of, such an order is held if the service had its version before, which the shares at the start of the known state name. An order to return to an earlier version that is written within 10 s after a loss starts up to 10 s later.

--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -157,14 +157,20 @@
 ///
 /// An order to another target than that of the state is new, and nothing is reported for
 /// its target. A holder that ended before it stored the state may have reported it as
-/// running, so such an order is held for a while only.
+/// running. An order to a version that the service had before, for which nothing is reported,
+/// may be one to return to it. Both are held for a while only, until the operator has written
+/// again what the store lost.
 fn is_outdated(order: &Order, known: Known<'_>) -> bool {
-    let is_other = |s: &RolloutState| s.target.iter().any(|v| v.version != order.target);
-    known.state.is_some_and(is_other)
+    let Some(state) = known.state else {
+        return false;
+    };
+    let has = |list: &[VersionShare]| list.iter().any(|v| v.version == order.target);
+    !has(&state.target)
         && match order.reported {
             Some(Progress::Completed | Progress::PulledBack) => true,
             Some(Progress::Running) => known.may_be_lost,
-            None => false,
+            // The shares at the start name all earlier versions, also those without traffic.
+            None => known.may_be_lost && has(&state.terms.from),
         }
 }
 
--- /dev/null
+++ b/crates/node/tests/orders.rs
@@ -0,0 +1,93 @@
+//! Decisions about orders that are read from their source.
+
+use knapweed_node::orders::book::{Decision, Known, Missing, OrderBook};
+use knapweed_node::orders::{Order, Progress};
+use knapweed_rollout::{Epoch, Evidence, Phase, RolloutState};
+use knapweed_world::config::{Caution, RolloutTerms, VersionShare};
+use knapweed_world::{Name, Share, TicketNumber, UnixMillis};
+use std::time::Duration;
+
+fn name(text: &str) -> Name {
+    text.parse().expect("a valid name")
+}
+
+fn share(version: &str, share: Share) -> VersionShare {
+    VersionShare {
+        version: name(version),
+        share,
+    }
+}
+
+/// The state of a completed rollout from v2 to v3. The service had v1 before.
+fn completed() -> RolloutState {
+    RolloutState {
+        service: name("calendar"),
+        ticket: TicketNumber(4),
+        epoch: Epoch(7),
+        phase: Phase::Completed,
+        changed: UnixMillis(1_000),
+        terms: RolloutTerms {
+            start: UnixMillis(0),
+            deadline: UnixMillis(16_000),
+            min_old_capacity: 0,
+            caution: Caution::Careful,
+            from: vec![share("v1", Share::NONE), share("v2", Share::ALL)],
+        },
+        target: vec![share("v3", Share::ALL)],
+        proven: Vec::new(),
+        has_result: true,
+        evidence: Evidence::default(),
+        owed: Vec::new(),
+    }
+}
+
+fn order(target: &str, reported: Option<Progress>) -> Order {
+    Order {
+        service: name("calendar"),
+        target: name(target),
+        time: Duration::from_secs(16),
+        reported,
+    }
+}
+
+fn read(book: &mut OrderBook, order: &Order, state: &RolloutState, may_be_lost: bool) -> Decision {
+    let known = Known {
+        state: Some(state),
+        may_be_lost,
+        wall: UnixMillis(20_000),
+    };
+    book.read(order, known, Vec::new)
+}
+
+/// Guards against an order that the store has again, without progress, after it lost a later
+/// one: it passed for a new one, and a version that had been pulled back got traffic again.
+#[test]
+fn an_older_order_without_progress_waits_until_the_newest_is_written_again() {
+    for target in ["v1", "v2"] {
+        let (mut book, state) = (OrderBook::default(), completed());
+        let older = order(target, None);
+        assert_eq!(read(&mut book, &older, &state, true), Decision::Held);
+        assert!(book.has_held_orders());
+        // The operator has written nothing else since, so it is an order to return.
+        let started = Decision::Tracked {
+            ticket: TicketNumber(5),
+            is_new: true,
+            missing: Some(Missing::Start),
+        };
+        assert_eq!(read(&mut book, &older, &state, false), started);
+    }
+}
+
+/// Guards against a delay of orders to versions that the service never had, right after a loss.
+#[test]
+fn an_order_to_a_new_version_starts_right_after_a_loss() {
+    let (mut book, state) = (OrderBook::default(), completed());
+    let decision = read(&mut book, &order("v4", None), &state, true);
+    let started = Decision::Tracked {
+        ticket: TicketNumber(5),
+        is_new: true,
+        missing: Some(Missing::Start),
+    };
+    assert_eq!(decision, started);
+    assert!(!book.has_held_orders());
+}
