fix(node): an order to a version that the service never had is not held in a later era

Cause: an order that was reported as running for another target than that of the known state was held for 10 s after each loss and after each start in an era above 0, though the loss may be hours ago. Change: it is held only if the service had the version before, as one without progress is: no older order can have any other version whose rollout was stored. Result: an_order_to_a_new_version_that_is_reported_as_running_starts_after_a_loss failed before (left: Held, right: Tracked { ticket: 5, is_new: true, missing: None }) and passes, and so does an_order_to_a_new_version_starts_at_once_in_a_later_era with a real node. a_held_order_starts_after_a_while expected the hold for a version that the service never had. It now has an order to return to an earlier version, with the same expectations.

--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -155,11 +155,10 @@
 
 /// Whether an order is older than the known state, from a store that has lost a later one.
 ///
-/// An order to another target than that of the state is new, and nothing is reported for
-/// its target. A holder that ended before it stored the state may have reported it as
-/// running. An order to a version that the service had before, for which nothing is reported,
-/// may be one to return to it. Both are held for a while only, until the operator has written
-/// again what the store lost.
+/// The operator writes the newest order again some time after a loss. Until then, an order to a
+/// version that the service had before may be older than the known state, whether its progress
+/// was reported by the time of the copy or not. It may also be a new one, to return to that
+/// version, so it is held for a while only. One whose end is reported is over.
 fn is_outdated(order: &Order, known: Known<'_>) -> bool {
     let Some(state) = known.state else {
         return false;
@@ -168,9 +167,8 @@
     !has(&state.target)
         && match order.reported {
             Some(Progress::Completed | Progress::PulledBack) => true,
-            Some(Progress::Running) => known.may_be_lost,
             // The shares at the start name all earlier versions, also those without traffic.
-            None => known.may_be_lost && has(&state.terms.from),
+            Some(Progress::Running) | None => known.may_be_lost && has(&state.terms.from),
         }
 }
 
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -481,25 +481,41 @@
     insta::assert_snapshot!(out);
 }
 
-/// Guards against an order that is held for good because its first holder reported it as running
-/// and ended before it stored the state.
+/// Guards against an order to return to an earlier version that is held for good because its
+/// first holder reported it as running and ended before it stored the state.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_held_order_starts_after_a_while() {
+    let (mesh, before) = mesh_with_running_order("v1").await;
+    tokio::time::sleep(QUIET_TIME).await;
+    assert_eq!(stored_ticket(&mesh), before);
+    until("the order has started", || stored_ticket(&mesh) > before).await;
+}
+
+/// Guards against an order that waits after each loss and each start in a later era, although
+/// no older order can have its version.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_to_a_new_version_starts_at_once_in_a_later_era() {
+    let (mesh, before) = mesh_with_running_order("v3").await;
+    tokio::time::sleep(QUIET_TIME).await;
+    assert!(stored_ticket(&mesh) > before);
+}
+
+/// A node that has started in a later era, with a completed rollout to v2 and an order that was
+/// reported as running; returns the ticket of the rollout.
+async fn mesh_with_running_order(target: &str) -> (Mesh, TicketNumber) {
     let mut mesh = Mesh::new(&["calendar"]);
     let ended = state("calendar", Phase::Completed);
     mesh.store.put(&key("calendar"), &ended).await;
     let reported = Some(Progress::Running);
-    mesh.orders.put("calendar", "v3", reported).await;
+    mesh.orders.put("calendar", target, reported).await;
     let backup = mesh.store.memory.backup();
     mesh.store.memory.restore(&backup);
-    let before = ended.ticket;
     mesh.start().await;
-    tokio::time::sleep(QUIET_TIME).await;
-    let ticket = || {
-        let value = mesh.store.value(&key("calendar")).expect("a state");
-        let stored = serde_json::from_slice::<RolloutState>(&value);
-        stored.expect("a state").ticket
-    };
-    assert_eq!(ticket(), before);
-    until("the order has started", || ticket() > before).await;
+    (mesh, ended.ticket)
+}
+
+fn stored_ticket(mesh: &Mesh) -> TicketNumber {
+    let value = mesh.store.value(&key("calendar")).expect("a state");
+    let stored = serde_json::from_slice::<RolloutState>(&value);
+    stored.expect("a state").ticket
 }
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -91,3 +91,24 @@
     assert_eq!(decision, started);
     assert!(!book.has_held_orders());
 }
+
+/// Guards against an order that waits 10 s after each loss, and after each start in a later era,
+/// because its first holder reported it as running and ended before it stored the state.
+#[test]
+fn an_order_to_a_new_version_that_is_reported_as_running_starts_after_a_loss() {
+    let running = Some(Progress::Running);
+    let state = completed();
+    for older in ["v1", "v2"] {
+        let mut book = OrderBook::default();
+        let decision = read(&mut book, &order(older, running), &state, true);
+        assert_eq!(decision, Decision::Held);
+    }
+    let mut book = OrderBook::default();
+    let decision = read(&mut book, &order("v4", running), &state, true);
+    let started = Decision::Tracked {
+        ticket: TicketNumber(5),
+        is_new: true,
+        missing: None,
+    };
+    assert_eq!(decision, started);
+}
