fix(node): an order that was read before its state is numbered again

Cause: a holder that has just started may read an order before any node has told it the state, from a store that has lost the state but not the report that it runs. It numbers the order from 1. When the state arrives with the number that others gave it, the order kept its own: no forward step was taken, and the end was not reported, since it belongs to another number, until the order changed in the store. Change: orders are read again when a newer state from another node does not fit to the number of a known one. Result: an_order_that_was_read_before_its_state_gets_its_end failed before (left: [], right: [(calendar, Completed)], after 10 s) and passes. Found by reading, while the model of the property test was written.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -132,6 +132,14 @@
         self.control_rollouts(now);
     }
 
+    /// Reads all orders again if one has a number that does not fit to these newer states.
+    pub(super) fn read_contradicted_orders(&mut self, states: &[RolloutState]) {
+        let book = &self.orders.book;
+        if states.iter().any(|state| book.is_contradicted_by(state)) {
+            self.orders = OrderWatch::default();
+        }
+    }
+
     /// Reads all orders again if one was held.
     pub(super) fn read_held_orders(&mut self) {
         if self.orders.book.has_held_orders() {
--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -116,6 +116,7 @@
         }
         if !changed.is_empty() {
             self.states_changed();
+            self.read_contradicted_orders(&changed);
         }
         let news = match is_new_holder {
             true => states,
--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -112,6 +112,16 @@
         }
     }
 
+    /// Whether the order of a service was numbered before this state was known, so that it is
+    /// to be read again: a rollout to its target has another number, or its own is taken.
+    pub fn is_contradicted_by(&self, state: &RolloutState) -> bool {
+        let tracked = self.config(&state.service);
+        tracked.is_some_and(|config| match config.versions == state.target {
+            true => config.ticket < state.ticket,
+            false => config.ticket <= state.ticket,
+        })
+    }
+
     /// Configuration of the service as a ticket with this order would set it.
     ///
     /// Orders are numbered per service. An order to another target than that of the
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -356,6 +356,26 @@
     }
 }
 
+/// Guards against a holder that reads an order before any node has told it the state, numbers it
+/// anew, and reports no end: the end belongs to the number that others gave it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_that_was_read_before_its_state_gets_its_end() {
+    let mut mesh = Mesh::new(&["calendar"]);
+    let reported = Some(Progress::Running);
+    mesh.orders.put("calendar", "v2", reported).await;
+    mesh.start().await;
+    until("the order is numbered", || {
+        mesh.store.value(&key("calendar")).is_some()
+    })
+    .await;
+    let opened = NodeEndpoint::open(&mesh.authority);
+    let ended = state("calendar", Phase::Completed);
+    answers_to(opened, &mesh, ended, None).await;
+    let end = (name("calendar"), Progress::Completed);
+    holds_soon(|| mesh.orders.reports.lock().contains(&end)).await;
+    assert_eq!(*mesh.orders.reports.lock(), [end]);
+}
+
 /// Guards against results of orders that were superseded and that nobody reads: they were never
 /// confirmed, and with nine of them the next order did not start.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
