fix(node): a node has one load of the configuration under way

Cause: a round of queries for the version floor ends after 500 ms, but the load that it started goes on; each further round, a fetch that no member can serve and the watch started others beside it. A load that takes 10 s over a slow link had several twins on the same link, and each slowed the others. Change: the control thread owns the load that is under way (control::loads). The property test of the configuration uses the same owner. Conclusion: a node no longer competes with itself for its link. Nodes of a zone that start together still load beside each other.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,6 +6,7 @@
 pub mod deltas;
 pub mod event;
 mod floor;
+pub mod loads;
 mod members;
 mod messages;
 mod orders;
@@ -39,6 +40,7 @@
 use knapweed_zone::dissemination::transfers::Transfers;
 use knapweed_zone::floor::{self as floor_decision, VersionFloor};
 use knapweed_zone::{Epidemic, Membership, membership};
+use loads::{LoadWaiter, Loads};
 use orders::OrderBook;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -98,6 +100,8 @@
     established: EstablishedVersions,
     floor: VersionFloor,
     watch: Watch,
+    /// The load of the configuration that is under way.
+    loads: Loads<LoadWaiter>,
     /// The configuration that the store had at the last read.
     stored_config: StoredConfig,
     rollouts: Rollouts,
@@ -167,6 +171,7 @@
             configs: ConfigStore::default(),
             transfers: Transfers::default(),
             watch: Watch::default(),
+            loads: Loads::default(),
             stored_config: StoredConfig::default(),
             rollouts: Rollouts::default(),
             orders: OrderBook::default(),
@@ -268,6 +273,7 @@
             }
             Event::LoadedConfig(loaded) => self.config_loaded(loaded),
             Event::SourceUpdate { update, age } => self.source_updated(update, age),
+            Event::LoadEnded { result, age } => self.load_ended(result, age),
             Event::SourceUnavailable => {
                 self.record_store_reachable(now, false);
             }
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -3,7 +3,7 @@
 use super::query::Query;
 use super::registry::Entry;
 use crate::orders::Order;
-use crate::source::{LoadedConfig, SourceUpdate};
+use crate::source::{Error, LoadedConfig, SourceUpdate};
 use bytes::Bytes;
 use knapweed_link::Delta;
 use knapweed_rollout::RolloutState;
@@ -60,12 +60,18 @@
     Members(Vec<SharedRecord>),
     /// A configuration was loaded outside the watch, after a ticket was accepted.
     LoadedConfig(LoadedConfig),
-    /// A load or watch of the configuration source succeeded.
+    /// A watch of the configuration source succeeded.
     SourceUpdate {
         update: SourceUpdate,
         /// Largest age of the state that it describes.
         age: Duration,
     },
+    /// The load of the configuration that was under way has ended.
+    LoadEnded {
+        result: Result<SourceUpdate, Error>,
+        /// Largest age of the state that it describes.
+        age: Duration,
+    },
     /// A watch of configurations or orders failed.
     SourceUnavailable,
     /// The store answered, but what it holds cannot be used.
--- a/crates/node/src/control/floor.rs
+++ b/crates/node/src/control/floor.rs
@@ -2,7 +2,6 @@
 //! queries of other nodes.
 
 use super::messages::{query_node, reply};
-use super::watch::known_parts;
 use super::{Controller, Event};
 use knapweed_observe::part;
 use knapweed_transport::IncomingStream;
@@ -14,6 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use tokio::sync::oneshot;
 
 /// Longest reply to a floor query, in bytes.
 const MAX_REPLY_LEN: usize = 64;
@@ -61,12 +61,12 @@
 
     /// Fetches the configuration from a member that has applied `version`, or from its
     /// source when there is none.
-    fn fetch_at_least(&self, version: ConfigVersion) {
+    fn fetch_at_least(&mut self, version: ConfigVersion) {
         let members = self.membership.directory().present().map(|(_, r)| r);
         let up_to_date = members.filter(|r| r.applied >= version && version > ConfigVersion(0));
         match up_to_date.map(|r| r.address).choose(&mut rand::rng()) {
             Some(from) => self.fetch_config(from),
-            None => self.load_from_source(),
+            None => self.load_from_source(oneshot::channel().0),
         }
     }
 }
@@ -111,27 +111,18 @@
 
     /// Loads the configuration from its source. Its version also bounds the floor: no
     /// node has served a version that the source does not have.
-    fn query_source(&self) {
-        let (configs, handle) = (Arc::clone(&self.dependencies.configs), self.handle.clone());
-        let timer = self.dependencies.timer.clone();
+    fn query_source(&mut self) {
+        let (tx, rx) = oneshot::channel();
+        self.load_from_source(tx);
+        let handle = self.handle.clone();
         tokio::spawn(async move {
-            let known = known_parts(&handle).await;
-            let started = timer.now();
-            let event = match configs.load(known).await {
-                Ok(update) => {
-                    let age = timer.now().since(started);
-                    let newest = update.loaded.as_ref().map(|loaded| loaded.head.version);
-                    handle.send(Event::SourceUpdate { update, age }).await;
-                    floor::Event::Answer(FloorAnswer {
-                        source: Source::Platform,
-                        served: newest.unwrap_or_default(),
-                        is_serving: true,
-                    })
-                }
-                Err(err) => {
-                    log::debug!(target: part::PLATFORM, "could not load the version floor: {err}");
-                    floor::Event::Failed(Source::Platform)
-                }
+            let event = match rx.await {
+                Ok(Ok(found)) => floor::Event::Answer(FloorAnswer {
+                    source: Source::Platform,
+                    served: found.version,
+                    is_serving: true,
+                }),
+                Ok(Err(_)) | Err(_) => floor::Event::Failed(Source::Platform),
             };
             handle.send(Event::Floor(event)).await;
         });
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -2,13 +2,14 @@
 //! longer receive messages from a gateway.
 
 use super::event::ControlHandle;
+use super::loads::{self, Found};
 use super::query::Query;
 use super::{Controller, Event};
 use crate::source::{ConfigSource, Error, SourceUpdate};
 use knapweed_contract::PartCache;
 use knapweed_observe::part;
-use knapweed_store::Error as StoreError;
 use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
+use knapweed_store::{Error as StoreError, Revision};
 use knapweed_timer::TimerService;
 use knapweed_world::Time;
 use knapweed_zone::membership;
@@ -49,49 +50,23 @@
             self.watch = Watch(Some(tokio::spawn(watch(source, handle, timer))));
         }
     }
-
-    /// Loads the configuration once from its source.
-    pub(super) fn load_from_source(&self) {
-        let (source, handle) = (Arc::clone(&self.dependencies.configs), self.handle.clone());
-        let timer = self.dependencies.timer.clone();
-        tokio::spawn(async move {
-            let known = known_parts(&handle).await;
-            let started = timer.now();
-            match source.load(known).await {
-                Ok(update) => {
-                    let age = timer.now().since(started);
-                    handle.send(Event::SourceUpdate { update, age }).await;
-                }
-                Err(err) => {
-                    log::debug!(target: part::CONFIG, "could not load the configuration: {err}");
-                }
-            }
-        });
-    }
 }
 
 async fn watch(source: Arc<dyn ConfigSource>, handle: ControlHandle, timer: TimerService) {
     let mut limit = INITIAL_BACKOFF;
     let mut cursor = WatchCursor::default();
     loop {
-        let known = known_parts(&handle).await;
-        let started = timer.now();
-        let (update, wait) = match cursor.next_call() {
-            NextCall::Watch(revision) => {
-                let update = source.watch(revision, WATCH_WAIT, known).await;
-                (update, WATCH_WAIT)
-            }
-            NextCall::Load => (source.load(known).await, Duration::ZERO),
+        let found = match cursor.next_call() {
+            NextCall::Watch(revision) => watch_once(&*source, &handle, &timer, revision).await,
+            NextCall::Load => loads::load(&handle).await,
         };
-        match update {
-            Ok(update) => {
+        match found {
+            Ok(found) => {
                 limit = INITIAL_BACKOFF;
-                match update.is_partial {
-                    true => cursor.advanced_partially(update.revision),
-                    false => cursor.advanced(update.revision),
+                match found.is_partial {
+                    true => cursor.advanced_partially(found.revision),
+                    false => cursor.advanced(found.revision),
                 }
-                let age = update.age(timer.now().since(started), wait);
-                handle.send(Event::SourceUpdate { update, age }).await;
             }
             Err(err) => {
                 if failed(&mut cursor, &err) == Retry::AtOnce {
@@ -109,6 +84,22 @@
     }
 }
 
+/// Waits for a change after `revision`, and passes on what the store answers.
+async fn watch_once(
+    source: &dyn ConfigSource,
+    handle: &ControlHandle,
+    timer: &TimerService,
+    revision: Revision,
+) -> Result<Found, Error> {
+    let known = known_parts(handle).await;
+    let started = timer.now();
+    let update = source.watch(revision, WATCH_WAIT, known).await?;
+    let age = update.age(timer.now().since(started), WATCH_WAIT);
+    let found = Found::in_update(&update);
+    handle.send(Event::SourceUpdate { update, age }).await;
+    Ok(found)
+}
+
 fn failed(cursor: &mut WatchCursor, err: &Error) -> Retry {
     match err {
         Error::Store(err) => cursor.failed(err),
--- a/crates/node/tests/configuration/process.rs
+++ b/crates/node/tests/configuration/process.rs
@@ -3,6 +3,7 @@
 use crate::watch_loop::WatchLoop;
 use knapweed_link::Delta;
 use knapweed_node::control::config::ConfigStore;
+use knapweed_node::control::loads::Loads;
 use knapweed_node::source::{Error, LoadedConfig, SourceUpdate, StoredConfig};
 use knapweed_store::Error as StoreError;
 use knapweed_store::cursor::NextCall;
@@ -33,10 +34,19 @@
 pub(crate) enum Purpose {
     /// A step of the watch with this number.
     Watch(u32),
+    /// The load that is under way.
+    Load,
+}
+
+/// What wants the result of a load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Waiter {
+    /// The watch with this number.
+    Watch(u32),
     /// The version floor.
     Floor,
-    /// A configuration that no other node has.
-    Load,
+    /// A fetch of a version that no member has.
+    Fetch,
 }
 
 /// What a process asks the mesh to do.
@@ -61,6 +71,7 @@
     watch: Option<WatchLoop>,
     /// Number of watches so far; answers to an earlier one are dropped.
     watches: u32,
+    loads: Loads<Waiter>,
     /// Version of the configuration that the store had at the last read, and its era.
     stored_config: StoredConfig,
     rng: SmallRng,
@@ -80,6 +91,7 @@
             floor: VersionFloor::new(now, derived()),
             watch: None,
             watches: 0,
+            loads: Loads::default(),
             stored_config: StoredConfig::default(),
             rng,
             effects: Vec::new(),
@@ -172,8 +184,18 @@
 
     /// Makes the next call of a watch, unless it has ended.
     pub(crate) fn watch_again(&mut self, watch: u32) {
-        if let Some(state) = self.watch.as_ref().filter(|_| watch == self.watches) {
-            let call = Effect::Call(Purpose::Watch(watch), state.next_call());
+        let state = self.watch.as_ref().filter(|_| watch == self.watches);
+        match state.map(WatchLoop::next_call) {
+            None => {}
+            Some(NextCall::Load) => self.load(Waiter::Watch(watch)),
+            Some(call) => self.effects.push(Effect::Call(Purpose::Watch(watch), call)),
+        }
+    }
+
+    /// Loads the configuration, unless a load is under way.
+    fn load(&mut self, waiter: Waiter) {
+        if self.loads.join(waiter) {
+            let call = Effect::Call(Purpose::Load, NextCall::Load);
             self.effects.push(call);
         }
     }
@@ -187,44 +209,41 @@
         result: Result<SourceUpdate, Error>,
     ) {
         match purpose {
-            Purpose::Watch(watch) => self.watch_answered(now, watch, asked, result),
-            Purpose::Floor => {
-                let event = match &result {
-                    Ok(update) => floor::Event::Answer(FloorAnswer {
-                        source: Source::Platform,
-                        served: update
-                            .loaded
-                            .as_ref()
-                            .map(|loaded| loaded.head.version)
-                            .unwrap_or_default(),
-                        is_serving: true,
-                    }),
-                    Err(_) => floor::Event::Failed(Source::Platform),
-                };
-                if let Ok(update) = result {
+            Purpose::Watch(watch) => {
+                if self.watch_continues(now, watch, &result)
+                    && let Ok(update) = result
+                {
                     self.source_updated(now, asked, update);
                 }
-                self.floor_event(now, event);
             }
             Purpose::Load => {
-                if let Ok(update) = result {
-                    self.source_updated(now, asked, update);
+                if let Ok(update) = &result {
+                    self.source_updated(now, asked, update.clone());
+                }
+                for waiter in self.loads.end() {
+                    match waiter {
+                        Waiter::Watch(watch) => {
+                            self.watch_continues(now, watch, &result);
+                        }
+                        Waiter::Floor => self.floor_event(now, floor_answer(&result)),
+                        Waiter::Fetch => {}
+                    }
                 }
             }
         }
     }
 
-    fn watch_answered(
+    /// Continues a watch after a call; returns whether it still runs.
+    fn watch_continues(
         &mut self,
         now: Time,
         watch: u32,
-        asked: Asked,
-        result: Result<SourceUpdate, Error>,
-    ) {
+        result: &Result<SourceUpdate, Error>,
+    ) -> bool {
         let Some(state) = self.watch.as_mut().filter(|_| watch == self.watches) else {
-            return;
+            return false;
         };
-        let wait = match &result {
+        let wait = match result {
             Ok(update) => {
                 state.succeeded(update);
                 None
@@ -233,18 +252,15 @@
         };
         let again = Effect::WatchAgain(watch, wait.unwrap_or_default());
         self.effects.push(again);
-        match result {
-            Ok(update) => self.source_updated(now, asked, update),
-            Err(_) if wait.is_none() => {}
-            Err(err) => {
-                let reached = matches!(
-                    err,
-                    Error::Store(StoreError::HistoryCompacted(_) | StoreError::Malformed(_))
-                        | Error::Unusable(_)
-                );
-                self.member_event(now, membership::Event::StoreReached(reached));
-            }
+        if let (Err(err), Some(_)) = (result, wait) {
+            let reached = matches!(
+                err,
+                Error::Store(StoreError::HistoryCompacted(_) | StoreError::Malformed(_))
+                    | Error::Unusable(_)
+            );
+            self.member_event(now, membership::Event::StoreReached(reached));
         }
+        true
     }
 
     fn source_updated(&mut self, now: Time, asked: Asked, update: SourceUpdate) {
@@ -271,9 +287,7 @@
                 floor::Action::Ask {
                     source: Source::Platform,
                     ..
-                } => self
-                    .effects
-                    .push(Effect::Call(Purpose::Floor, NextCall::Load)),
+                } => self.load(Waiter::Floor),
                 floor::Action::Ask { source, count } => self.query_nodes(now, source, count),
                 floor::Action::Fetch(version) => self.fetch_at_least(version),
                 floor::Action::Serve { .. } | floor::Action::RetryLater { .. } => {}
@@ -300,10 +314,10 @@
         let members = self.membership.directory().present().map(|(_, r)| r);
         let up_to_date = members.filter(|r| r.applied >= version && version > ConfigVersion(0));
         let from = up_to_date.map(|r| r.address).choose(&mut self.rng);
-        self.effects.push(match from {
-            Some(from) => Effect::FetchConfig(from),
-            None => Effect::Call(Purpose::Load, NextCall::Load),
-        });
+        match from {
+            Some(from) => self.effects.push(Effect::FetchConfig(from)),
+            None => self.load(Waiter::Fetch),
+        }
     }
 
     /// The reply to the floor query of a host.
@@ -312,3 +326,16 @@
         FloorAnswer::of_member(source, directory, own, self.floor.is_serving(), host)
     }
 }
+
+/// The answer of the platform to a floor query.
+fn floor_answer(result: &Result<SourceUpdate, Error>) -> floor::Event {
+    let Ok(update) = result else {
+        return floor::Event::Failed(Source::Platform);
+    };
+    let head = update.loaded.as_ref().map(|loaded| &loaded.head);
+    floor::Event::Answer(FloorAnswer {
+        source: Source::Platform,
+        served: head.map(|head| head.version).unwrap_or_default(),
+        is_serving: true,
+    })
+}
--- a/crates/node/tests/nodes/common/mesh.rs
+++ b/crates/node/tests/nodes/common/mesh.rs
@@ -207,10 +207,10 @@
 }
 
 /// A configuration that never changes.
-struct FixedConfig(LoadedConfig);
+pub(crate) struct FixedConfig(LoadedConfig);
 
 impl FixedConfig {
-    fn new(services: &[&str], ticket: Option<Accepted>) -> Self {
+    pub(crate) fn new(services: &[&str], ticket: Option<Accepted>) -> Self {
         let mut config = Config {
             version: ConfigVersion(1),
             ..Config::default()
@@ -342,7 +342,7 @@
     }
 }
 
-fn free_address() -> SocketAddr {
+pub(crate) fn free_address() -> SocketAddr {
     let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
     socket.local_addr().expect("an address")
 }
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod foreign_answers;
 mod limits;
+mod loads;
 mod long_heads;
 mod lost_exchanges;
 mod restored;
