fix(zone): a late answer to a floor query starts to serve at once

Cause: an answer between two rounds confirmed the floor, but was not followed by the decision to serve. The platform's answer comes with the load, which often takes longer than a round of 500 ms, and the configuration just before it was not confirmed yet. The node refused for the rest of the backoff and one more round, and loaded once more. Change: an answer between two rounds is followed by that decision, on the same conditions: the floor is confirmed and the configuration is not below it. Test: an_answer_between_two_rounds_starts_to_serve failed before (no action) and passes; an_answer_between_two_rounds_raises_the_floor guards the condition and held before. All tests of knapweed-zone pass.

--- a/crates/zone/src/floor.rs
+++ b/crates/zone/src/floor.rs
@@ -227,14 +227,15 @@
         self.close_query(now, answer.source)
     }
 
-    /// Closes one query of a source, and ends the round after the last one.
+    /// Closes one query of a source, and ends the round after the last one. An answer between
+    /// two rounds counts too: a load may take longer than a round.
     fn close_query(&mut self, now: Time, source: Source) -> Vec<Action> {
         let Phase::Asking {
             deadline,
             mut unanswered,
         } = self.phase
         else {
-            return Vec::new();
+            return self.serve_if_safe();
         };
         if let Some(index) = QUERIES.iter().position(|(s, _)| *s == source) {
             unanswered[index] = unanswered[index].saturating_sub(1);
--- a/crates/zone/tests/floor.rs
+++ b/crates/zone/tests/floor.rs
@@ -4,7 +4,9 @@
 
 use knapweed_world::{ConfigVersion, Time};
 use knapweed_zone::Duty;
-use knapweed_zone::floor::{Action, Event, FloorAnswer, MAX_BACKOFF, Source, VersionFloor};
+use knapweed_zone::floor::{
+    Action, Event, FloorAnswer, MAX_BACKOFF, ROUND_TIMEOUT, Source, VersionFloor,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use sim::{Sim, ms, name};
@@ -294,3 +296,40 @@
         behind(&sim)
     );
 }
+
+/// Guards against a node that has the configuration and keeps refusing, because the answer
+/// of the platform came between two rounds (issue 35). That is the usual case for a load
+/// that takes longer than a round.
+#[test]
+fn an_answer_between_two_rounds_starts_to_serve() {
+    let mut floor = VersionFloor::new(Time(0), SmallRng::seed_from_u64(1));
+    floor.handle(Time(0), Event::Peers(1));
+    floor.handle(Time(0), Event::Tick);
+    for source in [Source::Peers, Source::Peers, Source::Peers, Source::Relay] {
+        floor.handle(Time(0), Event::Failed(source));
+    }
+    let now = Time(0).after(ROUND_TIMEOUT);
+    let ended = floor.handle(now, Event::Tick);
+    assert!(matches!(ended[..], [Action::RetryLater { .. }]));
+    floor.handle(now, Event::Fetched(ConfigVersion(5)));
+    let answer = event(Source::Platform, Reply::Version(5, true));
+    let actions = floor.handle(now, answer.expect("an answer"));
+    let floor = ConfigVersion(5);
+    assert_eq!(actions, [Action::Serve { floor }]);
+}
+
+/// Guards against a late answer that lets a node serve a configuration below the floor.
+#[test]
+fn an_answer_between_two_rounds_raises_the_floor() {
+    let mut floor = VersionFloor::new(Time(0), SmallRng::seed_from_u64(1));
+    floor.handle(Time(0), Event::Peers(1));
+    floor.handle(Time(0), Event::Tick);
+    let now = Time(0).after(ROUND_TIMEOUT);
+    floor.handle(now, Event::Tick);
+    floor.handle(now, Event::Fetched(ConfigVersion(4)));
+    let answer = event(Source::Peers, Reply::Version(5, true));
+    assert_eq!(floor.handle(now, answer.expect("an answer")), []);
+    let answer = event(Source::Platform, Reply::Version(4, true));
+    assert_eq!(floor.handle(now, answer.expect("an answer")), []);
+    assert!(!floor.is_serving());
+}
