feat(link): a changed part is sent as a patch of what the receiver has

Cause: a growth by routes changes all 16 groups of routes, so each delta held the whole table. Change: knapweed_link::Patch encodes a part against an earlier content of it, in chunks that are copied or inserted. ConfigStore keeps the contents that parts had before (PartHistory, 4 MiB and 1,024 contents at most) and takes the newest one that the receiver states. A receiver verifies the result by its digest as before. After a delta that cannot be decompressed, has an unknown base or lacks a part, one fetch asks for whole parts. Deltas have a checksum, since no digest covers the head. The message version is 4. memchr, which was in the lock file already, splits the text. The properties in config_deltas cover any two configurations, damaged deltas, unknown bases, equal tags and the bounds of the history.

--- a/crates/contract/src/head.rs
+++ b/crates/contract/src/head.rs
@@ -1,5 +1,6 @@
 //! The head object. Writing it commits a new version of the configuration.
 
+use crate::parts::PartId;
 use crate::{Digest, Item};
 use bytes::Bytes;
 use knapweed_store::{Object, ObjectKey, Revision};
@@ -104,6 +105,14 @@
         self.services.values().chain(self.routes.values())
     }
 
+    /// Iterates over the identities and digests of all parts of the configuration.
+    pub fn parts(&self) -> impl Iterator<Item = (PartId, &Digest)> {
+        let services = self.services.iter();
+        let services = services.map(|(name, digest)| (PartId::Service(name.clone()), digest));
+        let routes = self.routes.iter();
+        services.chain(routes.map(|(group, digest)| (PartId::Routes(*group), digest)))
+    }
+
     /// Returns the acceptance of a ticket if it is among the recent ones.
     pub fn accepted(&self, ticket: TicketNumber) -> Option<Accepted> {
         self.recent.iter().find(|a| a.ticket == ticket).copied()
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod budget;
 pub mod delta;
 pub mod pacer;
+pub mod patch;
 
 pub use budget::LinkBudget;
-pub use delta::{Delta, PartTag};
+pub use delta::{Delta, Outgoing, Part, PartTag};
 pub use pacer::{Backlog, LinkRate, Pacer};
+pub use patch::Patch;
--- a/crates/link/tests/delta.rs
+++ b/crates/link/tests/delta.rs
@@ -4,15 +4,18 @@
 use assert_matches::assert_matches;
 use bytes::Bytes;
 use knapweed_link::delta::Error;
-use knapweed_link::{Delta, LinkBudget, PartTag};
+use knapweed_link::{Delta, LinkBudget, Outgoing, Part, PartTag};
 use knapweed_world::Time;
 use proptest::prelude::*;
 
 #[test]
 fn a_delta_leaves_out_what_the_receiver_has() {
-    let parts = ["calendar", "switching", "surveys"].map(Bytes::from);
+    let parts = ["calendar", "switching", "surveys"].map(|content| Outgoing {
+        part: Part::from(Bytes::from(content)),
+        base: None,
+    });
     let have = [PartTag::of(b"calendar"), PartTag::of(b"old")];
-    let delta = Delta::between(Bytes::from("head"), parts, have);
+    let delta = Delta::between(Bytes::from("head"), parts, &have.into());
     insta::assert_debug_snapshot!(delta);
     let compressed = delta.compress().expect("a short delta");
     assert_eq!(Delta::decompress(&compressed), Ok(delta));
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -9,6 +9,7 @@
 mod members;
 mod messages;
 mod orders;
+pub mod part_history;
 pub mod query;
 pub mod registry;
 pub mod reports;
@@ -257,6 +258,7 @@
             Event::Stream { head, incoming } => self.stream_opened(now, *head, incoming),
             Event::Announced(announcement) => self.announcement_received(now, announcement),
             Event::Delta { from, delta } => self.delta_received(from, delta),
+            Event::UnreadableDelta { from } => self.unreadable_delta(from),
             Event::FetchProgressed { from } => {
                 self.member_event(now, membership::Event::FetchProgressed { from });
             }
--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -1,15 +1,21 @@
 //! Store of the newest configuration on this node, split into parts.
 
+use super::part_history::PartHistory;
 use bytes::Bytes;
-use knapweed_contract::{Head, PartCache, head, parts};
-use knapweed_link::{Delta, PartTag, delta};
+use knapweed_contract::parts::PartId;
+use knapweed_contract::{Digest, Head, PartCache, head, parts};
+use knapweed_link::{Delta, Outgoing, Part, PartTag, delta};
 use knapweed_store::{Object, Revision};
 use knapweed_world::Config;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 /// The reason why a configuration was not applied.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
+    /// A patch cannot be applied.
+    #[error(transparent)]
+    Delta(#[from] delta::Error),
     /// The head cannot be read.
     #[error(transparent)]
     Head(#[from] head::Error),
@@ -18,6 +24,16 @@
     Part(#[from] parts::Error),
 }
 
+impl Error {
+    /// Whether the same configuration may be accepted when all of its parts are sent whole.
+    fn may_lack_parts(&self) -> bool {
+        matches!(
+            self,
+            Self::Delta(_) | Self::Part(parts::Error::Missing { .. })
+        )
+    }
+}
+
 /// A compressed delta, kept for the next node that has the same parts.
 #[derive(Debug)]
 struct CachedDelta {
@@ -33,6 +49,10 @@
     config: Arc<Config>,
     /// The last delta; after a change, most nodes request the same one.
     cached_delta: Option<CachedDelta>,
+    history: PartHistory,
+    /// Whether the next fetch asks for whole parts, because the last delta could not be used.
+    /// Two tags that collide would make the same fetch fail again and again.
+    asks_whole: bool,
 }
 
 /// Read access to the configuration, its parts and the delta for another node.
@@ -52,9 +72,13 @@
         &self.cache
     }
 
-    /// Sorted tags of the parts that this node has.
+    /// Sorted tags of the parts that this node has, for a fetch; none if the last delta could
+    /// not be used, so that all parts are sent whole.
     pub fn tags(&self) -> Vec<PartTag> {
-        let mut tags: Vec<_> = self.contents().map(|c| PartTag::of(&c)).collect();
+        if self.asks_whole {
+            return Vec::new();
+        }
+        let mut tags: Vec<_> = self.head.digests().map(tag_of).collect();
         tags.sort_unstable();
         tags
     }
@@ -73,8 +97,13 @@
         if let Some(cached_delta) = self.cached_delta.as_ref().filter(|m| m.have == have) {
             return Ok(cached_delta.compressed.clone());
         }
-        let head = self.head.encode();
-        let compressed = Delta::between(head, self.contents(), have.iter().copied()).compress()?;
+        let known: HashSet<_> = have.iter().copied().collect();
+        let bases = self.history.newest_of(&known);
+        let parts = self.parts().map(|(id, part)| Outgoing {
+            part,
+            base: bases.get(&id).map(|base| (*base).clone()),
+        });
+        let compressed = Delta::between(self.head.encode(), parts, &known).compress()?;
         self.cached_delta = Some(CachedDelta {
             have,
             compressed: compressed.clone(),
@@ -82,30 +111,62 @@
         Ok(compressed)
     }
 
-    fn contents(&self) -> impl Iterator<Item = Bytes> + '_ {
-        self.head
-            .digests()
-            .filter_map(|d| self.cache.get(d).cloned())
+    fn parts(&self) -> impl Iterator<Item = (PartId, Part)> + '_ {
+        self.head.parts().filter_map(|(id, digest)| {
+            let content = self.cache.get(digest)?.clone();
+            let tag = tag_of(digest);
+            Some((id, Part { tag, content }))
+        })
     }
 }
 
+fn tag_of(digest: &Digest) -> PartTag {
+    PartTag::of_digest(digest.as_bytes())
+}
+
 /// Updates with newer heads and parts.
 impl ConfigStore {
     /// Applies a delta; returns whether it brought a newer configuration.
     ///
     /// # Errors
     ///
-    /// The head or a part is invalid; the previous configuration stays unchanged.
+    /// The head, a patch or a part is invalid; the previous configuration stays unchanged.
+    /// If whole parts may help, the next fetch asks for them.
     pub fn apply_delta(&mut self, delta: Delta) -> Result<bool, Error> {
+        let applied = self.try_apply(delta);
+        let may_lack_parts = matches!(&applied, Err(err) if err.may_lack_parts());
+        self.asks_whole = may_lack_parts && !self.asks_whole;
+        applied
+    }
+
+    /// Records that a delta could not be decompressed: the next fetch asks for whole parts,
+    /// unless this one did.
+    pub fn delta_was_unreadable(&mut self) {
+        self.asks_whole = !self.asks_whole;
+    }
+
+    fn try_apply(&mut self, delta: Delta) -> Result<bool, Error> {
         let object = Object {
             revision: Revision::ABSENT,
-            value: delta.head,
+            value: delta.head.clone(),
         };
         let (_, head) = Head::decode(Some(&object))?;
+        if head.version <= self.head.version {
+            return Ok(false);
+        }
+        let own: HashMap<_, _> = self.parts().map(|(_, p)| (p.tag, p.content)).collect();
+        let base_of = |tag| own.get(&tag).or_else(|| self.history.get(tag)).cloned();
+        let contents = delta.into_contents(&base_of)?;
         let mut cache = self.cache.clone();
-        for content in delta.parts {
+        for content in contents {
             cache.insert(content);
         }
+        // Parts that this node had when it sent its tags, and has replaced since.
+        for digest in cache.missing(&head) {
+            if let Some(content) = self.history.get(tag_of(&digest)) {
+                cache.insert(content.clone());
+            }
+        }
         self.replace(&head, cache)
     }
 
@@ -120,10 +181,23 @@
         }
         let config = parts::join(head, &cache)?;
         cache.retain(head);
+        self.remember_parts_without(head);
         self.head = head.clone();
         self.cache = cache;
         self.config = Arc::new(config);
         self.cached_delta = None;
         Ok(true)
     }
+
+    /// Adds the parts that `next` does not have to the history.
+    fn remember_parts_without(&mut self, next: &Head) {
+        let kept: HashSet<_> = next.digests().map(tag_of).collect();
+        let replaced: Vec<_> = self
+            .parts()
+            .filter(|(_, p)| !kept.contains(&p.tag))
+            .collect();
+        for (id, part) in replaced {
+            self.history.add(id, part);
+        }
+    }
 }
--- a/crates/node/src/control/deltas.rs
+++ b/crates/node/src/control/deltas.rs
@@ -1,7 +1,7 @@
 //! Transfers of configuration deltas between nodes.
 
 use bytes::Bytes;
-use knapweed_link::Delta;
+use knapweed_link::{Delta, delta};
 use knapweed_observe::part;
 use knapweed_transport::{IncomingStream, Peers};
 use knapweed_wire::{FetchReply, StreamHead, decode, encode};
@@ -34,6 +34,8 @@
 pub enum Fetched {
     /// The delta, decompressed.
     Delta(Delta),
+    /// The answer is not a compressed delta.
+    Unreadable(delta::Error),
     /// The node sends enough deltas to others.
     Busy,
 }
@@ -44,7 +46,7 @@
 /// # Errors
 ///
 /// Nothing arrived for [`FETCH_TIMEOUT`], the transfer took over [`MAX_TRANSFER_TIME`], the
-/// stream ended early, or the reply cannot be decoded or is over [`MAX_DELTA_LEN`].
+/// stream ended early, or the head of the reply cannot be decoded, or the delta is over [`MAX_DELTA_LEN`].
 pub async fn fetch<F: Future<Output = ()>>(
     peers: &Peers,
     from: SocketAddr,
@@ -77,7 +79,8 @@
             progressed().await;
         }
     }
-    Ok(Fetched::Delta(Delta::decompress(&packed)?))
+    let unpacked = Delta::decompress(&packed);
+    Ok(unpacked.map_or_else(Fetched::Unreadable, Fetched::Delta))
 }
 
 /// Sends a delta, or the answer that too many are being sent.
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -46,6 +46,11 @@
         /// The decompressed delta.
         delta: Option<Delta>,
     },
+    /// A configuration delta arrived that cannot be decompressed.
+    UnreadableDelta {
+        /// Address of the node that was queried.
+        from: SocketAddr,
+    },
     /// A part of a configuration delta arrived.
     FetchProgressed {
         /// Address of the node that was queried.
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -68,6 +68,10 @@
                     from,
                     delta: Some(delta),
                 },
+                Ok(Fetched::Unreadable(err)) => {
+                    log::warn!(target: part::CONFIG, "refused the configuration of {from}: {err}");
+                    Event::UnreadableDelta { from }
+                }
                 Ok(Fetched::Busy) => Event::FetchBusy { from },
                 Err(_) => Event::Delta { from, delta: None },
             };
@@ -94,6 +98,11 @@
         }
     }
 
+    pub(super) fn unreadable_delta(&mut self, from: SocketAddr) {
+        self.configs.delta_was_unreadable();
+        self.member_event(self.now(), membership::Event::FetchFailed { from });
+    }
+
     pub(super) fn config_loaded(&mut self, loaded: LoadedConfig) {
         match self.configs.replace(&loaded.head, loaded.cache) {
             Ok(newer) => {
--- /dev/null
+++ b/crates/node/tests/config_deltas/main.rs
@@ -0,0 +1,7 @@
+//! Configurations that pass from node to node as deltas.
+
+mod cache;
+mod configs;
+mod history;
+mod lengths;
+mod passing;
--- a/crates/node/tests/nodes/deltas.rs
+++ b/crates/node/tests/nodes/deltas.rs
@@ -26,6 +26,7 @@
         parts: (0..CHUNKS)
             .map(|part| vec![part as u8; 100].into())
             .collect(),
+        patches: Vec::new(),
     }
 }
 
@@ -129,3 +130,24 @@
     let mut next = answer(LONG_LEN).await;
     assert_eq!(next.head().await, Ok(expected(FetchReply::Delta)));
 }
+
+/// Guards against a damaged delta that passes for a lost one: the next fetch must ask for
+/// whole parts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_is_no_delta_is_unreadable() {
+    let authority = Authority::new().expect("an authority");
+    let (client, mut server) = (
+        NodeEndpoint::open(&authority),
+        NodeEndpoint::open(&authority),
+    );
+    let address = server.endpoint.local_address().expect("an address");
+    let peers = client.endpoint.peers();
+    let fetch = fetch(&peers, address, &QUERY, || std::future::ready(()));
+    let serve = async {
+        let incoming = server.inbound.streams.recv().await.expect("a stream");
+        let packed = delta().compress().expect("a delta");
+        reply_with_delta(&Transfers::default(), incoming, packed.slice(1..));
+    };
+    let (fetched, ()) = tokio::join!(fetch, serve);
+    assert_matches!(fetched, Ok(Fetched::Unreadable(_)));
+}
