test(node): a tag collision is seen to ask for whole parts

Cause: a_tag_collision_is_followed_by_whole_parts stated the tags of its first fetch by hand and those of the second were not equal to them, so it passed without the request for whole parts. Change: it checks that the second fetch states no tags.

--- a/crates/node/tests/config_deltas/passing.rs
+++ b/crates/node/tests/config_deltas/passing.rs
@@ -227,6 +227,7 @@
     let delta = unharmed(&sender.delta_for(have).expect("a delta")).expect("a delta");
     let refused = receiver.apply_delta(delta);
     assert_matches!(refused, Err(Error::Part(parts::Error::Missing { .. })));
+    assert_eq!(receiver.tags(), []);
     assert_eq!(fetch(&mut sender, &mut receiver, unharmed), Ok(true));
     assert_eq!(**receiver.config(), configs[1]);
 }
