fix(rollout): a version on another host than its callers is not slow

Cause: an_order_completes_although_both_versions_are_announced_together was rolled back by the judge of short rollouts 0.6 s after the last step: Fault { kind: Slow, route: r-1, new: 10 of 27, old: 10 of 277 }. It counts a request as slow when it lies in the slowest 4% of the old version, however little that is. The caller's host runs the old version, whose requests are served there in 0.30 to 0.43 ms; all of the new version come from another host and take 0.55 to 0.85 ms. When nearly all of the old ones are local, the tail begins inside the latencies of the new version.

--- a/crates/rollout/src/histogram.rs
+++ b/crates/rollout/src/histogram.rs
@@ -1,6 +1,7 @@
 //! Latency histograms with fixed buckets, so that any two can be merged.
 
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Number of buckets. The last one has no upper limit.
 pub const BUCKETS: usize = 68;
@@ -105,6 +106,35 @@
         }
         0
     }
+
+    /// The first bucket whose latencies all exceed the median by at least `by`; 0 when the
+    /// histogram is empty.
+    ///
+    /// The lower edge of its bucket stands for the median.
+    pub fn bucket_above_median(&self, by: Duration) -> usize {
+        let half = self.count().div_ceil(2);
+        if half == 0 {
+            return 0;
+        }
+        let mut up_to = 0;
+        let median = self.buckets.iter().position(|count| {
+            up_to += count;
+            up_to >= half
+        });
+        let by_us = u64::try_from(by.as_micros()).unwrap_or(u64::MAX);
+        let limit_us = lower_edge_us(median.unwrap_or_default()).saturating_add(by_us);
+        bucket_of(limit_us) + 1
+    }
+}
+
+/// The shortest latency in a bucket, in microseconds.
+fn lower_edge_us(bucket: usize) -> u64 {
+    let Some(index) = bucket.checked_sub(1) else {
+        return 0;
+    };
+    let (octave, within) = (index / BUCKETS_PER_OCTAVE, index % BUCKETS_PER_OCTAVE);
+    let quarters = (BUCKETS_PER_OCTAVE + within) as u64;
+    (FIRST_EDGE_US << octave) / BUCKETS_PER_OCTAVE as u64 * quarters
 }
 
 fn bucket_of(latency_us: u64) -> usize {
--- a/crates/rollout/src/judge/short_rollout.rs
+++ b/crates/rollout/src/judge/short_rollout.rs
@@ -7,7 +7,9 @@
 
 use crate::counters::{Series, SeriesId, Warmth};
 use crate::histogram::Histogram;
-use crate::judge::{ComparedVersions, Fault, FaultKind, Judge, Tally, Verdict, Window};
+use crate::judge::{
+    ComparedVersions, Fault, FaultKind, Judge, MIN_SLOWDOWN, Tally, Verdict, Window,
+};
 use knapweed_world::Name;
 use std::collections::BTreeMap;
 
@@ -220,12 +222,13 @@
 }
 
 /// The successful requests of a series, and those of them in the slow tail of the
-/// baseline. `None` while the baseline has too few requests.
+/// baseline that exceed its median by [`MIN_SLOWDOWN`]. `None` while the baseline has too few requests.
 fn slow(baseline: &Histogram, series: &Series, options: &Options) -> Option<Tally> {
     if baseline.count() < MIN_BASELINE_REQUESTS {
         return None;
     }
-    let first = baseline.tail_bucket(options.slow_tail);
+    let tail = baseline.tail_bucket(options.slow_tail);
+    let first = tail.max(baseline.bucket_above_median(MIN_SLOWDOWN));
     Some(Tally {
         requests: series.latency.count(),
         affected: series.latency.count_from(first),
--- a/crates/rollout/tests/short_rollout.rs
+++ b/crates/rollout/tests/short_rollout.rs
@@ -218,3 +218,65 @@
         assert!(completed >= least, "{fault:?}: {completed}");
     }
 }
+
+/// Requests of the old version before the last step, and of the new one after it.
+const REQUESTS_BEFORE: u64 = 320;
+const REQUESTS_AFTER: u64 = 80;
+/// Latency of a request from the host of its server, and what one from another host takes
+/// longer, in microseconds.
+const LOCAL_US: u64 = 330;
+const REMOTE_US: u64 = 250;
+
+/// Fraction of the seeds for which the judge finds a fault in a version whose requests all come
+/// from another host and take `slower_us` longer. The old version serves most of its requests
+/// on the host of the caller. Both serve them within a fraction of a millisecond.
+fn fraction_at_fault(slower_us: u64) -> f64 {
+    let at_fault = |seed: &u64| {
+        let mut rng = SmallRng::seed_from_u64(*seed);
+        let mut judge = ShortRolloutJudge::new(short_rollout::Options::default());
+        judge.begin(&ComparedVersions {
+            old: vec![name("v1")],
+            new: vec![name("v2")],
+            windows: 1,
+        });
+        for request in 0..REQUESTS_BEFORE + REQUESTS_AFTER {
+            let is_new = request >= REQUESTS_BEFORE || request % 20 == 0;
+            let is_remote = is_new || rng.random_bool(0.03);
+            let path_us = if is_remote { REMOTE_US } else { 0 };
+            let own_us = if is_new { slower_us } else { 0 };
+            let jitter_us = rng.random_range(0..150);
+            let id = SeriesId {
+                zone: name("a"),
+                version: name(if is_new { "v2" } else { "v1" }),
+                route: name("calendar"),
+                load: LoadLevel::Low,
+                warmth: Warmth::Warm,
+            };
+            let mut counters = Counters::default();
+            let key = counters.key(&id).expect("few series");
+            let latency_us = LOCAL_US + path_us + own_us + jitter_us;
+            counters.record(key, Sample::Succeeded { latency_us });
+            judge.observe(&Window {
+                counters: &counters,
+                capacity: &[],
+            });
+        }
+        matches!(judge.verdict(), Verdict::Bad(_))
+    };
+    (0..SEEDS).filter(at_fault).count() as f64 / SEEDS as f64
+}
+
+/// Guards against a good version that is pulled back because its requests come from other hosts
+/// than those of the old one, which adds a fraction of a millisecond to each.
+#[test]
+fn a_version_on_another_host_than_its_callers_is_not_slow() {
+    let fraction = fraction_at_fault(0);
+    assert!(fraction <= 0.001, "{fraction}");
+}
+
+/// Guards against a slowdown of some milliseconds that passes for the way from another host.
+#[test]
+fn a_version_that_adds_milliseconds_is_slow() {
+    let fraction = fraction_at_fault(5_000);
+    assert!(fraction >= 0.99, "{fraction}");
+}
