fix(zone): a confirmation that waited during a pause is not a new one

A node that was stopped for some seconds finds the messages of that time in its socket. It handled them as if they had just been sent, so a confirmation of its old version made this version the newest one again, and a route that had been added meanwhile got 404 instead of 503 until the first message with a newer version was handled.

Now a gap of over 300 ms between two events of the membership is added to the age of confirmations for a second, in which the waiting messages are handled. The watch of the store was right already: its answers count from the begin of the call.

Test: confirmations_that_waited_during_a_pause_do_not_count (simulation of 14 nodes) fails on the code before in the first millisecond after the pause.

--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -73,10 +73,11 @@
     }
 
     /// Handles the report of another node that it has applied `version`, with its
-    /// confirmation if it has one.
+    /// confirmation if it has one. `arrived_at` is the earliest time at which the report can
+    /// have arrived.
     pub fn reported(
         &mut self,
-        now: Time,
+        arrived_at: Time,
         version: ConfigVersion,
         confirmation: Option<Confirmation>,
     ) {
@@ -87,7 +88,7 @@
         match confirmation {
             Some(confirmation) if version >= self.newest => {
                 let age = Duration::from_millis(confirmation.age_ms.into());
-                self.confirm(version, now.before(age));
+                self.confirm(version, arrived_at.before(age));
             }
             _ if version > self.newest => {
                 self.newest = version;
--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -10,6 +10,7 @@
 pub mod probe;
 pub mod suspicion;
 
+mod backlog;
 mod detect;
 mod exchange;
 
@@ -20,6 +21,7 @@
 use crate::freshness::Freshness;
 use crate::message::{Body, Message, Notice, Ping, PingSequence, RecordSpace, Sender};
 use crate::record::{ErrorCode, Incarnation, MAX_RECORD_LEN, MemberRecord, MemberState, Sequence};
+use backlog::Backlog;
 use gossip::Gossip;
 use knapweed_world::backend_server::{Announcement, ServerState};
 use knapweed_world::{ConfigVersion, StoreEra, Time};
@@ -171,6 +173,7 @@
     timers: Timers,
     /// Time of the event that is being handled.
     last_event: Time,
+    backlog: Backlog,
     rng: SmallRng,
     actions: Vec<Action>,
     members_changed: bool,
@@ -231,6 +234,7 @@
             dissemination: Dissemination::new(now, derive_rng(&mut rng)),
             freshness: Freshness::default(),
             last_event: now,
+            backlog: Backlog::default(),
             retransmit_limit: gossip::retransmit_limit(1),
             seeds,
             fast_comparisons: FAST_COMPARISONS,
@@ -319,6 +323,7 @@
 impl Membership {
     /// Handles an event and returns the resulting actions, in order.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        self.backlog.event(self.last_event, now);
         self.last_event = now;
         match event {
             Event::Tick => self.tick(now),
--- a/crates/zone/src/membership/exchange.rs
+++ b/crates/zone/src/membership/exchange.rs
@@ -40,8 +40,9 @@
 
     fn record_sender_version(&mut self, now: Time, from: SocketAddr, message: &Message) {
         let sender = message.sender;
+        let arrived_at = self.backlog.arrived_at(now);
         self.freshness
-            .reported(now, sender.version, sender.confirmation);
+            .reported(arrived_at, sender.version, sender.confirmation);
         let member = self.directory.find_address(from);
         if let Some(member) = member.filter(|m| *m != self.own) {
             let record_reported =
--- a/crates/zone/tests/freshness.rs
+++ b/crates/zone/tests/freshness.rs
@@ -159,3 +159,34 @@
     sim.run(CONFIRMED_FOR);
     assert!((0..28).all(|node| !is_current(&sim, node)));
 }
+
+/// Guards against a node that was paused and claims that a route does not exist which was added
+/// meanwhile: it handles the messages that waited during the pause as if they had just been sent
+/// (DENIED, issue 35).
+#[test]
+fn confirmations_that_waited_during_a_pause_do_not_count() {
+    const PAUSED: usize = 13;
+    let mut sim = Sim::new(&[14], 1);
+    sim.run(ms(6_000));
+    sim.apply(0, V1);
+    sim.run(ms(3_000));
+    confirm_watched(&mut sim);
+    sim.run(CONFIRMED_FOR / 2);
+    sim.pause(PAUSED, 2 * CONFIRMED_FOR);
+    sim.run(ms(100));
+    confirm_watched(&mut sim);
+    sim.run(2 * CONFIRMED_FOR - ms(101));
+    let is_current = |sim: &Sim, node: usize| {
+        let membership = sim.nodes[node].membership.as_ref();
+        membership.is_some_and(|m| m.freshness().current_until() > sim.now)
+    };
+    for _ in 0..300 {
+        sim.run(ms(1));
+        assert!(!is_current(&sim, PAUSED), "at {:?}", sim.now);
+    }
+    for _ in 0..2 {
+        confirm_watched(&mut sim);
+        sim.run(WATCH_INTERVAL);
+    }
+    assert!(is_current(&sim, PAUSED), "confirmations count again");
+}
