test(node): rollouts keep to their rules through losses of the store, in virtual time

Cause: losses of the store had example tests for rollouts and orders only. Change: crates/node/tests/rollouts plays orders of good and bad versions through losses, eras, compaction, outages, late and lost calls, and holders that are killed, stopped, paused, cut off, or two at a time, with the decisions of the nodes. Losses and troubles may also strike right after a publication or an end. Properties: (a) to (f) of its head, and (g), the store has the newest states again.

--- /dev/null
+++ b/crates/node/tests/rollouts/main.rs
@@ -0,0 +1,76 @@
+//! Rollouts keep to their rules, whatever happens to the store, its answers and the holders of
+//! rollout control.
+//!
+//! Plans of orders and disturbances are played in virtual time, with the decisions of the
+//! nodes and without I/O. `ROLLOUT_CASES` and `ROLLOUT_SEED` set the number of plans and the
+//! seed they are drawn from.
+//!
+//! - (a) The share of a version that was pulled back does not rise again.
+//! - (b) Traffic does not return to a version before a completed one.
+//! - (c) The end that was reported for an order is never replaced by another one.
+//! - (d) After the last disturbance every order gets its end, and has it in the store.
+//! - (e) A good version is not pulled back.
+//! - (f) No forward step is taken on knowledge of an earlier era.
+//! - (g) After the last disturbance the store has the newest states that nodes know.
+
+mod mesh;
+mod operator;
+mod plan;
+mod process;
+mod store;
+
+use knapweed_world::Name;
+use mesh::Mesh;
+use plan::Plan;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use std::time::Duration;
+
+/// Seed of the plans unless `ROLLOUT_SEED` sets another.
+const SEED: u64 = 35;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// The service with an index.
+fn service(index: usize) -> Name {
+    let text = format!("service-{index}");
+    text.parse().expect("a valid name")
+}
+
+fn setting(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |text| text.parse().expect("a number"))
+}
+
+fn assert_holds(plans: impl Strategy<Value = Plan>, cases: u64) {
+    let config = Config {
+        cases: setting("ROLLOUT_CASES", cases) as u32,
+        rng_seed: RngSeed::Fixed(setting("ROLLOUT_SEED", SEED)),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    // Waits of the store need a timer, which no run gets to.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime");
+    let _guard = runtime.enter();
+    let play = |plan: Plan| Mesh::play(&plan).map_err(TestCaseError::fail);
+    if let Err(err) = TestRunner::new(config).run(&plans, play) {
+        panic!("{err}");
+    }
+}
+
+/// Guards against rollouts that go back, end twice or never end after a loss of the store.
+#[test]
+fn rollouts_keep_to_their_rules_after_losses_of_the_store() {
+    assert_holds(plan::losses(), 30);
+}
+
+/// Guards against the same when holders of rollout control fail or act at the same time.
+#[test]
+fn rollouts_keep_to_their_rules_through_disturbances() {
+    assert_holds(plan::disturbances(), 30);
+}
--- /dev/null
+++ b/crates/node/tests/rollouts/operator.rs
@@ -0,0 +1,276 @@
+//! The operator, who orders versions and writes lost orders again, and what must hold for
+//! the orders.
+
+use crate::plan::{Ordered, SERVICES};
+use crate::store::{OrderDoc, decode_order, order_key};
+use crate::{ms, service};
+use futures_util::FutureExt;
+use knapweed_node::orders::Progress;
+use knapweed_rollout::{Phase, RolloutState};
+use knapweed_store::{Condition, MemoryStore, ObjectKey, ObjectStore};
+use knapweed_world::config::VersionShare;
+use knapweed_world::{Name, Share, Time};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time within which the nodes in touch know that a rollout has ended (B4 of the design).
+const SPREAD_BOUND: Duration = ms(2_000);
+/// Time within which a process that has just started knows the states of the others.
+const START_BOUND: Duration = ms(2_500);
+/// Time after the deadline, or after the last disturbance, within which the end of an order is
+/// reported: 10 s until what may be older is read again, 2 s for a takeover, and 2 s until an
+/// end is reported again.
+pub(crate) const END_BOUND: Duration = ms(14_000);
+
+/// An order as the operator remembers it.
+#[derive(Clone, Debug)]
+pub(crate) struct Record {
+    pub(crate) version: Name,
+    pub(crate) ordered: Ordered,
+    /// When the store got it, or got it again, the last time.
+    pub(crate) written_at: Time,
+    /// The first end that the store has had.
+    pub(crate) end: Option<Progress>,
+    pulled_back_at: Option<Time>,
+    completed_at: Option<Time>,
+}
+
+/// What the checks know of one process.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Seen {
+    /// Number of the newest order that it has known as completed, by service.
+    completed: BTreeMap<Name, usize>,
+    /// Numbers of the orders that it has known as pulled back.
+    pulled_back: Vec<(Name, usize)>,
+}
+
+/// The operator of the mesh.
+#[derive(Debug, Default)]
+pub(crate) struct Operator {
+    /// Orders by service, the oldest first; that with index 0 has the first version.
+    orders: BTreeMap<Name, Vec<Record>>,
+}
+
+fn version(number: usize) -> Name {
+    format!("v{number}").parse().expect("a valid name")
+}
+
+/// Number of the order for a version.
+fn number(version: &Name) -> usize {
+    version.as_str()[1..].parse().expect("a number")
+}
+
+impl Operator {
+    pub(crate) fn new() -> Self {
+        let first = Record {
+            version: version(0),
+            ordered: Ordered {
+                service: 0,
+                failing_percent: 0,
+                time_s: 0,
+                supersedes: false,
+            },
+            written_at: Time::default(),
+            end: Some(Progress::Completed),
+            pulled_back_at: None,
+            completed_at: None,
+        };
+        let services = (0..SERVICES).map(|n| (service(n), vec![first.clone()]));
+        Self {
+            orders: services.collect(),
+        }
+    }
+
+    /// Writes an order; returns its version and deadline unless an earlier one is open.
+    ///
+    /// An order is replaced only once its progress is reported. Two that replace the first one
+    /// of a service before it is read leave a move away from three versions, for whose traffic
+    /// the servers of the target have no room.
+    pub(crate) fn order(
+        &mut self,
+        now: Time,
+        store: &MemoryStore,
+        ordered: Ordered,
+    ) -> Option<(Name, Time)> {
+        let name = service(ordered.service);
+        let records = self.orders.get_mut(&name).expect("a service");
+        let is_open = records.last().expect("a record").end.is_none();
+        let stored = store.peek(&order_key(&name));
+        let reported = stored.and_then(|object| decode_order(&object).reported());
+        if is_open && (!ordered.supersedes || reported.is_none()) {
+            return None;
+        }
+        let version = version(records.len());
+        records.push(Record {
+            version: version.clone(),
+            ordered,
+            written_at: now,
+            end: None,
+            pulled_back_at: None,
+            completed_at: None,
+        });
+        self.write(now, store);
+        Some((
+            version,
+            now.after(Duration::from_secs(ordered.time_s.into())),
+        ))
+    }
+
+    /// Writes the newest order of each service where the store has another one.
+    pub(crate) fn write(&mut self, now: Time, store: &MemoryStore) {
+        for (service, records) in &mut self.orders {
+            let newest = records.last_mut().expect("a record");
+            if newest.version.as_str() == "v0" {
+                continue;
+            }
+            let key = order_key(service);
+            let stored = store.peek(&key).map(|object| decode_order(&object));
+            if stored
+                .as_ref()
+                .is_some_and(|doc| doc.target == newest.version)
+            {
+                continue;
+            }
+            newest.written_at = now;
+            let doc = OrderDoc {
+                target: newest.version.clone(),
+                time_s: newest.ordered.time_s.into(),
+                status: stored.and_then(|doc| doc.status),
+            };
+            put(store, &key, serde_json::to_vec(&doc).expect("a document"));
+        }
+    }
+
+    pub(crate) fn newest(&self) -> impl Iterator<Item = (&Name, &Record)> {
+        let newest = self.orders.iter().map(|(s, r)| (s, r.last()));
+        newest.filter_map(|(service, record)| Some((service, record?)))
+    }
+
+    /// Percentage of the requests that a version fails.
+    pub(crate) fn failing_percent(&self, service: &Name, version: &Name) -> u8 {
+        self.orders[service][number(version)]
+            .ordered
+            .failing_percent
+    }
+
+    fn record(&mut self, service: &Name, version: &Name) -> &mut Record {
+        let records = self.orders.get_mut(service).expect("a service");
+        &mut records[number(version)]
+    }
+}
+
+/// Properties.
+impl Operator {
+    /// (c) The end of an order is never replaced by another one. Returns the end if it is the
+    /// first one.
+    pub(crate) fn status_written(
+        &mut self,
+        service: &Name,
+        version: &Name,
+        progress: Progress,
+    ) -> Result<Option<Progress>, String> {
+        let record = self.record(service, version);
+        match (record.end, progress) {
+            (_, Progress::Running) => Ok(None),
+            (None, end) => {
+                record.end = Some(end);
+                Ok(Some(end))
+            }
+            (Some(first), end) if first == end => Ok(None),
+            (Some(first), end) => Err(format!("(c) {service} {version}: {first:?}, then {end:?}")),
+        }
+    }
+
+    /// (e) A good version is not pulled back.
+    pub(crate) fn published(&mut self, now: Time, state: &RolloutState) -> Result<(), String> {
+        let target = &state.target[0].version;
+        let record = self.record(&state.service, target);
+        match &state.phase {
+            Phase::Completed => {
+                record.completed_at.get_or_insert(now);
+                Ok(())
+            }
+            Phase::PulledBack(reason) => {
+                record.pulled_back_at.get_or_insert(now);
+                match record.ordered.failing_percent {
+                    0 => Err(format!("(e) {} {target}: {reason}", state.service)),
+                    _ => Ok(()),
+                }
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// (a) The share of a version that was pulled back does not rise again, and (b) traffic
+    /// does not return to a version before a completed one.
+    pub(crate) fn check_shares(
+        &self,
+        now: Time,
+        in_touch_since: Time,
+        started: Time,
+        seen: &mut Seen,
+        state: &RolloutState,
+        shares: &[VersionShare],
+    ) -> Result<(), String> {
+        let service = &state.service;
+        let knows_all = now >= started.after(START_BOUND);
+        let is_late = |at: Time| knows_all && now >= at.max(in_touch_since).after(SPREAD_BOUND);
+        let order = number(&state.target[0].version);
+        match state.phase {
+            Phase::Completed => {
+                let newest = seen.completed.entry(service.clone()).or_default();
+                *newest = order.max(*newest);
+            }
+            Phase::PulledBack(_) => seen.pulled_back.push((service.clone(), order)),
+            _ => {}
+        }
+        let records = &self.orders[service];
+        let used = shares.iter().filter(|s| s.share > Share::NONE);
+        for used in used.map(|s| number(&s.version)) {
+            let was_pulled_back = seen.pulled_back.contains(&(service.clone(), used))
+                || records[used].pulled_back_at.is_some_and(is_late);
+            if was_pulled_back {
+                return Err(format!(
+                    "(a) {service} v{used} has traffic again: {shares:?}"
+                ));
+            }
+            let mut later = records.iter().skip(used + 1);
+            let is_past = seen.completed.get(service).is_some_and(|c| used < *c)
+                || later.any(|r| r.completed_at.is_some_and(is_late));
+            if is_past {
+                return Err(format!("(b) {service} is back at v{used}: {shares:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    /// (d) Every order has its end, which is in the store.
+    pub(crate) fn check_ends(&self, store: &MemoryStore) -> Result<(), String> {
+        for (service, record) in self.newest() {
+            if record.version.as_str() == "v0" {
+                continue;
+            }
+            let stored = store.peek(&order_key(service));
+            let doc = stored.map(|object| decode_order(&object));
+            let end = doc.as_ref().and_then(OrderDoc::reported);
+            let is_end = end.is_some_and(|end| end != Progress::Running);
+            if !is_end || end != record.end {
+                return Err(format!(
+                    "(d) {service} {}, written at {:?}: {doc:?}",
+                    record.version, record.written_at
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Writes an object whatever its revision is.
+pub(crate) fn put(store: &MemoryStore, key: &ObjectKey, value: impl Into<bytes::Bytes>) {
+    let current = store.peek(key).map(|object| object.revision);
+    let condition = current.map_or(Condition::Absent, Condition::Revision);
+    let written = store.write(key, value.into(), condition).now_or_never();
+    written
+        .expect("no delay is injected")
+        .expect("the store is up");
+}
