--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -98,7 +98,7 @@
         confirmation: Option<Confirmation>,
     ) {
         if let Some(confirmation) = confirmation {
-            self.begin_era(now, confirmation.era);
+            self.begin_era(arrived_at, confirmation.era);
         }
         let confirmation = confirmation.filter(|c| Some(c.era) == self.era);
         match confirmation {
