fix(rollout): a new holder supersedes no running rollout before it has taken over

Cause: a holder that has just started read the state of a running rollout, 5% moved, from a restored store, and the next order. It proposed the next ticket with those shares; 2 ms later a node told it that the rollout had completed, but the higher ticket won: traffic went back to the old version, whose servers had been stopped. Change: a newer ticket waits, like a forward step, until the totals of all hosts are known or 2 s have passed, if it would supersede a running rollout that was taken over. After an ended rollout it starts at once.

--- a/crates/rollout/src/control/step.rs
+++ b/crates/rollout/src/control/step.rs
@@ -87,8 +87,13 @@
     }
 
     /// Starts the rollout of a newer ticket, if the configuration has one.
+    ///
+    /// It starts from the shares of the current state. Those of a running rollout that this
+    /// holder has just taken over may be outdated, when the object store came back from an
+    /// older copy.
     fn start_newer_ticket(&mut self, now: Time, wall: UnixMillis, out: &mut Vec<Action>) {
-        if !self.store.is_known() {
+        let is_running = self.current.as_ref().is_some_and(|s| !s.phase.is_final());
+        if !self.store.is_known() || (is_running && !self.has_taken_over(now)) {
             return;
         }
         let Some(config) = &self.config else {
@@ -176,8 +181,7 @@
             .config
             .as_ref()
             .is_some_and(|c| self.is_requested_by(c, &state));
-        let has_taken_over = self.takeover.as_ref().is_none_or(|t| t.is_over(now));
-        if !is_newest || !has_taken_over || !self.store.is_known() {
+        if !is_newest || !self.has_taken_over(now) || !self.store.is_known() {
             return;
         }
         let Some(phase) = self.next_phase(&state, now, wall) else {
@@ -187,6 +191,11 @@
         self.store.write(next, now, out);
     }
 
+    /// Whether this holder knows what the previous one knew.
+    fn has_taken_over(&self, now: Time) -> bool {
+        self.takeover.as_ref().is_none_or(|t| t.is_over(now))
+    }
+
     fn is_requested_by(&self, config: &ServiceConfig, state: &RolloutState) -> bool {
         config.ticket == state.ticket
             || (config.rollout.is_none() && state.is_moving_to(&config.versions))
--- a/crates/rollout/tests/superseded.rs
+++ b/crates/rollout/tests/superseded.rs
@@ -76,6 +76,7 @@
             revision: Revision::new(2),
         },
     );
+    handle(&mut control, Event::AllReported);
     let actions = handle(&mut control, Event::Config(config(2, "v3", SHORT_S)));
     let proposed = written(&actions).expect("the state of the second ticket");
     assert_eq!(used(proposed), ["v1", "v2"].map(name));
@@ -129,3 +130,31 @@
     handle(&mut control, Event::Seen(copy));
     assert_eq!(used(control.state().expect("a state")), [name("v1")]);
 }
+
+/// Guards against a new holder that reads an older state from a restored store, and starts the
+/// next ticket from its shares before a node has told it that the rollout has completed: traffic
+/// went back to a version whose servers had been stopped.
+#[test]
+fn a_new_holder_supersedes_no_running_rollout_before_it_has_taken_over() {
+    let mut control = RolloutController::new(name("calendar"), Box::new(ByDuration));
+    let ready = ["v1", "v2", "v3"].map(|v| capacity("labasa-a", v, 12));
+    handle(&mut control, Event::Capacity(ready.to_vec()));
+    handle(&mut control, Event::Config(config(2, "v3", SHORT_S)));
+    let mut older = state(1, 2, Phase::Ramping(Share(500)));
+    older.terms = terms(SHORT_S);
+    let mut completed = state(1, 4, Phase::Completed);
+    completed.terms = terms(SHORT_S);
+    let read = Event::Read {
+        state: Some(older),
+        revision: Revision::new(2),
+    };
+    let actions = handle(&mut control, read);
+    assert_eq!(written(&actions).map(used), None);
+    let actions = handle(&mut control, Event::Seen(completed.clone()));
+    assert_eq!(written(&actions), Some(&completed));
+    let answer = WriteResult::Written(Revision::new(3));
+    let actions = handle(&mut control, Event::Write(answer));
+    let proposed = written(&actions).expect("the state of the second ticket");
+    assert_eq!(proposed.ticket.0, 2);
+    assert_eq!(used(proposed), [name("v2")]);
+}
