test(node): more messages are lost and fewer nodes remember in the property test of rollouts

Cause: with 2% of messages lost and two older nodes left by each kill, the test did not find that a new holder supersedes a rollout from an older state; that took a trial with 5% and one.

--- a/crates/node/tests/rollouts/mesh.rs
+++ b/crates/node/tests/rollouts/mesh.rs
@@ -36,7 +36,7 @@
 const TRAFFIC_INTERVAL: Duration = ms(100);
 /// Requests of each service in that interval.
 const REQUESTS: usize = 10;
-const MESSAGE_LOSS: f64 = 0.02;
+const MESSAGE_LOSS: f64 = 0.05;
 /// Time within which nodes agree on the holder of a duty.
 const AGREEMENT_TIME: Duration = ms(1_000);
 /// Time after which a process that does not answer counts as dead.
@@ -666,13 +666,13 @@
         }
     }
 
-    /// Whether enough other nodes remember the states.
+    /// Whether another node remembers the states.
     fn may_end(&self, node: NodeKey) -> bool {
         let is_old = |n: &NodeKey| {
             let process = self.nodes[n.0].process.as_ref();
             process.is_some_and(|p| self.now.since(p.started) > ms(3_000))
         };
-        self.alive().filter(|n| *n != node).filter(is_old).count() >= 2
+        self.alive().filter(|n| *n != node).any(|n| is_old(&n))
     }
 
     fn trouble(&mut self, node: NodeKey, trouble: Trouble) {
