fix(zone): a store that lost versions confirms a floor only after members were asked

Cause: a starting node waits 100 ms for other members, but knows none before it has read the registry, connected and got their records. All its queries of members failed at once, and the store alone confirmed the floor. After a loss the store has an older version than the mesh, and the node served that one and called it the newest until the first gossip: 404 for the routes of the newer one. Change: the answer of a store in an era above 0 confirms the floor together with the reply of a member, in a round that began after the lookup of members has ended. The wait ends 1 s after that answer, or with the round that is running then. In era 0 nothing changes.

--- a/crates/node/src/control/floor.rs
+++ b/crates/node/src/control/floor.rs
@@ -4,6 +4,7 @@
 use super::messages::{query_node, reply};
 use super::{Controller, Event};
 use knapweed_observe::part;
+use knapweed_store::StoreEra;
 use knapweed_transport::IncomingStream;
 use knapweed_wire::stream::FloorReply;
 use knapweed_wire::{StreamHead, decode};
@@ -91,6 +92,7 @@
                         source,
                         served,
                         is_serving,
+                        may_have_lost: false,
                     }),
                     Err(err) => {
                         log::debug!(target: part::CONFIG, "no version floor from {to}: {err}");
@@ -110,7 +112,7 @@
     }
 
     /// Loads the configuration from its source. Its version also bounds the floor: no
-    /// node has served a version that the source does not have.
+    /// node has served a version that the source does not have, unless the source has lost it.
     fn query_source(&mut self) {
         let (tx, rx) = oneshot::channel();
         self.load_from_source(tx);
@@ -121,6 +123,7 @@
                     source: Source::Platform,
                     served: found.version,
                     is_serving: true,
+                    may_have_lost: found.revision.era > StoreEra(0),
                 }),
                 Ok(Err(_)) | Err(_) => floor::Event::Failed(Source::Platform),
             };
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -15,6 +15,7 @@
 use rand::seq::IteratorRandom;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio::task::JoinHandle;
 
 /// Longest reply with the differing membership records, in bytes.
 const MAX_RECORDS_LEN: usize = 4 * 1024 * 1024;
@@ -46,7 +47,7 @@
             Action::WatchHead(on) => self.watch_head(on),
             Action::FetchConfig { from } => self.fetch_config(from),
             Action::FetchMembers { from } => {
-                self.fetch_members(from);
+                drop(self.fetch_members(from));
                 self.compare_crashes(from);
             }
             Action::AnnouncementRefused(announcement) => {
@@ -86,8 +87,9 @@
         }
     }
 
-    /// Requests the membership records of a node that differ from those of this node.
-    pub(super) fn fetch_members(&self, from: SocketAddr) {
+    /// Requests the membership records of a node that differ from those of this node. The task
+    /// ends after they have been passed on, or when the request has failed.
+    pub(super) fn fetch_members(&self, from: SocketAddr) -> JoinHandle<()> {
         let query = StreamHead::FetchMembers(self.membership.directory().digest());
         let (peers, handle) = (Arc::clone(&self.dependencies.peers), self.handle.clone());
         tokio::spawn(async move {
@@ -96,7 +98,7 @@
                 Ok(records) => handle.send(Event::Members(records)).await,
                 Err(err) => log::debug!(target: part::MEMBER, "no records from {from}: {err}"),
             }
-        });
+        })
     }
 }
 
--- a/crates/node/src/control/registry.rs
+++ b/crates/node/src/control/registry.rs
@@ -9,7 +9,7 @@
 use knapweed_observe::part;
 use knapweed_store::{Condition, Error, Listing, ObjectKey, ObjectStore, Revision};
 use knapweed_world::{Name, Time};
-use knapweed_zone::{Incarnation, MemberRecord, MemberState};
+use knapweed_zone::{Incarnation, MemberRecord, MemberState, floor};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -113,7 +113,8 @@
         tokio::spawn(async move { write_lost(&*store, &members).await });
     }
 
-    /// Exchanges membership records with some registered nodes of each availability zone.
+    /// Exchanges membership records with some registered nodes of each availability zone. An
+    /// empty registry is no lookup: the store may have lost its entries.
     pub(super) fn registry_read(&mut self, entries: Vec<(Name, Entry)>) {
         let now = self.now();
         self.registry.last_lookup = Some(now);
@@ -122,9 +123,21 @@
         let others: Vec<_> = others.filter(|entry| entry.address != own).collect();
         let own = self.membership.own();
         let (zone, region) = (own.zone.clone(), own.region.clone());
-        for address in contacts(others, &zone, &region) {
-            self.fetch_members(address);
+        let contacts = contacts(others, &zone, &region).into_iter();
+        let fetches: Vec<_> = contacts
+            .map(|address| self.fetch_members(address))
+            .collect();
+        if fetches.is_empty() {
+            return;
         }
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            for fetch in fetches {
+                // One that failed has ended too.
+                let _ = fetch.await;
+            }
+            handle.send(Event::Floor(floor::Event::LookupEnded)).await;
+        });
     }
 }
 
--- a/crates/node/tests/configuration/main.rs
+++ b/crates/node/tests/configuration/main.rs
@@ -9,6 +9,8 @@
 //! - (b) No process goes back to an older version.
 //! - (c) All nodes have the newest version 3 s after the last disturbance.
 //! - (d) A version has the same content on all nodes.
+//! - (e) No node begins to serve an older version than another one that it can ask has served
+//!   since before its start.
 
 mod client;
 mod mesh;
@@ -98,3 +100,11 @@
 fn a_mesh_follows_the_operator_through_disturbances() {
     assert_holds(&ZONES, plan::disturbances(ZONES.iter().sum()), 100);
 }
+
+/// Guards against a node that starts after a loss of the store, knows no other node yet, and
+/// takes the older configuration there for the newest (issue 35).
+#[test]
+fn a_starting_node_asks_the_others_after_a_loss_of_the_store() {
+    let nodes = ZONES.iter().sum();
+    assert_holds(&ZONES, plan::restarts_after_a_loss(nodes), 100);
+}
--- a/crates/node/tests/configuration/mesh.rs
+++ b/crates/node/tests/configuration/mesh.rs
@@ -7,6 +7,7 @@
 use crate::process::{Asked, Effect, Process, Purpose};
 use futures_util::FutureExt;
 use knapweed_link::{Delta, PartTag};
+use knapweed_node::control::registry::Entry;
 use knapweed_node::source::tickets::TicketSource;
 use knapweed_node::source::{ConfigSource, Error, SourceUpdate};
 use knapweed_store::cursor::NextCall;
@@ -14,13 +15,13 @@
 use knapweed_store::{Backup, Error as StoreError, MemoryStore, ObjectKey, Revision, StoreEra};
 use knapweed_world::snapshot::HostEntry;
 use knapweed_world::{ConfigVersion, Name, Time};
-use knapweed_zone::Message;
 use knapweed_zone::directory::{Digest, SharedRecord};
 use knapweed_zone::floor::{self, Source};
 use knapweed_zone::membership::TICK_INTERVAL;
+use knapweed_zone::{Incarnation, Message};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +34,11 @@
 const WATCH_POLL: Duration = ms(10);
 /// Time after which a call without an answer fails.
 const CALL_TIMEOUT: Duration = ms(700);
+/// Time from the start of a process, or from its next attempt, to the entries of the registry:
+/// connections and two or three calls, on a host with a small share of a core.
+const LOOKUP_TIME: Duration = ms(300);
+/// Time after which entries of the registry that the store has lost are written again.
+const REGISTRY_REWRITE: Duration = ms(1_500);
 /// Interval of the copies from which the store may come back.
 const COPY_INTERVAL: Duration = ms(250);
 /// Number of copies that are kept.
@@ -65,6 +71,11 @@
     generation: u32,
     /// The newest version of the running process.
     version: ConfigVersion,
+    /// When the running process started.
+    started_at: Time,
+    /// The nodes that served then, with their versions.
+    served_at_start: Vec<(ProcessKey, ConfigVersion)>,
+    was_serving: bool,
     /// Times until which the node does not reach the store, or anything at all.
     cut_until: Time,
     isolated_until: Time,
@@ -117,10 +128,14 @@
 enum Reply {
     Tick,
     Delta(SocketAddr, Option<Delta>),
-    Members(Vec<SharedRecord>),
+    Members(SocketAddr, Vec<SharedRecord>),
+    /// A request for membership records that is unanswered has failed.
+    ContactEnded(SocketAddr),
     Floor(floor::Event),
     Store(Purpose, Asked, Box<Result<SourceUpdate, Error>>),
     WatchAgain(u32),
+    /// A process reads the registry.
+    Lookup,
 }
 
 enum Work {
@@ -135,6 +150,7 @@
     Restore(Loss, Backup),
     EndOutage,
     Rewrite,
+    RewriteRegistry,
     Start(NodeKey),
     Copy,
     Check,
@@ -153,6 +169,8 @@
     rewrites: bool,
     /// Changes that the operator could not write while the store was away.
     postponed: Vec<Step>,
+    /// Hosts with an entry in the registry.
+    registry: BTreeSet<usize>,
     /// Number of writes of servers so far.
     server_writes: u64,
     /// End of the last disturbance or change so far.
@@ -179,6 +197,7 @@
             is_away: false,
             rewrites: false,
             postponed: Vec::new(),
+            registry: BTreeSet::new(),
             server_writes: 0,
             quiet_from: now.after(WARM_UP),
             queue: BTreeMap::new(),
@@ -240,6 +259,7 @@
             Work::Restore(loss, backup) => self.restore(loss, &backup),
             Work::EndOutage => self.end_outage(),
             Work::Rewrite => self.rewrite(),
+            Work::RewriteRegistry => self.register_running(),
             Work::Start(node) => self.start(node),
             Work::Copy => {
                 self.copies.push_front((self.now, self.store.backup()));
@@ -281,6 +301,9 @@
             process: None,
             generation: 0,
             version: ConfigVersion(0),
+            started_at: Time::default(),
+            served_at_start: Vec::new(),
+            was_serving: false,
             cut_until: Time::default(),
             isolated_until: Time::default(),
             answer_delay: Duration::ZERO,
@@ -381,6 +404,10 @@
         self.operator.store_lost(self.now, &self.store);
         self.end_outage();
         self.write_as_servers(loss.server_writes);
+        if loss.loses_registry {
+            self.registry.clear();
+            self.schedule(REGISTRY_REWRITE, Work::RewriteRegistry);
+        }
         self.schedule(ms(loss.rewritten_after_ms.into()), Work::Rewrite);
     }
 
@@ -402,21 +429,25 @@
     }
 
     fn start(&mut self, key: NodeKey) {
-        let others = self.nodes.iter().enumerate().filter(|(n, _)| *n != key.0);
-        let zone = &self.nodes[key.0].entry.zone;
-        let in_zone = others.filter(|(_, other)| other.entry.zone == *zone);
-        let mut seeds: Vec<_> = in_zone.map(|(_, n)| n.entry.address).collect();
-        if seeds.is_empty() {
-            let others = self.nodes.iter().enumerate().filter(|(n, _)| *n != key.0);
-            seeds = others.map(|(_, n)| n.entry.address).collect();
-        }
+        let serving = self.nodes.iter().enumerate().filter_map(|(index, node)| {
+            let process = node.process.as_ref().filter(|p| p.is_serving())?;
+            let key = ProcessKey {
+                node: NodeKey(index),
+                generation: node.generation,
+            };
+            Some((key, process.version()))
+        });
+        let served_at_start = serving.collect();
         let seed = self.rng.random();
         let node = &mut self.nodes[key.0];
         node.generation += 1;
         node.version = ConfigVersion(0);
+        node.started_at = self.now;
+        node.served_at_start = served_at_start;
+        node.was_serving = false;
         node.known_era = StoreEra::default();
         let generation = node.generation;
-        node.process = Some(Process::start(self.now, node.entry.clone(), seeds, seed));
+        node.process = Some(Process::start(self.now, node.entry.clone(), seed));
         let process = ProcessKey {
             node: key,
             generation,
@@ -475,7 +506,8 @@
             Delivery::FetchMembers(from, digest) => {
                 let directory = process.membership.directory();
                 let records = directory.differing_records(now, &digest);
-                self.send_reply(key, from, Reply::Members(records));
+                let address = self.nodes[key.0].entry.address;
+                self.send_reply(key, from, Reply::Members(address, records));
             }
             Delivery::QueryFloor(from, source) => {
                 let answer = process.floor_answer(source, &entry(self, from).name);
@@ -500,12 +532,16 @@
                 self.schedule(TICK_INTERVAL, Work::Reply(to, Reply::Tick));
             }
             Reply::Delta(from, delta) => process.delta(now, from, delta),
-            Reply::Members(records) => process.members(now, records),
+            Reply::Members(from, records) => process.members(now, from, records),
+            Reply::ContactEnded(host) => process.contact_ended(now, host),
             Reply::Floor(event) => process.floor_event(now, event),
             Reply::Store(purpose, asked, result) => {
                 process.store_answered(now, purpose, asked, *result);
             }
             Reply::WatchAgain(watch) => process.watch_again(watch),
+            Reply::Lookup => {
+                self.look_up(to);
+            }
         }
         self.execute_effects(to.node);
     }
@@ -528,12 +564,21 @@
             let delivery = match effect {
                 Effect::Send(to, message) => (to, Delivery::Message(address, message)),
                 Effect::FetchConfig(to) => (to, Delivery::FetchConfig(me, tags.clone())),
-                Effect::FetchMembers(to) => (to, Delivery::FetchMembers(me, digest.clone())),
+                Effect::FetchMembers(to) => {
+                    self.schedule(CALL_TIMEOUT, Work::Reply(me, Reply::ContactEnded(to)));
+                    let node = self.node_at(to);
+                    self.send(key, node, Delivery::FetchMembers(me, digest.clone()));
+                    continue;
+                }
                 Effect::QueryFloor(source, to) => (to, Delivery::QueryFloor(me, source)),
                 Effect::Call(purpose, request) => {
                     self.call(me, purpose, request);
                     continue;
                 }
+                Effect::Lookup => {
+                    self.schedule(LOOKUP_TIME, Work::Reply(me, Reply::Lookup));
+                    continue;
+                }
                 Effect::WatchAgain(watch, wait) => {
                     self.schedule(wait, Work::Reply(me, Reply::WatchAgain(watch)));
                     continue;
@@ -545,6 +590,39 @@
     }
 }
 
+/// The registry of hosts.
+impl Mesh {
+    /// Registers the host of a process and passes it the entries of the others; tries again
+    /// while the store does not answer.
+    fn look_up(&mut self, caller: ProcessKey) {
+        let key = caller.node;
+        if !self.reaches_store(key) {
+            return self.schedule(LOOKUP_TIME, Work::Reply(caller, Reply::Lookup));
+        }
+        self.registry.insert(key.0);
+        let others = self.registry.iter().filter(|host| **host != key.0);
+        let entries = others.map(|host| {
+            let entry = &self.nodes[*host].entry;
+            Entry {
+                address: entry.address,
+                zone: entry.zone.clone(),
+                region: entry.region.clone(),
+                incarnation: Incarnation::default(),
+            }
+        });
+        let entries = entries.collect();
+        if let Some(process) = &mut self.nodes[key.0].process {
+            process.registry_read(self.now, entries);
+        }
+    }
+
+    fn register_running(&mut self) {
+        let running = self.nodes.iter().enumerate();
+        let running = running.filter(|(_, node)| node.process.is_some());
+        self.registry.extend(running.map(|(index, _)| index));
+    }
+}
+
 /// Calls to the store.
 impl Mesh {
     fn call(&mut self, caller: ProcessKey, purpose: Purpose, request: NextCall) {
@@ -679,16 +757,43 @@
                 Some(format!(
                     "(d) version {version} on node {index} is not what was written"
                 ))
+            } else if let Some((other, newer)) = self.newer_at_start(index) {
+                Some(format!(
+                    "(e) node {index} begins to serve {version}; node {} served {newer} when it \
+                     started",
+                    other.node.0
+                ))
             } else {
                 None
             };
             self.nodes[index].version = version;
+            let is_serving = self.nodes[index].process.as_ref();
+            self.nodes[index].was_serving = is_serving.is_some_and(Process::is_serving);
             if let Some(violation) = violation {
                 self.violate(violation);
             }
         }
     }
 
+    /// The process that served a newer version than that with which a node begins to serve, from
+    /// before its start until now, while both could exchange messages.
+    fn newer_at_start(&self, index: usize) -> Option<(ProcessKey, ConfigVersion)> {
+        let node = &self.nodes[index];
+        let process = node.process.as_ref().filter(|p| p.is_serving())?;
+        let was_isolated = |node: &Node, since: Time| node.isolated_until >= since;
+        if node.was_serving || was_isolated(node, node.started_at) {
+            return None;
+        }
+        let served = node.served_at_start.iter().copied();
+        let mut newer = served.filter(|(_, version)| *version > process.version());
+        newer.find(|(other, _)| {
+            let other_node = &self.nodes[other.node.0];
+            other_node.generation == other.generation
+                && other_node.process.is_some()
+                && !was_isolated(other_node, node.started_at)
+        })
+    }
+
     /// Compares the nodes with the newest version after a quiet time.
     fn check_end(&self) -> Result<(), String> {
         let newest = self.operator.newest();
--- a/crates/node/tests/configuration/plan.rs
+++ b/crates/node/tests/configuration/plan.rs
@@ -24,6 +24,8 @@
     pub(crate) rewritten_after_ms: u16,
     /// Number of changes that servers write as soon as the store is back.
     pub(crate) server_writes: u8,
+    /// Whether the registry of hosts is empty in the copy.
+    pub(crate) loses_registry: bool,
 }
 
 /// Which part of an entry cannot be read.
@@ -77,13 +79,20 @@
 }
 
 fn loss() -> impl Strategy<Value = Loss> {
-    let times = (0..4_000u16, 0..1_500u16, 0..2_000u16, 0..30u8);
+    let times = (
+        0..4_000u16,
+        0..1_500u16,
+        0..2_000u16,
+        0..30u8,
+        any::<bool>(),
+    );
     times.prop_map(
-        |(copy_age_ms, away_ms, rewritten_after_ms, server_writes)| Loss {
+        |(copy_age_ms, away_ms, rewritten_after_ms, server_writes, loses_registry)| Loss {
             copy_age_ms,
             away_ms,
             rewritten_after_ms,
             server_writes,
+            loses_registry,
         },
     )
 }
@@ -137,3 +146,29 @@
 pub(crate) fn disturbances(nodes: usize) -> impl Strategy<Value = Plan> {
     plans(any_step(nodes))
 }
+
+/// Plans in which the store loses a change, and a node starts again before the operator has
+/// written it again.
+pub(crate) fn restarts_after_a_loss(nodes: usize) -> impl Strategy<Value = Plan> {
+    let change = Step::Change {
+        adds: true,
+        removes: false,
+    };
+    let times = (200..1_000u16, 0..500u16, 0..1_000u16);
+    let restarted = (0..nodes).prop_map(NodeKey);
+    let plan = (any::<u64>(), times, any::<bool>(), restarted);
+    plan.prop_map(
+        move |(seed, (until_lost, away_ms, until_restart), loses_registry, node)| {
+            let lost = Step::Lose(Loss {
+                copy_age_ms: until_lost + 100,
+                away_ms,
+                rewritten_after_ms: 4_000,
+                server_writes: 1,
+                loses_registry,
+            });
+            let restart = Step::Restart(node, 100);
+            let steps = vec![(0, change), (until_lost, lost), (until_restart, restart)];
+            Plan { seed, steps }
+        },
+    )
+}
--- a/crates/node/tests/configuration/process.rs
+++ b/crates/node/tests/configuration/process.rs
@@ -4,9 +4,10 @@
 use knapweed_link::Delta;
 use knapweed_node::control::config::ConfigStore;
 use knapweed_node::control::loads::Loads;
+use knapweed_node::control::registry::{Entry, contacts};
 use knapweed_node::source::{Error, LoadedConfig, SourceUpdate, StoredConfig};
-use knapweed_store::Error as StoreError;
 use knapweed_store::cursor::NextCall;
+use knapweed_store::{Error as StoreError, StoreEra};
 use knapweed_world::snapshot::HostEntry;
 use knapweed_world::{ConfigVersion, Name, Time, UnixMillis};
 use knapweed_zone::directory::SharedRecord;
@@ -16,9 +17,13 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Interval at which a process that knows no other one reads the registry, as in
+/// `control::registry`.
+const LOOKUP_INTERVAL: Duration = Duration::from_secs(2);
 /// Unix time in milliseconds at the start of a run.
 const EPOCH_MS: u64 = 1_700_000_000_000;
 
@@ -55,6 +60,8 @@
     Send(SocketAddr, Message),
     FetchConfig(SocketAddr),
     FetchMembers(SocketAddr),
+    /// Reads the registry of hosts.
+    Lookup,
     QueryFloor(Source, SocketAddr),
     /// Calls the store.
     Call(Purpose, NextCall),
@@ -72,6 +79,9 @@
     /// Number of watches so far; answers to an earlier one are dropped.
     watches: u32,
     loads: Loads<Waiter>,
+    last_lookup: Option<Time>,
+    /// Hosts that a lookup has contacted and that have not replied.
+    contacts: BTreeSet<SocketAddr>,
     /// Version of the configuration that the store had at the last read, and its era.
     stored_config: StoredConfig,
     rng: SmallRng,
@@ -80,18 +90,20 @@
 
 /// Start, and state that is compared.
 impl Process {
-    pub(crate) fn start(now: Time, entry: HostEntry, seeds: Vec<SocketAddr>, seed: u64) -> Self {
+    pub(crate) fn start(now: Time, entry: HostEntry, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut derived = || SmallRng::seed_from_u64(rng.random());
         let incarnation = Incarnation::choose(None, UnixMillis(EPOCH_MS + now.0 / 1_000));
         let record = MemberRecord::new(entry, incarnation);
         Self {
-            membership: Membership::new(now, record, seeds, derived()),
+            membership: Membership::new(now, record, Vec::new(), derived()),
             configs: ConfigStore::default(),
             floor: VersionFloor::new(now, derived()),
             watch: None,
             watches: 0,
             loads: Loads::default(),
+            last_lookup: None,
+            contacts: BTreeSet::new(),
             stored_config: StoredConfig::default(),
             rng,
             effects: Vec::new(),
@@ -102,6 +114,10 @@
         self.configs.head().version
     }
 
+    pub(crate) fn is_serving(&self) -> bool {
+        self.floor.is_serving()
+    }
+
     /// Whether a request for this route is answered with "no such route", which is final.
     pub(crate) fn denies(&self, now: Time, route: &Name) -> bool {
         let is_current = now < self.membership.freshness().current_until();
@@ -125,14 +141,40 @@
         let peers = peers.count();
         self.floor_event(now, floor::Event::Peers(peers));
         self.floor_event(now, floor::Event::Tick);
+        let knows_no_other = self.membership.directory().present().count() == 1;
+        let is_due = self
+            .last_lookup
+            .is_none_or(|at| now.since(at) >= LOOKUP_INTERVAL);
+        if is_due && (knows_no_other || self.last_lookup.is_none()) {
+            self.last_lookup = Some(now);
+            self.effects.push(Effect::Lookup);
+        }
+    }
+
+    /// Handles the entries of the other hosts in the registry.
+    pub(crate) fn registry_read(&mut self, now: Time, entries: Vec<Entry>) {
+        self.last_lookup = Some(now);
+        let own = self.membership.own();
+        let contacts = contacts(entries, &own.zone, &own.region);
+        self.contacts.extend(contacts.iter().copied());
+        let fetches = contacts.into_iter().map(Effect::FetchMembers);
+        self.effects.extend(fetches);
+    }
+
+    /// Handles the end of a request for membership records, which may have failed.
+    pub(crate) fn contact_ended(&mut self, now: Time, host: SocketAddr) {
+        if self.contacts.remove(&host) && self.contacts.is_empty() {
+            self.floor_event(now, floor::Event::LookupEnded);
+        }
     }
 
     pub(crate) fn received(&mut self, now: Time, from: SocketAddr, message: Message) {
         self.member_event(now, membership::Event::Received { from, message });
     }
 
-    pub(crate) fn members(&mut self, now: Time, records: Vec<SharedRecord>) {
+    pub(crate) fn members(&mut self, now: Time, from: SocketAddr, records: Vec<SharedRecord>) {
         self.member_event(now, membership::Event::Members(records));
+        self.contact_ended(now, from);
     }
 
     pub(crate) fn delta(&mut self, now: Time, from: SocketAddr, delta: Option<Delta>) {
@@ -337,5 +379,6 @@
         source: Source::Platform,
         served: head.map(|head| head.version).unwrap_or_default(),
         is_serving: true,
+        may_have_lost: update.revision.era > StoreEra(0),
     })
 }
--- a/crates/node/tests/nodes/common/mesh.rs
+++ b/crates/node/tests/nodes/common/mesh.rs
@@ -35,6 +35,8 @@
     pub(crate) kinds_read: Mutex<Vec<String>>,
     /// Keys and values of all writes, also of refused ones.
     pub(crate) proposed: Mutex<Vec<(ObjectKey, bytes::Bytes)>>,
+    /// Time that a listing takes.
+    pub(crate) list_delay: Mutex<Duration>,
 }
 
 impl TestStore {
@@ -44,6 +46,7 @@
             refuses_states: AtomicBool::new(false),
             kinds_read: Mutex::default(),
             proposed: Mutex::default(),
+            list_delay: Mutex::default(),
         })
     }
 
@@ -71,7 +74,11 @@
     }
 
     fn list<'a>(&'a self, kind: &'a str) -> StoreFuture<'a, Listing> {
-        self.memory.list(kind)
+        let delay = *self.list_delay.lock();
+        Box::pin(async move {
+            tokio::time::sleep(delay).await;
+            self.memory.list(kind).await
+        })
     }
 
     fn watch<'a>(
@@ -207,7 +214,7 @@
 }
 
 /// A configuration that never changes.
-pub(crate) struct FixedConfig(LoadedConfig);
+pub(crate) struct FixedConfig(pub(crate) LoadedConfig);
 
 impl FixedConfig {
     pub(crate) fn new(services: &[&str], ticket: Option<Accepted>) -> Self {
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -10,5 +10,6 @@
 mod loads;
 mod long_heads;
 mod lost_exchanges;
+mod outdated_store;
 mod restored;
 mod retries;
--- a/crates/zone/src/floor.rs
+++ b/crates/zone/src/floor.rs
@@ -29,6 +29,10 @@
 pub const PLATFORM_QUERIES_PER_ZONE: usize = 8;
 /// Longest wait of a starting node for other members, before the first round.
 pub const MAX_PEER_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait for a reply of another member after the first answer of a platform that may
+/// have lost versions. The registry may name hosts that are gone, and the node must serve
+/// within 3 s after an outage of the platform.
+pub const MAX_MEMBER_WAIT: Duration = Duration::from_secs(1);
 
 /// Kind of node or service that is queried for the version floor.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -59,6 +63,9 @@
     pub served: ConfigVersion,
     /// Whether the replying node serves callers itself; always true for the platform.
     pub is_serving: bool,
+    /// Whether the source may have lost versions that nodes have served: true for a store
+    /// that came back from an older copy, false for members.
+    pub may_have_lost: bool,
 }
 
 impl FloorAnswer {
@@ -79,6 +86,7 @@
             source,
             served: served.max(own.applied),
             is_serving,
+            may_have_lost: false,
         }
     }
 }
@@ -90,6 +98,9 @@
     Tick,
     /// The number of other members of the availability zone that the node knows.
     Peers(usize),
+    /// The node has read the registry, and each host that it contacted has named the members
+    /// that it knows or has failed.
+    LookupEnded,
     /// A reply to a query arrived.
     Answer(FloorAnswer),
     /// One query to this source failed, or there was no node to send it to.
@@ -143,9 +154,17 @@
 pub struct VersionFloor {
     phase: Phase,
     floor: ConfigVersion,
-    /// Whether a serving peer or the platform has replied. Members that restart
-    /// together know no floor, so their replies confirm nothing.
+    /// Whether a serving peer, or a platform that has lost nothing, has replied. Members that
+    /// restart together know no floor, so their replies confirm nothing.
     is_confirmed: bool,
+    /// First answer of a platform that may have lost versions. It confirms the floor only
+    /// together with replies of other members, or after [`MAX_MEMBER_WAIT`].
+    outdated_answer_at: Option<Time>,
+    has_lookup_ended: bool,
+    /// Whether a round has begun since the lookup ended.
+    has_asked_members: bool,
+    /// Whether a member has replied since that round began.
+    have_members_replied: bool,
     fetched: Option<ConfigVersion>,
     rounds: u32,
     /// Other members of the availability zone that the node knows.
@@ -163,6 +182,10 @@
             phase: Phase::Waiting(now.after(MAX_PEER_WAIT)),
             floor: ConfigVersion(0),
             is_confirmed: false,
+            outdated_answer_at: None,
+            has_lookup_ended: false,
+            has_asked_members: false,
+            have_members_replied: false,
             fetched: None,
             rounds: 0,
             peers: 0,
@@ -182,6 +205,19 @@
     pub fn is_serving(&self) -> bool {
         self.phase == Phase::Serving
     }
+
+    /// Whether the highest version in any reply is the floor.
+    fn is_floor_known(&self, now: Time) -> bool {
+        let is_platform_enough = self
+            .outdated_answer_at
+            .is_some_and(|at| self.have_members_replied || now.since(at) >= MAX_MEMBER_WAIT);
+        self.is_confirmed || is_platform_enough
+    }
+
+    /// Whether only replies of other members are missing for the floor.
+    fn waits_for_members(&self, now: Time) -> bool {
+        self.outdated_answer_at.is_some() && !self.is_floor_known(now)
+    }
 }
 
 /// Event handling.
@@ -194,22 +230,42 @@
         match event {
             Event::Tick => self.tick(now),
             Event::Peers(count) => {
+                let is_first = self.peers == 0 && count > 0;
                 self.peers = count;
                 if count > 0 && self.rounds == 0 {
                     self.phase = Phase::Waiting(now);
+                } else if is_first {
+                    self.ask_members(now);
                 }
                 Vec::new()
             }
+            Event::LookupEnded => {
+                self.has_lookup_ended = true;
+                self.ask_members(now);
+                Vec::new()
+            }
             Event::Answer(answer) => self.record_answer(now, answer),
             Event::Failed(source) => self.close_query(now, source),
             Event::Fetched(version) => {
                 self.fetched = self.fetched.max(Some(version));
-                self.serve_if_safe()
+                self.serve_if_safe(now)
             }
         }
     }
 
+    /// Makes a round due at once if only replies of other members are missing.
+    fn ask_members(&mut self, now: Time) {
+        if self.waits_for_members(now) && matches!(self.phase, Phase::Waiting(_)) {
+            self.phase = Phase::Waiting(now);
+        }
+    }
+
     fn tick(&mut self, now: Time) -> Vec<Action> {
+        // The wait for other members may have ended.
+        let actions = self.serve_if_safe(now);
+        if !actions.is_empty() {
+            return actions;
+        }
         match self.phase {
             Phase::Waiting(until) if now >= until => self.start_round(now),
             Phase::Asking { deadline, .. } if now >= deadline => self.end_round(now),
@@ -219,11 +275,16 @@
 
     fn record_answer(&mut self, now: Time, answer: FloorAnswer) -> Vec<Action> {
         self.floor = self.floor.max(answer.served);
+        let is_member = answer.source != Source::Platform;
+        self.have_members_replied |= is_member && self.has_asked_members;
         self.is_confirmed |= match answer.source {
             Source::Peers => answer.is_serving,
             Source::Relay => false,
-            Source::Platform => true,
+            Source::Platform => !answer.may_have_lost,
         };
+        if answer.may_have_lost {
+            self.outdated_answer_at.get_or_insert(now);
+        }
         self.close_query(now, answer.source)
     }
 
@@ -235,7 +296,7 @@
             mut unanswered,
         } = self.phase
         else {
-            return self.serve_if_safe();
+            return self.serve_if_safe(now);
         };
         if let Some(index) = QUERIES.iter().position(|(s, _)| *s == source) {
             unanswered[index] = unanswered[index].saturating_sub(1);
@@ -255,12 +316,14 @@
 impl VersionFloor {
     fn start_round(&mut self, now: Time) -> Vec<Action> {
         self.rounds += 1;
-        let doublings = match self.is_confirmed {
+        self.has_asked_members |= self.has_lookup_ended;
+        let doublings = match self.is_floor_known(now) {
             true => 0,
             false => (self.rounds - 1).min(MAX_DOUBLINGS),
         };
         let queries_of_zone = PLATFORM_QUERIES_PER_ZONE << doublings;
-        let asks_platform = self.rng.random_range(0..=self.peers) < queries_of_zone;
+        let is_chosen = self.rng.random_range(0..=self.peers) < queries_of_zone;
+        let asks_platform = is_chosen && !self.waits_for_members(now);
         let queries = QUERIES.map(|(source, count)| match source {
             Source::Platform if !asks_platform => (source, 0),
             _ => (source, count),
@@ -280,10 +343,10 @@
     fn end_round(&mut self, now: Time) -> Vec<Action> {
         let retry_after = self.backoff();
         self.phase = Phase::Waiting(now.after(retry_after));
-        if !self.is_confirmed {
+        if !self.is_floor_known(now) {
             return vec![Action::RetryLater { retry_after }];
         }
-        let actions = self.serve_if_safe();
+        let actions = self.serve_if_safe(now);
         if !actions.is_empty() {
             return actions;
         }
@@ -296,10 +359,10 @@
 
     /// Starts to serve once a round has ended, the floor is confirmed and the loaded
     /// configuration is not below it.
-    fn serve_if_safe(&mut self) -> Vec<Action> {
+    fn serve_if_safe(&mut self, now: Time) -> Vec<Action> {
         let has_round_ended = matches!(self.phase, Phase::Waiting(_));
         let has_config = self.fetched.is_some_and(|v| v >= self.floor);
-        if !has_round_ended || !has_config || !self.is_confirmed {
+        if !has_round_ended || !has_config || !self.is_floor_known(now) {
             return Vec::new();
         }
         self.phase = Phase::Serving;
--- a/crates/zone/tests/floor.rs
+++ b/crates/zone/tests/floor.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use sim::{Sim, ms, name};
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::Duration;
 
@@ -75,6 +76,7 @@
             source,
             served: ConfigVersion(version),
             is_serving,
+            may_have_lost: false,
         })),
         Reply::Refused => Some(Event::Failed(source)),
         Reply::Silent => None,
@@ -333,3 +335,95 @@
     assert_eq!(floor.handle(now, answer.expect("an answer")), []);
     assert!(!floor.is_serving());
 }
+
+/// Time at which the lookup of members ends, after the first answer of the store.
+const LOOKUP_END: Time = Time(300_000);
+
+/// Starts a node while the store has version 4, of a copy. Members are known and asked once
+/// the lookup has ended; `replies` are theirs, `None` if the lookup never ends.
+fn start_after_a_loss(replies: Option<&[(Source, Reply)]>) -> (VersionFloor, String) {
+    const FETCHED: Event = Event::Fetched(ConfigVersion(4));
+    const STORED: Event = Event::Answer(FloorAnswer {
+        source: Source::Platform,
+        served: ConfigVersion(4),
+        is_serving: true,
+        may_have_lost: true,
+    });
+    let mut floor = VersionFloor::new(Time(0), SmallRng::seed_from_u64(1));
+    let (mut queue, mut log) = (BTreeMap::new(), String::new());
+    if replies.is_some() {
+        queue.insert(LOOKUP_END, vec![Event::Peers(3), Event::LookupEnded]);
+    }
+    let mut now = Time(0);
+    while now < Time(0).after(ms(2_000)) {
+        let mut events = vec![Event::Tick];
+        events.extend(queue.remove(&now).unwrap_or_default());
+        while let Some(next) = events.pop() {
+            for action in floor.handle(now, next) {
+                writeln!(log, "{:>5} ms {action:?}", now.0 / 1_000).expect("a string");
+                let Action::Ask { source, count } = action else {
+                    continue;
+                };
+                let answered = now.after(ms(30));
+                let later = queue.entry(answered).or_insert_with(Vec::new);
+                match replies.filter(|_| now >= LOOKUP_END) {
+                    // The last event is handled first.
+                    _ if source == Source::Platform => later.extend([STORED, FETCHED]),
+                    None => events.extend(vec![Event::Failed(source); count]),
+                    Some(replies) => {
+                        let replies = replies.iter().filter(|(from, _)| *from == source);
+                        later.extend(replies.filter_map(|(_, reply)| event(source, *reply)));
+                    }
+                }
+            }
+        }
+        now = now.after(ms(10));
+    }
+    (floor, log)
+}
+
+/// Guards against a node that knows no other one yet and takes the older configuration of a
+/// store that came back from a copy for the newest (issue 35).
+#[test]
+fn a_store_that_lost_versions_is_not_enough_before_members_are_asked() {
+    let refused = (Source::Peers, Reply::Refused);
+    let serving = (Source::Peers, Reply::Version(5, true));
+    let relay = (Source::Relay, Reply::Refused);
+    let (floor, log) = start_after_a_loss(Some(&[refused, refused, serving, relay]));
+    assert!(!floor.is_serving());
+    assert_eq!(floor.floor(), ConfigVersion(5));
+    insta::assert_snapshot!(log);
+}
+
+/// Guards against nodes that restart together after a loss and wait for one that serves
+/// (requirement F1).
+#[test]
+fn a_mesh_that_restarts_after_a_loss_serves_what_the_store_has() {
+    let refused = (Source::Peers, Reply::Refused);
+    let restarted = (Source::Peers, Reply::Version(0, false));
+    let relay = (Source::Relay, Reply::Refused);
+    let (floor, log) = start_after_a_loss(Some(&[refused, refused, restarted, relay]));
+    assert!(floor.is_serving());
+    insta::assert_snapshot!(log);
+}
+
+/// Guards against a node that waits for members which never answer: hosts that are gone and
+/// still in the registry.
+#[test]
+fn members_that_do_not_answer_are_waited_for_a_limited_time() {
+    let silent = [
+        (Source::Peers, Reply::Silent),
+        (Source::Relay, Reply::Silent),
+    ];
+    let (floor, log) = start_after_a_loss(Some(&silent));
+    assert!(floor.is_serving());
+    insta::assert_snapshot!(log);
+}
+
+/// Guards against the only node of a mesh, which finds no other one in the registry.
+#[test]
+fn a_lookup_that_finds_nobody_is_waited_for_a_limited_time() {
+    let (floor, log) = start_after_a_loss(None);
+    assert!(floor.is_serving());
+    insta::assert_snapshot!(log);
+}
