fix(zone): only a version that rises within an era counts at once after a loss

Cause: a store that came back confirmed a version at once if it was above the one that this node knew, although the node may have lagged behind while the store lost a later version. The era also began at the earliest time at which its report could have arrived, or at the start of a long load, so a node that had stood still for 10 s did not wait at all.

Change: a version counts at once if it is above the first one that the store had in this era, and an era begins when the node learns of it.

--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -38,8 +38,11 @@
     newest: ConfigVersion,
     /// The version in force on this node.
     applied: ConfigVersion,
-    /// When the version in the store counts as the newest one, unless it rises before.
-    settled_at: Time,
+    /// Time before which answers of the store confirm nothing in this era, unless its version
+    /// rises.
+    confirms_from: Time,
+    /// The version that the store first had in this era; `None` before its first answer.
+    first_of_era: Option<ConfigVersion>,
     /// When `newest` was last known to be the newest version; `None` when it is not known
     /// since the era began or since a newer version was heard of.
     confirmed_at: Option<Time>,
@@ -60,7 +63,8 @@
             era: None,
             newest: ConfigVersion::default(),
             applied: ConfigVersion::default(),
-            settled_at: Time::default(),
+            confirms_from: Time::default(),
+            first_of_era: None,
             confirmed_at: None,
         }
     }
@@ -68,21 +72,24 @@
 
 /// Events.
 impl Freshness {
-    /// Handles an answer of the store whose newest version was `newest` at the time `at`.
+    /// Handles an answer of the store that has arrived at `now`, and whose newest version was
+    /// `newest` at the time `at`.
     ///
     /// A store with an older version than the mesh has lost changes, and confirms nothing. One
     /// with the same version may have lost a later one that no node has received. It confirms
     /// nothing for [`REWRITTEN_WITHIN`], unless its version rises.
-    pub fn store_answered(&mut self, at: Time, era: StoreEra, newest: ConfigVersion) {
-        self.begin_era(at, era);
-        if Some(era) != self.era || newest < self.newest {
+    pub fn store_answered(&mut self, now: Time, at: Time, era: StoreEra, newest: ConfigVersion) {
+        self.begin_era(now, era);
+        if Some(era) != self.era {
             return;
         }
-        let has_risen = newest > self.newest && self.newest > ConfigVersion::default();
-        if has_risen {
-            self.settled_at = at;
+        if newest > *self.first_of_era.get_or_insert(newest) {
+            self.confirms_from = at;
         }
-        match at >= self.settled_at {
+        if newest < self.newest {
+            return;
+        }
+        match at >= self.confirms_from {
             true => self.confirm(newest, at),
             false => self.newest = newest,
         }
@@ -93,12 +100,13 @@
     /// have arrived.
     pub fn reported(
         &mut self,
+        now: Time,
         arrived_at: Time,
         version: ConfigVersion,
         confirmation: Option<Confirmation>,
     ) {
         if let Some(confirmation) = confirmation {
-            self.begin_era(arrived_at, confirmation.era);
+            self.begin_era(now, confirmation.era);
         }
         let confirmation = confirmation.filter(|c| Some(c.era) == self.era);
         match confirmation {
@@ -126,14 +134,15 @@
     /// Forgets the confirmation when a later era begins: the store may have lost the
     /// changes that the confirmation spoke of, and get others. A process that starts in a
     /// later era than the first does not know when it began.
-    fn begin_era(&mut self, at: Time, era: StoreEra) {
+    fn begin_era(&mut self, now: Time, era: StoreEra) {
         if Some(era) <= self.era {
             return;
         }
         self.era = Some(era);
+        self.first_of_era = None;
         self.confirmed_at = None;
         if era > StoreEra::default() {
-            self.settled_at = at.after(REWRITTEN_WITHIN);
+            self.confirms_from = now.after(REWRITTEN_WITHIN);
         }
     }
 
--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -333,7 +333,7 @@
             Event::StoreReached(reached) => self.store_reached(now, reached),
             Event::LocalError(error) => self.change_own(now, |own| own.last_error = error),
             Event::ConfigConfirmed { era, version, at } => {
-                self.freshness.store_answered(at, era, version);
+                self.freshness.store_answered(now, at, era, version);
             }
             Event::ConfigApplied(version) => self.config_applied(now, version),
             Event::ConfigRefused(version) => {
--- a/crates/zone/src/membership/exchange.rs
+++ b/crates/zone/src/membership/exchange.rs
@@ -42,7 +42,7 @@
         let sender = message.sender;
         let arrived_at = self.backlog.arrived_at(now);
         self.freshness
-            .reported(arrived_at, sender.version, sender.confirmation);
+            .reported(now, arrived_at, sender.version, sender.confirmation);
         let member = self.directory.find_address(from);
         if let Some(member) = member.filter(|m| *m != self.own) {
             let record_reported =
--- a/crates/zone/tests/freshness.rs
+++ b/crates/zone/tests/freshness.rs
@@ -24,7 +24,7 @@
 fn confirmed() -> Freshness {
     let mut freshness = Freshness::default();
     freshness.applied(V1);
-    freshness.store_answered(at(1), FIRST_ERA, V1);
+    freshness.store_answered(at(1), at(1), FIRST_ERA, V1);
     freshness
 }
 
@@ -40,37 +40,37 @@
     let cases: [(&str, Step); 12] = [
         ("confirmed by the store at 1 s", |_| {}),
         ("confirmed again at 3 s", |f| {
-            f.store_answered(at(3), FIRST_ERA, V1);
+            f.store_answered(at(3), at(3), FIRST_ERA, V1);
         }),
         ("a newer version in the store", |f| {
-            f.store_answered(at(3), FIRST_ERA, V2);
+            f.store_answered(at(3), at(3), FIRST_ERA, V2);
         }),
         ("a newer version in the store, then in force", |f| {
-            f.store_answered(at(3), FIRST_ERA, V2);
+            f.store_answered(at(3), at(3), FIRST_ERA, V2);
             f.applied(V2);
         }),
         ("a newer version at another node", |f| {
-            f.reported(at(3), V2, None);
+            f.reported(at(3), at(3), V2, None);
         }),
         ("a newer version in force, not confirmed", |f| f.applied(V2)),
         ("confirmed by a node at 3 s, 500 ms old", |f| {
-            f.reported(at(3), V1, aged(FIRST_ERA, 500));
+            f.reported(at(3), at(3), V1, aged(FIRST_ERA, 500));
         }),
         ("an older version at another node, confirmed", |f| {
-            f.reported(at(3), ConfigVersion(0), aged(FIRST_ERA, 0));
+            f.reported(at(3), at(3), ConfigVersion(0), aged(FIRST_ERA, 0));
         }),
         ("a later era at another node, with its version", |f| {
-            f.reported(at(3), V1, aged(SECOND_ERA, 100));
+            f.reported(at(3), at(3), V1, aged(SECOND_ERA, 100));
         }),
         ("a later era at a node with an older version", |f| {
-            f.reported(at(3), ConfigVersion(0), aged(SECOND_ERA, 0));
+            f.reported(at(3), at(3), ConfigVersion(0), aged(SECOND_ERA, 0));
         }),
         ("a later era, whose store has an older version", |f| {
-            f.store_answered(at(3), SECOND_ERA, ConfigVersion(0));
+            f.store_answered(at(3), at(3), SECOND_ERA, ConfigVersion(0));
         }),
         ("an earlier era at another node", |f| {
-            f.reported(at(2), V1, aged(SECOND_ERA, 0));
-            f.reported(at(3), V1, aged(FIRST_ERA, 0));
+            f.reported(at(2), at(2), V1, aged(SECOND_ERA, 0));
+            f.reported(at(3), at(3), V1, aged(FIRST_ERA, 0));
         }),
     ];
     let lines = cases.map(|(name, step)| {
@@ -88,30 +88,47 @@
 #[test]
 fn a_store_that_came_back_confirms_its_version_after_a_while() {
     type Step = fn(&mut Freshness);
-    let cases: [(&str, Step); 6] = [
+    let cases: [(&str, Step); 9] = [
         ("the version before, at once", |f| {
-            f.store_answered(at(3), SECOND_ERA, V1);
+            f.store_answered(at(3), at(3), SECOND_ERA, V1);
         }),
         ("the version before, 9 s later", |f| {
-            f.store_answered(at(3), SECOND_ERA, V1);
-            f.store_answered(at(12), SECOND_ERA, V1);
+            f.store_answered(at(3), at(3), SECOND_ERA, V1);
+            f.store_answered(at(12), at(12), SECOND_ERA, V1);
         }),
         ("the version before, 10 s later", |f| {
-            f.store_answered(at(3), SECOND_ERA, V1);
-            f.store_answered(at(13), SECOND_ERA, V1);
+            f.store_answered(at(3), at(3), SECOND_ERA, V1);
+            f.store_answered(at(13), at(13), SECOND_ERA, V1);
         }),
         ("a newer version, in force", |f| {
-            f.store_answered(at(3), SECOND_ERA, V1);
-            f.store_answered(at(4), SECOND_ERA, V2);
+            f.store_answered(at(3), at(3), SECOND_ERA, V1);
+            f.store_answered(at(4), at(4), SECOND_ERA, V2);
             f.applied(V2);
         }),
+        ("a newer version, from before the loss", |f| {
+            f.store_answered(at(3), at(3), SECOND_ERA, V2);
+            f.applied(V2);
+        }),
+        (
+            "a process that stood still until 3 s hears of the era",
+            |f| {
+                f.reported(at(13), at(3), V1, aged(SECOND_ERA, 0));
+                f.reported(at(13), at(13), V2, None);
+                f.applied(V2);
+                f.store_answered(at(14), at(14), SECOND_ERA, V2);
+            },
+        ),
+        ("an answer that took 8 s", |f| {
+            f.store_answered(at(11), at(3), SECOND_ERA, V1);
+            f.store_answered(at(14), at(14), SECOND_ERA, V1);
+        }),
         ("a node that knows better", |f| {
-            f.store_answered(at(3), SECOND_ERA, V1);
-            f.reported(at(4), V1, aged(SECOND_ERA, 0));
+            f.store_answered(at(3), at(3), SECOND_ERA, V1);
+            f.reported(at(4), at(4), V1, aged(SECOND_ERA, 0));
         }),
         ("a process that starts in the later era", |f| {
             *f = Freshness::default();
-            f.store_answered(at(3), SECOND_ERA, V1);
+            f.store_answered(at(3), at(3), SECOND_ERA, V1);
             f.applied(V1);
         }),
     ];
@@ -138,7 +155,7 @@
 fn a_confirmation_that_is_too_old_for_a_message_is_not_passed_on() {
     let mut freshness = Freshness::new(Duration::from_secs(120));
     freshness.applied(V1);
-    freshness.store_answered(at(1), FIRST_ERA, V1);
+    freshness.store_answered(at(1), at(1), FIRST_ERA, V1);
     let ages = [66, 67].map(|now| freshness.confirmation(at(now)).map(|c| c.age_ms));
     assert_eq!(ages, [Some(65_000), None]);
 }
