fix(zone): peers that restarted too do not replace the answer of another zone

Cause: after a loss of the store, the reply of any member let the version of the store count as the floor. Peers of a zone that restarted as a whole answer at once and know nothing, so a node whose relay query was lost served an older version than another zone.

Change: a serving peer or a relay must have replied; otherwise the wait of 1 s for members ends it, as before.

Result: peers_that_restarted_too_say_nothing_about_other_zones serves after the wait; with the condition before, after 330 ms.

--- a/crates/zone/src/floor.rs
+++ b/crates/zone/src/floor.rs
@@ -159,11 +159,11 @@
     is_confirmed: bool,
     /// First answer of a platform that may have lost versions. It confirms the floor only
     /// together with replies of other members, or after [`MAX_MEMBER_WAIT`].
-    outdated_answer_at: Option<Time>,
+    unconfirmed_answer_at: Option<Time>,
     has_lookup_ended: bool,
     /// Whether a round has begun since the lookup ended.
     has_asked_members: bool,
-    /// Whether a member has replied since that round began.
+    /// Whether a serving peer or a relay has replied since that round began.
     have_members_replied: bool,
     fetched: Option<ConfigVersion>,
     rounds: u32,
@@ -182,7 +182,7 @@
             phase: Phase::Waiting(now.after(MAX_PEER_WAIT)),
             floor: ConfigVersion(0),
             is_confirmed: false,
-            outdated_answer_at: None,
+            unconfirmed_answer_at: None,
             has_lookup_ended: false,
             has_asked_members: false,
             have_members_replied: false,
@@ -209,14 +209,14 @@
     /// Whether the highest version in any reply is the floor.
     fn is_floor_known(&self, now: Time) -> bool {
         let is_platform_enough = self
-            .outdated_answer_at
+            .unconfirmed_answer_at
             .is_some_and(|at| self.have_members_replied || now.since(at) >= MAX_MEMBER_WAIT);
         self.is_confirmed || is_platform_enough
     }
 
     /// Whether only replies of other members are missing for the floor.
     fn waits_for_members(&self, now: Time) -> bool {
-        self.outdated_answer_at.is_some() && !self.is_floor_known(now)
+        self.unconfirmed_answer_at.is_some() && !self.is_floor_known(now)
     }
 }
 
@@ -275,15 +275,20 @@
 
     fn record_answer(&mut self, now: Time, answer: FloorAnswer) -> Vec<Action> {
         self.floor = self.floor.max(answer.served);
-        let is_member = answer.source != Source::Platform;
-        self.have_members_replied |= is_member && self.has_asked_members;
+        // Peers that restart together know nothing of the other availability zones.
+        let is_member_heard = match answer.source {
+            Source::Peers => answer.is_serving,
+            Source::Relay => true,
+            Source::Platform => false,
+        };
+        self.have_members_replied |= is_member_heard && self.has_asked_members;
         self.is_confirmed |= match answer.source {
             Source::Peers => answer.is_serving,
             Source::Relay => false,
             Source::Platform => !answer.may_have_lost,
         };
         if answer.may_have_lost {
-            self.outdated_answer_at.get_or_insert(now);
+            self.unconfirmed_answer_at.get_or_insert(now);
         }
         self.close_query(now, answer.source)
     }
--- a/crates/zone/tests/floor.rs
+++ b/crates/zone/tests/floor.rs
@@ -401,12 +401,23 @@
 fn a_mesh_that_restarts_after_a_loss_serves_what_the_store_has() {
     let refused = (Source::Peers, Reply::Refused);
     let restarted = (Source::Peers, Reply::Version(0, false));
-    let relay = (Source::Relay, Reply::Refused);
+    let relay = (Source::Relay, Reply::Version(0, false));
     let (floor, log) = start_after_a_loss(Some(&[refused, refused, restarted, relay]));
     assert!(floor.is_serving());
     insta::assert_snapshot!(log);
 }
 
+/// Guards against a node that serves an older version after a loss because the peers that
+/// restarted with it answer, while nothing was heard of the other availability zones.
+#[test]
+fn peers_that_restarted_too_say_nothing_about_other_zones() {
+    let restarted = (Source::Peers, Reply::Version(0, false));
+    let relay = (Source::Relay, Reply::Refused);
+    let (floor, log) = start_after_a_loss(Some(&[restarted, restarted, restarted, relay]));
+    assert!(floor.is_serving());
+    insta::assert_snapshot!(log);
+}
+
 /// Guards against a node that waits for members which never answer: hosts that are gone and
 /// still in the registry.
 #[test]
