--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -140,7 +140,7 @@
     }
 
     /// Records that a delta could not be decompressed: the next fetch asks for whole parts,
-    /// unless this one did.
+    /// unless the failed one had asked for them.
     pub fn delta_was_unreadable(&mut self) {
         self.asks_whole = !self.asks_whole;
     }
--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -182,8 +182,7 @@
         }
 }
 
-/// What a source without this progress, or without the end, does not know: the order is new,
-/// or the store has lost what was reported.
+/// The report that the source lacks, because the order is new or the store has lost it.
 fn missing(order: &Order, state: Option<&RolloutState>, ticket: TicketNumber) -> Option<Missing> {
     let has_ended = state.is_some_and(|s| s.ticket == ticket && s.phase.is_final());
     match (has_ended, order.reported) {
--- a/crates/rollout/src/state.rs
+++ b/crates/rollout/src/state.rs
@@ -179,8 +179,8 @@
 
 /// Transitions to the next state.
 impl RolloutState {
-    /// This state of a newer ticket, after `earlier` is known as well. The versions from which
-    /// `earlier` was pulled back get no share at its start.
+    /// Returns this state of a newer ticket without shares at its start for versions that
+    /// `earlier` has pulled back.
     ///
     /// The shares at its start were those in force when it was proposed. The pull-back may have
     /// been decided while it was being written, or by another holder.
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -297,7 +297,7 @@
     /// A node connects from the socket on which it listens, so the source address
     /// of a connection is the address of the peer's node.
     ///
-    /// A peer opens a connection only when it has none. An existing connection is
+    /// A peer opens a connection only when it has none that it may use. An existing one is
     /// therefore a remnant of the peer's previous process, unless both ends have
     /// opened one at the same time.
     pub(crate) fn adopt(&self, connection: &Connection) {
