refactor(test): property tests in virtual time share their store and runner

Change: tests/virtual_time has CopiedStore, assert_holds, put and ms; both use them. The configuration keeps 24 copies instead of 20, which is more than the oldest copy that a plan asks for.

--- a/crates/node/tests/configuration/main.rs
+++ b/crates/node/tests/configuration/main.rs
@@ -17,45 +17,27 @@
 mod operator;
 mod plan;
 mod process;
+#[path = "../virtual_time/mod.rs"]
+mod virtual_time;
 mod watch_loop;
 
 use mesh::{Mesh, NodeKey};
 use plan::{Plan, Spoiled, Step};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
-use std::time::Duration;
+use virtual_time::Draw;
 
 /// Seed of the plans unless `CONFIGURATION_SEED` sets another.
 const SEED: u64 = 35;
 /// Numbers of nodes in the availability zones of the mesh.
 const ZONES: [usize; 3] = [2, 2, 1];
 
-const fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-fn setting(name: &str, default: u64) -> u64 {
-    let value = std::env::var(name).ok();
-    value.map_or(default, |text| text.parse().expect("a number"))
-}
-
 fn assert_holds(zones: &[usize], plans: impl Strategy<Value = Plan>, cases: u64) {
-    let config = Config {
-        cases: setting("CONFIGURATION_CASES", cases) as u32,
-        rng_seed: RngSeed::Fixed(setting("CONFIGURATION_SEED", SEED)),
-        failure_persistence: None,
-        ..Config::default()
+    let draw = Draw {
+        variables: ("CONFIGURATION_CASES", "CONFIGURATION_SEED"),
+        cases,
+        seed: SEED,
     };
-    // Waits of the store need a timer, which no run gets to.
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .build()
-        .expect("a runtime");
-    let _guard = runtime.enter();
-    let play = |plan: Plan| Mesh::play(zones, &plan).map_err(TestCaseError::fail);
-    if let Err(err) = TestRunner::new(config).run(&plans, play) {
-        panic!("{err}");
-    }
+    virtual_time::assert_holds(draw, plans, |plan| Mesh::play(zones, plan));
 }
 
 /// Guards against a node that watches from a revision which the store gave out before a
--- a/crates/node/tests/configuration/mesh.rs
+++ b/crates/node/tests/configuration/mesh.rs
@@ -1,18 +1,17 @@
 //! Discrete-event simulation of a mesh, its operator and its store.
 
 use crate::client::Client;
-use crate::ms;
-use crate::operator::{APPLY_BOUND, Operator, put};
+use crate::operator::{APPLY_BOUND, Operator};
 use crate::plan::{Loss, Plan, Spoiled, Step};
 use crate::process::{Asked, Effect, Process, Purpose};
+use crate::virtual_time::{COPY_INTERVAL, CopiedStore, ms};
 use futures_util::FutureExt;
 use knapweed_link::{Delta, PartTag};
 use knapweed_node::control::registry::Entry;
 use knapweed_node::source::tickets::TicketSource;
 use knapweed_node::source::{ConfigSource, Error, SourceUpdate};
 use knapweed_store::cursor::NextCall;
-use knapweed_store::memory::{Faults, Limits};
-use knapweed_store::{Backup, Error as StoreError, MemoryStore, ObjectKey, Revision, StoreEra};
+use knapweed_store::{Backup, Error as StoreError, Revision, StoreEra};
 use knapweed_world::snapshot::HostEntry;
 use knapweed_world::{ConfigVersion, Name, Time};
 use knapweed_zone::directory::{Digest, SharedRecord};
@@ -21,7 +20,7 @@
 use knapweed_zone::{Incarnation, Message};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,10 +38,6 @@
 const LOOKUP_TIME: Duration = ms(300);
 /// Time after which entries of the registry that the store has lost are written again.
 const REGISTRY_REWRITE: Duration = ms(1_500);
-/// Interval of the copies from which the store may come back.
-const COPY_INTERVAL: Duration = ms(250);
-/// Number of copies that are kept.
-const MAX_COPIES: usize = 20;
 /// Interval at which the nodes are compared with the configurations that may be in force.
 const CHECK_INTERVAL: Duration = ms(20);
 /// Latency between nodes of one availability zone, in microseconds.
@@ -160,19 +155,14 @@
 pub(crate) struct Mesh {
     now: Time,
     nodes: Vec<Node>,
-    store: Arc<MemoryStore>,
+    store: CopiedStore,
     operator: Operator,
-    copies: VecDeque<(Time, Backup)>,
-    /// Whether the store does not answer.
-    is_away: bool,
     /// Whether the operator writes its configuration again as soon as the store is back.
     rewrites: bool,
     /// Changes that the operator could not write while the store was away.
     postponed: Vec<Step>,
     /// Hosts with an entry in the registry.
     registry: BTreeSet<usize>,
-    /// Number of writes of servers so far.
-    server_writes: u64,
     /// End of the last disturbance or change so far.
     quiet_from: Time,
     queue: BTreeMap<(Time, u64), Work>,
@@ -185,7 +175,7 @@
 impl Mesh {
     /// A mesh with these numbers of nodes in its availability zones.
     fn new(zones: &[usize], seed: u64) -> Self {
-        let store = Arc::new(MemoryStore::with_limits(Limits::NONE));
+        let store = CopiedStore::new();
         let now = Time::default();
         let operator = Operator::new(now, &store);
         let mut mesh = Self {
@@ -193,12 +183,9 @@
             nodes: Vec::new(),
             store,
             operator,
-            copies: VecDeque::new(),
-            is_away: false,
             rewrites: false,
             postponed: Vec::new(),
             registry: BTreeSet::new(),
-            server_writes: 0,
             quiet_from: now.after(WARM_UP),
             queue: BTreeMap::new(),
             order: 0,
@@ -262,8 +249,7 @@
             Work::RewriteRegistry => self.register_running(),
             Work::Start(node) => self.start(node),
             Work::Copy => {
-                self.copies.push_front((self.now, self.store.backup()));
-                self.copies.truncate(MAX_COPIES);
+                self.store.copy(self.now);
                 self.schedule(COPY_INTERVAL, Work::Copy);
             }
             Work::Check => {
@@ -322,7 +308,7 @@
         let until = |mesh: &mut Self, length: u16| mesh.disturb(ms(length.into()));
         match step {
             Step::Change { adds, removes } => {
-                if self.is_away {
+                if self.store.is_away() {
                     return self.postponed.push(step);
                 }
                 self.disturb(ms(0));
@@ -330,12 +316,12 @@
                 let (now, store) = (self.now, &self.store);
                 self.operator.change(now, store, adds, removes, above);
             }
-            Step::ServerWrites(count) => self.write_as_servers(count),
+            Step::ServerWrites(count) => self.store.write_as_servers(count),
             Step::Lose(loss) => self.lose(loss),
             Step::Outage(length) => {
-                if !self.is_away {
+                if !self.store.is_away() {
                     until(self, length);
-                    self.set_away(true);
+                    self.store.set_away(true);
                     self.schedule(ms(length.into()), Work::EndOutage);
                 }
             }
@@ -365,45 +351,23 @@
         }
     }
 
-    fn write_as_servers(&mut self, count: u8) {
-        if self.is_away {
-            return;
-        }
-        for _ in 0..count {
-            self.server_writes += 1;
-            let key = ObjectKey::new("instances", format!("{}", self.server_writes % 5));
-            put(&self.store, &key, self.server_writes.to_string());
-        }
-    }
-
-    fn set_away(&mut self, is_away: bool) {
-        self.is_away = is_away;
-        self.store.set_faults(Faults {
-            outage: is_away,
-            ..Faults::default()
-        });
-    }
-
     fn lose(&mut self, loss: Loss) {
-        if self.is_away {
+        if self.store.is_away() {
             return;
         }
-        let taken = self.now.before(ms(loss.copy_age_ms.into()));
-        let copy = self.copies.iter().find(|(at, _)| *at <= taken);
-        let copy = copy.or(self.copies.back()).map(|(_, copy)| copy.clone());
+        let copied_at = self.now.before(ms(loss.copy_age_ms.into()));
+        let copy = self.store.copy_at(copied_at);
         let away = ms(loss.away_ms.into());
         self.disturb(away + ms(loss.rewritten_after_ms.into()));
-        self.set_away(true);
-        self.schedule(away, Work::Restore(loss, copy.expect("a copy")));
+        self.store.set_away(true);
+        self.schedule(away, Work::Restore(loss, copy));
     }
 
     fn restore(&mut self, loss: Loss, backup: &Backup) {
-        self.store.restore(backup);
-        self.copies.clear();
-        self.copies.push_front((self.now, self.store.backup()));
+        self.store.come_back(self.now, backup);
         self.operator.store_lost(self.now, &self.store);
         self.end_outage();
-        self.write_as_servers(loss.server_writes);
+        self.store.write_as_servers(loss.server_writes);
         if loss.loses_registry {
             self.registry.clear();
             self.schedule(REGISTRY_REWRITE, Work::RewriteRegistry);
@@ -412,7 +376,7 @@
     }
 
     fn end_outage(&mut self) {
-        self.set_away(false);
+        self.store.set_away(false);
         if std::mem::take(&mut self.rewrites) {
             self.rewrite();
         }
@@ -422,7 +386,7 @@
     }
 
     fn rewrite(&mut self) {
-        match self.is_away {
+        match self.store.is_away() {
             true => self.rewrites = true,
             false => self.operator.write(self.now, &self.store),
         }
@@ -641,7 +605,7 @@
     /// Whether a node reaches a store that answers.
     fn reaches_store(&self, node: NodeKey) -> bool {
         let node = &self.nodes[node.0];
-        !self.is_away && self.now >= node.cut_until.max(node.isolated_until)
+        !self.store.is_away() && self.now >= node.cut_until.max(node.isolated_until)
     }
 
     /// A failed call is noticed after a reset, or only after a time-out.
@@ -689,7 +653,7 @@
         call.unchanged_at = revision;
         let state = &self.nodes[node.0];
         let client = Client {
-            store: Arc::clone(&self.store),
+            store: self.store.shared(),
             known_era: state.known_era,
             first_page: call.first_page,
             spoiled: (self.now < state.spoiled_until).then_some(state.spoiled),
--- a/crates/node/tests/configuration/operator.rs
+++ b/crates/node/tests/configuration/operator.rs
@@ -1,11 +1,10 @@
 //! The operator, who writes configurations to the store, and the configurations that may
 //! be in force.
 
-use crate::ms;
-use futures_util::FutureExt;
+use crate::virtual_time::{ms, put};
 use knapweed_contract::parts::WrittenFor;
 use knapweed_contract::{Head, head, parts};
-use knapweed_store::{Condition, MemoryStore, ObjectKey, ObjectStore};
+use knapweed_store::MemoryStore;
 use knapweed_world::config::{Destination, Idempotence, RouteConfig, ServiceConfig};
 use knapweed_world::{Config, ConfigVersion, Name, Revision, TicketNumber, Time};
 use std::collections::{BTreeMap, BTreeSet};
@@ -186,13 +185,3 @@
         routes.reduce(|a, b| &a & &b).unwrap_or_default()
     }
 }
-
-/// Writes an object whatever its revision is.
-pub(crate) fn put(store: &MemoryStore, key: &ObjectKey, value: impl Into<bytes::Bytes>) {
-    let current = store.peek(key).map(|object| object.revision);
-    let condition = current.map_or(Condition::Absent, Condition::Revision);
-    let written = store.write(key, value.into(), condition).now_or_never();
-    written
-        .expect("no delay is injected")
-        .expect("the store is up");
-}
--- a/crates/node/tests/rollouts/main.rs
+++ b/crates/node/tests/rollouts/main.rs
@@ -18,51 +18,33 @@
 mod plan;
 mod process;
 mod store;
+#[path = "../virtual_time/mod.rs"]
+mod virtual_time;
 
 use knapweed_world::Name;
 use mesh::Mesh;
 use plan::{Plan, Replacement};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
-use std::time::Duration;
+use virtual_time::Draw;
 
 /// Seed of the plans unless `ROLLOUT_SEED` sets another.
 const SEED: u64 = 35;
 /// The same for orders that replace unread ones: one whose plans contain a failure.
 const UNREAD_SEED: u64 = 21;
 
-const fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
 /// The service with an index.
 fn service(index: usize) -> Name {
     let text = format!("service-{index}");
     text.parse().expect("a valid name")
 }
 
-fn setting(name: &str, default: u64) -> u64 {
-    let value = std::env::var(name).ok();
-    value.map_or(default, |text| text.parse().expect("a number"))
-}
-
 fn assert_holds(plans: impl Strategy<Value = Plan>, cases: u64, seed: u64) {
-    let config = Config {
-        cases: setting("ROLLOUT_CASES", cases) as u32,
-        rng_seed: RngSeed::Fixed(setting("ROLLOUT_SEED", seed)),
-        failure_persistence: None,
-        ..Config::default()
+    let draw = Draw {
+        variables: ("ROLLOUT_CASES", "ROLLOUT_SEED"),
+        cases,
+        seed,
     };
-    // Waits of the store need a timer, which no run gets to.
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .build()
-        .expect("a runtime");
-    let _guard = runtime.enter();
-    let play = |plan: Plan| Mesh::play(&plan).map_err(TestCaseError::fail);
-    if let Err(err) = TestRunner::new(config).run(&plans, play) {
-        panic!("{err}");
-    }
+    virtual_time::assert_holds(draw, plans, Mesh::play);
 }
 
 /// Guards against rollouts that go back, end twice or never end after a loss of the store.
--- a/crates/node/tests/rollouts/mesh.rs
+++ b/crates/node/tests/rollouts/mesh.rs
@@ -1,21 +1,21 @@
 //! Discrete-event simulation of nodes, their servers, the operator and the store.
 
-use crate::operator::{END_BOUND, Operator, Seen, put};
+use crate::operator::{END_BOUND, Operator, Seen};
 use crate::plan::{Loss, Moment, Plan, Step, Trouble};
 use crate::process::{Effect, Message, Process, Purpose, Servers, Timer, To};
+use crate::service;
 use crate::store::{Call, Reply, execute, stored_state};
-use crate::{ms, service};
+use crate::virtual_time::{COPY_INTERVAL, CopiedStore, ms};
 use knapweed_node::orders::Progress;
 use knapweed_node::trial::RequestRun;
 use knapweed_rollout::counters::{Sample, Warmth};
 use knapweed_rollout::{RolloutState, StoreEra, ZoneCapacity};
-use knapweed_store::memory::{Faults, Limits};
-use knapweed_store::{Backup, Error, MemoryStore, ObjectKey};
+use knapweed_store::{Backup, Error, ObjectKey};
 use knapweed_world::{Name, Time};
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,9 +29,6 @@
 const WATCH_POLL: Duration = ms(20);
 /// Time after which a call without an answer fails.
 const CALL_TIMEOUT: Duration = ms(700);
-/// Interval of the copies from which the store may come back.
-const COPY_INTERVAL: Duration = ms(250);
-const MAX_COPIES: usize = 24;
 const CHECK_INTERVAL: Duration = ms(50);
 const TRAFFIC_INTERVAL: Duration = ms(100);
 /// Requests of each service in that interval.
@@ -112,18 +109,15 @@
 pub(crate) struct Mesh {
     now: Time,
     nodes: Vec<Node>,
-    store: MemoryStore,
+    store: CopiedStore,
     operator: Operator,
     /// Versions of each service that have servers on every host.
     versions: BTreeMap<Name, BTreeSet<Name>>,
-    copies: VecDeque<(Time, Backup)>,
-    is_away: bool,
     /// Whether the operator writes its orders again as soon as the store is back.
     rewrites: bool,
     postponed: Vec<Step>,
     /// Steps that wait for a moment, with the time after it.
     armed: Vec<(Moment, Duration, Step)>,
-    writes: u64,
     last_call: u64,
     /// End of the last disturbance or order so far, and time by which all orders have ended.
     quiet_from: Time,
@@ -153,15 +147,12 @@
         let mut mesh = Self {
             now: Time::default(),
             nodes: (0..NODES).map(|_| Node::default()).collect(),
-            store: MemoryStore::with_limits(Limits::NONE),
+            store: CopiedStore::new(),
             operator: Operator::new(),
             versions: versions.collect(),
-            copies: VecDeque::new(),
-            is_away: false,
             rewrites: false,
             postponed: Vec::new(),
             armed: Vec::new(),
-            writes: 0,
             last_call: 0,
             quiet_from: Time::default().after(WARM_UP),
             end: Time::default().after(WARM_UP),
@@ -170,7 +161,7 @@
             rng: SmallRng::seed_from_u64(seed),
             violation: None,
         };
-        mesh.write_as_servers(3);
+        mesh.store.write_as_servers(3);
         for node in 0..NODES {
             mesh.schedule(ms(0), Work::Start(NodeKey(node)));
         }
@@ -293,9 +284,8 @@
             Work::EndOutage => self.end_outage(),
             Work::Rewrite => self.rewrite(),
             Work::Copy => {
-                if !self.is_away {
-                    self.copies.push_front((self.now, self.store.backup()));
-                    self.copies.truncate(MAX_COPIES);
+                if !self.store.is_away() {
+                    self.store.copy(self.now);
                 }
                 self.schedule(COPY_INTERVAL, Work::Copy);
             }
@@ -501,7 +491,7 @@
 
     fn arrive(&mut self, sent: Box<Sent>) {
         let era = self.store.latest_revision().era;
-        let result = match (&sent.call, self.is_away) {
+        let result = match (&sent.call, self.store.is_away()) {
             (_, true) => Err(Error::Unavailable("away".into())),
             (Call::WatchOrders(after), _) if after.era != era => {
                 Err(Error::HistoryCompacted(*after))
@@ -537,7 +527,7 @@
             false => Duration::ZERO,
         };
         let delay = self.wait(1..6) + self.rng.random_range(Duration::ZERO..=max_delay);
-        let reported = (!self.is_away).then_some(era);
+        let reported = (!self.store.is_away()).then_some(era);
         self.schedule(delay, Work::Answer(sent, Box::new(result), reported));
     }
 
@@ -605,7 +595,7 @@
     fn step(&mut self, step: Step) {
         match step {
             Step::Order(ordered) => {
-                if self.is_away {
+                if self.store.is_away() {
                     return self.postponed.push(step);
                 }
                 let (now, store) = (self.now, &self.store);
@@ -616,13 +606,13 @@
                     self.schedule(wait, Work::SetServers(service, version, true));
                 }
             }
-            Step::ServerWrites(count) => self.write_as_servers(count),
+            Step::ServerWrites(count) => self.store.write_as_servers(count),
             Step::Lose(loss) => self.lose(loss),
             Step::Outage(length) => {
-                if !self.is_away {
+                if !self.store.is_away() {
                     let length = ms(length.into());
                     self.disturb(length);
-                    self.set_away(true);
+                    self.store.set_away(true);
                     self.schedule(length, Work::EndOutage);
                 }
             }
@@ -713,49 +703,27 @@
         }
     }
 
-    fn write_as_servers(&mut self, count: u8) {
-        if self.is_away {
-            return;
-        }
-        for _ in 0..count {
-            self.writes += 1;
-            let key = ObjectKey::new("instances", format!("{}", self.writes % 5));
-            put(&self.store, &key, self.writes.to_string());
-        }
-    }
-
-    fn set_away(&mut self, is_away: bool) {
-        self.is_away = is_away;
-        self.store.set_faults(Faults {
-            outage: is_away,
-            ..Faults::default()
-        });
-    }
-
     fn lose(&mut self, loss: Loss) {
-        if self.is_away {
+        if self.store.is_away() {
             return;
         }
-        let taken = self.now.before(ms(loss.copy_age_ms.into()));
-        let copy = self.copies.iter().find(|(at, _)| *at <= taken);
-        let copy = copy.or(self.copies.back()).map(|(_, copy)| copy.clone());
+        let copied_at = self.now.before(ms(loss.copy_age_ms.into()));
+        let copy = self.store.copy_at(copied_at);
         let away = ms(loss.away_ms.into());
         self.disturb(away + ms(loss.rewritten_after_ms.into()));
-        self.set_away(true);
-        self.schedule(away, Work::Restore(loss, copy.expect("a copy")));
+        self.store.set_away(true);
+        self.schedule(away, Work::Restore(loss, copy));
     }
 
     fn restore(&mut self, loss: Loss, backup: &Backup) {
-        self.store.restore(backup);
-        self.copies.clear();
-        self.copies.push_front((self.now, self.store.backup()));
+        self.store.come_back(self.now, backup);
         self.end_outage();
-        self.write_as_servers(loss.server_writes);
+        self.store.write_as_servers(loss.server_writes);
         self.schedule(ms(loss.rewritten_after_ms.into()), Work::Rewrite);
     }
 
     fn end_outage(&mut self) {
-        self.set_away(false);
+        self.store.set_away(false);
         if std::mem::take(&mut self.rewrites) {
             self.rewrite();
         }
@@ -765,7 +733,7 @@
     }
 
     fn rewrite(&mut self) {
-        if self.is_away {
+        if self.store.is_away() {
             self.rewrites = true;
             return;
         }
--- a/crates/node/tests/rollouts/operator.rs
+++ b/crates/node/tests/rollouts/operator.rs
@@ -2,12 +2,12 @@
 //! the orders.
 
 use crate::plan::{Ordered, Replacement, SERVICES};
+use crate::service;
 use crate::store::{OrderDoc, decode_order, order_key};
-use crate::{ms, service};
-use futures_util::FutureExt;
+use crate::virtual_time::{ms, put};
 use knapweed_node::orders::Progress;
 use knapweed_rollout::{Phase, RolloutState};
-use knapweed_store::{Condition, MemoryStore, ObjectKey, ObjectStore};
+use knapweed_store::MemoryStore;
 use knapweed_world::config::VersionShare;
 use knapweed_world::{Name, Share, Time};
 use std::collections::BTreeMap;
@@ -266,13 +266,3 @@
         Ok(())
     }
 }
-
-/// Writes an object whatever its revision is.
-pub(crate) fn put(store: &MemoryStore, key: &ObjectKey, value: impl Into<bytes::Bytes>) {
-    let current = store.peek(key).map(|object| object.revision);
-    let condition = current.map_or(Condition::Absent, Condition::Revision);
-    let written = store.write(key, value.into(), condition).now_or_never();
-    written
-        .expect("no delay is injected")
-        .expect("the store is up");
-}
--- a/crates/node/tests/rollouts/process.rs
+++ b/crates/node/tests/rollouts/process.rs
@@ -2,8 +2,9 @@
 //! without I/O.
 
 use crate::plan::SERVICES;
+use crate::service;
 use crate::store::{Call, Reply};
-use crate::{ms, service};
+use crate::virtual_time::ms;
 use knapweed_node::control::reports::ReportAggregator;
 use knapweed_node::control::restored::Restores;
 use knapweed_node::control::rollouts::known::{KnownStates, Moved};
