fix(node): an answer of the store that waited for the control thread is old

What callers saw: 404 for a route that was added longer ago than a configuration may take to be in force.

Cause: the age of an answer of the store was measured before the answer was queued for the control thread, and subtracted from the time at which that thread handled it. The time in the queue did not count.

Events of the source carry the time of the state that they describe, not its age, so that waiting makes them older.

The test keeps the control thread busy for 2 s while an answer waits; confirmations hold for 1 s.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -274,8 +274,8 @@
                 self.member_event(now, membership::Event::Members(records));
             }
             Event::LoadedConfig(loaded) => self.config_loaded(loaded),
-            Event::SourceUpdate { update, age } => self.source_updated(update, age),
-            Event::LoadEnded { result, age } => self.load_ended(result, age),
+            Event::SourceUpdate { update, at } => self.source_updated(update, at),
+            Event::LoadEnded { result, at } => self.load_ended(result, at),
             Event::SourceUnavailable => {
                 self.record_store_reachable(now, false);
             }
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -10,11 +10,10 @@
 use knapweed_transport::IncomingStream;
 use knapweed_wire::StreamHead;
 use knapweed_world::backend_server::Announcement;
-use knapweed_world::{Name, TicketNumber};
+use knapweed_world::{Name, TicketNumber, Time};
 use knapweed_zone::directory::SharedRecord;
 use knapweed_zone::floor;
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
 /// Capacity of the event queue of the control thread.
@@ -68,14 +67,14 @@
     /// A watch of the configuration source succeeded.
     SourceUpdate {
         update: SourceUpdate,
-        /// Largest age of the state that it describes.
-        age: Duration,
+        /// Earliest time of the state that it describes.
+        at: Time,
     },
     /// The load of the configuration that was under way has ended.
     LoadEnded {
         result: Result<SourceUpdate, Error>,
-        /// Largest age of the state that it describes.
-        age: Duration,
+        /// Earliest time of the state that it describes.
+        at: Time,
     },
     /// A watch of configurations or orders failed.
     SourceUnavailable,
--- a/crates/node/src/control/loads.rs
+++ b/crates/node/src/control/loads.rs
@@ -7,9 +7,8 @@
 use crate::source::{Error, SourceUpdate};
 use knapweed_observe::part;
 use knapweed_store::{Error as StoreError, Revision};
-use knapweed_world::ConfigVersion;
+use knapweed_world::{ConfigVersion, Time};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// The load that is under way, and those who wait for its result.
@@ -76,24 +75,23 @@
         let timer = self.dependencies.timer.clone();
         let known = self.configs.cache().clone();
         tokio::spawn(async move {
-            let started = timer.now();
+            let at = timer.now();
             // A task of its own: one that panics must not keep all later loads from starting.
             let load = tokio::spawn(async move { source.load(known).await });
             let result = load.await.unwrap_or_else(|err| {
                 log::error!(target: part::CONFIG, "a load of the configuration failed: {err}");
                 Err(Error::Unusable(err.to_string()))
             });
-            let age = timer.now().since(started);
-            handle.send(Event::LoadEnded { result, age }).await;
+            handle.send(Event::LoadEnded { result, at }).await;
         });
     }
 
     /// Applies the result of a load, and passes it to those who wait for it.
-    pub(super) fn load_ended(&mut self, result: Result<SourceUpdate, Error>, age: Duration) {
+    pub(super) fn load_ended(&mut self, result: Result<SourceUpdate, Error>, at: Time) {
         let found = match result {
             Ok(update) => {
                 let found = Found::in_update(&update);
-                self.source_updated(update, age);
+                self.source_updated(update, at);
                 Ok(found)
             }
             Err(err) => {
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -94,9 +94,10 @@
     let known = known_parts(handle).await;
     let started = timer.now();
     let update = source.watch(revision, WATCH_WAIT, known).await?;
-    let age = update.age(timer.now().since(started), WATCH_WAIT);
+    let ended = timer.now();
+    let at = ended.before(update.age(ended.since(started), WATCH_WAIT));
     let found = Found::in_update(&update);
-    handle.send(Event::SourceUpdate { update, age }).await;
+    handle.send(Event::SourceUpdate { update, at }).await;
     Ok(found)
 }
 
@@ -133,11 +134,10 @@
         self.member_event(now, membership::Event::StoreReached(reached));
     }
 
-    pub(super) fn source_updated(&mut self, update: SourceUpdate, age: Duration) {
+    pub(super) fn source_updated(&mut self, update: SourceUpdate, at: Time) {
         let now = self.now();
         self.record_store_reachable(now, true);
         if let Some((era, version)) = self.stored_config.update(&update) {
-            let at = now.before(age);
             self.member_event(now, membership::Event::ConfigConfirmed { era, version, at });
         }
         if let Some(loaded) = update.loaded {
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -9,7 +9,7 @@
 use knapweed_host::drain;
 use knapweed_host::outcome::Answer;
 use knapweed_host::request::{Error, IdLimit};
-use knapweed_host::{Drain, NotRun, Outcome, Unknown, WaitEstimator};
+use knapweed_host::{Drain, NotRun, Outcome, RetryPolicy, Unknown, WaitEstimator, retry};
 use knapweed_link::LinkBudget;
 use knapweed_node::body::{self, RequestBody};
 use knapweed_node::carrier::{Carrier, Response};
@@ -29,7 +29,7 @@
 use knapweed_world::{ConfigVersion, Name, ServerState, Share, SnapshotCell, TicketNumber};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Carrier whose outcome depends on the path of the request.
@@ -299,6 +299,57 @@
     assert_eq!(run(&ingress, "/calendar/ok", &long).await, too_long);
 }
 
+/// Carrier whose first send is lost after it may have run, and whose others are refused.
+#[derive(Default)]
+struct LostThenRefused {
+    has_sent: AtomicBool,
+}
+
+impl Carrier for LostThenRefused {
+    fn carry<'a>(
+        &'a self,
+        _node: SocketAddr,
+        _head: RequestHead,
+        _body: &'a mut RequestBody,
+    ) -> BoxFuture<'a, Response> {
+        let outcome = match self.has_sent.swap(true, Ordering::SeqCst) {
+            false => Outcome::Unknown(Unknown::ConnectionLost),
+            true => Outcome::NotRun(NotRun::NoServer),
+        };
+        Box::pin(async move { Response::without_answer(outcome) })
+    }
+}
+
+/// Guards against a request that may have run and is reported as not run, because its repeat was
+/// refused.
+#[tokio::test]
+async fn a_refused_repeat_does_not_mean_that_the_request_has_not_run() {
+    let mut config = config();
+    let route = config.routes.get_mut(&name("calendar")).expect("the route");
+    route.idempotence = Idempotence::Always;
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let server = |port| Announcement {
+        service: name("calendar"),
+        version: name("v1"),
+        address: address(port),
+        slots: 12,
+        max_connections: 110,
+        state: ServerState::Ready,
+        instance: None,
+        is_cold: false,
+    };
+    let mut host = local("a1", "labasa-a", "labasa");
+    host.announcements = vec![server(3), server(4)];
+    let snapshot = Builder::new(host.name.clone(), &config).hosts([host]);
+    let snapshots = SnapshotCell::new(snapshot.build().expect("a valid mesh"));
+    let mut dependencies = dependencies(Arc::new(snapshots), &Metrics::new(), Drain::default());
+    dependencies.local = Box::new(LostThenRefused::default());
+    dependencies.retries = Arc::new(RetryPolicy::new(retry::Options::default().percent(100)));
+    let ingress = Ingress::new(dependencies);
+    let lost = Outcome::Unknown(Unknown::ConnectionLost);
+    assert_eq!(run(&ingress, "/calendar/1", &[]).await, lost);
+}
+
 /// Guards against server errors, refusals and requests without a route being
 /// counted for the wrong service or not at all.
 #[tokio::test]
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -6,6 +6,7 @@
 mod deltas;
 mod endless;
 mod foreign_answers;
+mod late_answers;
 mod limits;
 mod loads;
 mod long_heads;
