fix(node): a refused repeat does not mean that the request has not run

What callers saw: 503, which promises that a request has not run, for an idempotent request whose first send was lost while a backend server may have run it, when a repeat was refused. Requests that may run once only were not concerned: they get no repeat after an unknown outcome.

Cause: the ingress reported the outcome of the last send. Only the paths without a further choice preferred an earlier one.

SendOutcomes decides what is reported: a refusal of the last send does not replace an earlier send that may have run.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -26,7 +26,7 @@
 pub use crash::CrashMemory;
 pub use drain::Drain;
 pub use inquiry::{ExchangeStore, Inquiry};
-pub use outcome::{Answer, NotRun, Outcome, Unknown};
+pub use outcome::{Answer, NotRun, Outcome, SendOutcomes, Unknown};
 pub use request::{RequestId, SendId};
 pub use retry::RetryPolicy;
 pub use wait_estimator::WaitEstimator;
--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -202,6 +202,34 @@
     }
 }
 
+/// Outcomes of the sends of one request so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SendOutcomes {
+    /// That of the first send that may have run.
+    may_have_run: Option<Outcome>,
+    /// That of the last send.
+    last: Option<Outcome>,
+}
+
+impl SendOutcomes {
+    /// Adds the outcome of a further send.
+    pub fn add(&mut self, outcome: Outcome) {
+        let is_refusal = matches!(outcome, Outcome::NotRun(_));
+        self.last = Some(outcome);
+        self.may_have_run = self.may_have_run.or((!is_refusal).then_some(outcome));
+    }
+
+    /// What is reported if there is no further send; `None` before the first one.
+    ///
+    /// A refusal of the last send says nothing about an earlier one that may have run.
+    pub fn reported(&self) -> Option<Outcome> {
+        match (self.last, self.may_have_run) {
+            (Some(Outcome::NotRun(_)), Some(earlier)) => Some(earlier),
+            (last, _) => last,
+        }
+    }
+}
+
 impl fmt::Display for Outcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}: {}", self.label(), self.reason())
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -10,7 +10,7 @@
 use knapweed_host::crash::{CrashId, CrashSubjects, MAX_CRASHES, Suspicion};
 use knapweed_host::request::Request;
 use knapweed_host::retry::{Body, Decision, Failure, Stop, may_have_arrived};
-use knapweed_host::{Answer, NotRun, Outcome, SendId, Unknown};
+use knapweed_host::{Answer, NotRun, Outcome, SendId, SendOutcomes, Unknown};
 use knapweed_wire::{Header, RequestHead, ResponseHead};
 use knapweed_world::link::Distance;
 use knapweed_world::{BackendServer, BackendServerKey, Flow, Share, Snapshot, Time};
@@ -40,7 +40,7 @@
     ) -> Result<Response, Outcome> {
         let mut excluded = Exclusions::default();
         let version_draw = rand::random_range(0..Share::ALL.0);
-        let mut last_outcome = None;
+        let mut outcomes = SendOutcomes::default();
         let service = self.snapshot.service(self.request.service);
         let policy = &self.ingress.dependencies.retries;
         policy.arrived(self.request.depth, &service.retry_tokens);
@@ -53,7 +53,7 @@
                 Suspicion::Suspected => is_suspect = true,
                 Suspicion::Convicted => {
                     let refused = Outcome::NotRun(NotRun::CrashesServers);
-                    return Err(last_outcome.unwrap_or(refused));
+                    return Err(outcomes.reported().unwrap_or(refused));
                 }
             }
             let query = Query {
@@ -73,11 +73,11 @@
                 .choose(self.snapshot, &query);
             let choice = match choice {
                 Ok(choice) => choice,
-                // When every backend server was tried, the outcome of the last
-                // attempt is more informative than the failed choice.
+                // When every backend server was tried, the outcomes of the sends are more
+                // informative than the failed choice.
                 Err(reason) => {
                     log.not_placed(reason);
-                    let outcome = last_outcome.unwrap_or(Outcome::NotRun(reason));
+                    let outcome = outcomes.reported().unwrap_or(Outcome::NotRun(reason));
                     return Ok(with_retry_after(
                         Response::without_answer(outcome),
                         soonest_retry_us,
@@ -101,6 +101,7 @@
             // MAX_CRASHES backend servers (requirement B7).
             crashes += usize::from(outcome == Outcome::Unknown(Unknown::ServerCrashed));
             sends += u8::from(may_have_arrived(outcome));
+            outcomes.add(outcome);
             let failure = self.failure(outcome, tries, sends, &body);
             let now = self.ingress.dependencies.timer.now();
             let decision = match crashes >= MAX_CRASHES {
@@ -115,10 +116,13 @@
                 decision,
             });
             if decision != Decision::Retry {
+                let response = match outcomes.reported() {
+                    Some(reported) if reported != outcome => Response::without_answer(reported),
+                    _ => response,
+                };
                 return Ok(with_retry_after(response, soonest_retry_us));
             }
             excluded.add(choice.server, exclusion_scope(outcome));
-            last_outcome = Some(outcome);
         }
         Err(Outcome::NotRun(NotRun::NoServer))
     }
