feat(node): count refusals and rejected answers by reason

What callers saw: a status from 300 to 499 or a 503 whose reason was in no metric. The log has it, but its lines are limited and may be left out.

Cause: counters existed by outcome only, and the interpretation of an answer returned the outcome instead of the reason.

Change: - knapweed_request_refusals by the reason that the caller was given (20 values), which includes refusals by a node that does not serve; these are in knapweed_requests_not_run now as well. - knapweed_request_answers by the class of the status that was passed on. - knapweed_answers_rejected by reason (4 values), on the host of the backend server, and a line "answer rejected" with the id of the request. - knapweed_requests_refused_unread has the label reason, so that 400 differs from 414 and 431. All counts are atomics in a table that is made when the node starts.

--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -126,6 +126,30 @@
 }
 
 impl NotRun {
+    /// All reasons, in the order of their discriminants.
+    pub const ALL: [Self; 20] = [
+        Self::NoRoute,
+        Self::OutdatedConfig,
+        Self::InvalidHeader,
+        Self::TooDeep,
+        Self::NoServer,
+        Self::DeadlinePassed,
+        Self::Overloaded,
+        Self::ShedByServer,
+        Self::ReplacedServer,
+        Self::Draining,
+        Self::Guarded,
+        Self::NotServing,
+        Self::ConnectFailed,
+        Self::NeverRan,
+        Self::CrashesServers,
+        Self::CrashSuspect,
+        Self::InvalidBody,
+        Self::BodyLost,
+        Self::HeadersTooLong,
+        Self::TooLongToForward,
+    ];
+
     /// HTTP status of the response.
     ///
     /// Errors in the request itself get a 4xx status, so that callers do not
@@ -159,6 +183,32 @@
         matches!(self, Self::Overloaded | Self::ShedByServer)
     }
 
+    /// The reason as a value of a metric's label: the name of the variant in kebab case.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no-route",
+            Self::OutdatedConfig => "outdated-config",
+            Self::InvalidHeader => "invalid-header",
+            Self::TooDeep => "too-deep",
+            Self::NoServer => "no-server",
+            Self::DeadlinePassed => "deadline-passed",
+            Self::Overloaded => "overloaded",
+            Self::ShedByServer => "shed-by-server",
+            Self::ReplacedServer => "replaced-server",
+            Self::Draining => "draining",
+            Self::Guarded => "guarded",
+            Self::NotServing => "not-serving",
+            Self::ConnectFailed => "connect-failed",
+            Self::NeverRan => "never-ran",
+            Self::CrashesServers => "crashes-servers",
+            Self::CrashSuspect => "crash-suspect",
+            Self::InvalidBody => "invalid-body",
+            Self::BodyLost => "body-lost",
+            Self::HeadersTooLong => "headers-too-long",
+            Self::TooLongToForward => "too-long-to-forward",
+        }
+    }
+
     /// The reason as a sentence without a period.
     pub const fn text(self) -> &'static str {
         match self {
--- a/crates/host/tests/outcome.rs
+++ b/crates/host/tests/outcome.rs
@@ -45,3 +45,14 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against a metric that counts a refusal under the reason of another one, or under none.
+#[test]
+fn reasons_of_refusals_as_label_values() {
+    let mut out = String::new();
+    for (index, reason) in NotRun::ALL.into_iter().enumerate() {
+        assert_eq!(reason as usize, index, "{reason:?}");
+        writeln!(out, "{} {}", reason.status(), reason.label()).expect("a string");
+    }
+    insta::assert_snapshot!(out);
+}
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -10,10 +10,10 @@
 use gotham::state::State;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use knapweed_observe::metrics::LabeledCounter;
 use knapweed_observe::{Metrics, part};
 use knapweed_timer::TimerService;
 use knapweed_world::{SnapshotCell, Time};
-use prometheus_client::metrics::counter::Counter;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, UnwindSafe};
@@ -83,7 +83,29 @@
 /// Counters of the connections of callers; clones share them.
 #[derive(Clone, Debug)]
 pub struct ConnectionMetrics {
-    unread: Counter,
+    /// Requests refused before a handler read them, by [`Unread`].
+    unread: LabeledCounter,
+}
+
+/// Why a request was refused before a handler read it.
+#[derive(Clone, Copy, Debug)]
+enum Unread {
+    /// The head is malformed: status 400.
+    Malformed,
+    /// The request target or the head is too long: status 414 or 431.
+    TooLong,
+}
+
+impl Unread {
+    /// Values of the label of the metric, in the order of the variants.
+    const LABELS: [&str; 2] = ["malformed", "too-long"];
+
+    fn of(err: &hyper::Error) -> Self {
+        match err.is_parse_too_large() {
+            true => Self::TooLong,
+            false => Self::Malformed,
+        }
+    }
 }
 
 impl ConnectionMetrics {
@@ -92,8 +114,8 @@
         Self {
             unread: metrics.register(
                 "requests_refused_unread",
-                "Requests refused before a handler read them",
-                Counter::default(),
+                "Requests refused before a handler read them, by reason",
+                LabeledCounter::new("reason", Unread::LABELS),
             ),
         }
     }
@@ -222,7 +244,8 @@
         };
         match result {
             Err(err) if err.is_parse() => {
-                self.dependencies.metrics.unread.inc();
+                let reason = Unread::of(&err);
+                self.dependencies.metrics.unread.inc(reason as usize);
                 request_log::refused_unread(self.from, &err);
             }
             Err(err) => {
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -10,7 +10,7 @@
 
 use crate::body::{Body, MAX_BUFFERED_RESPONSES_LEN};
 use crate::carrier::Response;
-use crate::protocol::ServerProtocol;
+use crate::protocol::{Mismatch, ServerProtocol};
 use crate::request_log::EgressLog;
 use crate::trial::Trials;
 use arc_swap::ArcSwap;
@@ -21,6 +21,7 @@
 use knapweed_host::crash::{CrashCounts, CrashDigest, CrashRecord};
 use knapweed_host::{ByteBudget, NotRun, Outcome};
 use knapweed_link::{Backlog, LinkRate};
+use knapweed_observe::metrics::LabeledCounter;
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
 use knapweed_world::backend_server::{Announcement, ServerState};
@@ -62,6 +63,7 @@
                 leaving: Arc::default(),
                 uplink: None,
                 buffered: Arc::new(ByteBudget::new(MAX_BUFFERED_RESPONSES_LEN)),
+                rejections: LabeledCounter::new("reason", Mismatch::ALL.map(Mismatch::label)),
                 timer,
             },
         }
@@ -78,6 +80,11 @@
         &self.shared.crashes
     }
 
+    /// Counts the answers of backend servers that are not passed on, by [`Mismatch`].
+    pub fn rejections(&self) -> &LabeledCounter {
+        &self.shared.rejections
+    }
+
     /// The header format of the backend servers.
     pub fn protocol(&self) -> &dyn ServerProtocol {
         &*self.shared.protocol
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -16,6 +16,7 @@
 };
 use knapweed_host::{Admission, ByteBudget, NotRun, Outcome};
 use knapweed_link::Backlog;
+use knapweed_observe::metrics::LabeledCounter;
 use knapweed_observe::part;
 use knapweed_rollout::counters::{Sample, Warmth};
 use knapweed_timer::TimerService;
@@ -62,6 +63,7 @@
     leaving: Arc<Mutex<Vec<Announcement>>>,
     uplink: Option<Arc<Backlog>>,
     buffered: Arc<ByteBudget>,
+    rejections: LabeledCounter,
     timer: TimerService,
 }
 
@@ -77,6 +79,8 @@
     pub(super) uplink: Option<Arc<Backlog>>,
     /// Limits the response bodies that are kept until their callers have read them.
     pub(super) buffered: Arc<ByteBudget>,
+    /// Counts the responses that do not answer their request, by reason.
+    pub(super) rejections: LabeledCounter,
     pub(super) timer: TimerService,
 }
 
@@ -123,6 +127,7 @@
             leaving: shared.leaving,
             uplink: shared.uplink,
             buffered: shared.buffered,
+            rejections: shared.rejections,
             timer: shared.timer,
         }
     }
@@ -278,6 +283,7 @@
             server: &self.announcement,
             protocol: &*self.protocol,
             buffered: &self.buffered,
+            rejections: &self.rejections,
             timer,
             head,
             deadline,
--- a/crates/node/src/egress/exchange.rs
+++ b/crates/node/src/egress/exchange.rs
@@ -2,17 +2,18 @@
 
 use super::dispatcher::Slot;
 use super::pool::{Pool, PooledConnection};
-
 use crate::body::{self, Body, LimitedRead, ReadToEnd, TrackedBody};
 use crate::carrier::Response;
 use crate::guarded::CompletionGuard;
 use crate::headers;
-use crate::protocol::{ServerAnswer, ServerNotice, ServerProtocol};
+use crate::protocol::{Mismatch, ServerAnswer, ServerNotice, ServerProtocol};
+use crate::request_log;
 use crate::streamed::{Deadline, StreamedBody};
-use http::{Method, Request, Uri};
+use http::{Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use knapweed_host::{Answer, ByteBudget, NotRun, Outcome, Unknown};
+use knapweed_observe::metrics::LabeledCounter;
 use knapweed_observe::part;
 use knapweed_timer::TimerService;
 use knapweed_wire::{RequestHead, ResponseHead};
@@ -43,6 +44,8 @@
     pub(super) observe: &'a (dyn Fn(ServerNotice) + Send + Sync),
     /// Limits the response bodies that are buffered.
     pub(super) buffered: &'a Arc<ByteBudget>,
+    /// Counts the responses that do not answer the request, by [`Mismatch`].
+    pub(super) rejections: &'a LabeledCounter,
     pub(super) timer: TimerService,
     pub(super) head: RequestHead,
     pub(super) deadline: Time,
@@ -117,6 +120,13 @@
         Err(Outcome::NotRun(NotRun::ConnectFailed))
     }
 
+    /// Counts and logs a response that does not answer the request; returns the outcome.
+    fn reject(&self, reason: Mismatch, status: StatusCode) -> Outcome {
+        self.rejections.inc(reason as usize);
+        request_log::answer_rejected(&self.head, status.as_u16(), reason);
+        Outcome::Unknown(Unknown::ForeignResponse)
+    }
+
     /// Logs a response that is not one in the protocol, or whose head is too long.
     fn log_unreadable(&self, err: &hyper::Error) {
         if err.is_parse() {
@@ -144,12 +154,12 @@
                 (self.observe)(self.protocol.notice(&parts));
                 return Err(Outcome::NotRun(reason));
             }
-            ServerAnswer::RefusedUnnamed(_) => {
-                return Err(Outcome::Unknown(Unknown::ForeignResponse));
-            }
             // Dropping `running` closes the connection: anything else that arrives on
             // it belongs to no known request.
-            ServerAnswer::Mismatched(reason) => return Err(Outcome::Unknown(reason)),
+            ServerAnswer::RefusedUnnamed(_) => {
+                return Err(self.reject(Mismatch::UnnamedRefusal, parts.status));
+            }
+            ServerAnswer::Mismatched(reason) => return Err(self.reject(reason, parts.status)),
         }
         let head = ResponseHead {
             outcome: Outcome::Answered(Answer::Complete),
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -142,9 +142,7 @@
         set_default_retry_after(&mut response);
         log.record_outcome(&response.head);
         let latency = self.dependencies.timer.now().since(start);
-        self.dependencies
-            .metrics
-            .count(response.head.outcome, latency);
+        self.dependencies.metrics.count(&response.head, latency);
         if let Some(service) = service {
             let service = snapshot.service(service);
             metrics::count_service(&service.counters, &response.head, latency);
@@ -169,6 +167,7 @@
         let mut log = IngressLog::new(&snapshot, &self.dependencies.timer);
         log.set_caller_id(self.dependencies.protocol.id(&request.headers));
         log.record_outcome(&response.head);
+        self.dependencies.metrics.count_refusal(reason);
         response
     }
 
--- a/crates/node/src/operators/node_metrics.rs
+++ b/crates/node/src/operators/node_metrics.rs
@@ -109,6 +109,12 @@
                 bytes,
             )?;
         }
+        encode(
+            &mut encoder,
+            "knapweed_answers_rejected",
+            "Answers of backend servers that were not passed on, by reason",
+            self.egress.rejections().clone(),
+        )?;
         let mut counter =
             |name, help, value: u64| encode(&mut encoder, name, help, ConstCounter::new(value));
         counter(
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -10,7 +10,7 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::response;
 use knapweed_host::request::{Error, IdLimit};
-use knapweed_host::{NotRun, Outcome, Unknown};
+use knapweed_host::{NotRun, Outcome};
 use knapweed_wire::RequestHead;
 use knapweed_world::backend_server::Announcement;
 use knapweed_world::load::RequestRate;
@@ -64,9 +64,51 @@
     /// It may repeat an earlier refusal on the connection. It counts only as the first
     /// response on a connection, which is then not used again.
     RefusedUnnamed(NotRun),
-    /// The response belongs to another request, or comes from another process than
-    /// the expected backend server.
-    Mismatched(Unknown),
+    /// The response is not passed on, since it does not answer the request.
+    Mismatched(Mismatch),
+}
+
+/// Why the response of a backend server does not answer the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mismatch {
+    /// It names another request, or none.
+    OtherRequest,
+    /// It lacks the signature of the backend server.
+    Unsigned,
+    /// Its status means to callers that the request has not run, which it does not say.
+    ReservedStatus,
+    /// It is a refusal that names no request, and not the first response on its connection.
+    UnnamedRefusal,
+}
+
+impl Mismatch {
+    /// All reasons, in the order of their discriminants.
+    pub const ALL: [Self; 4] = [
+        Self::OtherRequest,
+        Self::Unsigned,
+        Self::ReservedStatus,
+        Self::UnnamedRefusal,
+    ];
+
+    /// The reason as a value of a metric's label.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::OtherRequest => "other-request",
+            Self::Unsigned => "unsigned",
+            Self::ReservedStatus => "reserved-status",
+            Self::UnnamedRefusal => "unnamed-refusal",
+        }
+    }
+
+    /// The reason as a sentence without a period.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::OtherRequest => "it does not name the request",
+            Self::Unsigned => "it has no signature",
+            Self::ReservedStatus => "its status is that of a refusal, which it does not name",
+            Self::UnnamedRefusal => "it may repeat an earlier refusal on the connection",
+        }
+    }
 }
 
 /// What a backend server states about itself in an answer.
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -5,6 +5,7 @@
 //! made it. Each of the two kinds has its own rate limit, so that a high rate of
 //! successful requests does not suppress the lines about failures.
 
+use crate::protocol::Mismatch;
 use bytes::Bytes;
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::uri::Uri;
@@ -376,6 +377,22 @@
     }
 }
 
+/// Logs at the egress that a response of a backend server does not answer its request.
+pub(crate) fn answer_rejected(head: &RequestHead, status: u16, reason: Mismatch) {
+    if let Some(left_out) = permit(false) {
+        log::info!(
+            target: part::EGRESS,
+            request:% = RequestId(head.caller_id.as_ref()),
+            route:% = head.route,
+            server:% = head.address,
+            version:% = head.version,
+            status = status,
+            left_out = left_out.0;
+            "answer rejected: {}", reason.text()
+        );
+    }
+}
+
 /// Logs at the egress that the caller or its ingress cancelled a request.
 pub(crate) fn cancelled(id: Option<&Bytes>, from: &dyn fmt::Display) {
     if let Some(left_out) = permit(false) {
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -29,7 +29,7 @@
 use knapweed_world::{ConfigVersion, Name, ServerState, Share, SnapshotCell, TicketNumber};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Carrier whose outcome depends on the path of the request.
@@ -44,6 +44,7 @@
     ) -> BoxFuture<'a, Response> {
         let (outcome, status) = match &head.path[..] {
             b"/calendar/ok" => (Outcome::Answered(Answer::Complete), 200),
+            b"/calendar/missing" => (Outcome::Answered(Answer::Complete), 404),
             b"/calendar/broken" => (Outcome::Answered(Answer::Complete), 502),
             b"/calendar/shed" => (Outcome::NotRun(NotRun::Overloaded), 0),
             b"/calendar/replaced" => (Outcome::NotRun(NotRun::ReplacedServer), 0),
@@ -323,6 +324,40 @@
     insta::assert_snapshot!(format!("{}\n{counts:#?}", node.join("\n")));
 }
 
+/// Guards against refusals whose reason is in no metric: who was on call had to find it in the
+/// log, whose lines are limited.
+#[tokio::test]
+async fn refusals_are_counted_by_reason() {
+    let metrics = Metrics::new();
+    let snapshots = snapshots(local("a1", "labasa-a", "labasa"));
+    let dependencies = dependencies(snapshots, &metrics, Drain::default());
+    let (currency, timer) = (
+        Arc::clone(&dependencies.currency),
+        dependencies.timer.clone(),
+    );
+    let ready = Arc::clone(&dependencies.ready);
+    let ingress = Ingress::new(dependencies);
+    run(&ingress, "/nowhere", &[]).await;
+    currency.set_until(timer.now().after(Duration::from_secs(60)));
+    run(&ingress, "/nowhere", &[]).await;
+    for path in ["ok", "broken", "missing", "shed", "crash"] {
+        run(&ingress, &format!("/calendar/{path}"), &[]).await;
+    }
+    for (header, value) in [
+        ("knapweed-depth", "8"),
+        ("knapweed-depth", "x"),
+        ("knapweed-deadline-ms", "0"),
+    ] {
+        run(&ingress, "/calendar/ok", &[(header, value)]).await;
+    }
+    ready.store(false, Ordering::Relaxed);
+    run(&ingress, "/calendar/ok", &[]).await;
+    let text = metrics.to_text();
+    let samples = text.lines().filter(|l| l.contains("_total"));
+    let samples: Vec<_> = samples.filter(|l| !l.ends_with(" 0")).collect();
+    insta::assert_snapshot!(samples.join("\n"));
+}
+
 async fn run(ingress: &Ingress, path: &str, headers: &[(&'static str, &str)]) -> Outcome {
     let mut fields = HeaderMap::new();
     for (name, value) in headers {
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -6,9 +6,13 @@
 use parking_lot::Mutex;
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeMetric, MetricEncoder, NoLabelSet};
+use prometheus_client::metrics::MetricType;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Metric, Registry};
+use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Content type of [`Metrics::to_text`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -21,6 +25,61 @@
 /// is 6.6 s.
 const LATENCY_BUCKETS: u16 = 18;
 
+/// A counter with one label, whose values are known when it is created.
+///
+/// Clones share the counts. An increment takes one atomic operation and no lock, and the
+/// samples are exported in the order of the values.
+#[derive(Clone, Debug)]
+pub struct LabeledCounter {
+    label: &'static str,
+    samples: Arc<[LabeledSample]>,
+}
+
+/// The count of one value of the label.
+#[derive(Debug)]
+struct LabeledSample {
+    value: &'static str,
+    count: AtomicU64,
+}
+
+impl LabeledCounter {
+    /// Creates a counter with the label `label` for each of `values`.
+    pub fn new(label: &'static str, values: impl IntoIterator<Item = &'static str>) -> Self {
+        let sample = |value| LabeledSample {
+            value,
+            count: AtomicU64::new(0),
+        };
+        Self {
+            label,
+            samples: values.into_iter().map(sample).collect(),
+        }
+    }
+
+    /// Increments the count of the value at `index`. An index without a value is ignored.
+    pub fn inc(&self, index: usize) {
+        debug_assert!(index < self.samples.len(), "no value at {index}");
+        if let Some(sample) = self.samples.get(index) {
+            sample.count.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl EncodeMetric for LabeledCounter {
+    fn encode(&self, mut encoder: MetricEncoder<'_>) -> fmt::Result {
+        for sample in self.samples.iter() {
+            let count = sample.count.load(Ordering::Relaxed);
+            encoder
+                .encode_family(&[(self.label, sample.value)])?
+                .encode_counter::<NoLabelSet, _, u64>(&count, None)?;
+        }
+        Ok(())
+    }
+
+    fn metric_type(&self) -> MetricType {
+        MetricType::Counter
+    }
+}
+
 /// Handle to the metrics of this process; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
