fix(zone): fetch a configuration that cannot be applied after a backoff

What callers saw: nothing directly.

Cause: the control thread reported an answer that cannot be applied as a fetch that failed, which only forgets the source until its next message. The event for a refused version existed, but nothing sent it, and it would have kept the node from that version and all older ones until it ends.

Change: a refused version is held back with full jitter, up to 100 ms first, doubling up to 10 s. A newer version is fetched at once, and so is an older one, which other nodes could apply.

Test: a_version_that_cannot_be_applied_is_fetched_after_a_backoff, four peers that send a message each 50 ms for 60 s of virtual time.

The glue of the property test of the configuration sends the same event as the control thread now.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -326,7 +326,11 @@
         match self.build_snapshot() {
             Ok(snapshot) => self.install_snapshot(snapshot),
             // The previous snapshot stays in force unchanged.
-            Err(err) => log::error!(target: part::CONFIG, "kept the old snapshot: {err}"),
+            Err(err) => {
+                log::error!(target: part::CONFIG, "kept the old snapshot: {err}");
+                let version = self.configs.head().version;
+                self.member_event(self.now(), membership::Event::ConfigRefused(version));
+            }
         }
     }
 
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -91,18 +91,22 @@
                 if newer {
                     self.outdate_snapshot(Staleness::ConfigChanged);
                     self.config_problems = 0;
+                } else if self.configs.head().version > self.dependencies.snapshots.load().version()
+                {
+                    // It could not be applied, or will be with the next snapshot.
+                    self.outdate_snapshot(Staleness::ConfigChanged);
                 }
             }
             Err(err) => {
                 log::warn!(target: part::CONFIG, "refused the configuration of {from}: {err}");
-                self.member_event(now, membership::Event::FetchFailed { from });
+                self.member_event(now, membership::Event::AnswerRefused { from });
             }
         }
     }
 
     pub(super) fn unreadable_delta(&mut self, from: SocketAddr) {
         self.configs.delta_was_unreadable();
-        self.member_event(self.now(), membership::Event::FetchFailed { from });
+        self.member_event(self.now(), membership::Event::AnswerRefused { from });
     }
 
     pub(super) fn config_loaded(&mut self, loaded: LoadedConfig) {
--- a/crates/node/tests/configuration/process.rs
+++ b/crates/node/tests/configuration/process.rs
@@ -181,9 +181,8 @@
         let applied = delta.map(|delta| self.configs.apply_delta(delta));
         match applied {
             Some(Ok(newer)) => self.applied(now, newer),
-            Some(Err(_)) | None => {
-                self.member_event(now, membership::Event::FetchFailed { from });
-            }
+            Some(Err(_)) => self.member_event(now, membership::Event::AnswerRefused { from }),
+            None => self.member_event(now, membership::Event::FetchFailed { from }),
         }
     }
 
--- a/crates/zone/src/dissemination.rs
+++ b/crates/zone/src/dissemination.rs
@@ -222,6 +222,12 @@
         next.map(Request::FetchConfig).into_iter().collect()
     }
 
+    /// Handles an answer to a configuration fetch that this node cannot apply.
+    pub(crate) fn answer_refused(&mut self, now: Time, from: SocketAddr) -> Vec<Request> {
+        let next = self.fetch.answer_refused(now, from, &mut self.rng);
+        next.map(Request::FetchConfig).into_iter().collect()
+    }
+
     /// Handles a failed configuration fetch.
     pub(crate) fn fetch_failed(&mut self, now: Time, from: SocketAddr) -> Vec<Request> {
         let next = self.fetch.failed(now, from, &mut self.rng);
--- a/crates/zone/src/dissemination/fetch.rs
+++ b/crates/zone/src/dissemination/fetch.rs
@@ -17,6 +17,15 @@
 pub const BUSY_DELAY: Duration = Duration::from_millis(100);
 /// Upper limit of the random time added to [`BUSY_DELAY`].
 pub const BUSY_JITTER: Duration = Duration::from_millis(100);
+/// Upper limit of the wait after the first refusal of a version; it doubles with each further
+/// refusal, up to [`MAX_REFUSED_DELAY`].
+pub const REFUSED_DELAY: Duration = Duration::from_millis(100);
+/// Upper limit of the wait after any refusal of a version.
+pub const MAX_REFUSED_DELAY: Duration = Duration::from_secs(10);
+/// Maximum number of refused versions that are remembered.
+const MAX_REFUSALS: usize = MAX_SOURCES;
+/// Maximum number of doublings of [`REFUSED_DELAY`], which keeps the shift from overflowing.
+const MAX_DOUBLINGS: u32 = 16;
 /// Maximum number of sources of newer versions that are remembered.
 pub const MAX_SOURCES: usize = 8;
 
@@ -37,11 +46,35 @@
     }
 }
 
+/// A version that this node could not apply.
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    version: ConfigVersion,
+    count: u32,
+    /// Time until which the version is not fetched again.
+    held_until: Time,
+}
+
+impl Refusal {
+    /// Refuses the version once more, and holds it back for a random time up to a limit that
+    /// doubles with each refusal. A refusal while it is held back changes nothing.
+    fn repeat(&mut self, now: Time, rng: &mut impl Rng) {
+        if now < self.held_until {
+            return;
+        }
+        let longest = REFUSED_DELAY * (1 << self.count.min(MAX_DOUBLINGS));
+        let longest = longest.min(MAX_REFUSED_DELAY);
+        self.held_until = now.after(longest.mul_f64(rng.random_range(0.0..1.0)));
+        self.count = self.count.saturating_add(1);
+    }
+}
+
 /// Scheduler of configuration fetches, with at most one in progress.
 #[derive(Debug, Default)]
 pub struct Fetch {
     applied: ConfigVersion,
-    refused: ConfigVersion,
+    /// Versions above `applied` that could not be applied, in the order of their refusal.
+    refused: Vec<Refusal>,
     sources: Vec<Source>,
     outstanding: Option<Outstanding>,
 }
@@ -50,6 +83,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Outstanding {
     from: SocketAddr,
+    /// Version that the source had reported when it was asked.
+    version: ConfigVersion,
     deadline: Time,
 }
 
@@ -65,7 +100,7 @@
         delay: Duration,
         rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
-        if version <= self.applied.max(self.refused) {
+        if version <= self.applied {
             return None;
         }
         let known = self.sources.iter().find(|s| s.address == address);
@@ -92,19 +127,43 @@
         rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
         self.applied = self.applied.max(version);
-        self.discard_outdated(now, rng)
+        let applied = self.applied;
+        self.refused.retain(|r| r.version > applied);
+        self.sources.retain(|s| s.version > applied);
+        let asked_source = self.outstanding.map(|o| o.from);
+        if self.sources.iter().all(|s| Some(s.address) != asked_source) {
+            self.outstanding = None;
+        }
+        self.next(now, rng)
     }
 
-    /// Records that `version` failed to apply; neither it nor an older one is fetched
-    /// again.
+    /// Records that `version` failed to apply; it is fetched again after a backoff with full
+    /// jitter. Other versions are not held back.
     pub fn refused(
         &mut self,
         now: Time,
         version: ConfigVersion,
         rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
-        self.refused = self.refused.max(version);
-        self.discard_outdated(now, rng)
+        if version > self.applied {
+            self.hold_back(now, version, rng);
+        }
+        if let Some(asked) = self.outstanding.take_if(|o| o.version <= version) {
+            self.demote(asked.from);
+        }
+        self.next(now, rng)
+    }
+
+    /// Handles an answer of the node at `address` that cannot be applied, like
+    /// [`Fetch::refused`] with the version that the node had reported.
+    pub fn answer_refused(
+        &mut self,
+        now: Time,
+        address: SocketAddr,
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        let asked = self.outstanding.filter(|o| o.from == address)?;
+        self.refused(now, asked.version, rng)
     }
 
     /// Handles a failed fetch from the node at `address`, and forgets that source.
@@ -153,28 +212,39 @@
             return self.next(now, rng);
         };
         self.outstanding = None;
-        // Moves the source that did not answer to the end of the order of preference.
-        if let Some(index) = self
-            .sources
-            .iter()
-            .position(|s| s.address == timed_out.from)
-        {
-            let source = self.sources.remove(index);
-            self.sources.insert(0, source);
-        }
+        self.demote(timed_out.from);
         self.next(now, rng)
     }
 }
 
 impl Fetch {
-    fn discard_outdated(&mut self, now: Time, rng: &mut impl Rng) -> Option<SocketAddr> {
-        let known = self.applied.max(self.refused);
-        self.sources.retain(|s| s.version > known);
-        let asked_source = self.outstanding.map(|o| o.from);
-        if self.sources.iter().all(|s| Some(s.address) != asked_source) {
-            self.outstanding = None;
+    /// Moves a source to the end of the order of preference.
+    fn demote(&mut self, address: SocketAddr) {
+        if let Some(index) = self.sources.iter().position(|s| s.address == address) {
+            let source = self.sources.remove(index);
+            self.sources.insert(0, source);
         }
-        self.next(now, rng)
+    }
+
+    fn hold_back(&mut self, now: Time, version: ConfigVersion, rng: &mut impl Rng) {
+        if let Some(refusal) = self.refused.iter_mut().find(|r| r.version == version) {
+            return refusal.repeat(now, rng);
+        }
+        if self.refused.len() == MAX_REFUSALS {
+            self.refused.remove(0);
+        }
+        let mut refusal = Refusal {
+            version,
+            count: 0,
+            held_until: now,
+        };
+        refusal.repeat(now, rng);
+        self.refused.push(refusal);
+    }
+
+    fn is_held_back(&self, now: Time, version: ConfigVersion) -> bool {
+        let mut refused = self.refused.iter();
+        refused.any(|r| r.version == version && now < r.held_until)
     }
 
     /// Starts a fetch from the source that reported most recently, unless one is in
@@ -183,10 +253,15 @@
         if self.outstanding.is_some() {
             return None;
         }
-        let from = self.sources.iter().rfind(|s| s.is_ready(now))?.address;
+        let is_ready = |s: &&Source| s.is_ready(now) && !self.is_held_back(now, s.version);
+        let source = *self.sources.iter().rfind(is_ready)?;
         let jitter = FETCH_JITTER.mul_f64(rng.random_range(0.0..1.0));
         let deadline = now.after(FETCH_TIMEOUT + jitter);
-        self.outstanding = Some(Outstanding { from, deadline });
-        Some(from)
+        self.outstanding = Some(Outstanding {
+            from: source.address,
+            version: source.version,
+            deadline,
+        });
+        Some(source.address)
     }
 }
--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -95,8 +95,13 @@
     },
     /// This node has applied a configuration version.
     ConfigApplied(ConfigVersion),
-    /// This node has fetched a configuration version that it cannot apply.
+    /// This node holds a configuration version that it cannot apply.
     ConfigRefused(ConfigVersion),
+    /// The answer to [`Action::FetchConfig`] cannot be applied.
+    AnswerRefused {
+        /// Address of the node that the configuration was fetched from.
+        from: SocketAddr,
+    },
     /// [`Action::FetchConfig`] has failed.
     FetchFailed {
         /// Address of the node that the configuration was fetched from.
@@ -340,6 +345,10 @@
                 let requests = self.dissemination.config_refused(now, version);
                 self.execute(requests);
             }
+            Event::AnswerRefused { from } => {
+                let requests = self.dissemination.answer_refused(now, from);
+                self.execute(requests);
+            }
             Event::FetchFailed { from } => {
                 let requests = self.dissemination.fetch_failed(now, from);
                 self.execute(requests);
--- a/crates/zone/tests/dissemination.rs
+++ b/crates/zone/tests/dissemination.rs
@@ -6,7 +6,8 @@
 use knapweed_world::backend_server::ServerState;
 use knapweed_world::{ConfigVersion, Time};
 use knapweed_zone::dissemination::fetch::{
-    BUSY_DELAY, BUSY_JITTER, FETCH_JITTER, FETCH_TIMEOUT, Fetch, REMOTE_FETCH_DELAY,
+    BUSY_DELAY, BUSY_JITTER, FETCH_JITTER, FETCH_TIMEOUT, Fetch, MAX_REFUSED_DELAY, REFUSED_DELAY,
+    REMOTE_FETCH_DELAY,
 };
 use knapweed_zone::dissemination::transfers::{MAX_SHORT_LEN, MAX_TRANSFERS, Transfers};
 use knapweed_zone::membership::Event;
@@ -18,6 +19,7 @@
 use sim::seeds::for_seeds;
 use sim::{Sim, announcement, ms, name};
 use std::collections::BTreeSet;
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -249,6 +251,90 @@
     assert_eq!(received(&mut fetch, 2, 6), Some(address(2)));
 }
 
+/// Interval of the messages of the peers in [`fetches_of_unusable`].
+const MESSAGE_INTERVAL: Duration = Duration::from_millis(50);
+/// Time from a fetch to its answer in [`fetches_of_unusable`].
+const ANSWER_TIME: Duration = Duration::from_millis(10);
+/// Duration of [`fetches_of_unusable`].
+const UNUSABLE_TIME: Duration = Duration::from_secs(60);
+
+/// Returns the times of the fetches of version 5, which this node cannot apply. Four peers
+/// report it, one message every [`MESSAGE_INTERVAL`].
+fn fetches_of_unusable(seed: u64) -> Vec<Duration> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (mut fetch, start) = (Fetch::default(), Time::from_millis(0));
+    let (mut now, mut times) = (start, Vec::new());
+    let mut answers: Vec<(Time, SocketAddr)> = Vec::new();
+    let mut next_message = start;
+    for peer in (1..=4).cycle() {
+        if now.since(start) >= UNUSABLE_TIME {
+            break;
+        }
+        let due = answers.iter().position(|(at, _)| *at <= now);
+        let asked = if let Some(due) = due {
+            let (_, from) = answers.remove(due);
+            fetch.answer_refused(now, from, &mut rng)
+        } else if now >= next_message {
+            next_message = now.after(MESSAGE_INTERVAL);
+            let version = ConfigVersion(5);
+            fetch.received(now, address(peer), version, Duration::ZERO, &mut rng)
+        } else {
+            now = now.after(ms(1));
+            fetch.tick(now, &mut rng)
+        };
+        if let Some(from) = asked {
+            times.push(now.since(start));
+            answers.push((now.after(ANSWER_TIME), from));
+        }
+    }
+    times
+}
+
+/// Guards against a node that fetches a configuration which it cannot apply with each message
+/// of its peers (issue 35).
+#[test]
+fn a_version_that_cannot_be_applied_is_fetched_after_a_backoff() {
+    let mut out = String::new();
+    for seed in 1..=5 {
+        let times = fetches_of_unusable(seed);
+        let doublings = MAX_REFUSED_DELAY.as_millis() / REFUSED_DELAY.as_millis();
+        let doublings = doublings.ilog2() + 1;
+        // Twice the number of waits of the average length, which is half the limit.
+        let waits = UNUSABLE_TIME.as_millis() / (MAX_REFUSED_DELAY.as_millis() / 2);
+        let most = doublings as usize + 2 * waits as usize;
+        writeln!(out, "seed {seed}: {} fetches, {times:?}", times.len()).expect("a string");
+        assert!(times.len() <= most, "over {most}: {out}");
+        assert!(times.len() >= 5, "{out}");
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a newer version that waits for the end of the backoff of an older one, and
+/// against an older one, which other nodes could apply, that is held back with it.
+#[test]
+fn only_the_refused_version_is_held_back() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let now = Time::from_millis(0);
+    let mut fetch = Fetch::default();
+    let mut received = |f: &mut Fetch, port, version| {
+        let version = ConfigVersion(version);
+        f.received(now, address(port), version, Duration::ZERO, &mut rng)
+    };
+    assert_eq!(received(&mut fetch, 1, 5), Some(address(1)));
+    let mut other = SmallRng::seed_from_u64(2);
+    assert_eq!(fetch.answer_refused(now, address(1), &mut other), None);
+    assert_eq!(received(&mut fetch, 2, 5), None);
+    assert_eq!(received(&mut fetch, 3, 4), Some(address(3)));
+    assert_eq!(received(&mut fetch, 4, 6), None);
+    assert_eq!(
+        fetch.failed(now, address(3), &mut other),
+        Some(address(4)),
+        "the newer version waits"
+    );
+    let applied = fetch.applied(now, ConfigVersion(6), &mut other);
+    assert_eq!(applied, None);
+}
+
 /// Guards against a delayed fetch that never starts, and against one that ignores a
 /// source in the own region.
 #[test]
