fix(transport): requests do not queue for handshakes that fail

What callers saw: a request to a host whose connection has no stateless reset token, and whose replacement cannot be opened, waited until its deadline and ended with an unknown outcome (504), although nothing was sent. The same holds for any host that cannot be reached.

Cause: a handshake takes up to 1 s, and requests waited for a lock in turn, so that each began a handshake of its own after the one before it had failed. A handshake also ended with its request, so its failure was not known to others.

Change: those who wait for a handshake end with it when it fails. Meanwhile, and while a handshake follows a failed one, other requests are refused at once (nothing was sent), so the ingress sends them elsewhere. One request per handshake still waits for it, up to 1 s. A connection that the peer opens ends the backoff. The handshake is a task of its own, so that it goes on when its request ends. An inquiry after a lost send has no other node to go to and tries again for as long as before.

Test: requests_do_not_queue_for_handshakes_that_fail, 8 requests with 2 s each.

--- a/crates/node/src/carrier/inquiry.rs
+++ b/crates/node/src/carrier/inquiry.rs
@@ -6,7 +6,8 @@
 use knapweed_host::{Answer, Inquiry, Outcome, SendId, Unknown};
 use knapweed_observe::part;
 use knapweed_timer::TimerService;
-use knapweed_transport::Peers;
+use knapweed_transport::peers::Error;
+use knapweed_transport::{Peers, Receiver, Sender};
 use knapweed_wire::{Header, ResponseHead, StreamHead, decode, encode};
 use knapweed_world::Time;
 use std::net::SocketAddr;
@@ -18,6 +19,9 @@
 /// Consecutive inquiries without a reply after which the host counts as lost.
 const MAX_UNANSWERED_INQUIRIES: u32 = 2;
 
+/// Time after which a connection that could not be opened is tried again.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A send whose connection was lost before its response was complete.
 pub(super) struct LostSend {
     pub(super) node: SocketAddr,
@@ -34,7 +38,7 @@
     let mut unanswered = 0;
     loop {
         step = match step {
-            Step::Ask { age } => match inquire(peers, lost_send, age).await {
+            Step::Ask { age } => match inquire(peers, timer, lost_send, age).await {
                 Some(send_status) => {
                     unanswered = 0;
                     inquiry.status_received(send_status, timer.now())
@@ -62,9 +66,15 @@
     inquiry.wake(now)
 }
 
-async fn inquire(peers: &Peers, lost_send: &LostSend, age: Duration) -> Option<SendStatus> {
+async fn inquire(
+    peers: &Peers,
+    timer: &TimerService,
+    lost_send: &LostSend,
+    age: Duration,
+) -> Option<SendStatus> {
     let node = lost_send.node;
-    match tokio::time::timeout(INQUIRY_TIMEOUT, exchange(peers, lost_send, age)).await {
+    let exchange = exchange(peers, timer, lost_send, age);
+    match tokio::time::timeout(INQUIRY_TIMEOUT, exchange).await {
         Ok(Ok(send_status)) => Some(send_status),
         Ok(Err(err)) => {
             log::debug!(target: part::LINK, "inquiry at {node} failed: {err}");
@@ -74,8 +84,24 @@
     }
 }
 
+/// Opens a stream to a node. Unlike a request, an inquiry has no other node to go to, so it
+/// waits while the transport refuses to open a connection.
+async fn open(
+    peers: &Peers,
+    timer: &TimerService,
+    node: SocketAddr,
+) -> Result<(Sender, Receiver), Error> {
+    loop {
+        match peers.open(node).await {
+            Err(Error::Dial { .. }) => timer.sleep(REOPEN_INTERVAL).await,
+            opened => return opened,
+        }
+    }
+}
+
 async fn exchange(
     peers: &Peers,
+    timer: &TimerService,
     lost_send: &LostSend,
     age: Duration,
 ) -> anyhow::Result<SendStatus> {
@@ -83,7 +109,7 @@
         send: lost_send.send,
         age_us: age.as_micros() as u64,
     };
-    let (mut tx, mut rx) = peers.open(lost_send.node).await?;
+    let (mut tx, mut rx) = open(peers, timer, lost_send.node).await?;
     tx.head(&encode(&head)?).await?;
     tx.finish();
     Ok(decode(&rx.rest(MAX_REPLY_LEN).await?)?)
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod arrivals;
 pub mod certificates;
+pub mod dial;
 pub mod endpoint;
 pub mod link;
 mod paced;
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -1,6 +1,7 @@
 //! Connections to other nodes, one per address, opened on demand.
 
 use crate::arrivals::InboundQueues;
+use crate::dial::DialBackoff;
 use crate::link::Link;
 use crate::stream::{Receiver, Sender};
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -11,7 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, OwnedMutexGuard};
 
 /// Maximum time for a handshake.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -65,7 +66,9 @@
     /// Whether a stateless reset token of the peer has arrived on the connection in use.
     has_reset_token: AtomicBool,
     /// Held during a handshake, so that concurrent requests open only one connection.
-    dialing: Mutex<()>,
+    dialing: Arc<Mutex<()>>,
+    /// Decides when a handshake follows one that has failed.
+    backoff: DialBackoff,
 }
 
 impl Default for PeerSlot {
@@ -74,7 +77,8 @@
             current: ArcSwapOption::default(),
             opened: ArcSwap::from_pointee(Instant::now()),
             has_reset_token: AtomicBool::new(false),
-            dialing: Mutex::default(),
+            dialing: Arc::default(),
+            backoff: DialBackoff::new(Instant::now()),
         }
     }
 }
@@ -87,6 +91,28 @@
             .filter(|c| c.close_reason().is_none() && self.notices_restart(c))
     }
 
+    /// Waits for the turn to open a connection.
+    ///
+    /// Nobody waits while the peer cannot be reached: not before the next handshake is due,
+    /// not for one that follows a failed one, and not again after the one waited for failed.
+    async fn turn_to_dial(&self) -> Result<OwnedMutexGuard<()>, &'static str> {
+        let failures = self.backoff.failures();
+        if self.backoff.is_held_back(Instant::now()) {
+            return Err("the last handshake failed, and the next one is not due");
+        }
+        let dialing = Arc::clone(&self.dialing);
+        let turn = match failures {
+            0 => dialing.lock_owned().await,
+            _ => dialing
+                .try_lock_owned()
+                .map_err(|_| "a handshake after a failed one is under way")?,
+        };
+        match self.backoff.failures() > failures {
+            true => Err("the handshake that was under way failed"),
+            false => Ok(turn),
+        }
+    }
+
     /// Whether a restart of the peer is noticed on the connection in use.
     ///
     /// That takes a stateless reset token of the peer, which a process that ends at once after
@@ -244,31 +270,27 @@
         if let Some(connection) = slot.open_connection() {
             return Ok(connection);
         }
-        let _dialing = slot.dialing.lock().await;
+        let refused = |cause: &str| Error::Dial {
+            address,
+            cause: cause.to_owned(),
+        };
+        let turn = slot.turn_to_dial().await.map_err(refused)?;
         if let Some(connection) = slot.open_connection() {
             return Ok(connection);
         }
-        let connection = Arc::new(self.dial(address).await?);
+        // A task of its own: the handshake goes on, and its failure counts, when the request
+        // that waits for it ends before.
+        let dial = dial(self.endpoint.clone(), address, Arc::clone(&slot), turn);
+        let dialed = tokio::spawn(dial).await;
+        let dialed = dialed.map_err(|err| refused(&err.to_string()))?;
+        let (connection, _turn) = dialed.map_err(|cause| refused(&cause))?;
+        let connection = Arc::new(connection);
         self.replace(&slot, Arc::clone(&connection));
         // The peer may open streams on this connection as well.
         tokio::spawn(self.queues.clone().serve(Connection::clone(&connection)));
         Ok(connection)
     }
 
-    async fn dial(&self, address: SocketAddr) -> Result<Connection, Error> {
-        let failed = |cause: String| Error::Dial { address, cause };
-        let name = address.ip().to_string();
-        let connecting = self
-            .endpoint
-            .connect(address, &name)
-            .map_err(|err| failed(err.to_string()))?;
-        match tokio::time::timeout(DIAL_TIMEOUT, connecting).await {
-            Ok(Ok(connection)) => Ok(connection),
-            Ok(Err(err)) => Err(failed(err.to_string())),
-            Err(_) => Err(failed("handshake timed out".into())),
-        }
-    }
-
     /// Returns the slot of `address`, which is added if missing.
     fn slot(&self, address: SocketAddr) -> Arc<PeerSlot> {
         if let Some(slot) = self.slots.load().get(&address) {
@@ -287,6 +309,7 @@
     fn replace(&self, slot: &PeerSlot, connection: Arc<Connection>) {
         slot.opened.store(Arc::new(Instant::now()));
         slot.has_reset_token.store(false, Ordering::Relaxed);
+        slot.backoff.opened();
         if let Some(old) = slot.current.swap(Some(connection)) {
             self.count_closed(&old);
         }
@@ -317,3 +340,27 @@
             .fetch_add(stats.udp_rx.bytes, Ordering::Relaxed);
     }
 }
+
+/// Opens a connection to `address`, and records a failure in the slot before it ends the turn.
+async fn dial(
+    endpoint: quinn::Endpoint,
+    address: SocketAddr,
+    slot: Arc<PeerSlot>,
+    turn: OwnedMutexGuard<()>,
+) -> Result<(Connection, OwnedMutexGuard<()>), String> {
+    let connected = handshake(&endpoint, address).await;
+    if connected.is_err() {
+        slot.backoff.failed(Instant::now(), rand::random());
+    }
+    connected.map(|connection| (connection, turn))
+}
+
+async fn handshake(endpoint: &quinn::Endpoint, address: SocketAddr) -> Result<Connection, String> {
+    let name = address.ip().to_string();
+    let connecting = endpoint.connect(address, &name);
+    let connecting = connecting.map_err(|err| err.to_string())?;
+    match tokio::time::timeout(DIAL_TIMEOUT, connecting).await {
+        Ok(connected) => connected.map_err(|err| err.to_string()),
+        Err(_) => Err("handshake timed out".to_owned()),
+    }
+}
--- a/crates/transport/tests/endpoint.rs
+++ b/crates/transport/tests/endpoint.rs
@@ -252,6 +252,45 @@
     addresses
 }
 
+/// A peer whose process ended after the handshake, before its stateless reset token arrived.
+struct EndedPeer {
+    address: SocketAddr,
+    /// Address by which the other end knows it.
+    known_as: SocketAddr,
+}
+
+impl EndedPeer {
+    /// Starts a peer that opens a connection to `a`, and ends it.
+    async fn start(a: &Endpoint, identity: &Identity, handshake_only: &Arc<AtomicBool>) -> Self {
+        let a_address = a.local_address().expect("an address");
+        let (to_a, to_b) = filter(a_address, Arc::clone(handshake_only)).await;
+
+        // A separate runtime, so that the first endpoint ends without closing its connections.
+        let first = tokio::runtime::Runtime::new().expect("a runtime");
+        let guard = first.enter();
+        let any_port = (Ipv4Addr::LOCALHOST, 0).into();
+        let (b, _b_arrivals) = Endpoint::open(any_port, identity).expect("an endpoint");
+        drop(guard);
+        let address = b.local_address().expect("an address");
+        let peers = b.peers();
+        let send = async move { peers.send(to_a, Bytes::from("before")).await };
+        first.spawn(send).await.expect("a task").expect("sent");
+        for _ in 0..100 {
+            if a.peers().traffic().connections == 1 {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(a.peers().traffic().connections, 1);
+        first.shutdown_background();
+        drop(b);
+        Self {
+            address,
+            known_as: to_b,
+        }
+    }
+}
+
 /// Guards against a node that is unreachable for the idle timeout of 30 s, because its previous
 /// process ended before its peer got a stateless reset token of the connection.
 #[tokio::test]
@@ -260,28 +299,8 @@
     let restarting = identity(&authority);
     let (a, _arrivals) = open(&authority);
     let handshake_only = Arc::new(AtomicBool::new(true));
-    let a_address = a.local_address().expect("an address");
-    let (to_a, to_b) = filter(a_address, Arc::clone(&handshake_only)).await;
-
-    // A separate runtime, so that the first endpoint ends without closing its connections.
-    let first = tokio::runtime::Runtime::new().expect("a runtime");
-    let guard = first.enter();
-    let any_port = (Ipv4Addr::LOCALHOST, 0).into();
-    let (b, _b_arrivals) = Endpoint::open(any_port, &restarting).expect("an endpoint");
-    drop(guard);
-    let address = b.local_address().expect("an address");
-    let peers = b.peers();
-    let send = async move { peers.send(to_a, Bytes::from("before")).await };
-    first.spawn(send).await.expect("a task").expect("sent");
-    for _ in 0..100 {
-        if a.peers().traffic().connections == 1 {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    assert_eq!(a.peers().traffic().connections, 1);
-    first.shutdown_background();
-    drop(b);
+    let ended = EndedPeer::start(&a, &restarting, &handshake_only).await;
+    let (address, to_b) = (ended.address, ended.known_as);
 
     let (_b, mut b_arrivals) = reopen(address, &restarting).await;
     handshake_only.store(false, Ordering::Relaxed);
@@ -301,6 +320,47 @@
     assert_eq!(datagram.expect("in time"), Bytes::from("after"));
 }
 
+/// Number of requests in [`requests_do_not_queue_for_handshakes_that_fail`].
+const REQUESTS: u32 = 8;
+/// Time that each of these requests has until its deadline.
+const TIME_LEFT: Duration = Duration::from_secs(2);
+
+/// Guards against requests to a host that cannot be reached, each of which waits until its
+/// deadline because the handshakes follow one another: the connection to the host has no
+/// stateless reset token, and its replacement cannot be opened.
+#[tokio::test]
+async fn requests_do_not_queue_for_handshakes_that_fail() {
+    let authority = Authority::new().expect("an authority");
+    let (a, _arrivals) = open(&authority);
+    let handshake_only = Arc::new(AtomicBool::new(true));
+    let ended = EndedPeer::start(&a, &identity(&authority), &handshake_only).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let mut requests = tokio::task::JoinSet::new();
+    let start = Instant::now();
+    for _ in 0..REQUESTS {
+        let peers = a.peers();
+        requests.spawn(async move {
+            let opened = tokio::time::timeout(TIME_LEFT, peers.open(ended.known_as)).await;
+            (start.elapsed(), opened.map(|result| result.is_err()))
+        });
+    }
+    let results = requests.join_all().await;
+    let refused = results.iter().filter(|(_, refused)| *refused == Ok(true));
+    assert_eq!(refused.count(), REQUESTS as usize, "{results:?}");
+
+    // While the host stays unreachable, only the request that tries it again waits.
+    let start = Instant::now();
+    let mut waited = 0;
+    while start.elapsed() < TIME_LEFT {
+        let sent = Instant::now();
+        let opened = a.peers().open(ended.known_as).await;
+        assert!(opened.is_err());
+        waited += u32::from(sent.elapsed() > Duration::from_millis(100));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(waited <= 2, "{waited} requests waited");
+}
+
 /// Relays datagrams between one client and `target`, and delays them while `paused` is
 /// set.
 async fn relay(target: SocketAddr, paused: Arc<AtomicBool>) -> SocketAddr {
