refactor(node): split the dispatcher of a backend server into modules

Modules with one job each: the queue and its slots, what the server states about itself in its answers, requests of a service whose traffic is moved, and requests without a response. Compared line by line, only module headers, imports and visibilities differ, and the construction of the queue, which is a function of its own. Tests are unchanged.

The lowest status that counts as a failure of a backend server was defined in four files of the crate, once for each reader. It stands in the protocol module now.

--- a/crates/node/src/egress/crashes.rs
+++ b/crates/node/src/egress/crashes.rs
@@ -2,6 +2,7 @@
 
 use super::lost::{LostRequest, LostRequests};
 use super::pool::{Pool, Probe};
+use crate::protocol::SERVER_ERROR;
 use crate::request_log::RequestId;
 use bytes::Bytes;
 use knapweed_host::crash::{
@@ -19,8 +20,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-/// Lowest HTTP status that counts as a failure of the backend server.
-const SERVER_ERROR: u16 = 500;
 /// Time in which an exiting process closes its sockets, one by one.
 const EXIT_DURATION: Duration = Duration::from_millis(20);
 /// Time limit of the connection attempt that finds out whether the process of a backend
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -1,44 +1,36 @@
 //! Dispatch of requests to one backend server: its slots, queue and connections.
 
+mod failure;
+mod notices;
+mod queue;
+mod trial_run;
+
 use super::crashes::CrashTracker;
 use super::lost::LostRequests;
 use super::pool::Pool;
 use super::{exchange, time_left};
 use crate::body::Body;
 use crate::carrier::Response;
-use crate::protocol::{ServerNotice, ServerProtocol};
+use crate::protocol::ServerProtocol;
 use crate::request_log::{EgressLog, QueueState};
-use crate::trial::{RequestRun, Trial, Trials};
+use crate::trial::Trials;
+use failure::Failure;
 use http_body_util::BodyExt;
-use knapweed_host::admission::{
-    Arrival, LimitChange, NamedLimit, ObjectiveQueue, Options, Refusal, Released, Verdict,
-    WaiterKey,
-};
-use knapweed_host::{Admission, ByteBudget, NotRun, Outcome};
+use knapweed_host::admission::Arrival;
+use knapweed_host::{ByteBudget, NotRun};
 use knapweed_link::Backlog;
 use knapweed_observe::metrics::LabeledCounter;
-use knapweed_observe::part;
-use knapweed_rollout::counters::{Sample, Warmth};
+use knapweed_rollout::counters::Warmth;
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
 use knapweed_world::backend_server::Announcement;
-use knapweed_world::{Flow, LoadReport, Name, ServerState, Time};
+use knapweed_world::{Flow, LoadReport, Time};
 use parking_lot::Mutex;
-use slotmap::SecondaryMap;
+pub(super) use queue::Slot;
+use queue::{Queue, Start};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
-use tokio::sync::oneshot;
-
-/// Lowest HTTP status that counts as a failure of the backend server.
-const SERVER_ERROR: u16 = 500;
-
-/// The admission queue, with a channel to each waiting request.
-struct Queue {
-    admission: Box<dyn Admission>,
-    waiting: SecondaryMap<WaiterKey, oneshot::Sender<Result<(), Refusal>>>,
-    limit: NamedLimit,
-}
 
 /// State of one backend server on this host, and the dispatch of requests to it.
 pub(super) struct Dispatcher {
@@ -104,18 +96,14 @@
 /// Construction, announcements and matching.
 impl Dispatcher {
     pub(super) fn new(announcement: Announcement, shared: Shared) -> Self {
-        let admission = ObjectiveQueue::new(Options::new(announcement.slots));
         let pool = Pool::new(announcement.address, announcement.max_connections);
         let is_cold = AtomicBool::new(announcement.is_cold);
+        let queue = Queue::new(announcement.slots);
         Self {
             announcement,
             is_cold,
             ready_since: shared.timer.now(),
-            queue: Mutex::new(Queue {
-                admission: Box::new(admission),
-                waiting: SecondaryMap::new(),
-                limit: NamedLimit::default(),
-            }),
+            queue: Mutex::new(queue),
             has_limit: AtomicBool::new(false),
             has_answered: AtomicBool::new(false),
             pool: Arc::new(pool),
@@ -211,37 +199,6 @@
         }
     }
 
-    /// Runs a request of a service whose traffic is being moved, and records its
-    /// outcome in `trial`.
-    async fn run_trial(
-        self: Arc<Self>,
-        trial: &Trial,
-        head: RequestHead,
-        body: Body,
-    ) -> Result<Response, Failure> {
-        let (route, version) = (head.route.clone(), head.version.clone());
-        if !trial.admits(&version) {
-            return Err(NotRun::Guarded.into());
-        }
-        let mut trial_run = TrialRun {
-            dispatcher: &self,
-            trial,
-            route,
-            version,
-            time_left: time_left(&head),
-            start: OnceLock::new(),
-            is_recorded: false,
-        };
-        let (is_crash, result) = Arc::clone(&self)
-            .exchange(head, body, &trial_run.start)
-            .await;
-        trial_run.is_recorded = true;
-        if !is_crash {
-            trial_run.record_result(&result);
-        }
-        result
-    }
-
     /// Waits for a slot and runs the request. The first value is whether the request
     /// crashed the backend server; such a crash is attributed to the request, not to
     /// the version.
@@ -297,129 +254,6 @@
         (false, result.map_err(Failure::from))
     }
 
-    /// Handles what the backend server stated in its answer to a request sent at `sent`.
-    fn observe(&self, notice: ServerNotice, sent: Time) {
-        self.has_answered.store(true, Ordering::Relaxed);
-        if notice.is_leaving && !self.is_draining.load(Ordering::Relaxed) {
-            self.leave();
-        }
-        if notice.rate_limit.is_none() && !self.has_limit.load(Ordering::Relaxed) {
-            return;
-        }
-        let now = self.timer.now();
-        let mut queue = self.queue.lock();
-        let change = queue.limit.answered(notice.rate_limit, sent, now);
-        self.apply_limit(&mut queue, change, now);
-    }
-
-    /// The backend server has said in an answer that it is shutting down: as if it had
-    /// announced so.
-    fn leave(&self) {
-        log::info!(
-            target: part::EGRESS,
-            server:% = self.announcement.address;
-            "the backend server says in an answer that it is leaving"
-        );
-        self.drain();
-        self.leaving.lock().push(Announcement {
-            state: ServerState::Draining,
-            ..self.announcement.clone()
-        });
-    }
-
-    /// Follows the limit that the ingress of a request knows, until the backend server
-    /// answers. The previous process of this node may have followed it.
-    fn adopt_limit(&self, head: &RequestHead) {
-        let Some(rate) = head.rate_limit else { return };
-        if self.has_answered.load(Ordering::Relaxed) {
-            return;
-        }
-        let now = self.timer.now();
-        let mut queue = self.queue.lock();
-        let change = queue.limit.reported(rate, now);
-        self.apply_limit(&mut queue, change, now);
-    }
-
-    fn apply_limit(&self, queue: &mut Queue, change: Option<LimitChange>, now: Time) {
-        let Some(change) = change else { return };
-        let is_limited = matches!(change, LimitChange::Limited(_));
-        self.has_limit.store(is_limited, Ordering::Relaxed);
-        let released = queue.admission.limit_rate(change, now);
-        queue.notify(released);
-        let server = self.announcement.address;
-        match change {
-            LimitChange::Limited(rate) => log::info!(
-                target: part::EGRESS,
-                server:% = server,
-                limit_per_s = rate.as_f64();
-                "the backend server limits its requests"
-            ),
-            LimitChange::Unlimited => log::info!(
-                target: part::EGRESS,
-                server:% = server;
-                "the backend server limits its requests no longer"
-            ),
-        }
-    }
-
-    async fn admit(self: &Arc<Self>, arrival: Arrival) -> Result<Slot, Refusal> {
-        let flow = arrival.flow;
-        match self.arrive(arrival) {
-            Decision::Admitted { in_use } => return Ok(self.slot(flow, in_use)),
-            Decision::Shed(refusal) => return Err(refusal),
-            Decision::Queued(waiter, receiver) => {
-                let mut queued_request = QueuedRequest {
-                    dispatcher: self,
-                    flow,
-                    waiter,
-                    receiver,
-                    is_notified: false,
-                };
-                queued_request.wait().await?;
-            }
-        }
-        // A request that had to wait occupies the last free slot, so all are in use.
-        Ok(self.slot(flow, u32::from(self.announcement.slots)))
-    }
-
-    fn slot(self: &Arc<Self>, flow: Flow, in_use: u32) -> Slot {
-        let at = self.timer.now();
-        Slot {
-            dispatcher: Arc::clone(self),
-            flow,
-            start: Start { at, in_use },
-            answered: false,
-        }
-    }
-
-    fn arrive(self: &Arc<Self>, arrival: Arrival) -> Decision {
-        let mut queue = self.queue.lock();
-        match queue.admission.arrive(arrival, self.timer.now()) {
-            Verdict::Admit => Decision::Admitted {
-                in_use: queue.admission.running(),
-            },
-            Verdict::Shed(refusal) => Decision::Shed(refusal),
-            Verdict::Queue { waiter, displaced } => {
-                let (tx, rx) = oneshot::channel();
-                queue.waiting.insert(waiter, tx);
-                queue.notify(Released {
-                    run: Vec::new(),
-                    shed: displaced,
-                });
-                if queue.admission.queued() == 1 {
-                    tokio::spawn(expire(Arc::clone(self)));
-                }
-                Decision::Queued(waiter, rx)
-            }
-        }
-    }
-
-    fn finish(&self, flow: Flow, duration: Option<Duration>) {
-        let mut queue = self.queue.lock();
-        let released = queue.admission.finish(flow, duration, self.timer.now());
-        queue.notify(released);
-    }
-
     /// `next` has announced itself at the address of this process. Unless this one was
     /// shutting down, the requests that it did not answer may have crashed it.
     pub(super) fn replaced_by(&self, next: &Announcement) {
@@ -446,234 +280,4 @@
                 .as_micros() as u64,
         )
     }
-
-    /// Refuses the queued and all new requests, because the backend server is shutting
-    /// down.
-    pub(super) fn drain(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
-        let mut queue = self.queue.lock();
-        let shed = queue.admission.drain();
-        queue.notify(Released {
-            run: Vec::new(),
-            shed,
-        });
-    }
-
-    fn shed_expired(&self) -> Option<Time> {
-        let mut queue = self.queue.lock();
-        let released = queue.admission.expire(self.timer.now());
-        queue.notify(released);
-        queue.admission.next_expiry()
-    }
-}
-
-impl Queue {
-    fn notify(&mut self, released: Released) {
-        for shed in released.shed {
-            if let Some(tx) = self.waiting.remove(shed.waiter) {
-                let _ = tx.send(Err(shed.refusal));
-            }
-        }
-        for waiter in released.run {
-            if let Some(tx) = self.waiting.remove(waiter) {
-                // The drop of a cancelled [`QueuedRequest`] returns the slot.
-                let _ = tx.send(Ok(()));
-            }
-        }
-    }
-}
-
-/// Sheds queued requests when they expire, until the queue is empty.
-async fn expire(dispatcher: Arc<Dispatcher>) {
-    while let Some(due) = dispatcher.shed_expired() {
-        let wait = due.since(dispatcher.timer.now());
-        dispatcher
-            .timer
-            .sleep(wait.max(Duration::from_millis(1)))
-            .await;
-    }
-}
-
-/// Outcome of a request that got no response from the backend server.
-#[derive(Clone, Copy, Debug)]
-struct Failure {
-    outcome: Outcome,
-    retry_after: Option<Duration>,
-}
-
-impl Failure {
-    fn into_response(self) -> Response {
-        let mut response = Response::without_answer(self.outcome);
-        response.head.retry_after_us = self.retry_after.map(|wait| wait.as_micros() as u64);
-        response
-    }
-}
-
-impl From<Outcome> for Failure {
-    fn from(outcome: Outcome) -> Self {
-        Self {
-            outcome,
-            retry_after: None,
-        }
-    }
-}
-
-impl From<NotRun> for Failure {
-    fn from(reason: NotRun) -> Self {
-        Outcome::NotRun(reason).into()
-    }
-}
-
-impl From<Refusal> for Failure {
-    fn from(refusal: Refusal) -> Self {
-        Self {
-            outcome: Outcome::NotRun(refusal.reason),
-            retry_after: refusal.retry_after,
-        }
-    }
-}
-
-enum Decision {
-    Admitted { in_use: u32 },
-    Queued(WaiterKey, oneshot::Receiver<Result<(), Refusal>>),
-    Shed(Refusal),
-}
-
-/// A request in the queue. Dropping it before it was notified removes it, because
-/// the caller left.
-struct QueuedRequest<'a> {
-    dispatcher: &'a Dispatcher,
-    flow: Flow,
-    waiter: WaiterKey,
-    receiver: oneshot::Receiver<Result<(), Refusal>>,
-    is_notified: bool,
-}
-
-impl QueuedRequest<'_> {
-    async fn wait(&mut self) -> Result<(), Refusal> {
-        let result = (&mut self.receiver).await;
-        self.is_notified = true;
-        result.unwrap_or(Err(NotRun::Overloaded.into()))
-    }
-}
-
-impl Drop for QueuedRequest<'_> {
-    fn drop(&mut self) {
-        if self.is_notified {
-            return;
-        }
-        let mut queue = self.dispatcher.queue.lock();
-        if queue.waiting.remove(self.waiter).is_some() {
-            let now = self.dispatcher.timer.now();
-            if let Some(released) = queue.admission.cancel(self.waiter, now) {
-                queue.notify(released);
-            }
-            return;
-        }
-        drop(queue);
-        // The request got a slot just before its caller left; the slot is returned.
-        if let Ok(Ok(())) = self.receiver.try_recv() {
-            self.dispatcher.finish(self.flow, None);
-        }
-    }
-}
-
-/// Time and occupancy at which a request got its slot.
-#[derive(Clone, Copy, Debug)]
-struct Start {
-    at: Time,
-    /// Slots in use, that of the request included.
-    in_use: u32,
-}
-
-/// Records the outcome of one request of a service whose traffic is being moved.
-/// Dropping it unrecorded counts the request as failed if it was given up late.
-struct TrialRun<'a> {
-    dispatcher: &'a Dispatcher,
-    trial: &'a Trial,
-    route: Name,
-    version: Name,
-    time_left: Duration,
-    start: OnceLock<Start>,
-    is_recorded: bool,
-}
-
-/// Share of its time left, in percent, after which a cancelled request counts as
-/// failed: near its deadline, the ingress gives a request up slightly before the
-/// egress does.
-const ABANDONED_PERCENT: u32 = 80;
-
-impl TrialRun<'_> {
-    fn record_result(&self, result: &Result<Response, Failure>) {
-        let Some(start) = self.start.get() else {
-            return;
-        };
-        let duration = self.dispatcher.timer.now().since(start.at);
-        if let Some(sample) = sample(result, duration) {
-            self.record(*start, sample);
-        }
-    }
-
-    fn record(&self, start: Start, sample: Sample) {
-        let now = self.dispatcher.timer.now();
-        let run = RequestRun {
-            route: &self.route,
-            version: &self.version,
-            in_use: start.in_use,
-            slots: self.dispatcher.announcement.slots,
-            warmth: self.dispatcher.warmth(now),
-        };
-        self.trial.record(&run, sample, now);
-    }
-}
-
-impl Drop for TrialRun<'_> {
-    fn drop(&mut self) {
-        let Some(start) = self.start.get().filter(|_| !self.is_recorded) else {
-            return;
-        };
-        let duration = self.dispatcher.timer.now().since(start.at);
-        if duration >= self.time_left * ABANDONED_PERCENT / 100 {
-            self.record(*start, Sample::Failed);
-        }
-    }
-}
-
-/// Converts a result into a sample for the rollout; `None` when it is no
-/// evidence about the version.
-fn sample(result: &Result<Response, Failure>, duration: Duration) -> Option<Sample> {
-    match result {
-        Ok(response) if response.head.status >= SERVER_ERROR => Some(Sample::Failed),
-        Ok(_) => Some(Sample::Succeeded {
-            latency_us: duration.as_micros() as u64,
-        }),
-        Err(failure) => match failure.outcome {
-            Outcome::Unknown(_) => Some(Sample::Failed),
-            _ => None,
-        },
-    }
-}
-
-/// A slot of the backend server, held by a running request.
-pub(super) struct Slot {
-    dispatcher: Arc<Dispatcher>,
-    flow: Flow,
-    start: Start,
-    answered: bool,
-}
-
-impl Slot {
-    /// Marks the request as answered, so that its duration enters the queue's
-    /// estimate of service times.
-    pub(super) fn mark_answered(&mut self) {
-        self.answered = true;
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let duration = self.dispatcher.timer.now().since(self.start.at);
-        self.dispatcher
-            .finish(self.flow, self.answered.then_some(duration));
-    }
 }
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -4,6 +4,7 @@
 use super::Ingress;
 use crate::body::RequestBody;
 use crate::carrier::{Carrier, Response};
+use crate::protocol::SERVER_ERROR;
 use crate::request_log::{FailedAttempt, IngressLog, LoadAtSend};
 use bytes::Bytes;
 use knapweed_host::choice::{Exclusions, Query, Scope};
@@ -15,9 +16,6 @@
 use knapweed_world::link::Distance;
 use knapweed_world::{BackendServer, BackendServerKey, Flow, Share, Snapshot, Time};
 
-/// Lowest HTTP status that counts as a failure of the backend server.
-const SERVER_ERROR: u16 = 500;
-
 /// One request, with the data that all its attempts share.
 pub(super) struct Attempts<'a> {
     pub(super) ingress: &'a Ingress,
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -16,6 +16,9 @@
 use knapweed_world::load::RequestRate;
 use std::time::Duration;
 
+/// Lowest HTTP status that counts as a failure of the backend server.
+pub(crate) const SERVER_ERROR: u16 = 500;
+
 /// What a caller states about its request.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CallerFields {
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -5,7 +5,7 @@
 //! made it. Each of the two kinds has its own rate limit, so that a high rate of
 //! successful requests does not suppress the lines about failures.
 
-use crate::protocol::Mismatch;
+use crate::protocol::{Mismatch, SERVER_ERROR};
 use bytes::Bytes;
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::uri::Uri;
@@ -38,8 +38,6 @@
 /// Length, in bytes, to which the host, the path and a header of a refused request are
 /// truncated.
 const MAX_LOGGED_TEXT_LEN: usize = 128;
-/// Lowest HTTP status that counts as a failure of a backend server.
-const SERVER_ERROR: u16 = 500;
 
 /// Formats the caller's identifier of a request, escaped and truncated, or `-` when
 /// there is none.
