test(demo): the slow request runs on the draining server before all else

Cause: the test is inconclusive when its slow request runs on another server. It was sent together with nine long requests and the load. A node adds up to half of the service time for slots in use, and assumes 75 ms for a path that it has not measured. So from about seven of twelve slots on (by calculation), a server in the other availability zone may win although it is 20 ms further away. The server that stops then has only the long requests left, and exits after its quiet period of 1 s instead of the bound of 3 s.

Change: the slow request is sent first, and the ledger of the server shows that it runs there before any other request is sent. It runs for 7 s instead of 5 s, since the rest now starts later. The other preconditions are checked too, by the ledgers instead of a pause of 500 ms: all nine long requests have started before a server or node is stopped or reloaded, and at least one of them still runs (on that server, where a server is stopped); and the ledger was read after the bound. Only the exit of the server ends the reads of its ledger; before, any failed read did. Each step prints where requests run and when. All checks and bounds are as before.

--- a/crates/demo/tests/drain.rs
+++ b/crates/demo/tests/drain.rs
@@ -2,10 +2,11 @@
 
 use anyhow::{Context, ensure};
 use http::Method;
-use knapweed_demo::Mesh;
 use knapweed_demo::fleet::{self, NODES, limited};
 use knapweed_demo::load::{FinishedRequest, Load, Outcome, count};
+use knapweed_demo::{Client, Mesh};
 use serde_json::Value;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
@@ -17,14 +18,26 @@
 /// Host in the zone of [`STOPPED`] without a backend server, so that calls through it go to
 /// [`STOPPED`].
 const NEIGHBOUR: &str = "b2";
-/// Run time of a request that keeps the draining server alive beyond [`NO_NEW_REQUESTS`].
-const SLOW_WORK_MS: &str = "5000";
+const SLOW_PATH: &str = "/slow";
+/// Run time of a request that keeps the draining server alive beyond [`NO_NEW_REQUESTS`]. It starts
+/// before everything else, so it is longer by the time until SIGTERM, which takes seconds on a busy
+/// machine.
+const SLOW_WORK_MS: &str = "7000";
 /// Longest time after SIGTERM until a backend server gets no new requests (bound B2).
 const NO_NEW_REQUESTS: Duration = Duration::from_secs(3);
 /// Longest time until a stopped program has exited.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(12);
 /// Run time of a long request.
 const LONG_WORK_TIME: Duration = Duration::from_millis(1_200);
+/// Number of long requests.
+const LONG_REQUESTS: usize = 9;
+/// Paths of the long requests. No other request without an idempotency key has one of them.
+const LONG_PATHS: [&str; 3] = ["/today/long", ECHO_PATH, LARGE_PATH];
+const ECHO_PATH: &str = "/echo";
+/// Longest time until requests that were sent run on a backend server.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which the load runs before anything is stopped.
+const LOAD_TIME: Duration = Duration::from_millis(500);
 /// Number of starts of a node that are observed.
 const STARTS: usize = 5;
 /// Bit of SIGHUP in the masks of signals of a process.
@@ -35,28 +48,39 @@
 /// Deadline of the requests of the load.
 const DEADLINE: Duration = Duration::from_millis(1_900);
 
+/// A request that was sent, with the checks of its response.
+type RequestTask = JoinHandle<anyhow::Result<()>>;
+
 /// Guards against requests that are interrupted or lost when a backend server shuts down, and against
 /// requests that are still sent to it afterwards (hazards H8, H9, bound B2).
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_leaving_backend_server_finishes_and_gets_no_new_work() -> anyhow::Result<()> {
     limited(async {
         let mut mesh = fleet::start(&NODES, &BACKENDS).await?;
+        let slow_request = start_slow_request(&mesh).await?;
         let load = start_load(&mesh, &mesh.hosts().collect::<Vec<_>>());
-        let long_requests = start_long_requests(&mesh, NEIGHBOUR);
-        let slow_request = start_slow_request(&mesh);
-        tokio::time::sleep(Duration::from_millis(500)).await;
-        let name = format!("{STOPPED}-calendar-v1");
+        tokio::time::sleep(LOAD_TIME).await;
+        let (long_requests, placements) = start_long_requests(&mesh, NEIGHBOUR).await?;
+        ensure!(
+            placements.running_on(STOPPED) > 0,
+            "no long request runs on {STOPPED}, so the test is inconclusive: {placements}"
+        );
+        let name = server_name(STOPPED);
         mesh.process(&name).signal("TERM")?;
         let stopped_at = Instant::now();
-        let ledger_counts = watch_ledger(&mesh, &name).await;
+        let ledger_counts = watch_ledger(&mut mesh, &name).await;
         println!(
-            "requests that started before the bound: {}",
-            ledger_counts.before_bound
+            "requests that started before the bound: {}, reads after it: {}",
+            ledger_counts.before_bound, ledger_counts.reads_after_bound
         );
         ensure!(
             stopped_at.elapsed() > NO_NEW_REQUESTS,
             "the server exited before the bound, so the test is inconclusive"
         );
+        ensure!(
+            ledger_counts.reads_after_bound > 0,
+            "the ledger was not read after the bound, so the test is inconclusive"
+        );
         slow_request.await??;
         mesh.process(&name).wait(EXIT_TIMEOUT)?;
         println!("the server exited {:?} after SIGTERM", stopped_at.elapsed());
@@ -79,9 +103,10 @@
         let mut mesh = fleet::start(&NODES, &BACKENDS).await?;
         let others: Vec<_> = mesh.hosts().filter(|h| *h != STOPPED).collect();
         let load = start_load(&mesh, &others);
-        let long_requests = start_long_requests(&mesh, STOPPED);
         let own_calls = start_own_callers(&mesh);
-        tokio::time::sleep(Duration::from_millis(500)).await;
+        tokio::time::sleep(LOAD_TIME).await;
+        let (long_requests, placements) = start_long_requests(&mesh, STOPPED).await?;
+        check_any_runs(&placements)?;
         let node = mesh.process(STOPPED);
         node.signal("TERM")?;
         let stopped_at = Instant::now();
@@ -106,7 +131,8 @@
     limited(async {
         let mut mesh = fleet::start(&NODES, &BACKENDS).await?;
         let load = start_load(&mesh, &[STOPPED]);
-        let long_requests = start_long_requests(&mesh, STOPPED);
+        let (long_requests, placements) = start_long_requests(&mesh, STOPPED).await?;
+        check_any_runs(&placements)?;
         for _ in 0..5 {
             tokio::time::sleep(Duration::from_millis(200)).await;
             mesh.process(STOPPED).signal("HUP")?;
@@ -166,51 +192,172 @@
     tokio::spawn(async move { load.run(&client).await })
 }
 
-/// Starts long requests, uploads and large responses through the node of `host`.
-fn start_long_requests(mesh: &Mesh, host: &str) -> Vec<JoinHandle<anyhow::Result<()>>> {
+/// Starts long requests, uploads and large responses through the node of `host`, and waits until all
+/// have started on backend servers.
+async fn start_long_requests(
+    mesh: &Mesh,
+    host: &str,
+) -> anyhow::Result<(Vec<RequestTask>, Placements)> {
     let address = mesh.node(host).callers;
-    let mut tasks = Vec::new();
-    for path in ["/today", "/echo", LARGE_PATH].into_iter().cycle().take(9) {
-        let client = mesh.client.clone();
-        tasks.push(tokio::spawn(async move {
-            let work = LONG_WORK_TIME.as_millis().to_string();
-            let headers = [("x-work-ms", work.as_str())];
-            let (method, body, expected) = match path {
-                "/today" => (Method::GET, Vec::new(), None),
-                "/echo" => (Method::POST, vec![7; LARGE_LEN], Some(LARGE_LEN)),
-                _ => (Method::GET, Vec::new(), Some(LARGE_LEN)),
-            };
-            let reply = client.send(method, address, path, &headers, body);
-            let reply = reply.await?;
-            ensure!(reply.status == 200, "{path}: {:?}", reply.headers);
-            let is_complete = expected.is_none_or(|len| reply.body.len() == len);
-            ensure!(is_complete, "{path}: {} bytes", reply.body.len());
-            Ok(())
-        }));
+    let paths = LONG_PATHS.into_iter().cycle().take(LONG_REQUESTS);
+    let tasks = paths
+        .map(|path| tokio::spawn(send_long_request(mesh.client.clone(), address, path)))
+        .collect();
+    let placements = until_started(mesh, &LONG_PATHS, LONG_REQUESTS).await?;
+    Ok((tasks, placements))
+}
+
+async fn send_long_request(
+    client: Client,
+    address: SocketAddr,
+    path: &'static str,
+) -> anyhow::Result<()> {
+    let work = LONG_WORK_TIME.as_millis().to_string();
+    let headers = [("x-work-ms", work.as_str())];
+    let (method, body, expected) = match path {
+        ECHO_PATH => (Method::POST, vec![7; LARGE_LEN], Some(LARGE_LEN)),
+        LARGE_PATH => (Method::GET, Vec::new(), Some(LARGE_LEN)),
+        _ => (Method::GET, Vec::new(), None),
+    };
+    let reply = client.send(method, address, path, &headers, body);
+    let reply = reply.await?;
+    ensure!(reply.status == 200, "{path}: {:?}", reply.headers);
+    let is_complete = expected.is_none_or(|len| reply.body.len() == len);
+    ensure!(is_complete, "{path}: {} bytes", reply.body.len());
+    Ok(())
+}
+
+/// Starts a slow request to the server that shuts down, and waits until it runs there.
+///
+/// No other request may run yet: the more slots of a server are in use, the more likely is the choice
+/// of a server in another availability zone.
+async fn start_slow_request(mesh: &Mesh) -> anyhow::Result<RequestTask> {
+    let task = tokio::spawn(send_slow_request(
+        mesh.client.clone(),
+        mesh.node(NEIGHBOUR).callers,
+    ));
+    let placements = until_started(mesh, &[SLOW_PATH], 1).await?;
+    ensure!(
+        placements.running_on(STOPPED) > 0,
+        "the slow request does not run on {STOPPED}: {placements}"
+    );
+    Ok(task)
+}
+
+async fn send_slow_request(client: Client, address: SocketAddr) -> anyhow::Result<()> {
+    let headers = [("x-work-ms", SLOW_WORK_MS)];
+    let reply = client.send(Method::GET, address, SLOW_PATH, &headers, "");
+    let reply = reply.await?;
+    ensure!(reply.status == 200, "the slow request: {:?}", reply.headers);
+    ensure!(
+        reply.header("knapweed-host") == STOPPED,
+        "the slow request ran on host {:?}",
+        reply.header("knapweed-host")
+    );
+    Ok(())
+}
+
+/// A long or slow request in the ledger of a backend server.
+struct Placement {
+    /// Host of the backend server.
+    host: &'static str,
+    /// Path of the request.
+    path: String,
+    /// Whether the request runs, and has not ended.
+    is_running: bool,
+}
+
+impl fmt::Display for Placement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let state = if self.is_running { "runs" } else { "ended" };
+        write!(f, "{} {state} on {}", self.path, self.host)
     }
-    tasks
 }
 
-/// Starts a slow request to the server that shuts down.
-fn start_slow_request(mesh: &Mesh) -> JoinHandle<anyhow::Result<()>> {
-    let address = mesh.node(NEIGHBOUR).callers;
-    let client = mesh.client.clone();
-    tokio::spawn(async move {
-        let headers = [("x-work-ms", SLOW_WORK_MS)];
-        let reply = client.send(Method::GET, address, "/slow", &headers, "");
-        let reply = reply.await?;
-        ensure!(reply.status == 200, "the slow request: {:?}", reply.headers);
-        ensure!(
-            reply.header("knapweed-host") == STOPPED,
-            "the slow request ran on another host"
-        );
-        Ok(())
-    })
+impl Placement {
+    /// Reads an entry of the ledger of a server. `None` if it has another path, or an idempotency key
+    /// as the requests of the load have.
+    fn from_entry(host: &'static str, entry: &Value, paths: &[&str]) -> Option<Self> {
+        let path = entry["path"].as_str().filter(|path| paths.contains(path))?;
+        entry["idempotency_key"].is_null().then(|| Self {
+            host,
+            path: path.to_owned(),
+            is_running: entry["progress"] == "running",
+        })
+    }
+}
+
+/// Where long or slow requests run, by the ledgers of all backend servers.
+struct Placements(Vec<Placement>);
+
+impl fmt::Display for Placements {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let placements: Vec<_> = self.0.iter().map(Placement::to_string).collect();
+        write!(f, "[{}]", placements.join(", "))
+    }
+}
+
+impl Placements {
+    /// Reads the requests with these paths from the ledgers.
+    async fn read(mesh: &Mesh, paths: &[&str]) -> anyhow::Result<Self> {
+        let mut placements = Vec::new();
+        for host in BACKENDS {
+            let entries = mesh.ledger(&server_name(host)).await?;
+            let matching = entries
+                .iter()
+                .filter_map(|entry| Placement::from_entry(host, entry, paths));
+            placements.extend(matching);
+        }
+        Ok(Self(placements))
+    }
+
+    /// Number of requests that run.
+    fn running(&self) -> usize {
+        self.0.iter().filter(|p| p.is_running).count()
+    }
+
+    /// Number of requests that run on the backend server of `host`.
+    fn running_on(&self, host: &str) -> usize {
+        let running = self.0.iter().filter(|p| p.is_running);
+        running.filter(|p| p.host == host).count()
+    }
+}
+
+/// Waits until `requests` of the long or slow requests with these paths have started.
+async fn until_started(mesh: &Mesh, paths: &[&str], requests: usize) -> anyhow::Result<Placements> {
+    let what = format!("{requests} requests to {paths:?} have started");
+    let started = mesh.until(&what, START_TIMEOUT, || async {
+        let placements = Placements::read(mesh, paths).await.ok()?;
+        (placements.0.len() >= requests).then_some(placements)
+    });
+    match started.await {
+        Ok((placements, took)) => {
+            println!("{what} after {took:?}: {placements}");
+            Ok(placements)
+        }
+        Err(err) => {
+            let started = Placements::read(mesh, paths).await?;
+            Err(err.context(format!("started: {started}")))
+        }
+    }
+}
+
+/// Checks that the test has requests that could be interrupted.
+fn check_any_runs(placements: &Placements) -> anyhow::Result<()> {
+    ensure!(
+        placements.running() > 0,
+        "no long request runs, so the test is inconclusive: {placements}"
+    );
+    Ok(())
+}
+
+fn server_name(host: &str) -> String {
+    format!("{host}-calendar-v1")
 }
 
 /// Calls through the node that shuts down, until it refuses connections. Every call that it accepts
 /// must be answered.
-fn start_own_callers(mesh: &Mesh) -> JoinHandle<anyhow::Result<()>> {
+fn start_own_callers(mesh: &Mesh) -> RequestTask {
     let address = mesh.node(STOPPED).callers;
     let client = mesh.client.clone();
     tokio::spawn(async move {
@@ -236,34 +383,38 @@
     Ok(())
 }
 
-/// Counts from the last read of the ledger of a draining server.
+/// Counts from the reads of the ledger of a draining server.
 #[derive(Debug, Default)]
 struct LedgerCounts {
     /// Requests that started before the bound.
     before_bound: usize,
+    /// Reads of the ledger after the bound.
+    reads_after_bound: usize,
     /// Requests that started after the bound.
     after_bound: Vec<Value>,
 }
 
 /// Reads the ledger repeatedly until the server exits.
-async fn watch_ledger(mesh: &Mesh, name: &str) -> LedgerCounts {
+async fn watch_ledger(mesh: &mut Mesh, name: &str) -> LedgerCounts {
     let start = Instant::now();
-    let mut last = LedgerCounts::default();
-    while start.elapsed() < EXIT_TIMEOUT {
-        let Ok(entries) = mesh.ledger(name).await else {
-            break;
-        };
-        if start.elapsed() <= NO_NEW_REQUESTS {
-            last.before_bound = entries.len();
-        } else {
-            last.after_bound = entries[last.before_bound..].to_vec();
+    let mut counts = LedgerCounts::default();
+    while start.elapsed() < EXIT_TIMEOUT && mesh.process(name).wait(Duration::ZERO).is_err() {
+        match mesh.ledger(name).await {
+            Ok(entries) if start.elapsed() <= NO_NEW_REQUESTS => {
+                counts.before_bound = entries.len();
+            }
+            Ok(entries) => {
+                counts.reads_after_bound += 1;
+                counts.after_bound = entries[counts.before_bound..].to_vec();
+            }
+            Err(err) => println!("read {:?} after SIGTERM: {err}", start.elapsed()),
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    last
+    counts
 }
 
-async fn check_long_requests(tasks: Vec<JoinHandle<anyhow::Result<()>>>) -> anyhow::Result<()> {
+async fn check_long_requests(tasks: Vec<RequestTask>) -> anyhow::Result<()> {
     for task in tasks {
         task.await??;
     }
