test(demo): a zone that restarts in an outage must be seen to refuse

Seen by review: a_zone_restarted_in_an_outage_serves_after_it checks for 3 s that no node of the zone serves, but took a refused connection for a refusal. A node that opens its address only after these 3 s would have passed unobserved. Change: each node must refuse at least one call with 503 and the outcome not-run in this time. The other checks and bounds are as before.

--- a/crates/demo/tests/restart.rs
+++ b/crates/demo/tests/restart.rs
@@ -120,7 +120,7 @@
 async fn check_serves(mesh: &Mesh, hosts: &[&str]) -> anyhow::Result<()> {
     let start = Instant::now();
     for host in hosts {
-        while !serves(mesh, host).await? {
+        while answer(mesh, host).await? != Answer::Served {
             ensure!(start.elapsed() < SERVING_TIMEOUT, "{host} does not serve");
             tokio::time::sleep(POLL_INTERVAL).await;
         }
@@ -131,32 +131,56 @@
     Ok(())
 }
 
-/// Checks that no node of `hosts` serves callers.
+/// Checks that no node of `hosts` serves callers, and that each refuses them. A node that has not opened
+/// its address yet shows nothing.
 async fn check_refuses(mesh: &Mesh, hosts: &[&str]) -> anyhow::Result<()> {
     let start = Instant::now();
+    let mut refusals = vec![0; hosts.len()];
     while start.elapsed() < OBSERVATION_PERIOD {
-        for host in hosts {
-            ensure!(!serves(mesh, host).await?, "{host} serves");
+        for (host, refusals) in hosts.iter().zip(&mut refusals) {
+            match answer(mesh, host).await? {
+                Answer::Served => anyhow::bail!("{host} serves"),
+                Answer::Refused => *refusals += 1,
+                Answer::Unreachable => {}
+            }
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
+    println!("{hosts:?} refused {refusals:?} calls");
+    ensure!(
+        refusals.iter().all(|refusals| *refusals > 0),
+        "a node was not reachable, so the test is inconclusive: {hosts:?} refused {refusals:?} calls"
+    );
     Ok(())
 }
 
-/// Returns whether a node serves the route of the newest version, and checks that any other response
-/// is a refusal with the outcome `not-run`. An older version would respond with 404.
-async fn serves(mesh: &Mesh, host: &str) -> anyhow::Result<bool> {
+/// How a node answers a call of the route of the newest version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Answer {
+    /// A backend server answered.
+    Served,
+    /// The node refused the call with the outcome `not-run`.
+    Refused,
+    /// The node refuses connections, since it is still starting.
+    Unreachable,
+}
+
+/// Calls the route of the newest version, and checks that any response but that of a backend server is
+/// a refusal with the outcome `not-run`. An older version would respond with 404.
+async fn answer(mesh: &Mesh, host: &str) -> anyhow::Result<Answer> {
     let path = format!("/{}", route_name(NEWEST));
     let address = mesh.node(host).callers;
     let sent = mesh.client.send(Method::GET, address, &path, &[], "");
-    // A node that is still starting refuses connections.
     let Ok(reply) = sent.await else {
-        return Ok(false);
+        return Ok(Answer::Unreachable);
     };
     let outcome = reply.header("knapweed-outcome");
     let refused = reply.status == 503 && outcome == "not-run";
     ensure!(reply.status == 200 || refused, "{host}: {reply:?}");
-    Ok(reply.status == 200)
+    Ok(match reply.status == 200 {
+        true => Answer::Served,
+        false => Answer::Refused,
+    })
 }
 
 fn check_regressions(watch: &VersionWatch) -> anyhow::Result<()> {
