fix(zone): confirmations age on their way between nodes

Cause: a confirmation did not age in transit. Change: each message has the steady time of its sender, in milliseconds modulo 35 minutes. A confirmation of unknown age does not count; its sender is pinged. All pings have a sequence of their own, so that each ack can be measured. The bounds are kept for each member and incarnation, and lose 1 ms a second for the drift of the clocks. Weighed: the smallest difference seen lately as the base, as LEDBAT does. It takes the messages of a queue that drains for punctual, as long as each waited less than the one before. Cost: 3 bytes in each message, 1 or 2 in the first 16 s of a process. A header has 66 bytes at most (64 before), a message 1,116 (1,114 before). The new step is also among the disturbances of the other plans. In freshness.rs the time of a report is an Option now.

--- a/crates/node/tests/configuration/main.rs
+++ b/crates/node/tests/configuration/main.rs
@@ -83,6 +83,14 @@
     assert_holds(&ZONES, plan::disturbances(ZONES.iter().sum()), 100);
 }
 
+/// Guards against a node behind a link that was cut, which denies a route that was added
+/// meanwhile: it takes the messages that the link has kept for new ones (issue 35).
+#[test]
+fn a_node_behind_a_link_that_keeps_messages_denies_no_new_route() {
+    let nodes = ZONES.iter().sum();
+    assert_holds(&ZONES, plan::links_that_keep_messages(nodes), 100);
+}
+
 /// Guards against a node that starts after a loss of the store, knows no other node yet, and
 /// takes the older configuration there for the newest (issue 35).
 #[test]
--- a/crates/node/tests/configuration/mesh.rs
+++ b/crates/node/tests/configuration/mesh.rs
@@ -46,6 +46,8 @@
 const STORE_DELAY_US: std::ops::Range<u64> = 500..5_000;
 /// Additional latency between availability zones.
 const REMOTE_DELAY: Duration = ms(5);
+/// Interval at which a link delivers the messages that it has kept while it was cut.
+const KEPT_INTERVAL: Duration = ms(10);
 /// Probability that a message between nodes is lost.
 const MESSAGE_LOSS: f64 = 0.01;
 
@@ -74,6 +76,9 @@
     /// Times until which the node does not reach the store, or anything at all.
     cut_until: Time,
     isolated_until: Time,
+    /// Time until which the link of the node keeps messages, with their number so far.
+    keeps_until: Time,
+    kept: u32,
     answer_delay: Duration,
     delayed_until: Time,
     /// Times until which the answers of the store to the node are lost or spoiled.
@@ -292,6 +297,8 @@
             was_serving: false,
             cut_until: Time::default(),
             isolated_until: Time::default(),
+            keeps_until: Time::default(),
+            kept: 0,
             answer_delay: Duration::ZERO,
             delayed_until: Time::default(),
             lost_until: Time::default(),
@@ -332,6 +339,13 @@
             Step::Isolate(node, length) => {
                 self.nodes[node.0].isolated_until = until(self, length);
             }
+            Step::KeepMessages(node, length) => {
+                let end = until(self, length);
+                let node = &mut self.nodes[node.0];
+                node.isolated_until = node.isolated_until.max(end);
+                node.keeps_until = end;
+                node.kept = 0;
+            }
             Step::LoseAnswers(node, length) => {
                 self.nodes[node.0].lost_until = until(self, length);
             }
@@ -441,7 +455,22 @@
         Some(near + REMOTE_DELAY * is_remote.into())
     }
 
+    /// Time for which a message waits for the link of one of two nodes; `None` if that keeps
+    /// none.
+    fn keep(&mut self, from: NodeKey, to: NodeKey) -> Option<Duration> {
+        let now = self.now;
+        let nodes = self.nodes.iter_mut().enumerate();
+        let mut ends = nodes.filter(|(key, _)| [from.0, to.0].contains(key));
+        let (_, node) = ends.find(|(_, node)| now < node.keeps_until)?;
+        node.kept += 1;
+        let end = node.keeps_until.after(KEPT_INTERVAL * node.kept);
+        Some(end.since(now))
+    }
+
     fn send(&mut self, from: NodeKey, to: NodeKey, delivery: Delivery) {
+        if let (Delivery::Message(..), Some(wait)) = (&delivery, self.keep(from, to)) {
+            return self.schedule(wait, Work::Deliver(to, delivery));
+        }
         if let Some(delay) = self.delay(from, to) {
             self.schedule(delay, Work::Deliver(to, delivery));
         }
--- a/crates/node/tests/configuration/plan.rs
+++ b/crates/node/tests/configuration/plan.rs
@@ -59,6 +59,9 @@
     CutFromStore(NodeKey, u16),
     /// A node reaches neither the store nor other nodes for a time.
     Isolate(NodeKey, u16),
+    /// The link of a node is cut for a time, and later delivers the messages between nodes
+    /// that it has kept.
+    KeepMessages(NodeKey, u16),
     /// The answers of the store to a node are lost for a time.
     LoseAnswers(NodeKey, u16),
     /// The entries in the answers of the store to a node cannot be read, for a time.
@@ -124,6 +127,7 @@
         1 => (0..3_000u16).prop_map(Step::Outage),
         1 => (node(), length()).prop_map(|(n, ms)| Step::CutFromStore(n, ms)),
         1 => (node(), length()).prop_map(|(n, ms)| Step::Isolate(n, ms)),
+        1 => (node(), length()).prop_map(|(n, ms)| Step::KeepMessages(n, ms)),
         1 => (node(), 0..3_000u16).prop_map(|(n, ms)| Step::LoseAnswers(n, ms)),
         1 => (node(), spoiled(), 0..3_000u16).prop_map(|(n, s, ms)| Step::SpoilAnswers(n, s, ms)),
         1 => (node(), 0..600u16, length()).prop_map(|(n, d, ms)| Step::DelayAnswers(n, d, ms)),
@@ -147,6 +151,22 @@
     plans(any_step(nodes))
 }
 
+/// Plans in which a route is added while the link of a node is cut, at least the bound for
+/// changes before the link works again.
+pub(crate) fn links_that_keep_messages(nodes: usize) -> impl Strategy<Value = Plan> {
+    let change = Step::Change {
+        adds: true,
+        removes: false,
+    };
+    let times = (0..2_000u16, 3_000..MAX_DISTURBANCE_MS);
+    let plan = (any::<u64>(), times, (0..nodes).prop_map(NodeKey));
+    plan.prop_map(move |(seed, (until_change, rest), node)| {
+        let cut = Step::KeepMessages(node, until_change + rest);
+        let steps = vec![(0, cut), (until_change, change)];
+        Plan { seed, steps }
+    })
+}
+
 /// Plans in which the store loses a change, and a node starts again before the operator has
 /// written it again.
 pub(crate) fn restarts_after_a_loss(nodes: usize) -> impl Strategy<Value = Plan> {
--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -96,12 +96,12 @@
     }
 
     /// Handles the report of another node that it has applied `version`, with its
-    /// confirmation if it has one. `arrived_at` is the earliest time at which the report can
-    /// have arrived.
+    /// confirmation if it has one. `sent_at` is the earliest time at which the report can
+    /// have been sent; a confirmation of unknown age does not count.
     pub fn reported(
         &mut self,
         now: Time,
-        arrived_at: Time,
+        sent_at: Option<Time>,
         version: ConfigVersion,
         confirmation: Option<Confirmation>,
     ) {
@@ -109,10 +109,10 @@
             self.begin_era(now, confirmation.era);
         }
         let confirmation = confirmation.filter(|c| Some(c.era) == self.era);
-        match confirmation {
-            Some(confirmation) if version >= self.newest => {
+        match confirmation.zip(sent_at) {
+            Some((confirmation, sent_at)) if version >= self.newest => {
                 let age = Duration::from_millis(confirmation.age_ms.into());
-                self.confirm(version, arrived_at.before(age));
+                self.confirm(version, sent_at.before(age));
             }
             _ if version > self.newest => {
                 self.newest = version;
--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -13,13 +13,14 @@
 mod backlog;
 mod detect;
 mod exchange;
+mod transit;
 
 use crate::directory::{Directory, MemberKey, SharedRecord};
 use crate::dissemination::peers::Role;
 use crate::dissemination::{Dissemination, Request, View, derive_rng};
 use crate::duty::{Duty, holders};
 use crate::freshness::Freshness;
-use crate::message::{Body, Message, Notice, Ping, PingSequence, RecordSpace, Sender};
+use crate::message::{Body, Message, Notice, Ping, RecordSpace, SendTime, Sender};
 use crate::record::{ErrorCode, Incarnation, MAX_RECORD_LEN, MemberRecord, MemberState, Sequence};
 use backlog::Backlog;
 use gossip::Gossip;
@@ -32,6 +33,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use suspicion::Suspicions;
+use transit::Transit;
 
 /// Interval at which the caller sends [`Event::Tick`].
 pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -59,8 +61,6 @@
 /// Number of neighbours that this node notifies of each version it applies, and that
 /// it queries for its version floor after a restart.
 pub const FLOOR_PEERS: usize = 3;
-/// Sequence of pings that are not tracked; their acks are ignored.
-const UNTRACKED: PingSequence = PingSequence(0);
 /// Maximum number of notices with new records to each neighbour per tick.
 pub const PUSHES_PER_TICK: usize = 2;
 
@@ -174,6 +174,7 @@
     /// Time of the event that is being handled.
     last_event: Time,
     backlog: Backlog,
+    transit: Transit,
     rng: SmallRng,
     actions: Vec<Action>,
     members_changed: bool,
@@ -235,6 +236,7 @@
             freshness: Freshness::default(),
             last_event: now,
             backlog: Backlog::default(),
+            transit: Transit::default(),
             retransmit_limit: gossip::retransmit_limit(1),
             seeds,
             fast_comparisons: FAST_COMPARISONS,
@@ -462,10 +464,7 @@
                 Request::Notice(to, records) => {
                     self.send_records(to, Body::Notice(Notice {}), records);
                 }
-                Request::Ping(to) => {
-                    let sequence = UNTRACKED;
-                    self.send(to, Body::Ping(Ping { sequence }));
-                }
+                Request::Ping(to) => self.ping_untracked(to),
                 Request::FetchConfig(from) => self.actions.push(Action::FetchConfig { from }),
                 Request::FetchMembers(from) => self.actions.push(Action::FetchMembers { from }),
                 Request::WatchHead(watch) => self.actions.push(Action::WatchHead(watch)),
@@ -473,12 +472,22 @@
         }
     }
 
+    /// Sends a ping whose ack is not waited for.
+    fn ping_untracked(&mut self, to: SocketAddr) {
+        let sequence = self.probes.next_sequence();
+        self.send(to, Body::Ping(Ping { sequence }));
+    }
+
     /// Sends a message with the queued records that fit into it.
     fn send(&mut self, to: SocketAddr, body: Body) {
         let mut space = RecordSpace::new();
         let mut records = Vec::new();
-        let target = self.directory.find_address(to);
-        let target = target.and_then(|key| self.directory.get(key));
+        let member = self.directory.find_address(to);
+        if let (Some(member), Body::Ping(ping)) = (member, body) {
+            let now = self.last_event;
+            self.transit.ping_sent(now, member, ping.sequence);
+        }
+        let target = member.and_then(|key| self.directory.get(key));
         // A member that is not alive in this directory can refute its state only if it
         // receives that record.
         if let Some(record) = target.filter(|r| r.state != MemberState::Alive)
@@ -500,6 +509,7 @@
         let own = self.own();
         let sender = Sender {
             incarnation: own.incarnation,
+            sent_at: SendTime::at(self.last_event),
             version: own.applied,
             confirmation: self.freshness.confirmation(self.last_event),
             is_neighbour: self.neighbours.has_chosen(to),
--- a/crates/zone/src/membership/detect.rs
+++ b/crates/zone/src/membership/detect.rs
@@ -4,7 +4,7 @@
 use super::probe::{ACK_TIMEOUT, INDIRECT_TIMEOUT, Probe, Purpose};
 use super::{
     Action, COMPARE_INTERVAL, FAST_COMPARE_INTERVAL, FAST_COMPARISONS, INDIRECT_PINGS, Membership,
-    PAUSE_THRESHOLD, PING_INTERVAL, PUSHES_PER_TICK, REJOIN_INTERVAL, SWEEP_INTERVAL, UNTRACKED,
+    PAUSE_THRESHOLD, PING_INTERVAL, PUSHES_PER_TICK, REJOIN_INTERVAL, SWEEP_INTERVAL,
 };
 use crate::directory::MemberKey;
 use crate::dissemination::View;
@@ -37,6 +37,8 @@
         }
         if is_due(&mut self.timers.sweep, now, SWEEP_INTERVAL) {
             self.directory.expire(now);
+            let is_present = |key| self.directory.get(key).is_some_and(|r| r.is_present());
+            self.transit.retain(is_present);
         }
         self.refresh_neighbours(now);
         if is_due(&mut self.timers.ping, now, PING_INTERVAL) {
@@ -163,8 +165,7 @@
         let dead = dead.filter(|(_, r)| !r.is_present() && r.zone == zone);
         let target = dead.map(|(_, r)| r.address).choose(&mut self.rng);
         if let Some(address) = target {
-            let sequence = UNTRACKED;
-            self.send(address, Body::Ping(Ping { sequence }));
+            self.ping_untracked(address);
         }
     }
 
--- a/crates/zone/src/membership/exchange.rs
+++ b/crates/zone/src/membership/exchange.rs
@@ -40,10 +40,18 @@
 
     fn record_sender_version(&mut self, now: Time, from: SocketAddr, message: &Message) {
         let sender = message.sender;
-        let arrived_at = self.backlog.arrived_at(now);
-        self.freshness
-            .reported(now, arrived_at, sender.version, sender.confirmation);
         let member = self.directory.find_address(from);
+        let sent_at = member.and_then(|member| self.transit.received(now, member, message));
+        let sent_at = sent_at.map(|at| at.min(self.backlog.arrived_at(now)));
+        self.freshness
+            .reported(now, sent_at, sender.version, sender.confirmation);
+        if let Some(member) = member
+            && sender.confirmation.is_some()
+            && sent_at.is_none()
+            && self.transit.may_measure(now, member)
+        {
+            self.ping_untracked(from);
+        }
         if let Some(member) = member.filter(|m| *m != self.own) {
             let record_reported =
                 |r: &mut MemberRecord| r.record_version(sender.incarnation, sender.version);
--- a/crates/zone/src/membership/probe.rs
+++ b/crates/zone/src/membership/probe.rs
@@ -43,19 +43,25 @@
 
 /// Start, end and expiry of pings.
 impl Probes {
+    /// The sequence of a ping that is not tracked: its ack ends no check.
+    pub(crate) fn next_sequence(&mut self) -> PingSequence {
+        self.last = PingSequence(self.last.0.wrapping_add(1));
+        self.last
+    }
+
     /// Starts to track a ping and returns its sequence.
     pub(crate) fn start(&mut self, now: Time, purpose: Purpose) -> PingSequence {
-        self.last = PingSequence(self.last.0.wrapping_add(1));
+        let sequence = self.next_sequence();
         let timeout = match purpose {
             Purpose::CheckIndirect(_) => INDIRECT_TIMEOUT,
             Purpose::Check(_) | Purpose::Relay { .. } => ACK_TIMEOUT,
         };
         self.pending.push(Probe {
-            sequence: self.last,
+            sequence,
             deadline: now.after(timeout),
             purpose,
         });
-        self.last
+        sequence
     }
 
     /// Ends and returns the ping that an ack answers; `None` when it is not tracked.
--- a/crates/zone/src/message.rs
+++ b/crates/zone/src/message.rs
@@ -2,7 +2,7 @@
 
 use crate::freshness::Confirmation;
 use crate::record::{Incarnation, MemberRecord};
-use knapweed_world::ConfigVersion;
+use knapweed_world::{ConfigVersion, Time};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -10,9 +10,30 @@
 pub const MAX_RECORDS: usize = 8;
 /// Maximum length of an encoded message, in bytes; leaves space for framing in a
 /// datagram of 1,200 bytes.
-pub const MAX_MESSAGE_LEN: usize = 1_114;
+pub const MAX_MESSAGE_LEN: usize = 1_116;
 /// Upper bound of the encoded length of a message without records, in bytes.
-pub const MAX_HEADER_LEN: usize = 64;
+pub const MAX_HEADER_LEN: usize = 66;
+
+/// Range of a [`SendTime`], in milliseconds: 35 minutes, so that it is encoded in 3 bytes at most.
+pub const SEND_TIME_RANGE_MS: u32 = 1 << 21;
+
+/// Time at which a message was sent, on the steady clock of the sending process, in
+/// milliseconds modulo [`SEND_TIME_RANGE_MS`].
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SendTime(pub u32);
+
+impl SendTime {
+    /// The time `now` of this process.
+    pub fn at(now: Time) -> Self {
+        let ms = now.since(Time::default()).as_millis();
+        Self((ms % u128::from(SEND_TIME_RANGE_MS)) as u32)
+    }
+
+    /// The time from `earlier` to this one, in milliseconds modulo [`SEND_TIME_RANGE_MS`].
+    pub fn since_ms(self, earlier: Self) -> u32 {
+        self.0.wrapping_sub(earlier.0) % SEND_TIME_RANGE_MS
+    }
+}
 
 /// Number that matches an ack to its ping.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -24,6 +45,8 @@
     /// Incarnation of the sending process, so that a late message is not attributed
     /// to its successor.
     pub incarnation: Incarnation,
+    /// When the message was sent, for its age at the receiver.
+    pub sent_at: SendTime,
     /// The configuration version that the sender has applied.
     pub version: ConfigVersion,
     /// When that version was last known to be the newest; `None` when it is not.
--- a/crates/zone/tests/freshness.rs
+++ b/crates/zone/tests/freshness.rs
@@ -50,27 +50,27 @@
             f.applied(V2);
         }),
         ("a newer version at another node", |f| {
-            f.reported(at(3), at(3), V2, None);
+            f.reported(at(3), Some(at(3)), V2, None);
         }),
         ("a newer version in force, not confirmed", |f| f.applied(V2)),
         ("confirmed by a node at 3 s, 500 ms old", |f| {
-            f.reported(at(3), at(3), V1, aged(FIRST_ERA, 500));
+            f.reported(at(3), Some(at(3)), V1, aged(FIRST_ERA, 500));
         }),
         ("an older version at another node, confirmed", |f| {
-            f.reported(at(3), at(3), ConfigVersion(0), aged(FIRST_ERA, 0));
+            f.reported(at(3), Some(at(3)), ConfigVersion(0), aged(FIRST_ERA, 0));
         }),
         ("a later era at another node, with its version", |f| {
-            f.reported(at(3), at(3), V1, aged(SECOND_ERA, 100));
+            f.reported(at(3), Some(at(3)), V1, aged(SECOND_ERA, 100));
         }),
         ("a later era at a node with an older version", |f| {
-            f.reported(at(3), at(3), ConfigVersion(0), aged(SECOND_ERA, 0));
+            f.reported(at(3), Some(at(3)), ConfigVersion(0), aged(SECOND_ERA, 0));
         }),
         ("a later era, whose store has an older version", |f| {
             f.store_answered(at(3), at(3), SECOND_ERA, ConfigVersion(0));
         }),
         ("an earlier era at another node", |f| {
-            f.reported(at(2), at(2), V1, aged(SECOND_ERA, 0));
-            f.reported(at(3), at(3), V1, aged(FIRST_ERA, 0));
+            f.reported(at(2), Some(at(2)), V1, aged(SECOND_ERA, 0));
+            f.reported(at(3), Some(at(3)), V1, aged(FIRST_ERA, 0));
         }),
     ];
     let lines = cases.map(|(name, step)| {
@@ -112,8 +112,8 @@
         (
             "a process that stood still until 3 s hears of the era",
             |f| {
-                f.reported(at(13), at(3), V1, aged(SECOND_ERA, 0));
-                f.reported(at(13), at(13), V2, None);
+                f.reported(at(13), Some(at(3)), V1, aged(SECOND_ERA, 0));
+                f.reported(at(13), Some(at(13)), V2, None);
                 f.applied(V2);
                 f.store_answered(at(14), at(14), SECOND_ERA, V2);
             },
@@ -124,7 +124,7 @@
         }),
         ("a node that knows better", |f| {
             f.store_answered(at(3), at(3), SECOND_ERA, V1);
-            f.reported(at(4), at(4), V1, aged(SECOND_ERA, 0));
+            f.reported(at(4), Some(at(4)), V1, aged(SECOND_ERA, 0));
         }),
         ("a process that starts in the later era", |f| {
             *f = Freshness::default();
@@ -189,11 +189,15 @@
 }
 
 fn confirm_watched(sim: &mut Sim) {
+    confirm_version(sim, V1);
+}
+
+fn confirm_version(sim: &mut Sim, version: ConfigVersion) {
     let watching = (0..sim.nodes.len()).filter(|n| sim.nodes[*n].watches_head);
     for node in watching.collect::<Vec<_>>() {
         let confirmed = Event::ConfigConfirmed {
             era: FIRST_ERA,
-            version: V1,
+            version,
             at: sim.now,
         };
         sim.handle(node, confirmed);
@@ -263,3 +267,42 @@
     }
     assert!(is_current(&sim, PAUSED), "confirmations count again");
 }
+
+/// Guards against a node behind a link that was cut, which claims that a route does not exist
+/// that was added meanwhile: it takes the messages that waited for the link for new ones
+/// (DENIED, issue 35).
+#[test]
+fn confirmations_that_waited_for_a_link_do_not_count() {
+    const BEHIND: usize = 13;
+    let mut sim = Sim::new(&[14], 1);
+    sim.run(ms(6_000));
+    sim.apply(0, V1);
+    sim.run(ms(3_000));
+    for _ in 0..3 {
+        confirm_watched(&mut sim);
+        sim.run(WATCH_INTERVAL);
+    }
+    let state = |sim: &Sim| {
+        let membership = sim.nodes[BEHIND].membership.as_ref();
+        let membership = membership.expect("a running node");
+        let is_current = membership.freshness().current_until() > sim.now;
+        (is_current, membership.own().applied)
+    };
+    assert_eq!(state(&sim), (true, V1));
+    sim.cut_link(BEHIND);
+    confirm_watched(&mut sim);
+    sim.run(WATCH_INTERVAL);
+    sim.apply(0, V2);
+    sim.run(CONFIRMED_FOR + ms(100));
+    assert_eq!(state(&sim), (false, V1));
+    sim.restore_link();
+    for _ in 0..500 {
+        sim.run(ms(1));
+        assert_ne!(state(&sim), (true, V1), "at {:?}", sim.now);
+    }
+    for _ in 0..2 {
+        confirm_version(&mut sim, V2);
+        sim.run(WATCH_INTERVAL);
+    }
+    assert_eq!(state(&sim), (true, V2), "confirmations count again");
+}
--- a/crates/zone/tests/record.rs
+++ b/crates/zone/tests/record.rs
@@ -9,7 +9,8 @@
 use knapweed_zone::directory::{Directory, TOMBSTONE_TTL};
 use knapweed_zone::membership::{Action, Event};
 use knapweed_zone::message::{
-    Body, MAX_HEADER_LEN, MAX_MESSAGE_LEN, Message, Notice, Ping, PingReq, PingSequence, Sender,
+    Body, MAX_HEADER_LEN, MAX_MESSAGE_LEN, Message, Notice, Ping, PingReq, PingSequence,
+    SEND_TIME_RANGE_MS, SendTime, Sender,
 };
 use knapweed_zone::record::{MAX_RECORD_LEN, Merge};
 use knapweed_zone::{Confirmation, Incarnation, MemberRecord, MemberState, Membership, Sequence};
@@ -185,6 +186,7 @@
     let message = Message {
         sender: Sender {
             incarnation: Incarnation(u64::MAX),
+            sent_at: SendTime(SEND_TIME_RANGE_MS - 1),
             version: ConfigVersion(u64::MAX),
             confirmation: Some(Confirmation {
                 era: StoreEra(u64::MAX),
@@ -232,6 +234,7 @@
     let message = Message {
         sender: Sender {
             incarnation: Incarnation(1),
+            sent_at: SendTime::default(),
             version: ConfigVersion(0),
             confirmation: None,
             is_neighbour: false,
@@ -260,6 +263,7 @@
         let message = Message {
             sender: Sender {
                 incarnation: other.incarnation,
+                sent_at: SendTime::default(),
                 version: ConfigVersion(0),
                 confirmation: None,
                 is_neighbour: true,
--- a/crates/zone/tests/sim/mod.rs
+++ b/crates/zone/tests/sim/mod.rs
@@ -24,6 +24,8 @@
 const EPOCH_MS: u64 = 1_700_000_000_000;
 /// Time that a node takes to apply a fetched configuration.
 const APPLY_TIME: Duration = Duration::from_millis(20);
+/// Interval at which a link delivers the messages that it has kept.
+const KEPT_INTERVAL: Duration = Duration::from_millis(5);
 
 pub fn name(text: &str) -> Name {
     text.parse().expect("a valid name")
@@ -102,6 +104,10 @@
     /// How deltas take time on the links; `None` when they take none.
     pub link_rules: Option<link::Rules>,
     links: Vec<link::Link>,
+    /// The node whose link is cut.
+    cut_off: Option<usize>,
+    /// Messages that wait at the ends of the cut link, with their receivers.
+    kept: Vec<(usize, Delivery)>,
     queue: BTreeMap<(Time, u64), (usize, Delivery)>,
     order: u64,
     by_address: HashMap<SocketAddr, usize>,
@@ -131,6 +137,8 @@
             rng: SmallRng::seed_from_u64(seed),
             link_rules: None,
             links: Vec::new(),
+            cut_off: None,
+            kept: Vec::new(),
             queue: BTreeMap::new(),
             order: 0,
             by_address: HashMap::new(),
@@ -236,6 +244,21 @@
     pub fn pause(&mut self, node: usize, length: Duration) {
         self.nodes[node].paused_until = self.now.after(length);
     }
+
+    /// Cuts the link of a node. Messages to it and from it wait, all else is lost.
+    pub fn cut_link(&mut self, node: usize) {
+        self.cut_off = Some(node);
+    }
+
+    /// Ends the cut of the link, which delivers what it has kept, the oldest first.
+    pub fn restore_link(&mut self) {
+        self.cut_off = None;
+        let mut at = self.now;
+        for (to, delivery) in std::mem::take(&mut self.kept) {
+            at = at.after(KEPT_INTERVAL);
+            self.schedule(at, to, delivery);
+        }
+    }
 }
 
 /// Execution of the simulation.
@@ -412,6 +435,12 @@
     }
 
     fn send(&mut self, from: usize, to: usize, delivery: Delivery) {
+        if self.cut_off.is_some_and(|node| node == from || node == to) {
+            if matches!(delivery, Delivery::Message { .. }) {
+                self.kept.push((to, delivery));
+            }
+            return;
+        }
         if let Some(delay) = self.network.repeat_delay() {
             self.schedule(self.now.after(delay), to, delivery.clone());
         }
