fix(zone): a host that stalls again and again accepts confirmations

Cause: a message that was handled within a second after a pause of over 300 ms counted as old as that pause, and pauses less than a second apart added up without end. Change: the time of sending in each message says how long it has waited, also while its receiver was paused, so the estimate from the pauses (Backlog) is gone. A message that waited during a pause still counts as that old; one that has just arrived counts as new.

--- a/crates/zone/src/membership.rs
+++ b/crates/zone/src/membership.rs
@@ -10,7 +10,6 @@
 pub mod probe;
 pub mod suspicion;
 
-mod backlog;
 mod detect;
 mod exchange;
 mod transit;
@@ -22,7 +21,6 @@
 use crate::freshness::Freshness;
 use crate::message::{Body, Message, Notice, Ping, RecordSpace, SendTime, Sender};
 use crate::record::{ErrorCode, Incarnation, MAX_RECORD_LEN, MemberRecord, MemberState, Sequence};
-use backlog::Backlog;
 use gossip::Gossip;
 use knapweed_world::backend_server::{Announcement, ServerState};
 use knapweed_world::{ConfigVersion, StoreEra, Time};
@@ -173,7 +171,6 @@
     timers: Timers,
     /// Time of the event that is being handled.
     last_event: Time,
-    backlog: Backlog,
     transit: Transit,
     rng: SmallRng,
     actions: Vec<Action>,
@@ -235,7 +232,6 @@
             dissemination: Dissemination::new(now, derive_rng(&mut rng)),
             freshness: Freshness::default(),
             last_event: now,
-            backlog: Backlog::default(),
             transit: Transit::default(),
             retransmit_limit: gossip::retransmit_limit(1),
             seeds,
@@ -325,7 +321,6 @@
 impl Membership {
     /// Handles an event and returns the resulting actions, in order.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
-        self.backlog.event(self.last_event, now);
         self.last_event = now;
         match event {
             Event::Tick => self.tick(now),
--- a/crates/zone/src/membership/exchange.rs
+++ b/crates/zone/src/membership/exchange.rs
@@ -42,7 +42,6 @@
         let sender = message.sender;
         let member = self.directory.find_address(from);
         let sent_at = member.and_then(|member| self.transit.received(now, member, message));
-        let sent_at = sent_at.map(|at| at.min(self.backlog.arrived_at(now)));
         self.freshness
             .reported(now, sent_at, sender.version, sender.confirmation);
         if let Some(member) = member
--- a/crates/zone/tests/freshness.rs
+++ b/crates/zone/tests/freshness.rs
@@ -306,3 +306,29 @@
     }
     assert_eq!(state(&sim), (true, V2), "confirmations count again");
 }
+
+/// Guards against a host that stalls again and again and refuses unknown paths as unavailable
+/// all the time: its pauses add up, and no confirmation of other nodes counts (issue 35).
+#[test]
+fn a_node_that_stalls_again_and_again_accepts_recent_confirmations() {
+    const STALLING: usize = 13;
+    let mut sim = Sim::new(&[14], 1);
+    sim.run(ms(6_000));
+    sim.apply(0, V1);
+    sim.run(ms(3_000));
+    let mut ages = Vec::new();
+    for _ in 0..30 {
+        confirm_watched(&mut sim);
+        for _ in 0..2 {
+            sim.pause(STALLING, ms(400));
+            sim.run(ms(500));
+            let membership = sim.nodes[STALLING].membership.as_ref();
+            let until = membership.map(|m| m.freshness().current_until());
+            let confirmed_at = until.unwrap_or_default().before(CONFIRMED_FOR);
+            ages.push(sim.now.since(confirmed_at));
+        }
+    }
+    let (median, worst) = (median(&ages), worst(&ages));
+    println!("median {median:?}, worst {worst:?}");
+    assert!(worst < CONFIRMED_FOR, "{ages:?}");
+}
