fix(timer): time goes on while the host is suspended

A host may be suspended for seconds, and the steady clock does not count that time. Afterwards a node took its table for the newest one for as long as before, and answered 404 for routes that were added meanwhile. Cause: the timer service, the only source of time, read the steady clock alone. A suspension is a pause for all decisions: confirmations age, checks of neighbours get more time, others' suspicions are refuted. Less than 50 ms do not count, since two clocks cannot be read at one moment; a delay between the readings makes the length smaller, never larger. Waits of tokio, hyper and quinn still stand still meanwhile. No host was suspended for real.

--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -19,7 +19,7 @@
 use knapweed_node::protocol::native::NativeHeaders;
 use knapweed_node::protocol::{CallerFields, CallerProtocol};
 use knapweed_observe::Metrics;
-use knapweed_timer::TimerService;
+use knapweed_timer::{Suspensions, TimerService};
 use knapweed_wire::RequestHead;
 use knapweed_world::backend_server::Announcement;
 use knapweed_world::config::{
@@ -29,7 +29,7 @@
 use knapweed_world::{ConfigVersion, Name, ServerState, Share, SnapshotCell, TicketNumber};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Carrier whose outcome depends on the path of the request.
@@ -223,6 +223,37 @@
     assert_eq!(run(&ingress, "/calendar/ok", &[]).await, answered);
 }
 
+/// Suspensions of the host so far, in seconds.
+#[derive(Clone, Debug, Default)]
+struct Suspended(Arc<AtomicU64>);
+
+impl Suspensions for Suspended {
+    fn total(&self) -> Duration {
+        Duration::from_secs(self.0.load(Ordering::Relaxed))
+    }
+}
+
+/// Guards against a 404 for a route that was added while the host was suspended: the steady clock
+/// stood still, and the table still counted as the newest one (`DENIED`, issue 35).
+#[tokio::test]
+async fn an_unknown_path_is_unavailable_after_a_suspension() {
+    let snapshots = snapshots(local("a1", "labasa-a", "labasa"));
+    let suspended = Suspended::default();
+    let timer = TimerService::start_with(Box::new(suspended.clone()));
+    let dependencies = Dependencies {
+        timer: timer.clone(),
+        ..dependencies(snapshots, &Metrics::new(), Drain::default())
+    };
+    let currency = Arc::clone(&dependencies.currency);
+    let ingress = Ingress::new(dependencies);
+    currency.set_until(timer.now().after(Duration::from_secs(60)));
+    let no_route = Outcome::NotRun(NotRun::NoRoute);
+    assert_eq!(run(&ingress, "/nowhere", &[]).await, no_route);
+    suspended.0.store(60, Ordering::Relaxed);
+    let outdated = Outcome::NotRun(NotRun::OutdatedConfig);
+    assert_eq!(run(&ingress, "/nowhere", &[]).await, outdated);
+}
+
 /// Header format that runs an action when the ingress reads the identifier of a request, which
 /// it does while it already uses a snapshot.
 struct Interrupted<F>(F);
--- a/crates/timer/src/lib.rs
+++ b/crates/timer/src/lib.rs
@@ -4,5 +4,7 @@
 //! with each tick, so that decision code never reads a clock.
 
 mod service;
+mod suspension;
 
 pub use service::{Subscription, TimerService};
+pub use suspension::{Suspensions, SystemClocks};
--- a/crates/timer/src/service.rs
+++ b/crates/timer/src/service.rs
@@ -1,13 +1,18 @@
 //! The timer service, its background task and the subscriptions.
 
+use crate::suspension::{Suspensions, SystemClocks};
 use knapweed_world::{Time, UnixMillis};
 use parking_lot::Mutex;
 use slotmap::{SlotMap, new_key_type};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+/// Shortest suspension that counts: two clocks cannot be read at the same moment.
+const MIN_SUSPENSION: Duration = Duration::from_millis(50);
+
 new_key_type! {
     struct SubscriptionKey;
 }
@@ -24,6 +29,10 @@
 #[derive(Debug)]
 struct Shared {
     start: Instant,
+    suspensions: Box<dyn Suspensions>,
+    suspended_at_start: Duration,
+    /// Time for which the host was suspended since the start, in microseconds.
+    suspended_us: AtomicU64,
     wall_start: UnixMillis,
     entries: Mutex<SlotMap<SubscriptionKey, Entry>>,
     /// Notified when a new entry may be due before all others.
@@ -40,8 +49,16 @@
 impl TimerService {
     /// Starts the service on the current runtime; its time starts at 0.
     pub fn start() -> Self {
+        Self::start_with(Box::new(SystemClocks))
+    }
+
+    /// Starts the service on the current runtime, with this source of suspensions of the host.
+    pub fn start_with(suspensions: Box<dyn Suspensions>) -> Self {
         let shared = Arc::new(Shared {
             start: Instant::now(),
+            suspended_at_start: suspensions.total(),
+            suspensions,
+            suspended_us: AtomicU64::new(0),
             wall_start: system_wall_clock(),
             entries: Mutex::default(),
             changed: Notify::new(),
@@ -53,12 +70,12 @@
 
 /// The monotonic and the wall-clock time.
 impl TimerService {
-    /// The time since the start of the service.
+    /// The time since the start of the service, with that for which the host was suspended.
     pub fn now(&self) -> Time {
         self.shared.time(Instant::now())
     }
 
-    /// The wall clock at the start of the service plus the monotonic time since then.
+    /// The wall clock at the start of the service plus the time since then.
     ///
     /// Later adjustments of the system clock have no effect on it, and so on no
     /// decision.
@@ -121,7 +138,25 @@
 
 impl Shared {
     fn time(&self, now: Instant) -> Time {
-        Time((now - self.start).as_micros() as u64)
+        let steady = now - self.start;
+        Time((steady + self.suspended()).as_micros() as u64)
+    }
+
+    /// Time for which the host was suspended since the start of the service.
+    fn suspended(&self) -> Duration {
+        let counted_us = self.suspended_us.load(Ordering::Relaxed);
+        let total = self.suspensions.total();
+        let total = total.saturating_sub(self.suspended_at_start);
+        if total < Duration::from_micros(counted_us) + MIN_SUSPENSION {
+            return Duration::from_micros(counted_us);
+        }
+        let total_us = total.as_micros() as u64;
+        let counted_us = self.suspended_us.fetch_max(total_us, Ordering::Relaxed);
+        if counted_us < total_us {
+            let length = Duration::from_micros(total_us - counted_us);
+            log::warn!(target: "program", "the host was suspended for {length:.3?}");
+        }
+        Duration::from_micros(counted_us.max(total_us))
     }
 
     /// Sends all ticks that are due and returns the time of the next one.
