fix(zone): a confirmation from before the start of a process keeps its age

What callers saw: a node that had started within the last 3 s could answer 404 for a route that was added up to 6 s ago, and hosts that restarted in turn kept a confirmation alive for as long as they did so.

Cause: the time of a confirmation was kept as a time of the process, which cannot be before its start, so an older one counted as of the start, for the node itself and in its messages.

The node keeps the time at which a confirmation expires, which is never before the start while the confirmation counts. Ages in messages are rounded up, so that passing a confirmation on never makes it younger.

--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -43,9 +43,10 @@
     confirms_from: Time,
     /// The version that the store first had in this era; `None` before its first answer.
     first_of_era: Option<ConfigVersion>,
-    /// When `newest` was last known to be the newest version; `None` when it is not known
-    /// since the era began or since a newer version was heard of.
-    confirmed_at: Option<Time>,
+    /// When the confirmation of `newest` expires; `None` when there was none since the era began
+    /// or since a newer version was heard of. Not the time of the confirmation, which may be
+    /// before the start of this process.
+    expires_at: Option<Time>,
 }
 
 impl Default for Freshness {
@@ -65,7 +66,7 @@
             applied: ConfigVersion::default(),
             confirms_from: Time::default(),
             first_of_era: None,
-            confirmed_at: None,
+            expires_at: None,
         }
     }
 }
@@ -90,7 +91,7 @@
             return;
         }
         match at >= self.confirms_from {
-            true => self.confirm(newest, at),
+            true => self.confirm(newest, at.after(self.valid_for)),
             false => self.newest = newest,
         }
     }
@@ -112,11 +113,11 @@
         match confirmation.zip(sent_at) {
             Some((confirmation, sent_at)) if version >= self.newest => {
                 let age = Duration::from_millis(confirmation.age_ms.into());
-                self.confirm(version, sent_at.before(age));
+                self.confirm(version, sent_at.after(self.valid_for).before(age));
             }
             _ if version > self.newest => {
                 self.newest = version;
-                self.confirmed_at = None;
+                self.expires_at = None;
             }
             _ => {}
         }
@@ -127,7 +128,7 @@
         self.applied = self.applied.max(version);
         if self.applied > self.newest {
             self.newest = self.applied;
-            self.confirmed_at = None;
+            self.expires_at = None;
         }
     }
 
@@ -140,16 +141,16 @@
         }
         self.era = Some(era);
         self.first_of_era = None;
-        self.confirmed_at = None;
+        self.expires_at = None;
         if era > StoreEra::default() {
             self.confirms_from = now.after(REWRITTEN_WITHIN);
         }
     }
 
-    fn confirm(&mut self, version: ConfigVersion, at: Time) {
-        let known = self.confirmed_at.filter(|_| version == self.newest);
+    fn confirm(&mut self, version: ConfigVersion, expires_at: Time) {
+        let known = self.expires_at.filter(|_| version == self.newest);
         self.newest = version;
-        self.confirmed_at = known.max(Some(at));
+        self.expires_at = known.max(Some(expires_at));
     }
 }
 
@@ -168,8 +169,8 @@
     /// The time until which the version in force on this node counts as the newest; the
     /// start of the process when it does not.
     pub fn current_until(&self) -> Time {
-        let confirmed_at = self.confirmed_at.filter(|_| self.applied >= self.newest);
-        confirmed_at.map_or(Time::default(), |at| at.after(self.valid_for))
+        let expires_at = self.expires_at.filter(|_| self.applied >= self.newest);
+        expires_at.unwrap_or_default()
     }
 
     /// Whether the version in force counts as the newest, but only for the last fifth of the
@@ -181,11 +182,11 @@
 
     /// What this node tells others about the version that it has applied.
     pub fn confirmation(&self, now: Time) -> Option<Confirmation> {
-        let confirmed_at = self.confirmed_at.filter(|_| self.applied >= self.newest)?;
-        let age = now.since(confirmed_at);
-        let is_valid = age < self.valid_for;
-        let era = self.era.filter(|_| is_valid)?;
-        let age_ms = u16::try_from(age.as_millis()).ok()?;
+        let left = self.current_until().since(now);
+        let era = self.era.filter(|_| !left.is_zero())?;
+        let age = self.valid_for.saturating_sub(left);
+        // Rounded up, so that passing it on never makes a confirmation younger.
+        let age_ms = u16::try_from(age.as_micros().div_ceil(1_000)).ok()?;
         Some(Confirmation { era, age_ms })
     }
 }
--- a/crates/zone/tests/freshness.rs
+++ b/crates/zone/tests/freshness.rs
@@ -160,6 +160,38 @@
     assert_eq!(ages, [Some(65_000), None]);
 }
 
+/// Guards against a node that has just started and takes a confirmation that is older than its
+/// process for one of its start, and passes it on as such.
+#[test]
+fn a_confirmation_from_before_the_start_keeps_its_age() {
+    let heard_at = Time::from_millis(500);
+    let mut freshness = Freshness::default();
+    freshness.applied(V1);
+    freshness.reported(heard_at, Some(heard_at), V1, aged(FIRST_ERA, 2_900));
+    let left = freshness.current_until().since(heard_at);
+    let passed_on = freshness.confirmation(heard_at).map(|c| c.age_ms);
+    assert_eq!((left, passed_on), (ms(100), Some(2_900)));
+}
+
+/// Guards against a confirmation that never expires while hosts restart one after the other:
+/// each one that has just started makes it younger for the next one.
+#[test]
+fn restarts_do_not_keep_a_confirmation_alive() {
+    let mut age_ms = 0;
+    for restart in 1..=10 {
+        let heard_at = Time::from_millis(500);
+        let mut started = Freshness::default();
+        started.applied(V1);
+        started.reported(heard_at, Some(heard_at), V1, aged(FIRST_ERA, age_ms));
+        let Some(passed_on) = started.confirmation(heard_at.after(ms(1_000))) else {
+            assert!(restart <= 3, "restart {restart}");
+            return;
+        };
+        age_ms = passed_on.age_ms;
+    }
+    panic!("after 10 s the confirmation is {age_ms} ms old");
+}
+
 /// Interval at which a node that watches the configuration hears from the store.
 const WATCH_INTERVAL: Duration = Duration::from_secs(1);
 const SEEDS: u64 = 3;
@@ -237,6 +269,39 @@
     assert!((0..28).all(|node| !is_current(&sim, node)));
 }
 
+/// Guards against hosts under load that are cut off from the store and keep a confirmation alive
+/// among themselves: its age does not grow while a message waits in queues.
+#[test]
+fn messages_that_wait_in_queues_do_not_make_a_confirmation_younger() {
+    let lasting = [0, 20, 50, 100, 200].map(|queueing| {
+        let mut sim = Sim::new(&[14], 1);
+        sim.run(ms(6_000));
+        sim.apply(0, V1);
+        sim.run(ms(3_000));
+        sim.network.queueing = ms(queueing);
+        for _ in 0..3 {
+            confirm_watched(&mut sim);
+            sim.run(WATCH_INTERVAL);
+        }
+        confirm_watched(&mut sim);
+        let confirmed_at = sim.now;
+        let is_current = |sim: &Sim| {
+            let nodes = sim.nodes.iter().filter_map(|n| n.membership.as_ref());
+            let until = nodes.map(|m| m.freshness().current_until()).max();
+            until > Some(sim.now)
+        };
+        while is_current(&sim) && sim.now.since(confirmed_at) < 10 * CONFIRMED_FOR {
+            sim.run(ms(10));
+        }
+        (queueing, sim.now.since(confirmed_at))
+    });
+    println!("waits in queues, time until no node is current: {lasting:?}");
+    let slack = ms(200);
+    for (queueing, lasted) in lasting {
+        assert!(lasted <= CONFIRMED_FOR + slack, "{queueing} ms: {lasted:?}");
+    }
+}
+
 /// Guards against a node that was paused and claims that a route does not exist which was added
 /// meanwhile: it handles the messages that waited during the pause as if they had just been sent
 /// (DENIED, issue 35).
--- a/crates/zone/tests/sim/network.rs
+++ b/crates/zone/tests/sim/network.rs
@@ -25,6 +25,8 @@
     pub loss: f64,
     /// Probability that a delivery is duplicated with a delay.
     pub repeated: f64,
+    /// Time that each delivery waits in queues, in addition to the latency.
+    pub queueing: Duration,
     /// Side of the partition that each node is on; empty without a partition.
     pub sides: Vec<u8>,
     /// Messages sent, per node.
@@ -52,6 +54,7 @@
             zones: Vec::new(),
             loss: 0.0,
             repeated: 0.0,
+            queueing: Duration::ZERO,
             sides: Vec::new(),
             messages: Vec::new(),
             bytes: Vec::new(),
@@ -71,7 +74,7 @@
         if is_cut || self.rng.random_bool(self.loss) {
             return None;
         }
-        let near = Duration::from_micros(self.rng.random_range(ZONE_DELAY_US));
+        let near = Duration::from_micros(self.rng.random_range(ZONE_DELAY_US)) + self.queueing;
         let (a, b) = (self.zones[from], self.zones[to]);
         Some(match a == b {
             true => near,
