test(transport): a datagram does not wait for the handshakes of others

What callers saw: gossip that is seconds old passed for new when a node that was cut off is reached again, and a request to such a node waited for the handshakes of all that were sent before it.

--- a/crates/transport/tests/endpoint.rs
+++ b/crates/transport/tests/endpoint.rs
@@ -416,3 +416,32 @@
     let took = start.elapsed();
     assert!(took < Duration::from_millis(500), "{took:?}");
 }
+
+/// Guards against datagrams that wait behind the handshakes of earlier ones while their receiver
+/// is cut off, and then arrive as if they had just been sent: gossip in them is seconds old.
+#[tokio::test]
+async fn a_datagram_does_not_wait_for_the_handshakes_of_others() {
+    const CUT: Duration = Duration::from_millis(3_300);
+    const LONGEST_HANDSHAKE: Duration = Duration::from_secs(1);
+    let authority = Authority::new().expect("an authority");
+    let (a, _arrivals) = open(&authority);
+    let silent = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let silent = silent.expect("a port");
+    let address = silent.local_addr().expect("an address");
+    let begin = Instant::now();
+    for number in 0..12u8 {
+        let peers = a.peers();
+        tokio::spawn(async move { peers.send(address, Bytes::from(vec![number])).await });
+    }
+    tokio::time::sleep(CUT).await;
+    drop(silent);
+    let (_b, mut arrivals) = Endpoint::open(address, &identity(&authority)).expect("an endpoint");
+    let mut late = Vec::new();
+    while let Ok(Some((_, datagram))) =
+        tokio::time::timeout(Duration::from_secs(3), arrivals.datagrams.recv()).await
+    {
+        late.push((datagram[0], begin.elapsed()));
+    }
+    late.retain(|(_, age)| *age > LONGEST_HANDSHAKE);
+    assert_eq!(late, [], "datagrams and their ages on arrival");
+}
