fix(zone): a version that rises after a loss of the store confirms nothing at once

What callers could see: 404 for a route of a version that the store had lost and that no node had received, when the operators write lost versions again one by one. Each of them rises, and counted as the newest at once. Found by the review, by reading.

The version of the store counts 10 s after the era began, as it did already when it had not risen. An unknown path gets 503 in place of 404 meanwhile.

--- a/crates/zone/src/freshness.rs
+++ b/crates/zone/src/freshness.rs
@@ -38,11 +38,8 @@
     newest: ConfigVersion,
     /// The version in force on this node.
     applied: ConfigVersion,
-    /// Time before which answers of the store confirm nothing in this era, unless its version
-    /// rises.
+    /// Time before which answers of the store confirm nothing in this era.
     confirms_from: Time,
-    /// The version that the store first had in this era; `None` before its first answer.
-    first_of_era: Option<ConfigVersion>,
     /// When the confirmation of `newest` expires; `None` when there was none since the era began
     /// or since a newer version was heard of. Not the time of the confirmation, which may be
     /// before the start of this process.
@@ -65,7 +62,6 @@
             newest: ConfigVersion::default(),
             applied: ConfigVersion::default(),
             confirms_from: Time::default(),
-            first_of_era: None,
             expires_at: None,
         }
     }
@@ -77,16 +73,14 @@
     /// `newest` at the time `at`.
     ///
     /// A store with an older version than the mesh has lost changes, and confirms nothing. One
-    /// with the same version may have lost a later one that no node has received. It confirms
-    /// nothing for [`REWRITTEN_WITHIN`], unless its version rises.
+    /// with the same version may have lost a later one that no node has received, and the
+    /// operators may write lost versions again one by one. It confirms nothing for
+    /// [`REWRITTEN_WITHIN`].
     pub fn store_answered(&mut self, now: Time, at: Time, era: StoreEra, newest: ConfigVersion) {
         self.begin_era(now, era);
         if Some(era) != self.era {
             return;
         }
-        if newest > *self.first_of_era.get_or_insert(newest) {
-            self.confirms_from = at;
-        }
         if newest < self.newest {
             return;
         }
@@ -140,7 +134,6 @@
             return;
         }
         self.era = Some(era);
-        self.first_of_era = None;
         self.expires_at = None;
         if era > StoreEra::default() {
             self.confirms_from = now.after(REWRITTEN_WITHIN);
--- a/crates/zone/tests/freshness.rs
+++ b/crates/zone/tests/freshness.rs
@@ -88,7 +88,7 @@
 #[test]
 fn a_store_that_came_back_confirms_its_version_after_a_while() {
     type Step = fn(&mut Freshness);
-    let cases: [(&str, Step); 9] = [
+    let cases: [(&str, Step); 10] = [
         ("the version before, at once", |f| {
             f.store_answered(at(3), at(3), SECOND_ERA, V1);
         }),
@@ -105,6 +105,12 @@
             f.store_answered(at(4), at(4), SECOND_ERA, V2);
             f.applied(V2);
         }),
+        ("versions that are written again one by one", |f| {
+            f.store_answered(at(3), at(3), SECOND_ERA, V1);
+            f.store_answered(at(4), at(4), SECOND_ERA, V2);
+            f.applied(V2);
+            f.store_answered(at(13), at(13), SECOND_ERA, V2);
+        }),
         ("a newer version, from before the loss", |f| {
             f.store_answered(at(3), at(3), SECOND_ERA, V2);
             f.applied(V2);
