--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::mesh::{BackendSpec, Mesh, NodeSpec};
 use anyhow::Context;
 use serde_json::{Value, json};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest time until all nodes of a mesh know each other.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(12);
@@ -40,8 +40,11 @@
 ///
 /// A program cannot be started, ticket 1 is not accepted, or a step takes too long.
 pub async fn start(specs: &[NodeSpec], backends: &[&'static str]) -> anyhow::Result<Mesh> {
+    let begin = Instant::now();
     let mut mesh = Mesh::new(specs)?;
     launch(&mut mesh, backends).await?;
+    // The time limit of a test includes the start of its mesh.
+    println!("the mesh started in {:?}", begin.elapsed());
     Ok(mesh)
 }
 
--- a/crates/demo/tests/platform.rs
+++ b/crates/demo/tests/platform.rs
@@ -128,8 +128,11 @@
 }
 
 fn restart_all(mesh: &mut Mesh) -> anyhow::Result<()> {
+    let start = Instant::now();
     kill_all(mesh)?;
-    mesh.start_nodes()
+    mesh.start_nodes()?;
+    println!("all nodes were killed and started in {:?}", start.elapsed());
+    Ok(())
 }
 
 /// Waits until every node answers a caller.
