test(demo): nodes that restart in an outage must be seen to refuse

Seen by review, as in restart.rs: nodes_restarted_in_an_outage_serve_after_it took a refused connection for no response and would have passed if no node had opened its address in the outage. Change: each node must refuse at least one call with 503 and the outcome not-run. The other checks and bounds are as before.

--- a/crates/demo/tests/platform.rs
+++ b/crates/demo/tests/platform.rs
@@ -5,6 +5,7 @@
 use knapweed_demo::stand_in::{Calls, outage};
 use knapweed_demo::{Mesh, VersionWatch};
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 /// Duration of an outage.
@@ -167,9 +168,11 @@
     Ok(calls)
 }
 
-/// Calls through all nodes in turn until `end`, and checks that every response is a refusal.
+/// Calls through all nodes in turn until `end`, and checks that every response is a refusal, and that each
+/// node refuses. A node that has not opened its address yet shows nothing.
 async fn check_not_run_until(mesh: &Mesh, end: Instant) -> anyhow::Result<()> {
     let hosts: Vec<_> = mesh.hosts().collect();
+    let mut refused_by = BTreeSet::new();
     for host in hosts.iter().cycle() {
         if Instant::now() >= end {
             break;
@@ -178,9 +181,14 @@
         if let Ok(reply) = mesh.client.get(mesh.node(host).callers, "/today").await {
             let refused = reply.status == 503 && reply.header("knapweed-outcome") == "not-run";
             ensure!(refused, "a call through {host}: {reply:?}");
+            refused_by.insert(*host);
         }
         tokio::time::sleep(CALL_INTERVAL).await;
     }
+    ensure!(
+        refused_by.len() == hosts.len(),
+        "only {refused_by:?} refused calls, so the test is inconclusive"
+    );
     Ok(())
 }
 
