test(demo): refusals while all servers are down do not count as unanswered

Cause: the load lasts until the last round is over, in which all servers are killed. Until they have started again every request is refused, about 500 each second, so a slow machine alone makes refusals the majority. Change: the share of answered requests is checked among those that were sent before all servers were killed, and it must be two thirds instead of half. A failure in the rounds before is no longer hidden in the total. All other checks still hold for all requests. Each round prints how long its restart took.

--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -61,6 +61,8 @@
     pub identity: String,
     /// How the request ended.
     pub outcome: Outcome,
+    /// When the request was sent.
+    pub sent: Instant,
     /// Time from sending the request to its end.
     pub took: Duration,
     /// Status with which the node itself denied the request, see [`denial`].
@@ -154,6 +156,7 @@
             identity,
             outcome,
             denial: reply.as_ref().ok().and_then(denial),
+            sent: start,
             took: start.elapsed(),
             detail,
         }
--- a/crates/demo/tests/answers.rs
+++ b/crates/demo/tests/answers.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Hosts with a backend server.
 const BACKENDS: [&str; 4] = ["a1", "b1", "c1", "d1"];
@@ -50,14 +50,15 @@
             inject_faults(&mut mesh, &mut ledgers, &[KILLED]).await?;
         }
         // While no server runs, requests are refused as not run.
-        inject_faults(&mut mesh, &mut ledgers, &BACKENDS).await?;
+        let all_killed = inject_faults(&mut mesh, &mut ledgers, &BACKENDS).await?;
         may_end.store(true, Ordering::Relaxed);
         let finished = running.await??;
         for host in BACKENDS {
             ledgers.add(&mesh, &server_name(host)).await?;
         }
         print_outcomes(&finished);
-        check(&finished, &ledgers)
+        check(&finished, &ledgers)?;
+        check_answered(&finished, all_killed)
     })
     .await
 }
@@ -93,12 +94,13 @@
     }
 }
 
-/// Injects one round of all faults; the servers on the hosts `killed` are restarted.
+/// Injects one round of all faults; the servers on the hosts `killed` are restarted. Returns when the
+/// first of them was about to be killed.
 async fn inject_faults(
     mesh: &mut Mesh,
     ledgers: &mut Ledgers,
     killed: &[&'static str],
-) -> anyhow::Result<()> {
+) -> anyhow::Result<Instant> {
     let faults = json!({ "fail_percent": 20 });
     mesh.set_backend_faults(FAILING, faults).await?;
     tokio::time::sleep(FAULT_INTERVAL).await;
@@ -106,6 +108,7 @@
         mesh.set_backend_faults(name, silence_faults()).await?;
     }
     tokio::time::sleep(FAULT_INTERVAL).await;
+    let first_killed = Instant::now();
     // Requests that a server runs after this read are missing from the ledgers, so it is killed at
     // once.
     for host in killed {
@@ -118,7 +121,11 @@
         mesh.start_backend(&calendar_on(host))?;
     }
     tokio::time::sleep(FAULT_INTERVAL).await;
-    Ok(())
+    println!(
+        "{killed:?} were killed and started in {:?}",
+        first_killed.elapsed()
+    );
+    Ok(first_killed)
 }
 
 fn silence_faults() -> Value {
@@ -159,10 +166,19 @@
         .filter(|e| e.took > DEADLINE + DEADLINE_TOLERANCE)
         .collect();
     ensure!(late.is_empty(), "finished after the deadline: {late:?}");
-    let answered = count(finished, Outcome::Answered);
+    Ok(())
+}
+
+/// Checks that two thirds of the requests were answered that were sent before all servers were killed.
+/// How many are refused after it depends on how soon the machine starts the servers again.
+fn check_answered(finished: &[FinishedRequest], all_killed: Instant) -> anyhow::Result<()> {
+    let sent_before = finished.iter().filter(|e| e.sent < all_killed);
+    let sent_before: Vec<_> = sent_before.cloned().collect();
+    let (answered, sent) = (count(&sent_before, Outcome::Answered), sent_before.len());
+    println!("{answered} of {sent} requests answered before all servers were killed");
     ensure!(
-        answered * 2 > finished.len(),
-        "only {answered} were answered"
+        answered * 3 > sent * 2,
+        "only {answered} of {sent} were answered before all servers were killed"
     );
     Ok(())
 }
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -101,6 +101,7 @@
                 identity,
                 outcome,
                 denial,
+                sent: Instant::now(),
                 took: Duration::ZERO,
                 detail: None,
             });
