fix(node): a request that was not sent before its deadline has not run

What callers saw: 504 with an unknown outcome for a request that had waited for a connection to another host until its deadline, so that a request which may not run twice could not be repeated.

Cause: the deadline was applied to the whole exchange with the other host, and its end did not tell a request that waits for a connection from one that was sent.

Change: the exchange notes when it begins to send. A request that ends before is reported as not run, with the reason that its deadline passed. It counts as a failure of the backend server in the choice of servers, as it did before.

Test: a_request_that_waits_for_a_connection_until_its_deadline_has_not_run.

--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -103,11 +103,14 @@
         }
     }
 
+    /// Sends a request and waits for the head of its response. Sets `sent` when any of it may
+    /// have been sent.
     async fn exchange(
         &self,
         node: SocketAddr,
         head: RequestHead,
         body: &mut RequestBody,
+        sent: &mut bool,
     ) -> Result<Response, Outcome> {
         let buf = encode(&StreamHead::Request(Box::new(head)))
             .map_err(|_| Outcome::NotRun(NotRun::TooLongToForward))?;
@@ -119,6 +122,7 @@
         let pending = self.monitor.sent(link);
         // The egress acts on complete heads only, so a partial head never runs. Once
         // the write has begun, it is unknown whether the complete head arrived.
+        *sent = true;
         tx.head(&buf).await.map_err(|err| match err {
             Error::HeadTooLong(_) => Outcome::NotRun(NotRun::TooLongToForward),
             Error::Cancelled | Error::Lost(_) => Outcome::Unknown(Unknown::ConnectionLost),
@@ -159,13 +163,17 @@
             sent_at,
             deadline: sent_at.after(left),
         };
-        match tokio::time::timeout(left, self.exchange(node, head, body)).await {
+        let mut sent = false;
+        let exchange = self.exchange(node, head, body, &mut sent);
+        let result = tokio::time::timeout(left, exchange).await;
+        match result {
             Ok(Ok(response)) => self.limit_body(response, node, lost.deadline),
             Ok(Err(Outcome::Unknown(Unknown::ConnectionLost))) => {
                 inquiry::resolve(&self.peers, &self.timer, &lost).await
             }
             Ok(Err(outcome)) => Response::without_answer(outcome),
-            Err(_) => Response::without_answer(Outcome::Unknown(Unknown::DeadlinePassed)),
+            Err(_) if sent => Response::without_answer(Outcome::Unknown(Unknown::DeadlinePassed)),
+            Err(_) => Response::without_answer(Outcome::NotRun(NotRun::DeadlinePassed)),
         }
     }
 }
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -259,6 +259,10 @@
                 load.record_unreachable(now)
             }
             Outcome::Unknown(Unknown::ConnectionLost) => load.record_unreachable(now),
+            // Without a load report, the egress was not reached before the deadline.
+            Outcome::NotRun(NotRun::DeadlinePassed) if head.load.is_none() => {
+                load.record_response(true, now)
+            }
             Outcome::Unknown(Unknown::CallerLeft) => {}
             Outcome::Unknown(_) => load.record_response(true, now),
             Outcome::NotRun(_) => {}
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -13,3 +13,4 @@
 mod outdated_store;
 mod restored;
 mod retries;
+mod unreachable_hosts;
