fix(rollout): pull back a rollout without capacity at its deadline

Operators saw an order that stayed `running` for ever, its new version with 5% of the traffic. If the ready servers of the new versions have too little capacity for the next step, every planner waits, and nothing ended that wait. Only new versions without any server were pulled back.

A planner now answers with a pull-back when the capacity is too small at the deadline. Rollout control decides it like a forward step, so it waits for the takeover, the stored state and all zones, and gives it the reason `insufficient-capacity`. A rollout that is late for another reason still completes. Nodes of an earlier build cannot read the new reason, so all are to be upgraded before an order can end with it.

The last step in `steps_stay_within_the_started_capacity` was the last event of a rollout that never ended; the test now expects the pull-back after it. In `short_rollout.rs` the capacity is full and a pull-back by the planner fails the test.

--- a/crates/node/src/control/results.rs
+++ b/crates/node/src/control/results.rs
@@ -88,7 +88,7 @@
         reason: reason.to_string(),
         evidence: match reason {
             PullBackReason::Fault(fault) => Some(evidence(fault)),
-            PullBackReason::NoServers => None,
+            PullBackReason::InsufficientCapacity | PullBackReason::NoServers => None,
         },
     })
 }
--- a/crates/rollout/src/control/step.rs
+++ b/crates/rollout/src/control/step.rs
@@ -227,6 +227,7 @@
         match self.strategy.as_ref()?.planner.next(&plan_input) {
             Plan::Step(to) => Some(Phase::Ramping(to)),
             Plan::Complete => Some(Phase::Completed),
+            Plan::PullBack => Some(Phase::PulledBack(PullBackReason::InsufficientCapacity)),
             Plan::Wait if matches!(state.phase, Phase::Holding(_)) => Some(Phase::Ramping(share)),
             Plan::Wait => None,
         }
--- a/crates/rollout/src/planner.rs
+++ b/crates/rollout/src/planner.rs
@@ -51,6 +51,25 @@
         bake(self.start, self.deadline)
     }
 
+    /// The step to `share`, as far as the capacity allows one.
+    fn step_within_capacity(&self, share: Share) -> Plan {
+        let share = share.min(self.capacity);
+        if share > self.share {
+            Plan::Step(share)
+        } else {
+            self.without_capacity()
+        }
+    }
+
+    /// What follows from too little capacity for the next step. Servers that are ready only
+    /// after the deadline are too late.
+    fn without_capacity(&self) -> Plan {
+        match self.now >= self.deadline {
+            true => Plan::PullBack,
+            false => Plan::Wait,
+        }
+    }
+
     /// How long the rollout has been at its current share.
     pub fn dwell(&self) -> Duration {
         self.now.since(self.since)
@@ -81,6 +100,9 @@
     Step(Share),
     /// Complete the rollout.
     Complete,
+    /// Pull the rollout back: its deadline has passed, and the ready servers of the new
+    /// versions cannot carry the next step.
+    PullBack,
 }
 
 /// Decides when a rollout takes its next step and to which share.
--- a/crates/rollout/src/planner/deadline.rs
+++ b/crates/rollout/src/planner/deadline.rs
@@ -57,7 +57,7 @@
         None if waited => FIRST_SHARE_LIMIT,
         None => return Plan::Wait,
     };
-    limit_to_capacity(share, input)
+    input.step_within_capacity(share)
 }
 
 /// The smallest share that yields [`MIN_EVIDENCE_REQUESTS`] requests in a tenth of the
@@ -84,7 +84,7 @@
     let has_evidence =
         input.step_requests >= MIN_EVIDENCE_REQUESTS && input.dwell() >= evidence_dwell(i, input);
     if is_late || has_evidence {
-        limit_to_capacity(STEPS[i], input)
+        input.step_within_capacity(STEPS[i])
     } else {
         Plan::Wait
     }
@@ -100,15 +100,6 @@
     }
 }
 
-fn limit_to_capacity(share: Share, input: &PlanInput) -> Plan {
-    let share = share.min(input.capacity);
-    if share > input.share {
-        Plan::Step(share)
-    } else {
-        Plan::Wait
-    }
-}
-
 fn min_dwell(input: &PlanInput) -> Duration {
     MAX_MIN_DWELL.min(input.ramp_time() / MIN_DWELL_DIVISOR)
 }
--- a/crates/rollout/src/planner/ramp.rs
+++ b/crates/rollout/src/planner/ramp.rs
@@ -28,11 +28,9 @@
         let elapsed = input.now.since(input.start);
         let due = (0..steps).filter(|i| elapsed >= input.ramp_time() * *i / steps);
         let share = due.map(|i| STEPS[i as usize]).max().unwrap_or(Share::NONE);
-        let share = share.min(input.capacity);
-        if share > input.share {
-            Plan::Step(share)
-        } else {
-            Plan::Wait
+        match share > input.share {
+            true => input.step_within_capacity(share),
+            false => Plan::Wait,
         }
     }
 }
--- a/crates/rollout/src/planner/short_rollout.rs
+++ b/crates/rollout/src/planner/short_rollout.rs
@@ -52,11 +52,11 @@
         match input.share {
             Share::NONE if input.capacity > Share::NONE => Plan::Step(TEST_SHARE),
             Share::ALL if input.dwell() >= MIN_FULL_TRAFFIC && left <= END_MARGIN => Plan::Complete,
-            Share::NONE | Share::ALL => Plan::Wait,
-            _ if left <= Self::last_step(duration) && input.capacity >= MIN_LAST_STEP_CAPACITY => {
-                Plan::Step(Share::ALL)
-            }
-            _ => Plan::Wait,
+            Share::NONE => input.without_capacity(),
+            Share::ALL => Plan::Wait,
+            _ if left > Self::last_step(duration) => Plan::Wait,
+            _ if input.capacity >= MIN_LAST_STEP_CAPACITY => Plan::Step(Share::ALL),
+            _ => input.without_capacity(),
         }
     }
 }
--- a/crates/rollout/src/result.rs
+++ b/crates/rollout/src/result.rs
@@ -15,6 +15,9 @@
     /// No backend server of the new versions started by the deadline, or all of
     /// them disappeared during the rollout.
     NoServers,
+    /// By the deadline, the backend servers of the new versions had too little capacity
+    /// for the next step.
+    InsufficientCapacity,
 }
 
 impl fmt::Display for PullBackReason {
@@ -22,6 +25,9 @@
         match self {
             Self::Fault(fault) => fault.fmt(f),
             Self::NoServers => f.write_str("no backend server of the new versions is ready"),
+            Self::InsufficientCapacity => {
+                f.write_str("the backend servers of the new versions have too little capacity")
+            }
         }
     }
 }
--- a/crates/rollout/tests/control.rs
+++ b/crates/rollout/tests/control.rs
@@ -192,6 +192,17 @@
     assert_eq!(outcomes.tallies.to_new, 0);
 }
 
+/// Guards against rollouts that never end when too few of the new servers start.
+#[test]
+fn too_few_servers_end_the_rollout_at_its_deadline() {
+    let mut few = scenario(PLAIN);
+    few.ready.iter_mut().skip(1).for_each(|at| *at = 1e6);
+    let deadline_s = few.deadline_s as f64;
+    let outcomes = Replay::new(few, STANDARD).run();
+    insta::assert_debug_snapshot!(outcomes.outcome);
+    assert!(outcomes.decided.is_some_and(|at| at >= deadline_s));
+}
+
 /// Guards against evidence that lacks the requests to the new version.
 #[test]
 fn the_result_holds_the_counts_of_both_versions() {
--- a/crates/rollout/tests/planner.rs
+++ b/crates/rollout/tests/planner.rs
@@ -6,7 +6,7 @@
 use insta::assert_snapshot;
 use knapweed_rollout::planner::{
     DeadlinePlanner, FIRST_SHARE_LIMIT, MIN_EVIDENCE_REQUESTS, Plan, PlanInput, Planner,
-    RampPlanner,
+    RampPlanner, ShortRolloutPlanner,
 };
 use knapweed_world::config::Caution;
 use knapweed_world::{Share, UnixMillis};
@@ -39,10 +39,10 @@
         match plan {
             Plan::Wait => continue,
             Plan::Step(share) => (input.share, input.since) = (share, input.now),
-            Plan::Complete => {}
+            Plan::Complete | Plan::PullBack => {}
         }
         steps.push((at, plan));
-        if plan == Plan::Complete {
+        if matches!(plan, Plan::Complete | Plan::PullBack) {
             break;
         }
     }
@@ -133,6 +133,44 @@
         requests_per_minute: Some(10_000),
         ..input(120, Caution::Swift)
     };
-    let last = steps(&DeadlinePlanner, input).pop().map(|s| s.1);
-    assert_eq!(last, Some(Plan::Step(Share(1_700))));
+    let mut steps = steps(&DeadlinePlanner, input).into_iter().map(|s| s.1);
+    assert_eq!(steps.next_back(), Some(Plan::PullBack));
+    assert_eq!(steps.next_back(), Some(Plan::Step(Share(1_700))));
+}
+
+/// Guards against rollouts that never end because the new servers have too little capacity for
+/// the next step, and against an end before the deadline, until which servers may start.
+#[test]
+fn too_little_capacity_ends_a_rollout_at_its_deadline() {
+    let planners: [(&dyn Planner, u64); 3] = [
+        (&DeadlinePlanner, 120),
+        (&RampPlanner, 120),
+        (&ShortRolloutPlanner, 16),
+    ];
+    for (planner, deadline_s) in planners {
+        for capacity in [Share::NONE, Share(1_700), Share(4_900)] {
+            let input = PlanInput {
+                capacity,
+                ..input(deadline_s, Caution::Careful)
+            };
+            let last = steps(planner, input).pop();
+            let at_deadline = (deadline_s as f64, Plan::PullBack);
+            assert_eq!(last, Some(at_deadline), "{planner:?} with {capacity}");
+        }
+    }
+}
+
+/// Guards against the end of a rollout that is late for another reason than its capacity.
+#[test]
+fn a_late_rollout_with_capacity_completes() {
+    let planners: [&dyn Planner; 3] = [&DeadlinePlanner, &RampPlanner, &ShortRolloutPlanner];
+    for planner in planners {
+        let late = PlanInput {
+            now: UnixMillis(START.0 + 17_000),
+            share: Share(500),
+            ..input(16, Caution::Careful)
+        };
+        let last = steps(planner, late).pop().map(|s| s.1);
+        assert_eq!(last, Some(Plan::Complete), "{planner:?}");
+    }
 }
--- a/crates/rollout/tests/short_rollout.rs
+++ b/crates/rollout/tests/short_rollout.rs
@@ -168,6 +168,7 @@
         match plan {
             Plan::Step(next) => (share, since) = (next, now),
             Plan::Complete => outcome.completed = true,
+            Plan::PullBack => panic!("pulled back at {now} ms with capacity for all traffic"),
             Plan::Wait => {}
         }
     }
