fix(node): start the first order from versions that had traffic

Operators saw an order that never ended, and callers got a version that no order in force named. The first order of a service started from all versions that had servers besides the target, each with an even share. Servers of orders that were replaced before a holder had read them have never had traffic, but got some that way, without a test, and the last step needed capacity for their shares too.

The versions that had the traffic are those that the node has routed by, if it was there before the servers of the orders. A node that started later takes the version whose server has run the longest. The others are listed without a share, so that after a loss of the store an older order to one of them does not pass for a new one.

The stand-in of the property test had its own copy of the even shares. It now uses `EstablishedVersions`, with the start of each server, and checks a further property, (h): a version other than the first one has traffic only once its rollout has begun. `an_older_order_that_was_never_read_waits_until_the_newest_is_written_again` guards what this change could have broken.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -19,7 +19,7 @@
 pub mod rollouts;
 mod streams;
 mod verdicts;
-mod versions;
+pub mod versions;
 pub mod view;
 pub(crate) mod watch;
 
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -2,7 +2,7 @@
 //! configuration and shares.
 
 use super::messages::{query_node, send_one_way};
-use super::{Controller, Event, Staleness};
+use super::{Controller, Event, Staleness, versions};
 use bytes::Bytes;
 use knapweed_observe::part;
 use knapweed_transport::Peers;
@@ -111,7 +111,9 @@
 /// Construction of snapshots.
 impl Controller {
     pub(super) fn build_snapshot(&mut self) -> Result<Snapshot, snapshot::Error> {
-        self.established.refresh(self.membership.directory());
+        let wall = self.dependencies.timer.wall_clock();
+        let servers = versions::ready_servers(self.membership.directory());
+        self.established.refresh(wall, servers);
         let config = Arc::clone(self.configs.config());
         let present = self.membership.directory().present();
         let hosts = present.filter_map(|(_, record)| record.host_entry());
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -3,6 +3,7 @@
 
 use super::{Controller, Event};
 use crate::control::event::ControlHandle;
+use crate::control::versions::ready_servers;
 use crate::orders::book::{Decision, EndDecision, Known, Missing, OrderBook};
 use crate::orders::{Order, Progress, RolloutOrders};
 use knapweed_observe::part;
@@ -93,7 +94,7 @@
         let directory = self.membership.directory();
         let established = || {
             let versions = &self.established;
-            versions.shares_before(&order.service, &order.target, directory)
+            versions.shares_before(&order.service, &order.target, ready_servers(directory))
         };
         let decision = self.orders.book.read(&order, known, established);
         let Decision::Tracked {
--- a/crates/node/src/control/versions.rs
+++ b/crates/node/src/control/versions.rs
@@ -1,74 +1,136 @@
-//! Default versions of services whose configuration names none.
+//! Versions of services whose configuration names none.
 //!
 //! Such a service runs the versions that its backend servers had when they were first
 //! announced. Another version gets requests only through a rollout, even when its
-//! backend servers announce themselves before this node knows the rollout.
+//! backend servers announce themselves before this node knows the rollout, or when
+//! its order was replaced before any holder of rollout control had read it.
 
 use knapweed_world::config::VersionShare;
-use knapweed_world::{Name, ServerState, Share};
+use knapweed_world::{Name, ServerState, Share, UnixMillis};
 use knapweed_zone::Directory;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Start of a version none of whose servers has told its start.
+const UNKNOWN_START: UnixMillis = UnixMillis(u64::MAX);
+
+/// A ready backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadyServer<'a> {
+    /// Service that it implements.
+    pub service: &'a Name,
+    /// Start of its process; `None` if it does not send it.
+    pub started: Option<UnixMillis>,
+    /// Version that it runs.
+    pub version: &'a Name,
+}
+
+/// The ready backend servers of the hosts in `directory`.
+pub(super) fn ready_servers(directory: &Directory) -> impl Iterator<Item = ReadyServer<'_>> {
+    let announcements = directory
+        .present()
+        .flat_map(|(_, record)| record.announcements.iter());
+    let ready = announcements.filter(|server| server.state == ServerState::Ready);
+    ready.map(|server| {
+        let started = server.instance.as_ref().map(|run| run.started_ms);
+        ReadyServer {
+            service: &server.service,
+            started: started.filter(|ms| *ms > 0).map(UnixMillis),
+            version: &server.version,
+        }
+    })
+}
+
+/// The established versions of one service.
+#[derive(Debug, Default)]
+struct Established {
+    versions: BTreeSet<Name>,
+    /// When this node found their servers.
+    since: UnixMillis,
+}
+
 /// The established versions of each service.
 #[derive(Debug, Default)]
-pub(super) struct EstablishedVersions(BTreeMap<Name, BTreeSet<Name>>);
+pub struct EstablishedVersions(BTreeMap<Name, Established>);
 
 impl EstablishedVersions {
-    /// Updates the established versions from the ready backend servers in `directory`.
-    ///
-    /// Returns whether any has changed.
-    pub(super) fn refresh(&mut self, directory: &Directory) -> bool {
+    /// Updates the established versions from the ready backend servers at the wall-clock
+    /// time `wall`.
+    pub fn refresh<'a>(
+        &mut self,
+        wall: UnixMillis,
+        servers: impl Iterator<Item = ReadyServer<'a>>,
+    ) {
         let mut present: BTreeMap<&Name, BTreeSet<&Name>> = BTreeMap::new();
-        for (_, record) in directory.present() {
-            for server in record.announcements.iter() {
-                if server.state == ServerState::Ready {
-                    let versions = present.entry(&server.service).or_default();
-                    versions.insert(&server.version);
-                }
-            }
+        for server in servers {
+            let versions = present.entry(server.service).or_default();
+            versions.insert(server.version);
         }
-        let mut changed = false;
         for (service, versions) in present {
             let known = self.0.entry(service.clone()).or_default();
             // Without backend servers of the established versions, the present
             // versions replace them, so that the service stays available.
-            if !known.iter().any(|version| versions.contains(version)) {
-                *known = versions.into_iter().cloned().collect();
-                changed = true;
+            if !known.versions.iter().any(|v| versions.contains(v)) {
+                known.versions = versions.into_iter().cloned().collect();
+                known.since = wall;
             }
         }
-        changed
     }
 
     /// Even shares of the established versions of a service.
     pub(super) fn shares(&self, service: &Name) -> Vec<VersionShare> {
-        even_shares(self.0.get(service).into_iter().flatten())
+        let known = self.0.get(service);
+        even_shares(known.into_iter().flat_map(|known| &known.versions))
     }
 
-    /// Even shares of the versions from which the first rollout of a service moves its
-    /// traffic to `target`.
-    ///
-    /// The servers of the target may have been announced before the order was known. A node
-    /// that started at that time takes the target for established, or has seen no other
-    /// version first.
-    pub(super) fn shares_before(
+    /// The shares from which the first rollout of a service moves its traffic to `target`:
+    /// all of it on the versions that had it, and none on others that have servers.
+    pub fn shares_before<'a>(
         &self,
         service: &Name,
         target: &Name,
-        directory: &Directory,
+        servers: impl Iterator<Item = ReadyServer<'a>>,
     ) -> Vec<VersionShare> {
-        let announcements = directory
-            .present()
-            .flat_map(|(_, record)| record.announcements.iter())
-            .filter(|server| server.service == *service && server.state == ServerState::Ready);
-        let present = announcements.map(|server| &server.version);
-        let established = self.0.get(service).into_iter().flatten();
-        let versions: BTreeSet<_> = established
-            .chain(present)
-            .filter(|version| *version != target)
+        let known = self.0.get(service);
+        let established = known.into_iter().flat_map(|known| &known.versions);
+        let mut starts: BTreeMap<&Name, UnixMillis> = established
+            .map(|version| (version, UNKNOWN_START))
             .collect();
-        even_shares(versions.iter().copied())
+        for server in servers.filter(|server| server.service == service) {
+            let first = starts.entry(server.version).or_insert(UNKNOWN_START);
+            *first = server.started.map_or(*first, |at| at.min(*first));
+        }
+        starts.remove(target);
+        let used = used_versions(&starts, known);
+        let mut shares = even_shares(used.iter().copied());
+        let unused = starts.keys().filter(|version| !used.contains(*version));
+        shares.extend(unused.map(|version| VersionShare {
+            version: (*version).clone(),
+            share: Share::NONE,
+        }));
+        shares
+    }
+}
+
+/// The versions that had the traffic before any rollout, of those that may have had it.
+///
+/// A node that was there before the servers of an order has found the established versions
+/// alone. One that started later may have found the others first, or all of them at once.
+/// It takes the version whose servers have run the longest.
+fn used_versions<'a>(
+    starts: &BTreeMap<&'a Name, UnixMillis>,
+    known: Option<&Established>,
+) -> BTreeSet<&'a Name> {
+    let may_be_first = |version: &Name, start: UnixMillis| {
+        known.is_some_and(|known| known.versions.contains(version) || start < known.since)
+    };
+    let mut used: BTreeMap<_, _> = starts.clone();
+    used.retain(|version, start| may_be_first(version, *start));
+    if used.is_empty() {
+        used.clone_from(starts);
     }
+    let first = used.values().min().copied();
+    used.retain(|_, start| Some(*start) == first);
+    used.into_keys().collect()
 }
 
 fn even_shares<'a>(versions: impl Iterator<Item = &'a Name> + Clone) -> Vec<VersionShare> {
--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -198,8 +198,8 @@
     established: impl FnOnce() -> Vec<VersionShare>,
 ) -> RolloutTerms {
     let in_force = known.state.map_or_else(established, RolloutState::shares);
-    let old = in_force.into_iter();
-    let old = old.filter(|s| s.version != order.target && s.share > Share::NONE);
+    // Versions without traffic are kept, since an older order may name them.
+    let old = in_force.into_iter().filter(|s| s.version != order.target);
     RolloutTerms {
         start: known.wall,
         deadline: known.wall.after(order.time),
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -78,6 +78,28 @@
     }
 }
 
+/// Guards against an older order that passes for a new one after a loss, since no holder had
+/// read it before it was replaced: its version has servers, but never had traffic.
+#[test]
+fn an_older_order_that_was_never_read_waits_until_the_newest_is_written_again() {
+    let mut book = OrderBook::default();
+    let known = Known {
+        state: None,
+        may_be_lost: false,
+        wall: UnixMillis(20_000),
+    };
+    let established = || vec![share("v1", Share::ALL), share("v2", Share::NONE)];
+    book.read(&order("v3", None), known, established);
+    let config = book.config(&name("calendar")).expect("an order");
+    let terms = config.rollout.clone().expect("the terms");
+    let state = RolloutState {
+        terms,
+        ..completed()
+    };
+    let decision = read(&mut book, &order("v2", None), &state, true);
+    assert_eq!(decision, Decision::Held);
+}
+
 /// Guards against a delay of orders to versions that the service never had, right after a loss.
 #[test]
 fn an_order_to_a_new_version_starts_right_after_a_loss() {
--- a/crates/node/tests/rollouts/main.rs
+++ b/crates/node/tests/rollouts/main.rs
@@ -12,6 +12,7 @@
 //! - (e) A good version is not pulled back.
 //! - (f) No forward step is taken on knowledge of an earlier era.
 //! - (g) After the last disturbance the store has the newest states that nodes know.
+//! - (h) A version other than the first one has traffic only once its rollout has begun.
 
 mod mesh;
 mod operator;
--- a/crates/node/tests/rollouts/mesh.rs
+++ b/crates/node/tests/rollouts/mesh.rs
@@ -15,7 +15,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -111,8 +111,8 @@
     nodes: Vec<Node>,
     store: CopiedStore,
     operator: Operator,
-    /// Versions of each service that have servers on every host.
-    versions: BTreeMap<Name, BTreeSet<Name>>,
+    /// Versions of each service that have servers on every host, with their start.
+    versions: BTreeMap<Name, BTreeMap<Name, Time>>,
     /// Whether the operator writes its orders again as soon as the store is back.
     rewrites: bool,
     postponed: Vec<Step>,
@@ -142,7 +142,7 @@
     fn new(seed: u64) -> Self {
         let versions = (0..crate::plan::SERVICES).map(|n| {
             let first = "v0".parse().expect("a valid name");
-            (service(n), BTreeSet::from([first]))
+            (service(n), BTreeMap::from([(first, Time::default())]))
         });
         let mut mesh = Self {
             now: Time::default(),
@@ -275,7 +275,7 @@
             Work::SetServers(service, version, is_present) => {
                 let versions = self.versions.get_mut(&service).expect("a service");
                 match is_present {
-                    true => versions.insert(version),
+                    true => versions.insert(version, self.now),
                     false => versions.remove(&version),
                 };
             }
@@ -377,12 +377,13 @@
                     version: version.clone(),
                     slots: 10,
                 };
-                versions.iter().map(of).collect::<Vec<_>>()
+                versions.keys().map(of).collect::<Vec<_>>()
             };
             (service.clone(), alive.iter().flat_map(of_host).collect())
         });
         let servers = Servers {
             capacity: capacity.collect(),
+            starts: self.versions.clone(),
             hosts: alive.iter().map(|[host, _]| host.clone()).collect(),
         };
         let is_running = self.process(key.node) == key;
@@ -538,7 +539,7 @@
         let (leaving, wait): (Vec<_>, _) = match end {
             Progress::Completed => {
                 let old = |v: &Name| number(v) < number(version);
-                (versions.into_iter().filter(old).collect(), 0..300)
+                (versions.into_keys().filter(old).collect(), 0..300)
             }
             _ => (vec![version.clone()], 2_000..3_000),
         };
--- a/crates/node/tests/rollouts/operator.rs
+++ b/crates/node/tests/rollouts/operator.rs
@@ -31,6 +31,8 @@
     pub(crate) written_at: Time,
     /// The first end that the store has had.
     pub(crate) end: Option<Progress>,
+    /// Whether a node has known a rollout to it.
+    has_begun: bool,
     pulled_back_at: Option<Time>,
     completed_at: Option<Time>,
 }
@@ -72,6 +74,7 @@
             },
             written_at: Time::default(),
             end: Some(Progress::Completed),
+            has_begun: true,
             pulled_back_at: None,
             completed_at: None,
         };
@@ -108,6 +111,7 @@
             ordered,
             written_at: now,
             end: None,
+            has_begun: false,
             pulled_back_at: None,
             completed_at: None,
         });
@@ -187,6 +191,7 @@
     pub(crate) fn published(&mut self, now: Time, state: &RolloutState) -> Result<(), String> {
         let target = &state.target[0].version;
         let record = self.record(&state.service, target);
+        record.has_begun = true;
         match &state.phase {
             Phase::Completed => {
                 record.completed_at.get_or_insert(now);
@@ -204,9 +209,10 @@
     }
 
     /// (a) The share of a version that was pulled back does not rise again, and (b) traffic
-    /// does not return to a version before a completed one.
+    /// does not return to a version before a completed one. (h) A version has no traffic before
+    /// its rollout.
     pub(crate) fn check_shares(
-        &self,
+        &mut self,
         now: Time,
         in_touch_since: Time,
         started: Time,
@@ -226,6 +232,7 @@
             Phase::PulledBack(_) => seen.pulled_back.push((service.clone(), order)),
             _ => {}
         }
+        self.record(service, &state.target[0].version).has_begun = true;
         let records = &self.orders[service];
         let used = shares.iter().filter(|s| s.share > Share::NONE);
         for used in used.map(|s| number(&s.version)) {
@@ -242,6 +249,11 @@
             if is_past {
                 return Err(format!("(b) {service} is back at v{used}: {shares:?}"));
             }
+            if !records[used].has_begun {
+                return Err(format!(
+                    "(h) {service} v{used} has traffic before its rollout: {shares:?}"
+                ));
+            }
         }
         Ok(())
     }
--- a/crates/node/tests/rollouts/process.rs
+++ b/crates/node/tests/rollouts/process.rs
@@ -8,6 +8,7 @@
 use knapweed_node::control::reports::ReportAggregator;
 use knapweed_node::control::restored::Restores;
 use knapweed_node::control::rollouts::known::{KnownStates, Moved};
+use knapweed_node::control::versions::{EstablishedVersions, ReadyServer};
 use knapweed_node::orders::book::{Decision, EndDecision, Known, Missing, OrderBook};
 use knapweed_node::orders::{Order, Progress};
 use knapweed_node::trial::{Scope, Trials};
@@ -19,7 +20,7 @@
 use knapweed_store::Error;
 use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
 use knapweed_world::config::{ServiceConfig, VersionShare};
-use knapweed_world::{ConfigVersion, Name, Share, TicketNumber, Time, UnixMillis};
+use knapweed_world::{ConfigVersion, Name, TicketNumber, Time, UnixMillis};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -107,13 +108,28 @@
     Violation(String),
 }
 
-/// What is known of the servers: the capacity of each service, and the hosts that have some.
+/// What is known of the servers: the capacity of each service, the start of each version, and
+/// the hosts that have some.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Servers {
     pub(crate) capacity: BTreeMap<Name, Vec<ZoneCapacity>>,
+    pub(crate) starts: BTreeMap<Name, BTreeMap<Name, Time>>,
     pub(crate) hosts: Vec<Name>,
 }
 
+impl Servers {
+    fn ready(&self) -> impl Iterator<Item = ReadyServer<'_>> {
+        let starts = self.starts.iter();
+        starts.flat_map(|(service, versions)| {
+            versions.iter().map(move |(version, started)| ReadyServer {
+                service,
+                started: Some(wall(*started)),
+                version,
+            })
+        })
+    }
+}
+
 #[derive(Debug)]
 struct Watch {
     cursor: WatchCursor,
@@ -151,6 +167,7 @@
     last_repair: Time,
     base: ServiceConfig,
     servers: Servers,
+    established: EstablishedVersions,
     rng: SmallRng,
     effects: Vec<Effect>,
 }
@@ -192,6 +209,7 @@
                 health_path: None,
             },
             servers: Servers::default(),
+            established: EstablishedVersions::default(),
             rng: SmallRng::seed_from_u64(seed),
             effects: Vec::new(),
         }
@@ -231,6 +249,7 @@
 impl Process {
     pub(crate) fn tick(&mut self, now: Time, servers: &Servers) {
         self.servers = servers.clone();
+        self.established.refresh(wall(now), servers.ready());
         self.restore_tick(now);
         self.order_tick();
         if now.since(self.last_report) >= REPORT_INTERVAL {
@@ -632,16 +651,10 @@
             may_be_lost: self.restores.is_recent(),
             wall: wall(now),
         };
-        let versions = self.servers.capacity.get(&order.service);
-        let present = versions.into_iter().flatten().map(|c| &c.version);
-        let others: BTreeSet<_> = present.filter(|v| **v != order.target).collect();
         let established = || {
-            let count = others.len().max(1) as u16;
-            let share = |version: &Name| VersionShare {
-                version: version.clone(),
-                share: Share(Share::ALL.0 / count),
-            };
-            others.iter().map(|version| share(version)).collect()
+            let ready = self.servers.ready();
+            let versions = &self.established;
+            versions.shares_before(&order.service, &order.target, ready)
         };
         let decision = self.book.read(order, known, established);
         let Decision::Tracked {
