fix(node): read an order again whose number a stored state contradicts

Operators could get `completed` for an order whose traffic had moved to the version of an earlier one. A new holder numbers an order after the state that it knows. If a late write of the previous holder then stores a state with that number and another target, the own write conflicts, and the holder reads and publishes that state. It compared orders only with states that other nodes send, and by then it knew this one. So it carried out the other rollout, and its end counted as that of the newest order.

The holder now compares its orders with each newer state that it publishes, and reads them again if one does not fit.

--- a/crates/node/src/control/rollouts/duty.rs
+++ b/crates/node/src/control/rollouts/duty.rs
@@ -227,10 +227,13 @@
             rollout::Action::Read => self.read_state(service.clone()),
             rollout::Action::Write { state, condition } => self.write_state(*state, condition),
             rollout::Action::Publish(state) => {
-                if self.join(&state) {
+                let states = vec![*state];
+                if self.join(&states[0]) {
                     self.states_changed();
+                    // A late write of the previous holder may have taken the number.
+                    self.read_contradicted_orders(&states);
                 }
-                self.publish_states(vec![*state], Origin::Local);
+                self.publish_states(states, Origin::Local);
             }
             rollout::Action::Finish(result) => {
                 if !self.report_end(now, &result) {
--- a/crates/node/tests/nodes/restored.rs
+++ b/crates/node/tests/nodes/restored.rs
@@ -376,6 +376,34 @@
     assert_eq!(*mesh.orders.reports.lock(), [end]);
 }
 
+/// Guards against an order with the number of another one, whose state a late write of the
+/// previous holder has stored: the holder moved traffic to the version of the other order, and
+/// reported its end as that of the newest.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_whose_number_a_late_write_has_taken_gets_the_next_one() {
+    let mut mesh = Mesh::new(&["calendar"]);
+    mesh.store.refuses_states.store(true, Ordering::SeqCst);
+    mesh.orders.put("calendar", "v3", None).await;
+    mesh.start().await;
+    until("the order is numbered", || {
+        let proposed = mesh.store.proposed.lock();
+        proposed.iter().any(|(k, _)| *k == key("calendar"))
+    })
+    .await;
+    let mut late = state("calendar", Phase::Warming);
+    (late.ticket, late.epoch) = (TicketNumber(1), Epoch(1));
+    mesh.store.put(&key("calendar"), &late).await;
+    mesh.store.refuses_states.store(false, Ordering::SeqCst);
+    let stored = || {
+        let value = mesh.store.value(&key("calendar")).expect("a state");
+        serde_json::from_slice::<RolloutState>(&value).expect("a state")
+    };
+    holds_soon(|| stored().ticket > late.ticket).await;
+    let stored = stored();
+    let found = (stored.ticket, stored.target);
+    assert_eq!(found, (TicketNumber(2), vec![share("v3")]));
+}
+
 /// Guards against results of orders that were superseded and that nobody reads: they were never
 /// confirmed, and with nine of them the next order did not start.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/node/tests/rollouts/main.rs
+++ b/crates/node/tests/rollouts/main.rs
@@ -13,6 +13,7 @@
 //! - (f) No forward step is taken on knowledge of an earlier era.
 //! - (g) After the last disturbance the store has the newest states that nodes know.
 //! - (h) A version other than the first one has traffic only once its rollout has begun.
+//! - (i) The end that is reported for an order is that of the rollout to its version.
 
 mod mesh;
 mod operator;
--- a/crates/node/tests/rollouts/operator.rs
+++ b/crates/node/tests/rollouts/operator.rs
@@ -167,8 +167,8 @@
 
 /// Properties.
 impl Operator {
-    /// (c) The end of an order is never replaced by another one. Returns the end if it is the
-    /// first one.
+    /// (c) The end of an order is never replaced by another one. (i) It is that of the rollout to
+    /// its version. Returns the end if it is the first one.
     pub(crate) fn status_written(
         &mut self,
         service: &Name,
@@ -179,6 +179,15 @@
         match (record.end, progress) {
             (_, Progress::Running) => Ok(None),
             (None, end) => {
+                let ended_at = match end {
+                    Progress::Completed => record.completed_at,
+                    _ => record.pulled_back_at,
+                };
+                if ended_at.is_none() {
+                    return Err(format!(
+                        "(i) {service} {version}: {end:?}, not so its rollout"
+                    ));
+                }
                 record.end = Some(end);
                 Ok(Some(end))
             }
--- a/crates/node/tests/rollouts/process.rs
+++ b/crates/node/tests/rollouts/process.rs
@@ -519,7 +519,9 @@
                 self.call(purpose, Call::WriteState(state, condition));
             }
             Action::Publish(state) => {
-                self.join(now, &state);
+                if self.join(now, &state) && self.book.is_contradicted_by(&state) {
+                    self.forget_orders();
+                }
                 self.effects.push(Effect::Published(state.clone()));
                 self.send(To::All, Message::States(vec![*state], self.holder));
             }
