test(demo): nodes must answer again after all servers were killed

The test now also waits, while the load goes on, until every node answers a caller once all servers have been started again, for 12 s at most, the time that the fleet allows for discovery. All other checks are as before.

Trial without the last start of the servers: fails with "a1 does not answer after all servers were started again".

--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// Longest time until all nodes of a mesh know each other.
-const JOIN_TIMEOUT: Duration = Duration::from_secs(12);
+pub const JOIN_TIMEOUT: Duration = Duration::from_secs(12);
 /// Longest time of a test that runs under [`limited`].
 pub const TEST_LIMIT: Duration = Duration::from_secs(30);
 /// Longest time until the first ticket is in force on all nodes.
--- a/crates/demo/tests/answers.rs
+++ b/crates/demo/tests/answers.rs
@@ -2,7 +2,7 @@
 
 use anyhow::ensure;
 use knapweed_demo::Mesh;
-use knapweed_demo::fleet::{self, NODES, calendar_on, limited};
+use knapweed_demo::fleet::{self, JOIN_TIMEOUT, NODES, calendar_on, limited};
 use knapweed_demo::load::{FinishedRequest, Load, Outcome, count};
 use knapweed_demo::stand_in::identities;
 use serde_json::{Value, json};
@@ -21,6 +21,8 @@
 const KILLED: &str = "b1";
 /// Time between two injected faults.
 const FAULT_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause between two calls to a node that does not answer yet.
+const POLL_INTERVAL: Duration = Duration::from_millis(30);
 /// Rounds of faults before the last one, in which all servers are killed.
 const ROUNDS: usize = 2;
 /// Deadline of each request.
@@ -51,6 +53,7 @@
         }
         // While no server runs, requests are refused as not run.
         let all_killed = inject_faults(&mut mesh, &mut ledgers, &BACKENDS).await?;
+        check_answers_again(&mesh).await?;
         may_end.store(true, Ordering::Relaxed);
         let finished = running.await??;
         for host in BACKENDS {
@@ -169,6 +172,30 @@
     Ok(())
 }
 
+/// Checks that each node answers callers once all servers have been started again.
+async fn check_answers_again(mesh: &Mesh) -> anyhow::Result<()> {
+    let start = Instant::now();
+    let hosts: Vec<_> = mesh.hosts().collect();
+    mesh.until_announced(&hosts, BACKENDS.len(), JOIN_TIMEOUT)
+        .await?;
+    for host in hosts {
+        let address = mesh.node(host).callers;
+        loop {
+            let reply = mesh.client.get(address, "/today").await?;
+            if reply.status == 200 {
+                break;
+            }
+            ensure!(
+                start.elapsed() < JOIN_TIMEOUT,
+                "{host} does not answer after all servers were started again: {reply:?}"
+            );
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+    println!("all nodes answer again after {:?}", start.elapsed());
+    Ok(())
+}
+
 /// Checks that two thirds of the requests were answered that were sent before all servers were killed.
 /// How many are refused after it depends on how soon the machine starts the servers again.
 fn check_answered(finished: &[FinishedRequest], all_killed: Instant) -> anyhow::Result<()> {
