feat(world): organisations, credentials, home regions and cold limits in the configuration

Cause: two customers configure organisations with credentials and quotas, home regions of routes, and rate limits of cold backend servers; no type of the product knew them. Nothing enforces them yet.

--- a/crates/contract/src/check.rs
+++ b/crates/contract/src/check.rs
@@ -191,6 +191,7 @@
                 changed_at: self.next.version,
                 max_connections: None,
                 health_path: None,
+                cold_limit: None,
             };
             self.next.services.insert(change.name.clone(), service);
         }
@@ -211,6 +212,8 @@
                 max_attempts: change.max_attempts,
                 priority: change.priority.unwrap_or_default(),
                 is_bulk: change.bulk.unwrap_or_default(),
+                is_open: false,
+                home_regions: Vec::new(),
                 ticket: ticket.ticket,
                 changed_at: self.next.version,
             };
--- a/crates/contract/src/head.rs
+++ b/crates/contract/src/head.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use knapweed_store::{Object, ObjectKey, Revision};
 use knapweed_world::config::CallerLimits;
+use knapweed_world::organisation::CredentialPolicy;
 use knapweed_world::{ConfigVersion, Name, TicketNumber, UnixMillis};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -55,6 +56,10 @@
     /// Digest of the part of each hash group of routes; groups without routes are
     /// absent.
     pub routes: BTreeMap<u8, Digest>,
+    /// Digest of the part of each hash group of organisations; groups without
+    /// organisations are absent.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub organisations: BTreeMap<u8, Digest>,
     /// The most recently accepted tickets, oldest first, at most [`MAX_RECENT`].
     pub recent: VecDeque<Accepted>,
     /// The most recent removals, oldest first, at most [`MAX_REMOVED`].
@@ -64,6 +69,9 @@
     /// Limits that nodes apply to requests of callers.
     #[serde(default, skip_serializing_if = "CallerLimits::is_default")]
     pub limits: CallerLimits,
+    /// Whether callers must present a credential of an organisation.
+    #[serde(default, skip_serializing_if = "CredentialPolicy::is_not_required")]
+    pub credentials: CredentialPolicy,
     /// Number of writes of the head without a new version. It makes the value
     /// differ, because the store assigns no new revision to an unchanged value.
     #[serde(default, skip_serializing_if = "is_zero")]
@@ -102,7 +110,10 @@
 impl Head {
     /// Iterates over the digests of all parts of the configuration.
     pub fn digests(&self) -> impl Iterator<Item = &Digest> {
-        self.services.values().chain(self.routes.values())
+        let services = self.services.values();
+        services
+            .chain(self.routes.values())
+            .chain(self.organisations.values())
     }
 
     /// Iterates over the identities and digests of all parts of the configuration.
@@ -110,7 +121,11 @@
         let services = self.services.iter();
         let services = services.map(|(name, digest)| (PartId::Service(name.clone()), digest));
         let routes = self.routes.iter();
-        services.chain(routes.map(|(group, digest)| (PartId::Routes(*group), digest)))
+        let routes = routes.map(|(group, digest)| (PartId::Routes(*group), digest));
+        let organisations = self.organisations.iter();
+        let organisations =
+            organisations.map(|(group, digest)| (PartId::Organisations(*group), digest));
+        services.chain(routes).chain(organisations)
     }
 
     /// Returns the acceptance of a ticket if it is among the recent ones.
@@ -139,6 +154,7 @@
         next.version = accepted.version;
         next.services = parts.services.clone();
         next.routes = parts.routes.clone();
+        next.organisations = parts.organisations.clone();
         next.recent.push_back(accepted);
         while next.recent.len() > MAX_RECENT {
             next.recent.pop_front();
--- a/crates/contract/src/parts.rs
+++ b/crates/contract/src/parts.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use knapweed_store::{Object, ObjectKey, Revision};
 use knapweed_world::config::{RouteConfig, ServiceConfig};
-use knapweed_world::{Config, Name, TicketNumber};
+use knapweed_world::{Config, Name, OrganisationConfig, TicketNumber};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -12,6 +12,8 @@
 
 /// Number of hash groups into which routes are divided; each is stored as one part.
 pub const ROUTE_GROUPS: u8 = 16;
+/// Number of hash groups into which organisations are divided; each is stored as one part.
+pub const ORGANISATION_GROUPS: u8 = 16;
 /// Maximum length of a part, in bytes; the object store accepts at most 1,000,000.
 pub const MAX_PART_LEN: usize = 900_000;
 /// Object kind of parts.
@@ -73,6 +75,11 @@
     Digest::of(route.as_bytes()).as_bytes()[0] % ROUTE_GROUPS
 }
 
+/// Returns the hash group of an organisation, below [`ORGANISATION_GROUPS`].
+pub fn organisation_group(organisation: &Name) -> u8 {
+    Digest::of(organisation.as_bytes()).as_bytes()[0] % ORGANISATION_GROUPS
+}
+
 /// Identifies the objects that a part holds.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum PartId {
@@ -80,6 +87,8 @@
     Service(Name),
     /// The routes of the hash group with this number; see [`route_group`].
     Routes(u8),
+    /// The organisations of the hash group with this number; see [`organisation_group`].
+    Organisations(u8),
 }
 
 impl fmt::Display for PartId {
@@ -87,6 +96,7 @@
         match self {
             Self::Service(name) => write!(f, "service {name}"),
             Self::Routes(group) => write!(f, "route group {group}"),
+            Self::Organisations(group) => write!(f, "organisation group {group}"),
         }
     }
 }
@@ -135,6 +145,7 @@
 }
 
 type RoutePart = BTreeMap<Name, RouteConfig>;
+type OrganisationPart = BTreeMap<Name, OrganisationConfig>;
 
 /// A configuration that is split into parts.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -143,6 +154,8 @@
     pub services: BTreeMap<Name, Digest>,
     /// Digest of the part of each hash group of routes.
     pub routes: BTreeMap<u8, Digest>,
+    /// Digest of the part of each hash group of organisations.
+    pub organisations: BTreeMap<u8, Digest>,
     /// Content of each part, by digest.
     pub contents: BTreeMap<Digest, Bytes>,
 }
@@ -158,12 +171,17 @@
         let digest = parts.add(content);
         parts.routes.insert(group, digest);
     }
+    for (group, content) in organisation_contents(config) {
+        let digest = parts.add(content);
+        parts.organisations.insert(group, digest);
+    }
     parts
 }
 
-/// Returns the length of a part of routes that exceeds [`MAX_PART_LEN`], if any.
+/// Returns the length of a part of routes or organisations that exceeds [`MAX_PART_LEN`], if any.
 pub fn oversized_part_len(config: &Config) -> Option<usize> {
-    let mut lens = route_contents(config).map(|(_, content)| content.len());
+    let contents = route_contents(config).chain(organisation_contents(config));
+    let mut lens = contents.map(|(_, content)| content.len());
     lens.find(|len| *len > MAX_PART_LEN)
 }
 
@@ -178,10 +196,22 @@
 }
 
 fn route_contents(config: &Config) -> impl Iterator<Item = (u8, Bytes)> + '_ {
-    let mut groups: BTreeMap<u8, RoutePart> = BTreeMap::new();
-    for (name, route) in &config.routes {
-        let group = groups.entry(route_group(name)).or_default();
-        group.insert(name.clone(), route.clone());
+    group_contents(&config.routes, route_group)
+}
+
+fn organisation_contents(config: &Config) -> impl Iterator<Item = (u8, Bytes)> + '_ {
+    group_contents(&config.organisations, organisation_group)
+}
+
+/// The encoded parts of objects that are divided into hash groups by their names.
+fn group_contents<T: Serialize>(
+    objects: &BTreeMap<Name, T>,
+    group_of: fn(&Name) -> u8,
+) -> impl Iterator<Item = (u8, Bytes)> + use<'_, T> {
+    let mut groups: BTreeMap<u8, BTreeMap<&Name, &T>> = BTreeMap::new();
+    for (name, object) in objects {
+        let group = groups.entry(group_of(name)).or_default();
+        group.insert(name, object);
     }
     let contents = groups.into_iter();
     contents.map(|(group, part)| (group, encode(&part)))
@@ -241,6 +271,7 @@
     let mut config = Config {
         version: head.version,
         limits: head.limits,
+        credentials: head.credentials,
         ..Config::default()
     };
     for (name, digest) in &head.services {
@@ -255,15 +286,33 @@
     for (group, digest) in &head.routes {
         let id = PartId::Routes(*group);
         let part: RoutePart = decode(&id, digest, cache)?;
-        if let Some(name) = part.keys().find(|n| route_group(n) != *group) {
-            let name = name.clone();
-            return Err(Error::Misplaced { id, name });
-        }
+        check_group(&id, part.keys(), |name| route_group(name) == *group)?;
         config.routes.extend(part);
     }
+    for (group, digest) in &head.organisations {
+        let id = PartId::Organisations(*group);
+        let part: OrganisationPart = decode(&id, digest, cache)?;
+        check_group(&id, part.keys(), |name| organisation_group(name) == *group)?;
+        config.organisations.extend(part);
+    }
     Ok(config)
 }
 
+/// Fails if a part of a hash group holds an object of another one.
+fn check_group<'a>(
+    id: &PartId,
+    mut names: impl Iterator<Item = &'a Name>,
+    is_member: impl Fn(&Name) -> bool,
+) -> Result<(), Error> {
+    match names.find(|name| !is_member(name)) {
+        Some(name) => Err(Error::Misplaced {
+            id: id.clone(),
+            name: name.clone(),
+        }),
+        None => Ok(()),
+    }
+}
+
 fn decode<T: for<'de> Deserialize<'de>>(
     id: &PartId,
     digest: &Digest,
--- a/crates/host/examples/measure.rs
+++ b/crates/host/examples/measure.rs
@@ -61,6 +61,8 @@
             max_attempts: None,
             priority: 0,
             is_bulk: false,
+            is_open: false,
+            home_regions: Vec::new(),
             ticket: TicketNumber(1),
             changed_at: ConfigVersion(1),
         };
@@ -71,6 +73,7 @@
             changed_at: ConfigVersion(1),
             max_connections: None,
             health_path: None,
+            cold_limit: None,
         };
         config.routes.insert(service.clone(), route);
         config.services.insert(service, service_config);
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -47,6 +47,7 @@
         changed_at: ConfigVersion(1),
         max_connections: None,
         health_path: None,
+        cold_limit: None,
     };
     let route = RouteConfig {
         path_prefix: "/calendar".into(),
@@ -61,6 +62,8 @@
         max_attempts: None,
         priority: 0,
         is_bulk: false,
+        is_open: false,
+        home_regions: Vec::new(),
         ticket: TicketNumber(1),
         changed_at: ConfigVersion(1),
     };
--- a/crates/model/src/mesh.rs
+++ b/crates/model/src/mesh.rs
@@ -166,6 +166,8 @@
         max_attempts: None,
         priority: kind.priority,
         is_bulk: false,
+        is_open: false,
+        home_regions: Vec::new(),
         ticket: TicketNumber(1),
         changed_at: ConfigVersion(1),
     }
@@ -182,6 +184,7 @@
         changed_at: ConfigVersion(1),
         max_connections: None,
         health_path: None,
+        cold_limit: None,
     }
 }
 
--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -159,6 +159,7 @@
             changed_at: ConfigVersion(ticket.0),
             max_connections: None,
             health_path: None,
+            cold_limit: None,
         }
     }
 }
--- a/crates/node/tests/config_deltas/configs.rs
+++ b/crates/node/tests/config_deltas/configs.rs
@@ -21,6 +21,7 @@
         changed_at: ConfigVersion(revision),
         max_connections: Some(110),
         health_path: Some("/health".to_owned()),
+        cold_limit: None,
     }
 }
 
@@ -43,6 +44,8 @@
         max_attempts: None,
         priority: (number % 3) as u8,
         is_bulk: false,
+        is_open: false,
+        home_regions: Vec::new(),
         ticket: TicketNumber(0),
         changed_at: ConfigVersion(0),
     };
--- a/crates/node/tests/configuration/operator.rs
+++ b/crates/node/tests/configuration/operator.rs
@@ -57,6 +57,7 @@
             changed_at: ConfigVersion(0),
             max_connections: None,
             health_path: None,
+            cold_limit: None,
         };
         operator.newest.services.insert(name("calendar"), service);
         for _ in 0..BASE_ROUTES {
@@ -83,6 +84,8 @@
             max_attempts: None,
             priority: 0,
             is_bulk: false,
+            is_open: false,
+            home_regions: Vec::new(),
             ticket: TicketNumber(0),
             changed_at: ConfigVersion(0),
         };
--- a/crates/node/tests/history.rs
+++ b/crates/node/tests/history.rs
@@ -36,6 +36,7 @@
             changed_at: ConfigVersion(1),
             max_connections: None,
             health_path: None,
+            cold_limit: None,
         };
         config.services.insert(name(&format!("s{i:03}")), service);
     }
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -72,6 +72,7 @@
         changed_at: ConfigVersion(1),
         max_connections: None,
         health_path: None,
+        cold_limit: None,
     };
     let route = RouteConfig {
         path_prefix: "/calendar".into(),
@@ -86,6 +87,8 @@
         max_attempts: None,
         priority: 0,
         is_bulk: false,
+        is_open: false,
+        home_regions: Vec::new(),
         ticket: TicketNumber(1),
         changed_at: ConfigVersion(1),
     };
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -37,6 +37,7 @@
             changed_at: knapweed_world::ConfigVersion(1),
             max_connections: None,
             health_path: None,
+            cold_limit: None,
         };
         config.services.insert(name(&format!("s{i:03}")), service);
     }
--- a/crates/node/tests/nodes/common/mesh.rs
+++ b/crates/node/tests/nodes/common/mesh.rs
@@ -230,6 +230,7 @@
                 changed_at: ConfigVersion(0),
                 max_connections: None,
                 health_path: None,
+                cold_limit: None,
             };
             config.services.insert(name(service), settings);
         }
--- a/crates/node/tests/nodes/retries.rs
+++ b/crates/node/tests/nodes/retries.rs
@@ -83,6 +83,7 @@
         changed_at,
         max_connections: None,
         health_path: None,
+        cold_limit: None,
     };
     let route = RouteConfig {
         path_prefix: "/calendar".into(),
@@ -97,6 +98,8 @@
         max_attempts: None,
         priority: 0,
         is_bulk: false,
+        is_open: false,
+        home_regions: Vec::new(),
         ticket,
         changed_at,
     };
--- a/crates/node/tests/rollouts/process.rs
+++ b/crates/node/tests/rollouts/process.rs
@@ -207,6 +207,7 @@
                 changed_at: ConfigVersion(0),
                 max_connections: None,
                 health_path: None,
+                cold_limit: None,
             },
             servers: Servers::default(),
             established: EstablishedVersions::default(),
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -44,6 +44,7 @@
         changed_at: ConfigVersion(ticket),
         max_connections: None,
         health_path: None,
+        cold_limit: None,
     }
 }
 
--- a/crates/rollout/tests/guard_tripped.rs
+++ b/crates/rollout/tests/guard_tripped.rs
@@ -37,6 +37,7 @@
         changed_at: ConfigVersion(2),
         max_connections: None,
         health_path: None,
+        cold_limit: None,
     }
 }
 
--- a/crates/trace/examples/generate/model.rs
+++ b/crates/trace/examples/generate/model.rs
@@ -250,6 +250,7 @@
         changed_at: ConfigVersion(ticket),
         max_connections: None,
         health_path: None,
+        cold_limit: None,
     }
 }
 
--- a/crates/world/src/config.rs
+++ b/crates/world/src/config.rs
@@ -1,6 +1,7 @@
 //! The accepted configuration: services, routes and limits for callers.
 
-use crate::{Name, Share, UnixMillis};
+use crate::organisation::{CredentialPolicy, OrganisationConfig};
+use crate::{Name, RequestRate, Share, UnixMillis};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -91,6 +92,10 @@
     /// Health check path of its backend servers; `None` when they have none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub health_path: Option<String>,
+    /// Requests per second that each of its backend servers takes while it is cold; `None`
+    /// without a limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_limit: Option<RequestRate>,
 }
 
 /// Which requests of a route are idempotent, so that they may run more than once.
@@ -141,6 +146,12 @@
     /// Whether requests carry large bodies.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_bulk: bool,
+    /// Whether its requests need no credential.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_open: bool,
+    /// Regions in which its requests may run and their bodies may be held; empty for all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub home_regions: Vec<Name>,
     /// The ticket that last changed the route.
     pub ticket: TicketNumber,
     /// The configuration version that ticket made.
@@ -187,4 +198,10 @@
     /// Limits that nodes enforce on callers.
     #[serde(default, skip_serializing_if = "CallerLimits::is_default")]
     pub limits: CallerLimits,
+    /// Organisations by name.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub organisations: BTreeMap<Name, OrganisationConfig>,
+    /// Whether callers must present a credential of an organisation.
+    #[serde(default, skip_serializing_if = "CredentialPolicy::is_not_required")]
+    pub credentials: CredentialPolicy,
 }
--- a/crates/world/src/keys.rs
+++ b/crates/world/src/keys.rs
@@ -19,4 +19,6 @@
     pub struct BackendServerKey;
     /// Key of a route.
     pub struct RouteKey;
+    /// Key of an organisation.
+    pub struct OrganisationKey;
 }
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod link;
 pub mod load;
 pub mod name;
+pub mod organisation;
 pub mod region;
 pub mod revision;
 pub mod route;
@@ -24,10 +25,13 @@
 pub use cell::SnapshotCell;
 pub use config::{Config, ConfigVersion, TicketNumber};
 pub use host::Host;
-pub use keys::{BackendServerKey, HostKey, LinkKey, RegionKey, RouteKey, ServiceKey, ZoneKey};
+pub use keys::{
+    BackendServerKey, HostKey, LinkKey, OrganisationKey, RegionKey, RouteKey, ServiceKey, ZoneKey,
+};
 pub use link::Link;
-pub use load::{Flow, LoadReport, Rank, ServerLoad};
+pub use load::{Flow, LoadReport, Rank, RequestRate, ServerLoad};
 pub use name::Name;
+pub use organisation::{CredentialDigest, Organisation, OrganisationConfig, Quota};
 pub use region::Region;
 pub use revision::{Revision, StoreEra};
 pub use route::Route;
--- a/crates/world/src/route.rs
+++ b/crates/world/src/route.rs
@@ -1,6 +1,7 @@
 //! Routes and the table that matches requests to them.
 
 use crate::config::Idempotence;
+use crate::organisation::Homes;
 use crate::{Flow, Name, RouteKey, ServiceKey};
 use bytes::Bytes;
 use std::borrow::Cow;
@@ -37,6 +38,10 @@
     pub priority: u8,
     /// Whether requests carry large bodies.
     pub is_bulk: bool,
+    /// Whether its requests need no credential.
+    pub is_open: bool,
+    /// Regions in which its requests may run; `None` for all.
+    pub homes: Option<Homes>,
 }
 
 impl Route {
--- a/crates/world/src/service.rs
+++ b/crates/world/src/service.rs
@@ -1,6 +1,6 @@
 //! Services, their versions and traffic shares.
 
-use crate::{BackendServerKey, Name, ServiceCounters};
+use crate::{BackendServerKey, Name, RequestRate, ServiceCounters};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
@@ -100,6 +100,9 @@
     pub versions: Vec<ServedVersion>,
     /// Health check path of its backend servers; `None` when they have none.
     pub health_path: Option<Arc<str>>,
+    /// Requests per second that each of its backend servers takes while it is cold; `None`
+    /// without a limit.
+    pub cold_limit: Option<RequestRate>,
     /// Counters of its requests at the local ingress, shared between snapshots.
     pub counters: Arc<ServiceCounters>,
     /// Retry budgets at the local ingress, shared between snapshots.
--- a/crates/world/src/snapshot.rs
+++ b/crates/world/src/snapshot.rs
@@ -5,10 +5,12 @@
 use crate::backend_server::{Announcement, ServerId};
 use crate::config::CallerLimits;
 use crate::link::Distance;
+use crate::organisation::CredentialPolicy;
 use crate::route::RouteTable;
 use crate::{
-    BackendServer, BackendServerKey, ConfigVersion, Host, HostKey, Link, LinkKey, Name, Region,
-    RegionKey, Route, RouteKey, ServerLoad, Service, ServiceKey, Zone, ZoneKey,
+    BackendServer, BackendServerKey, ConfigVersion, CredentialDigest, Host, HostKey, Link, LinkKey,
+    Name, Organisation, OrganisationKey, Region, RegionKey, Route, RouteKey, ServerLoad, Service,
+    ServiceKey, Zone, ZoneKey,
 };
 pub use build::Builder;
 use slotmap::SlotMap;
@@ -57,6 +59,7 @@
     services: SlotMap<ServiceKey, Service>,
     backend_servers: SlotMap<BackendServerKey, BackendServer>,
     routes: SlotMap<RouteKey, Route>,
+    organisations: SlotMap<OrganisationKey, Organisation>,
 }
 
 /// The mesh at one configuration version, with every reference resolved.
@@ -67,6 +70,8 @@
     local: HostKey,
     arenas: Arenas,
     route_table: RouteTable,
+    credentials: HashMap<CredentialDigest, OrganisationKey>,
+    credential_policy: CredentialPolicy,
     loads: HashMap<ServerId, Arc<ServerLoad>>,
 }
 
@@ -112,6 +117,11 @@
         &self.arenas.routes[key]
     }
 
+    /// The organisation of `key`.
+    pub fn organisation(&self, key: OrganisationKey) -> &Organisation {
+        &self.arenas.organisations[key]
+    }
+
     /// The backend server of `key`.
     pub fn backend_server(&self, key: BackendServerKey) -> &BackendServer {
         &self.arenas.backend_servers[key]
@@ -125,6 +135,21 @@
         self.route_table.find(host, path)
     }
 
+    /// Whether callers must present a credential of an organisation.
+    pub fn credential_policy(&self) -> CredentialPolicy {
+        self.credential_policy
+    }
+
+    /// The organisation that holds a credential.
+    pub fn find_organisation(&self, credential: &CredentialDigest) -> Option<OrganisationKey> {
+        self.credentials.get(credential).copied()
+    }
+
+    /// All organisations.
+    pub fn organisations(&self) -> impl Iterator<Item = (OrganisationKey, &Organisation)> {
+        self.arenas.organisations.iter()
+    }
+
     /// All hosts.
     pub fn hosts(&self) -> impl Iterator<Item = (HostKey, &Host)> {
         self.arenas.hosts.iter()
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -4,11 +4,13 @@
 use crate::backend_server::{Announcement, ServerId};
 use crate::config::{RouteConfig, VersionShare};
 use crate::link::Distance;
+use crate::organisation::Homes;
 use crate::route::RouteTable;
 use crate::service::{RetryTokens, ServedVersion};
 use crate::{
-    BackendServer, BackendServerKey, Config, Flow, Host, HostKey, Link, Name, Region, RegionKey,
-    Route, ServerLoad, ServerState, Service, ServiceCounters, ServiceKey, Zone, ZoneKey,
+    BackendServer, BackendServerKey, Config, CredentialDigest, Flow, Host, HostKey, Link, Name,
+    Organisation, OrganisationKey, Region, RegionKey, Route, ServerLoad, ServerState, Service,
+    ServiceCounters, ServiceKey, Zone, ZoneKey,
 };
 use bytes::Bytes;
 
@@ -101,6 +103,7 @@
         }
         draft.retain_notices(self.loads);
         draft.add_routes(self.config)?;
+        draft.add_organisations(self.config);
         Ok(draft.finish(self.config, local))
     }
 }
@@ -114,6 +117,7 @@
     host_names: HashMap<Name, HostKey>,
     service_names: HashMap<Name, ServiceKey>,
     loads: HashMap<ServerId, Arc<ServerLoad>>,
+    credentials: HashMap<CredentialDigest, OrganisationKey>,
 }
 
 impl Draft {
@@ -181,6 +185,7 @@
                 name: name.clone(),
                 versions,
                 health_path: service.health_path.as_deref().map(Arc::from),
+                cold_limit: service.cold_limit,
                 counters: retained.counters,
                 retry_tokens: retained.retry_tokens,
             });
@@ -251,25 +256,56 @@
                 };
                 destinations.push((key, destination.weight));
             }
-            let route = resolved_route(name, route, destinations);
+            let homes = self.homes(&route.home_regions);
+            let route = resolved_route(name, route, destinations, homes);
             self.arenas.routes.insert(route);
         }
         Ok(())
     }
 
+    /// Adds the organisations. A credential that two of them hold belongs to the first by
+    /// name, on all nodes alike.
+    fn add_organisations(&mut self, config: &Config) {
+        for (name, organisation) in &config.organisations {
+            let key = self.arenas.organisations.insert(Organisation {
+                name: name.clone(),
+                priority: organisation.priority,
+                quota: organisation.quota,
+                homes: self.homes(&organisation.home_regions),
+            });
+            for credential in &organisation.credentials {
+                self.credentials.entry(*credential).or_insert(key);
+            }
+        }
+    }
+
+    /// The regions with these names; `None` when none are named. A region without hosts has
+    /// no key and no server.
+    fn homes(&self, names: &[Name]) -> Option<Homes> {
+        let keys = names.iter().filter_map(|name| self.region_names.get(name));
+        (!names.is_empty()).then(|| Homes(keys.copied().collect()))
+    }
+
     fn finish(self, config: &Config, local: HostKey) -> Snapshot {
         Snapshot {
             version: config.version,
             limits: config.limits,
             local,
             route_table: RouteTable::new(&self.arenas.routes),
+            credentials: self.credentials,
+            credential_policy: config.credentials,
             arenas: self.arenas,
             loads: self.loads,
         }
     }
 }
 
-fn resolved_route(name: &Name, route: &RouteConfig, destinations: Vec<(ServiceKey, u32)>) -> Route {
+fn resolved_route(
+    name: &Name,
+    route: &RouteConfig,
+    destinations: Vec<(ServiceKey, u32)>,
+    homes: Option<Homes>,
+) -> Route {
     let millis = |ms: u32| Duration::from_millis(u64::from(ms));
     let timeout = millis(route.timeout_ms);
     Route {
@@ -284,6 +320,8 @@
         max_attempts: route.max_attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS),
         priority: route.priority,
         is_bulk: route.is_bulk,
+        is_open: route.is_open,
+        homes,
     }
 }
 
--- a/crates/world/tests/common/mod.rs
+++ b/crates/world/tests/common/mod.rs
@@ -56,6 +56,7 @@
         changed_at: ConfigVersion(version),
         max_connections: None,
         health_path: None,
+        cold_limit: None,
     };
     config.services.insert(name("calendar"), service);
     for (route, prefix) in [("all", "/"), ("calendar", "/calendar")] {
@@ -87,6 +88,8 @@
         max_attempts: None,
         priority: 0,
         is_bulk: false,
+        is_open: false,
+        home_regions: Vec::new(),
         ticket: TicketNumber(version),
         changed_at: ConfigVersion(version),
     }
--- a/crates/world/tests/route.rs
+++ b/crates/world/tests/route.rs
@@ -21,6 +21,8 @@
         max_attempts: 3,
         priority: 0,
         is_bulk: false,
+        is_open: false,
+        homes: None,
     }
 }
 
