--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,6 +5,7 @@
 //! use atomics; a [`ServerChoice`] only reads; the other types are state machines that
 //! take events and return actions for the node to perform.
 
+pub mod access;
 pub mod admission;
 pub mod byte_budget;
 pub mod choice;
--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -71,6 +71,10 @@
     /// The head of the request, which the configuration allows, does not fit the connection
     /// between nodes.
     TooLongToForward,
+    /// No organisation holds the credential of the request.
+    UnknownCredential,
+    /// The credential of the request is not found, and the node may not know all of them.
+    UnverifiedCredential,
 }
 
 /// Why it is not known whether a send ran.
@@ -127,7 +131,7 @@
 
 impl NotRun {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 22] = [
         Self::NoRoute,
         Self::OutdatedConfig,
         Self::InvalidHeader,
@@ -148,6 +152,8 @@
         Self::BodyLost,
         Self::HeadersTooLong,
         Self::TooLongToForward,
+        Self::UnknownCredential,
+        Self::UnverifiedCredential,
     ];
 
     /// HTTP status of the response.
@@ -157,6 +163,7 @@
     pub const fn status(self) -> u16 {
         match self {
             Self::InvalidHeader | Self::InvalidBody => 400,
+            Self::UnknownCredential => 401,
             Self::NoRoute => 404,
             Self::HeadersTooLong => 431,
             _ => 503,
@@ -206,6 +213,8 @@
             Self::BodyLost => "body-lost",
             Self::HeadersTooLong => "headers-too-long",
             Self::TooLongToForward => "too-long-to-forward",
+            Self::UnknownCredential => "unknown-credential",
+            Self::UnverifiedCredential => "unverified-credential",
         }
     }
 
@@ -233,6 +242,10 @@
             Self::InvalidBody => "the framing of the request body is malformed",
             Self::HeadersTooLong => "the header fields are longer than the configuration allows",
             Self::TooLongToForward => "the head is too long for the connection between nodes",
+            Self::UnknownCredential => "no organisation holds the credential of the request",
+            Self::UnverifiedCredential => {
+                "the credential is not found, but the node may not know all of them"
+            }
             Self::BodyLost => "the connection of the caller ended before the request body",
         }
     }
--- a/crates/host/src/request.rs
+++ b/crates/host/src/request.rs
@@ -2,7 +2,7 @@
 
 use crate::{NotRun, WaitEstimator};
 use bytes::Bytes;
-use knapweed_world::{Rank, RouteKey, ServiceKey, Snapshot, Time};
+use knapweed_world::{OrganisationKey, Rank, RouteKey, ServiceKey, Snapshot, Time};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -150,6 +150,8 @@
     pub route: RouteKey,
     /// The destination service, drawn by the weights of the route.
     pub service: ServiceKey,
+    /// The organisation of its caller; `None` when it needs none and has none.
+    pub organisation: Option<OrganisationKey>,
     /// Identity of the request, the same for all of its sends.
     pub identity: RequestId,
     /// When it arrived at the ingress.
@@ -164,6 +166,8 @@
     pub depth: u8,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether a backend server sent it in order to answer another request.
+    pub is_nested: bool,
 }
 
 impl Request {
@@ -207,15 +211,23 @@
         Ok(Self {
             route: key,
             service,
+            organisation: None,
             identity,
             arrived: now,
             deadline,
             objective,
-            rank: Rank::of(route.priority, incoming.is_nested),
+            rank: snapshot.rank(key, None, incoming.is_nested),
             depth,
             idempotent: route.is_idempotent(incoming.method),
+            is_nested: incoming.is_nested,
         })
     }
+
+    /// Sets the organisation of the caller, and the rank that follows from it.
+    pub fn set_organisation(&mut self, snapshot: &Snapshot, organisation: Option<OrganisationKey>) {
+        self.organisation = organisation;
+        self.rank = snapshot.rank(self.route, organisation, self.is_nested);
+    }
 }
 
 fn identity(id: &Bytes, limit: IdLimit) -> Result<RequestId, Error> {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -17,13 +17,14 @@
 use attempt::Attempts;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use knapweed_host::access;
 use knapweed_host::crash::{CrashSubjects, Subject};
 use knapweed_host::request::{Error, IncomingRequest, Request};
 use knapweed_host::{ByteBudget, Drain, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator};
 use knapweed_link::LinkBudget;
 use knapweed_timer::TimerService;
 use knapweed_world::route::DRAWS;
-use knapweed_world::{Name, Snapshot, SnapshotCell, Time};
+use knapweed_world::{Name, OrganisationKey, Snapshot, SnapshotCell, Time};
 use metrics::IngressMetrics;
 use std::io;
 use std::sync::Arc;
@@ -122,9 +123,12 @@
         let parsed = self.parse(&snapshot, &request, start);
         let service = parsed.as_ref().ok().map(|(parsed, _)| parsed.service);
         let result = match parsed {
-            Ok((parsed, fields)) => {
+            Ok((mut parsed, fields)) => {
+                let organisation = authorize(&snapshot, &parsed, &fields, is_current);
+                parsed.set_organisation(&snapshot, organisation.unwrap_or_default());
                 log.set_request(&parsed);
-                match self.check_deadline(start, &parsed) {
+                let checked = organisation.and_then(|_| self.check_deadline(start, &parsed));
+                match checked {
                     Ok(()) => {
                         self.try_run(&snapshot, parsed, fields, request, &mut log)
                             .await
@@ -243,6 +247,17 @@
     }
 }
 
+/// Determines the organisation that a request is run for, or the reason for its refusal.
+fn authorize(
+    snapshot: &Snapshot,
+    request: &Request,
+    fields: &CallerFields,
+    is_current: bool,
+) -> Result<Option<OrganisationKey>, NotRun> {
+    let route = snapshot.route(request.route);
+    access::authorize(snapshot, route, fields.claim(), is_current).map_err(access::Error::reason)
+}
+
 /// The reason that is reported for a request that cannot be accepted.
 ///
 /// A node that does not know whether its configuration is the newest does not claim that
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -200,6 +200,7 @@
         let now = self.ingress.dependencies.timer.now();
         let route = self.snapshot.route(self.request.route);
         let objective = self.request.objective.map(|time| time.since(now));
+        let organisation = self.request.organisation;
         RequestHead {
             id: SendId {
                 request: self.request.identity,
@@ -217,6 +218,7 @@
             rank: self.request.rank,
             caller_id: self.caller_id.clone(),
             origin: self.ingress.dependencies.origin.clone(),
+            organisation: organisation.map(|key| self.snapshot.organisation(key).name.clone()),
             depth: self.request.depth,
             content: self.subjects.content,
             rate_limit: server.load.rate_limit(),
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -9,9 +9,11 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::response;
+use knapweed_host::access::Claim;
 use knapweed_host::request::{Error, IdLimit};
 use knapweed_host::{NotRun, Outcome};
 use knapweed_wire::RequestHead;
+use knapweed_world::CredentialDigest;
 use knapweed_world::backend_server::Announcement;
 use knapweed_world::load::RequestRate;
 use std::time::Duration;
@@ -30,6 +32,18 @@
     pub depth: u8,
     /// Whether a backend server sends the request in order to answer another one.
     pub is_nested: bool,
+    /// Digest of the caller's credential; `None` when it sent none.
+    pub credential: Option<CredentialDigest>,
+}
+
+impl CallerFields {
+    /// What the caller presents to be authorized.
+    pub fn claim(&self) -> Claim {
+        Claim {
+            credential: self.credential,
+            is_nested: self.is_nested,
+        }
+    }
 }
 
 /// Header format of callers.
@@ -147,6 +161,18 @@
     fn interpret(&self, head: &RequestHead, response: &response::Parts) -> ServerAnswer;
 }
 
+/// The digest of the credential in the header `name`; `None` without the header.
+///
+/// Several values count as one list, as in RFC 9110, section 5.3, which is nobody's credential.
+pub fn credential_digest(headers: &HeaderMap, name: &str) -> Option<CredentialDigest> {
+    let values: Vec<_> = headers
+        .get_all(name)
+        .iter()
+        .map(HeaderValue::as_bytes)
+        .collect();
+    (!values.is_empty()).then(|| CredentialDigest::of(&values.join(&b", "[..])))
+}
+
 /// Parses a rate limit in requests per second, as a decimal number; `None` unless it is a
 /// number of at least 0. Of several values, the lowest counts.
 pub fn parse_rate_limit<'a>(
--- a/crates/node/src/protocol/native.rs
+++ b/crates/node/src/protocol/native.rs
@@ -1,7 +1,8 @@
 //! Knapweed's native headers: those in `knapweed_host::request` and the request ID.
 
 use super::{
-    CallerFields, CallerProtocol, ServerAnswer, ServerNotice, ServerProtocol, parse_rate_limit,
+    CallerFields, CallerProtocol, ServerAnswer, ServerNotice, ServerProtocol, credential_digest,
+    parse_rate_limit,
 };
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
@@ -18,6 +19,12 @@
 /// can write it to their logs.
 const REQUEST_ID: &str = "knapweed-request-id";
 
+/// Header with the credential of the caller.
+const CREDENTIAL: &str = "knapweed-credential";
+
+/// Header that names the organisation of the caller to a backend server.
+const ORGANISATION: &str = "knapweed-organisation";
+
 /// Header with the requests per second that a backend server takes from all hosts together.
 const RATE_LIMIT: &str = "knapweed-rate-limit";
 
@@ -38,6 +45,7 @@
             time_left: count(DEADLINE_MS)?.map(Duration::from_millis),
             depth,
             is_nested: depth > 0,
+            credential: credential_digest(headers, CREDENTIAL),
         })
     }
 
@@ -51,7 +59,7 @@
     }
 
     fn is_forwarded(&self, name: &HeaderName) -> bool {
-        ![OUTCOME, REASON].contains(&name.as_str())
+        ![OUTCOME, REASON, CREDENTIAL, ORGANISATION].contains(&name.as_str())
     }
 
     fn describe(&self, outcome: Outcome, retry_after: Option<Duration>, headers: &mut HeaderMap) {
@@ -79,6 +87,13 @@
         let id = u128::from_be_bytes(head.id.request.0);
         let id = HeaderValue::try_from(format!("{id:032x}"));
         headers.insert(REQUEST_ID, id.expect("digits are a header value"));
+        if let Some(organisation) = &head.organisation {
+            let organisation = HeaderValue::from_str(organisation.as_str());
+            headers.insert(
+                ORGANISATION,
+                organisation.expect("a name is a header value"),
+            );
+        }
     }
 
     fn is_leaving(&self, _server: &Announcement, _response: &response::Parts) -> Option<bool> {
--- a/crates/node/tests/nodes/common/mod.rs
+++ b/crates/node/tests/nodes/common/mod.rs
@@ -37,6 +37,7 @@
         rank: Rank(1),
         caller_id: None,
         origin: None,
+        organisation: None,
         depth: 1,
         content: Subject::content(b"", b"POST", path.as_bytes(), b""),
         rate_limit: None,
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 
 /// Protocol version that this build sends and accepts.
-pub const VERSION: u8 = 5;
+pub const VERSION: u8 = 6;
 
 /// Error of encoding or decoding a message.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -48,6 +48,8 @@
     /// Service whose backend servers run on the host of the first ingress; `None`
     /// when that host has several services or none.
     pub origin: Option<Name>,
+    /// Organisation of the caller; `None` when it needs none and has none.
+    pub organisation: Option<Name>,
     /// Nesting depth of the request: 1 for a request of a caller, one more for each
     /// request that a backend server makes to handle another one.
     pub depth: u8,
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -36,6 +36,7 @@
         rank: Rank(1),
         caller_id: None,
         origin: Some(name("calendar")),
+        organisation: Some(name("tea-growers")),
         depth: 1,
         content: Subject([5; 16]),
         rate_limit: None,
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load;
 pub mod name;
 pub mod organisation;
+pub mod rank;
 pub mod region;
 pub mod revision;
 pub mod route;
--- a/crates/world/src/snapshot.rs
+++ b/crates/world/src/snapshot.rs
@@ -6,11 +6,12 @@
 use crate::config::CallerLimits;
 use crate::link::Distance;
 use crate::organisation::CredentialPolicy;
+use crate::rank::RankTable;
 use crate::route::RouteTable;
 use crate::{
     BackendServer, BackendServerKey, ConfigVersion, CredentialDigest, Host, HostKey, Link, LinkKey,
-    Name, Organisation, OrganisationKey, Region, RegionKey, Route, RouteKey, ServerLoad, Service,
-    ServiceKey, Zone, ZoneKey,
+    Name, Organisation, OrganisationKey, Rank, Region, RegionKey, Route, RouteKey, ServerLoad,
+    Service, ServiceKey, Zone, ZoneKey,
 };
 pub use build::Builder;
 use slotmap::SlotMap;
@@ -72,6 +73,7 @@
     route_table: RouteTable,
     credentials: HashMap<CredentialDigest, OrganisationKey>,
     credential_policy: CredentialPolicy,
+    ranks: RankTable,
     loads: HashMap<ServerId, Arc<ServerLoad>>,
 }
 
@@ -145,6 +147,22 @@
         self.credentials.get(credential).copied()
     }
 
+    /// The precedence of a request of `organisation` on `route`. A request without an
+    /// organisation has the priority of one that states none.
+    pub fn rank(
+        &self,
+        route: RouteKey,
+        organisation: Option<OrganisationKey>,
+        is_nested: bool,
+    ) -> Rank {
+        let route = self.route(route).priority;
+        let organisation = organisation.map_or(0, |key| self.organisation(key).priority);
+        match is_nested {
+            true => Rank::of(route, true),
+            false => self.ranks.rank(organisation, route),
+        }
+    }
+
     /// All organisations.
     pub fn organisations(&self) -> impl Iterator<Item = (OrganisationKey, &Organisation)> {
         self.arenas.organisations.iter()
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -5,6 +5,7 @@
 use crate::config::{RouteConfig, VersionShare};
 use crate::link::Distance;
 use crate::organisation::Homes;
+use crate::rank::RankTable;
 use crate::route::RouteTable;
 use crate::service::{RetryTokens, ServedVersion};
 use crate::{
@@ -294,6 +295,10 @@
             route_table: RouteTable::new(&self.arenas.routes),
             credentials: self.credentials,
             credential_policy: config.credentials,
+            ranks: RankTable::new(
+                config.organisations.values().map(|o| o.priority),
+                config.routes.values().map(|r| r.priority),
+            ),
             arenas: self.arenas,
             loads: self.loads,
         }
