feat(access): authorize requests by the credential of an organisation

Requests of any caller ran, with whatever organisation the caller named, and the credential was passed on to the backend server.

The egress tells the backend server the name of the organisation.

--- a/crates/host/src/access.rs
+++ b/crates/host/src/access.rs
@@ -26,22 +26,13 @@
     }
 }
 
-/// What a caller presents to be authorized.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Claim {
-    /// Digest of its credential; `None` when it sent none.
-    pub credential: Option<CredentialDigest>,
-    /// Whether a backend server sends the request in order to answer another one, which was
-    /// authorized already.
-    pub is_nested: bool,
-}
-
 /// Determines the organisation of a request; `None` for a request that needs no credential and
 /// has none that is known.
 ///
 /// `is_current` tells whether the configuration of `snapshot` is known to be the newest one.
 /// A credential that is not found is refused for good only by such a configuration, and only
-/// if all of its organisations could be read.
+/// if all of its organisations could be read. Nested calls have no credential and go to open
+/// routes; a call is not admitted for being nested, which any caller could claim.
 ///
 /// # Errors
 ///
@@ -49,14 +40,12 @@
 pub fn authorize(
     snapshot: &Snapshot,
     route: &Route,
-    claim: Claim,
+    credential: Option<CredentialDigest>,
     is_current: bool,
 ) -> Result<Option<OrganisationKey>, Error> {
-    let credential = claim.credential;
     let found = credential.and_then(|digest| snapshot.find_organisation(&digest));
-    let is_nested_call = claim.is_nested && credential.is_none();
     let policy = snapshot.credential_policy();
-    if found.is_some() || policy.is_not_required() || route.is_open || is_nested_call {
+    if found.is_some() || policy.is_not_required() || route.is_open {
         return Ok(found);
     }
     match policy == CredentialPolicy::Required && is_current {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -255,7 +255,8 @@
     is_current: bool,
 ) -> Result<Option<OrganisationKey>, NotRun> {
     let route = snapshot.route(request.route);
-    access::authorize(snapshot, route, fields.claim(), is_current).map_err(access::Error::reason)
+    let organisation = access::authorize(snapshot, route, fields.credential, is_current);
+    organisation.map_err(access::Error::reason)
 }
 
 /// The reason that is reported for a request that cannot be accepted.
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::response;
-use knapweed_host::access::Claim;
 use knapweed_host::request::{Error, IdLimit};
 use knapweed_host::{NotRun, Outcome};
 use knapweed_wire::RequestHead;
@@ -36,16 +35,6 @@
     pub credential: Option<CredentialDigest>,
 }
 
-impl CallerFields {
-    /// What the caller presents to be authorized.
-    pub fn claim(&self) -> Claim {
-        Claim {
-            credential: self.credential,
-            is_nested: self.is_nested,
-        }
-    }
-}
-
 /// Header format of callers.
 pub trait CallerProtocol: Send + Sync {
     /// Parses the headers of a request.
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -25,11 +25,15 @@
 use knapweed_world::config::{
     Config, Destination, Idempotence, RouteConfig, ServiceConfig, VersionShare,
 };
+use knapweed_world::organisation::CredentialPolicy;
 use knapweed_world::snapshot::{Builder, HostEntry};
-use knapweed_world::{ConfigVersion, Name, ServerState, Share, SnapshotCell, TicketNumber};
+use knapweed_world::{
+    ConfigVersion, CredentialDigest, Name, OrganisationConfig, ServerState, Share, Snapshot,
+    SnapshotCell, TicketNumber,
+};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Carrier whose outcome depends on the path of the request.
@@ -334,6 +338,90 @@
     assert_eq!(run(&ingress, "/calendar/ok", &long).await, too_long);
 }
 
+/// Carrier that keeps the heads of the requests it is given, and answers them.
+#[derive(Clone, Default)]
+struct Recorder(Arc<Mutex<Vec<RequestHead>>>);
+
+impl Carrier for Recorder {
+    fn carry<'a>(
+        &'a self,
+        _node: SocketAddr,
+        head: RequestHead,
+        _body: &'a mut RequestBody,
+    ) -> BoxFuture<'a, Response> {
+        self.0.lock().expect("no panic").push(head);
+        let mut response = Response::without_answer(Outcome::Answered(Answer::Complete));
+        response.head.status = 200;
+        Box::pin(async move { response })
+    }
+}
+
+/// Builds a snapshot with one organisation that holds these credentials.
+fn snapshot_for(version: u64, credentials: &[&str]) -> Snapshot {
+    let mut config = config();
+    config.version = ConfigVersion(version);
+    config.credentials = CredentialPolicy::Required;
+    let digests = credentials
+        .iter()
+        .map(|c| CredentialDigest::of(c.as_bytes()));
+    let growers = OrganisationConfig {
+        credentials: digests.collect(),
+        ..OrganisationConfig::default()
+    };
+    config.organisations.insert(name("tea-growers"), growers);
+    let mut host = local("a1", "labasa-a", "labasa");
+    host.announcements = vec![Announcement {
+        service: name("calendar"),
+        version: name("v1"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        slots: 12,
+        max_connections: 110,
+        state: ServerState::Ready,
+        instance: None,
+        is_cold: false,
+    }];
+    let builder = Builder::new(host.name.clone(), &config).hosts([host]);
+    builder.build().expect("a valid mesh")
+}
+
+/// Guards against a withdrawn credential that is still accepted, a credential that is passed
+/// on, and a final refusal of one that a newer configuration may hold.
+#[tokio::test]
+async fn a_credential_admits_until_it_is_withdrawn_and_is_not_passed_on() {
+    let snapshots = Arc::new(SnapshotCell::new(snapshot_for(1, &["old-key", "new-key"])));
+    let mut dependencies = dependencies(Arc::clone(&snapshots), &Metrics::new(), Drain::default());
+    let (currency, timer) = (
+        Arc::clone(&dependencies.currency),
+        dependencies.timer.clone(),
+    );
+    let recorder = Recorder::default();
+    dependencies.local = Box::new(recorder.clone());
+    let ingress = Ingress::new(dependencies);
+    let run = |credential: &'static str| {
+        let claimed = ("knapweed-organisation", "others");
+        let fields = [("knapweed-credential", credential), claimed];
+        let ingress = &ingress;
+        async move { run(ingress, "/calendar/ok", &fields).await }
+    };
+    let answered = Outcome::Answered(Answer::Complete);
+    let unverified = Outcome::NotRun(NotRun::UnverifiedCredential);
+    let unknown = Outcome::NotRun(NotRun::UnknownCredential);
+    assert_eq!(run("old-key").await, answered);
+    assert_eq!(run("no-key").await, unverified);
+    currency.set_until(timer.now().after(Duration::from_secs(60)));
+    assert_eq!(run("no-key").await, unknown);
+    let newer = snapshot_for(2, &["new-key"]);
+    snapshots.replace(newer).expect("a newer version");
+    assert_eq!(run("old-key").await, unknown);
+    assert_eq!(run("new-key").await, answered);
+    currency.set_until(timer.now());
+    assert_eq!(run("old-key").await, unverified);
+    let heads = recorder.0.lock().expect("no panic");
+    let organisations: Vec<_> = heads.iter().map(|h| h.organisation.as_deref()).collect();
+    assert_eq!(organisations, [Some("tea-growers"); 2]);
+    assert!(heads.iter().all(|h| h.headers.is_empty()), "{heads:?}");
+}
+
 /// Carrier whose first send is lost after it may have run, and whose others are refused.
 #[derive(Default)]
 struct LostThenRefused {
