--- a/crates/world/src/snapshot.rs
+++ b/crates/world/src/snapshot.rs
@@ -58,10 +58,23 @@
     hosts: SlotMap<HostKey, Host>,
     services: SlotMap<ServiceKey, Service>,
     backend_servers: SlotMap<BackendServerKey, BackendServer>,
-    routes: SlotMap<RouteKey, Route>,
     organisations: SlotMap<OrganisationKey, Organisation>,
 }
 
+/// The routes of one configuration version, shared by its snapshots.
+///
+/// A snapshot is replaced several times a second while hosts come and go, and running
+/// requests keep the earlier ones. With a copy of 2,200 routes each, these took most of the
+/// memory of a node.
+#[derive(Debug, Default)]
+struct RouteSet {
+    version: ConfigVersion,
+    /// The regions by whose keys home regions were resolved, in the order of their keys.
+    regions: Vec<Name>,
+    routes: SlotMap<RouteKey, Route>,
+    table: RouteTable,
+}
+
 /// The mesh at one configuration version, with every reference resolved.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
@@ -69,7 +82,7 @@
     limits: CallerLimits,
     local: HostKey,
     arenas: Arenas,
-    route_table: RouteTable,
+    route_set: Arc<RouteSet>,
     credentials: HashMap<CredentialDigest, OrganisationKey>,
     credential_policy: CredentialPolicy,
     loads: HashMap<ServerId, Arc<ServerLoad>>,
@@ -114,7 +127,7 @@
 
     /// The route of `key`.
     pub fn route(&self, key: RouteKey) -> &Route {
-        &self.arenas.routes[key]
+        &self.route_set.routes[key]
     }
 
     /// The organisation of `key`.
@@ -132,7 +145,7 @@
 impl Snapshot {
     /// The route for `host` with the longest prefix that matches `path`; see [`RouteTable::find`].
     pub fn find_route(&self, host: &[u8], path: &[u8]) -> Option<RouteKey> {
-        self.route_table.find(host, path)
+        self.route_set.table.find(host, path)
     }
 
     /// Whether callers must present a credential of an organisation.
@@ -162,12 +175,13 @@
 
     /// All routes, longest prefix first.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
-        self.route_table.iter().map(|k| &self.arenas.routes[k])
+        let set = &self.route_set;
+        set.table.iter().map(|k| &set.routes[k])
     }
 
     /// Number of routes.
     pub fn route_count(&self) -> usize {
-        self.arenas.routes.len()
+        self.route_set.routes.len()
     }
 
     /// Links from the local availability zone to every zone, itself included.
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -1,6 +1,6 @@
 //! Construction of snapshots.
 
-use super::{Arenas, Error, HostEntry, Snapshot, zone_distance};
+use super::{Arenas, Error, HostEntry, RouteSet, Snapshot, zone_distance};
 use crate::backend_server::{Announcement, ServerId};
 use crate::config::{RouteConfig, VersionShare};
 use crate::link::Distance;
@@ -9,12 +9,13 @@
 use crate::service::{RetryTokens, ServedVersion};
 use crate::{
     BackendServer, BackendServerKey, Config, CredentialDigest, Flow, Host, HostKey, Link, Name,
-    Organisation, OrganisationKey, Region, RegionKey, Route, ServerLoad, ServerState, Service,
-    ServiceCounters, ServiceKey, Zone, ZoneKey,
+    Organisation, OrganisationKey, Region, RegionKey, Route, RouteKey, ServerLoad, ServerState,
+    Service, ServiceCounters, ServiceKey, Zone, ZoneKey,
 };
 use bytes::Bytes;
+use slotmap::SlotMap;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,6 +37,7 @@
     shares: BTreeMap<Name, Vec<VersionShare>>,
     loads: HashMap<ServerId, Arc<ServerLoad>>,
     retained: HashMap<Name, RetainedStats>,
+    route_set: Option<Arc<RouteSet>>,
 }
 
 /// Statistics of a service that carry over from one snapshot to the next.
@@ -56,6 +58,7 @@
             shares: BTreeMap::new(),
             loads: HashMap::new(),
             retained: HashMap::new(),
+            route_set: None,
         }
     }
 
@@ -73,9 +76,10 @@
     }
 
     /// Carries over the statistics of backend servers and services that exist in
-    /// `previous` as well.
+    /// `previous` as well, and its routes if it has the same configuration version.
     pub fn previous(mut self, previous: &Snapshot) -> Self {
         self.loads.clone_from(&previous.loads);
+        self.route_set = Some(Arc::clone(&previous.route_set));
         let services = previous.arenas.services.values();
         let retained = |s: &Service| RetainedStats {
             counters: Arc::clone(&s.counters),
@@ -92,6 +96,7 @@
     /// A route refers to a missing service, or the local host is not among the hosts.
     pub fn build(self) -> Result<Snapshot, Error> {
         let mut draft = Draft::default();
+        draft.add_regions(&self.hosts);
         for entry in &self.hosts {
             draft.add_host(entry);
         }
@@ -102,9 +107,9 @@
             draft.add_backend_servers(entry, local, &self.loads);
         }
         draft.retain_notices(self.loads);
-        draft.add_routes(self.config)?;
+        let route_set = draft.route_set(self.config, self.route_set)?;
         draft.add_organisations(self.config);
-        Ok(draft.finish(self.config, local))
+        Ok(draft.finish(self.config, local, route_set))
     }
 }
 
@@ -121,6 +126,19 @@
 }
 
 impl Draft {
+    /// Adds the regions of all hosts in the order of their names, so that snapshots with the
+    /// same regions have the same keys.
+    fn add_regions(&mut self, hosts: &[HostEntry]) {
+        let names: BTreeSet<_> = hosts.iter().map(|entry| &entry.region).collect();
+        for name in names {
+            let key = self.arenas.regions.insert(Region {
+                name: name.clone(),
+                zones: Vec::new(),
+            });
+            self.region_names.insert(name.clone(), key);
+        }
+    }
+
     fn add_host(&mut self, entry: &HostEntry) {
         let zone = self.zone(&entry.zone, &entry.region);
         let key = self.arenas.hosts.insert(Host {
@@ -138,10 +156,7 @@
         if let Some(key) = self.zone_names.get(name) {
             return *key;
         }
-        let region = match self.region_names.get(region_name) {
-            Some(key) => *key,
-            None => self.add_region(region_name),
-        };
+        let region = self.region_names[region_name];
         let zone = Zone {
             name: name.clone(),
             region,
@@ -153,16 +168,6 @@
         key
     }
 
-    fn add_region(&mut self, name: &Name) -> RegionKey {
-        let region = Region {
-            name: name.clone(),
-            zones: Vec::new(),
-        };
-        let key = self.arenas.regions.insert(region);
-        self.region_names.insert(name.clone(), key);
-        key
-    }
-
     fn find_host(&self, name: &Name) -> Result<HostKey, Error> {
         let key = self.host_names.get(name).copied();
         key.ok_or_else(|| Error::MissingLocalHost(name.clone()))
@@ -243,7 +248,30 @@
         }
     }
 
-    fn add_routes(&mut self, config: &Config) -> Result<(), Error> {
+    /// The routes of `previous` if they were resolved from the same configuration version and
+    /// regions, new ones otherwise. The keys of services are the same within a version.
+    fn route_set(
+        &self,
+        config: &Config,
+        previous: Option<Arc<RouteSet>>,
+    ) -> Result<Arc<RouteSet>, Error> {
+        let regions = self.arenas.regions.values();
+        let regions: Vec<_> = regions.map(|region| region.name.clone()).collect();
+        let is_same = |set: &Arc<RouteSet>| set.version == config.version && set.regions == regions;
+        if let Some(set) = previous.filter(is_same) {
+            return Ok(set);
+        }
+        let routes = self.routes(config)?;
+        Ok(Arc::new(RouteSet {
+            version: config.version,
+            regions,
+            table: RouteTable::new(&routes),
+            routes,
+        }))
+    }
+
+    fn routes(&self, config: &Config) -> Result<SlotMap<RouteKey, Route>, Error> {
+        let mut routes = SlotMap::with_capacity_and_key(config.routes.len());
         for (name, route) in &config.routes {
             let mut destinations = Vec::with_capacity(route.destinations.len());
             for destination in &route.destinations {
@@ -257,10 +285,9 @@
                 destinations.push((key, destination.weight));
             }
             let homes = self.homes(&route.home_regions);
-            let route = resolved_route(name, route, destinations, homes);
-            self.arenas.routes.insert(route);
+            routes.insert(resolved_route(name, route, destinations, homes));
         }
-        Ok(())
+        Ok(routes)
     }
 
     /// Adds the organisations. A credential that two of them hold belongs to the first by
@@ -286,12 +313,12 @@
         (!names.is_empty()).then(|| Homes(keys.copied().collect()))
     }
 
-    fn finish(self, config: &Config, local: HostKey) -> Snapshot {
+    fn finish(self, config: &Config, local: HostKey, route_set: Arc<RouteSet>) -> Snapshot {
         Snapshot {
             version: config.version,
             limits: config.limits,
             local,
-            route_table: RouteTable::new(&self.arenas.routes),
+            route_set,
             credentials: self.credentials,
             credential_policy: config.credentials,
             arenas: self.arenas,
