feat(host): requests run only in the home regions of their route and organisation

Cause: routes and organisations name home regions, which no part of the request path followed; requests and their bodies went to backend servers of any region. Change: the choice of a backend server leaves out regions that are no home, for the usual choice, probes and the last resort; an ingress sends bodies only to the node beside the chosen backend server. The homes of the organisation are part of the query and empty until requests carry an organisation.

--- a/crates/host/examples/measure.rs
+++ b/crates/host/examples/measure.rs
@@ -7,7 +7,7 @@
 use knapweed_host::admission::{
     Admission, Arrival, ObjectiveQueue, Options as AdmissionOptions, Verdict, WaiterKey,
 };
-use knapweed_host::choice::{Exclusions, ExpectedTime, Query};
+use knapweed_host::choice::{Exclusions, ExpectedTime, HomeRegions, Query};
 use knapweed_host::request::{IncomingRequest as CallerRequest, Request};
 use knapweed_host::{ServerChoice, WaitEstimator};
 use knapweed_world::backend_server::{Announcement, ServerState};
@@ -157,6 +157,7 @@
         let query = Query {
             route: req.route,
             service: req.service,
+            homes: HomeRegions::default(),
             rank: req.rank,
             objective: req.objective,
             now: Time(0),
--- a/crates/host/src/choice.rs
+++ b/crates/host/src/choice.rs
@@ -6,6 +6,7 @@
 
 use crate::NotRun;
 use knapweed_world::link::Distance;
+use knapweed_world::organisation::Homes;
 use knapweed_world::{BackendServerKey, Rank, RouteKey, ServiceKey, Snapshot, Time};
 
 /// Backend servers that a retry must avoid.
@@ -54,6 +55,27 @@
     }
 }
 
+/// Regions in which a request may run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HomeRegions<'a> {
+    /// Homes of its route; `None` for all regions.
+    pub route: Option<&'a Homes>,
+    /// Homes of its organisation; `None` for all regions, and without an organisation.
+    pub organisation: Option<&'a Homes>,
+}
+
+impl HomeRegions<'_> {
+    /// Whether the request may run on `server`.
+    pub fn contain(&self, snapshot: &Snapshot, server: BackendServerKey) -> bool {
+        let mut limits = self.route.iter().chain(&self.organisation).peekable();
+        if limits.peek().is_none() {
+            return true;
+        }
+        let region = snapshot.region_of(server);
+        limits.all(|homes| homes.contain(region))
+    }
+}
+
 /// Input of a choice besides the snapshot.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
@@ -61,6 +83,8 @@
     pub route: RouteKey,
     /// The destination service of the request.
     pub service: ServiceKey,
+    /// Regions in which it may run.
+    pub homes: HomeRegions<'a>,
     /// Precedence of the request in queues.
     pub rank: Rank,
     /// Until when a response has its full value; `None` without an objective.
@@ -107,8 +131,8 @@
 pub trait ServerChoice: Send + Sync {
     /// Chooses a backend server.
     ///
-    /// Fails with [`NotRun::NoServer`] when the service has no backend server that
-    /// is not excluded.
+    /// Fails with [`NotRun::NoServer`] when the service has no backend server in the home
+    /// regions of the request that is not excluded.
     fn choose(&self, snapshot: &Snapshot, query: &Query<'_>) -> Result<Choice, NotRun>;
 }
 
--- a/crates/host/src/choice/expected_time.rs
+++ b/crates/host/src/choice/expected_time.rs
@@ -15,6 +15,8 @@
 //!   period, which doubles each time, and then a single probe.
 //! - A backend server that has said in an answer that it is shutting down gets no more
 //!   requests from the hosts that passed on the answer, whatever its host announces.
+//! - Requests that may run only in some regions: the backend servers of other regions do
+//!   not count, however free they are.
 //! - Large responses that fill the link of a host: the wait for that link is part of the
 //!   expected time of its backend servers, for all other hosts.
 //! - Many ingresses that see the same load report: each adds what it has sent since,
@@ -235,7 +237,10 @@
         };
         let (before, after) = servers.split_at(start);
         let mut best: Option<Candidate> = None;
-        for key in after.iter().chain(before).take(MAX_COMPARED) {
+        let (homes, snapshot) = (self.query.homes, self.snapshot);
+        let all = after.iter().chain(before);
+        let at_home = all.filter(|key| homes.contain(snapshot, **key));
+        for key in at_home.take(MAX_COMPARED) {
             if !self.is_usable(*key) {
                 continue;
             }
@@ -362,7 +367,9 @@
 
     fn is_allowed(&self, server: BackendServerKey) -> bool {
         let load = &self.snapshot.backend_server(server).load;
-        !load.is_leaving() && !self.query.excluded.contains(self.snapshot, server)
+        !load.is_leaving()
+            && self.query.homes.contain(self.snapshot, server)
+            && !self.query.excluded.contains(self.snapshot, server)
     }
 }
 
--- a/crates/host/tests/choice.rs
+++ b/crates/host/tests/choice.rs
@@ -4,8 +4,11 @@
 mod common;
 
 use common::{calendar, calendar_route, mesh, mesh_of, server};
-use knapweed_host::choice::{Choice, Exclusions, ExpectedTime, Options, Query, Reason, Scope};
+use knapweed_host::choice::{
+    Choice, Exclusions, ExpectedTime, HomeRegions, Options, Query, Reason, Scope,
+};
 use knapweed_host::{NotRun, ServerChoice};
+use knapweed_world::organisation::Homes;
 use knapweed_world::{Flow, LoadReport, Rank, Snapshot, Time};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -21,6 +24,7 @@
     Query {
         route: calendar_route(snapshot),
         service: calendar(snapshot),
+        homes: HomeRegions::default(),
         rank: Rank(1),
         objective: Some(OBJECTIVE),
         now: NOW,
@@ -346,3 +350,95 @@
     let choice = ExpectedTime::default().choose(&snapshot, &query(&snapshot, &excluded));
     assert_eq!(choice, Err(NotRun::NoServer));
 }
+
+/// The shares of the choices for requests whose route has these homes, and whose
+/// organisation has `organisation`.
+fn shares_at_home(route_homes: &[&str], organisation: Option<&[&str]>) -> String {
+    let homes = |names: &[&str]| names.iter().map(|n| common::name(n)).collect();
+    let snapshot = mesh_of(&[("v1", 100)], |route| {
+        route.home_regions = homes(route_homes)
+    });
+    let region = |name: &&str| {
+        let servers = snapshot.backend_servers();
+        let mut regions = servers.map(|(key, _)| snapshot.region_of(key));
+        regions.find(|r| snapshot.region(*r).name == common::name(name))
+    };
+    let organisation = organisation.map(|names| Homes(names.iter().filter_map(region).collect()));
+    let choice = ExpectedTime::new(Options::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let excluded = Exclusions::default();
+    let mut choices = Vec::new();
+    for _ in 0..DRAWS {
+        let plain = query(&snapshot, &excluded);
+        let query = Query {
+            server_draw: rng.random(),
+            homes: HomeRegions {
+                route: snapshot.route(plain.route).homes.as_ref(),
+                organisation: organisation.as_ref(),
+            },
+            ..plain
+        };
+        match choice.choose(&snapshot, &query) {
+            Ok(choice) => choices.push(choice),
+            Err(reason) => return format!("{reason:?}\n"),
+        }
+    }
+    shares(&snapshot, &choices)
+}
+
+/// Guards against a request, or its body, in a region that is no home of its route or of its
+/// organisation: by the usual choice, a probe, or the last resort.
+#[test]
+fn requests_stay_in_their_home_regions() {
+    let both: &[&str] = &["labasa", "savusavu"];
+    let text = [
+        ("route: savusavu", shares_at_home(&["savusavu"], None)),
+        ("route: labasa", shares_at_home(&["labasa"], None)),
+        (
+            "organisation: savusavu",
+            shares_at_home(&[], Some(&["savusavu"])),
+        ),
+        (
+            "both, shared: savusavu",
+            shares_at_home(both, Some(&["savusavu"])),
+        ),
+        (
+            "both, none shared",
+            shares_at_home(&["labasa"], Some(&["savusavu"])),
+        ),
+        ("a region without hosts", shares_at_home(&["rabi"], None)),
+    ];
+    let text = text.map(|(case, shares)| format!("{case}\n{shares}"));
+    insta::assert_snapshot!(text.join("--\n"));
+}
+
+/// Guards against a request that leaves its home regions when the backend servers there have
+/// all failed.
+#[test]
+fn the_last_resort_stays_in_the_home_regions() {
+    let snapshot = mesh_of(&[("v1", 100)], |route| {
+        route.home_regions = vec![common::name("savusavu")];
+    });
+    snapshot
+        .backend_server(server(&snapshot, "s1-v1"))
+        .load
+        .record_unreachable(NOW);
+    let mut excluded = Exclusions::default();
+    let homes = HomeRegions {
+        route: snapshot.route(calendar_route(&snapshot)).homes.as_ref(),
+        organisation: None,
+    };
+    let choice = ExpectedTime::new(without_probes());
+    let choose = |excluded: &Exclusions| {
+        let query = Query {
+            homes,
+            ..query(&snapshot, excluded)
+        };
+        choice.choose(&snapshot, &query)
+    };
+    let chosen = choose(&excluded).expect("the server of the home region");
+    assert_eq!(chosen.server, server(&snapshot, "s1-v1"));
+    assert_eq!(chosen.reason, Reason::LastResort);
+    excluded.add(chosen.server, Scope::Server);
+    assert_eq!(choose(&excluded), Err(NotRun::NoServer));
+}
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -6,7 +6,7 @@
 use crate::policy::Policy;
 use crate::result::{ReplayCounts, RequestEnd};
 use knapweed_host::admission::{Arrival, Refusal, Released, Verdict, WaiterKey};
-use knapweed_host::choice::{Exclusions, Query, Scope};
+use knapweed_host::choice::{Exclusions, HomeRegions, Query, Scope};
 use knapweed_host::retry::{Body, Decision, Failure};
 use knapweed_host::{Admission, Answer, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator};
 use knapweed_world::{BackendServerKey, LoadReport, Rank, Snapshot, Time};
@@ -287,6 +287,7 @@
         let query = Query {
             route,
             service: snapshot.route(route).destinations[0].0,
+            homes: HomeRegions::default(),
             rank: attempt.rank,
             objective: Some(attempt.objective),
             now: self.now,
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -7,7 +7,7 @@
 use crate::protocol::SERVER_ERROR;
 use crate::request_log::{FailedAttempt, IngressLog, LoadAtSend};
 use bytes::Bytes;
-use knapweed_host::choice::{Exclusions, Query, Scope};
+use knapweed_host::choice::{Exclusions, HomeRegions, Query, Scope};
 use knapweed_host::crash::{CrashId, CrashSubjects, MAX_CRASHES, Suspicion};
 use knapweed_host::request::Request;
 use knapweed_host::retry::{Body, Decision, Failure, Stop, may_have_arrived};
@@ -57,6 +57,7 @@
             let query = Query {
                 route: self.request.route,
                 service: self.request.service,
+                homes: self.homes(),
                 rank: self.request.rank,
                 objective: self.request.objective,
                 now: self.ingress.dependencies.timer.now(),
@@ -125,6 +126,15 @@
         Err(Outcome::NotRun(NotRun::NoServer))
     }
 
+    /// Regions in which the request may run. The body is sent only to the node beside the
+    /// chosen backend server, so it stays in these regions too.
+    fn homes(&self) -> HomeRegions<'_> {
+        HomeRegions {
+            route: self.snapshot.route(self.request.route).homes.as_ref(),
+            organisation: None,
+        }
+    }
+
     fn failure(&self, outcome: Outcome, tries: u8, sends: u8, body: &RequestBody) -> Failure {
         Failure {
             depth: self.request.depth,
--- a/crates/world/src/snapshot.rs
+++ b/crates/world/src/snapshot.rs
@@ -180,6 +180,12 @@
         self.arenas.backend_servers.iter()
     }
 
+    /// The region of a backend server.
+    pub fn region_of(&self, server: BackendServerKey) -> RegionKey {
+        let host = self.arenas.backend_servers[server].host;
+        self.arenas.zones[self.arenas.hosts[host].zone].region
+    }
+
     /// Network distance from the local host to `host`.
     pub fn distance(&self, host: HostKey) -> Distance {
         if host == self.local {
