feat: limits of cold backend servers, and evacuations of availability zones

Change: the egress limits a cold backend server by the token bucket, counted from the time that its heartbeats state, and refuses at once what it cannot take.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -31,6 +31,7 @@
     let adapters = Adapters {
         configs: Arc::new(TicketSource::new(Arc::clone(&store))),
         orders: None,
+        evacuations: None,
         store,
         callers: Box::new(NativeHeaders),
         servers: Arc::new(NativeHeaders),
--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -3,11 +3,13 @@
 //! The egress keeps one state machine per backend server, behind a lock that is
 //! held for the duration of one event.
 
+pub mod cold_limit;
 mod flows;
 pub mod objective_queue;
 mod queue_position;
 pub mod rate_limit;
 
+pub use cold_limit::{ColdAllowance, ColdStart};
 pub use objective_queue::{ObjectiveQueue, Options};
 pub use rate_limit::{LimitChange, NamedLimit};
 
--- a/crates/host/src/admission/objective_queue.rs
+++ b/crates/host/src/admission/objective_queue.rs
@@ -196,14 +196,16 @@
     }
 
     fn limit_rate(&mut self, change: LimitChange, now: Time) -> Released {
-        self.bucket = match (change, self.bucket) {
-            (LimitChange::Unlimited, _) => None,
-            (LimitChange::Limited(rate), None) => Some(TokenBucket::new(rate, now)),
-            (LimitChange::Limited(rate), Some(mut bucket)) => {
-                bucket.set_rate(rate, now);
-                Some(bucket)
-            }
+        let burst = match change {
+            LimitChange::Bounded { burst, .. } => Some(burst),
+            LimitChange::Limited(_) | LimitChange::Unlimited => None,
         };
+        self.bucket = change.rate().map(|rate| {
+            let known = self.bucket;
+            let mut bucket = known.unwrap_or_else(|| TokenBucket::new(rate, now));
+            bucket.set_limit(rate, burst, now);
+            bucket
+        });
         self.expire(now)
     }
 
--- a/crates/host/src/admission/rate_limit.rs
+++ b/crates/host/src/admission/rate_limit.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TokenBucket {
     rate: RequestRate,
+    /// Most tokens that it holds; `None` for those of [`BURST_PERIOD`].
+    burst: Option<u16>,
     tokens: f64,
     refilled_at: Time,
 }
@@ -27,15 +29,17 @@
     pub(super) fn new(rate: RequestRate, now: Time) -> Self {
         Self {
             rate: rate.max(MIN_RATE),
+            burst: None,
             tokens: 0.0,
             refilled_at: now,
         }
     }
 
-    /// Changes the rate; tokens that a lower rate would not have saved up are lost.
-    pub(super) fn set_rate(&mut self, rate: RequestRate, now: Time) {
+    /// Changes the limit; tokens that a lower one would not have saved up are lost.
+    pub(super) fn set_limit(&mut self, rate: RequestRate, burst: Option<u16>, now: Time) {
         self.refill(now);
         self.rate = rate.max(MIN_RATE);
+        self.burst = burst;
         self.tokens = self.tokens.min(self.max_tokens());
     }
 
@@ -74,7 +78,8 @@
     }
 
     fn max_tokens(&self) -> f64 {
-        (self.rate.as_f64() * BURST_PERIOD.as_secs_f64()).max(1.0)
+        let saved_up = || self.rate.as_f64() * BURST_PERIOD.as_secs_f64();
+        self.burst.map_or_else(saved_up, f64::from).max(1.0)
     }
 }
 
@@ -83,10 +88,28 @@
 pub enum LimitChange {
     /// It takes this many requests per second from now on.
     Limited(RequestRate),
+    /// It takes this many requests per second from now on, and in any one second at most
+    /// `burst` more.
+    Bounded {
+        /// The requests per second.
+        rate: RequestRate,
+        /// Requests that may be saved up.
+        burst: u16,
+    },
     /// It names no limit any more.
     Unlimited,
 }
 
+impl LimitChange {
+    /// The rate from now on; `None` without a limit.
+    pub fn rate(&self) -> Option<RequestRate> {
+        match self {
+            Self::Limited(rate) | Self::Bounded { rate, .. } => Some(*rate),
+            Self::Unlimited => None,
+        }
+    }
+}
+
 /// Follows the limit in the answers of one run of a backend server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NamedLimit {
@@ -119,6 +142,11 @@
         }
     }
 
+    /// The limit that was last named; `None` without one.
+    pub fn rate(&self) -> Option<RequestRate> {
+        self.current.map(|(rate, _)| rate)
+    }
+
     /// Handles a limit that another host knows of; a limit that was named here is newer.
     pub fn reported(&mut self, rate: RequestRate, now: Time) -> Option<LimitChange> {
         match self.current {
--- a/crates/host/src/choice.rs
+++ b/crates/host/src/choice.rs
@@ -24,6 +24,8 @@
     Server,
     /// Every backend server of the same version.
     Version,
+    /// Every backend server in the same availability zone.
+    Zone,
 }
 
 impl Exclusions {
@@ -37,7 +39,7 @@
         }
     }
 
-    /// Whether `server` is excluded, by itself or with its version.
+    /// Whether `server` is excluded, by itself, with its version or with its zone.
     pub fn contains(&self, snapshot: &Snapshot, server: BackendServerKey) -> bool {
         self.entries
             .iter()
@@ -51,6 +53,7 @@
                     );
                     a.service == b.service && a.version == b.version
                 }
+                Scope::Zone => snapshot.zone_of(*excluded) == snapshot.zone_of(server),
             })
     }
 }
--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -71,6 +71,10 @@
     /// The head of the request, which the configuration allows, does not fit the connection
     /// between nodes.
     TooLongToForward,
+    /// The backend server is cold and has got as many requests as it takes.
+    ColdServer,
+    /// The availability zone of the backend server is evacuated.
+    Evacuated,
 }
 
 /// Why it is not known whether a send ran.
@@ -127,7 +131,7 @@
 
 impl NotRun {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 22] = [
         Self::NoRoute,
         Self::OutdatedConfig,
         Self::InvalidHeader,
@@ -148,6 +152,8 @@
         Self::BodyLost,
         Self::HeadersTooLong,
         Self::TooLongToForward,
+        Self::ColdServer,
+        Self::Evacuated,
     ];
 
     /// HTTP status of the response.
@@ -175,12 +181,17 @@
                 | Self::NotServing
                 | Self::ConnectFailed
                 | Self::NeverRan
+                | Self::ColdServer
+                | Self::Evacuated
         )
     }
 
     /// Whether the reason is a lack of capacity, which retries would make worse.
     pub const fn is_overload(self) -> bool {
-        matches!(self, Self::Overloaded | Self::ShedByServer)
+        matches!(
+            self,
+            Self::Overloaded | Self::ShedByServer | Self::ColdServer
+        )
     }
 
     /// The reason as a value of a metric's label: the name of the variant in kebab case.
@@ -206,6 +217,8 @@
             Self::BodyLost => "body-lost",
             Self::HeadersTooLong => "headers-too-long",
             Self::TooLongToForward => "too-long-to-forward",
+            Self::ColdServer => "cold-server",
+            Self::Evacuated => "evacuated",
         }
     }
 
@@ -233,6 +246,8 @@
             Self::InvalidBody => "the framing of the request body is malformed",
             Self::HeadersTooLong => "the header fields are longer than the configuration allows",
             Self::TooLongToForward => "the head is too long for the connection between nodes",
+            Self::ColdServer => "the backend server is cold and takes no further request now",
+            Self::Evacuated => "the availability zone of the backend server is evacuated",
             Self::BodyLost => "the connection of the caller ended before the request body",
         }
     }
--- a/crates/host/src/registration.rs
+++ b/crates/host/src/registration.rs
@@ -6,6 +6,7 @@
 //! Only the backend server itself can prove that it is not leaving: by its health response,
 //! or by a heartbeat that arrives so late that it must have been sent after that.
 
+use crate::admission::ColdStart;
 use knapweed_world::backend_server::{Announcement, Instance, ServerState};
 use knapweed_world::{Name, Time, UnixMillis};
 use std::collections::HashMap;
@@ -31,6 +32,8 @@
     pub sequence: u64,
     /// Service, address and state that the process announces.
     pub announcement: Announcement,
+    /// Time that is left of its cold start.
+    pub cold_left: Duration,
 }
 
 impl ServerHeartbeat {
@@ -64,6 +67,8 @@
     announcement: Announcement,
     /// When the process was registered.
     since: Time,
+    /// What its latest heartbeat states about its cold start.
+    cold_start: ColdStart,
 }
 
 /// The latest heartbeat of a process that may have left already.
@@ -113,14 +118,14 @@
         if let Some(known) = self.by_address.get_mut(&address)
             && known.process == process
         {
-            return known.receive(heartbeat);
+            return known.receive(heartbeat, now);
         }
         // A draining process gets no request, so it needs no proof. Unless it is recorded
         // as draining, an earlier heartbeat that is late could register it as ready.
         let is_free = !self.by_address.contains_key(&address);
         let is_draining = heartbeat.announcement.state == ServerState::Draining;
         if (is_free && is_draining) || self.is_running(&process, address, now) {
-            return self.register(heartbeat, now);
+            return self.register(heartbeat, now, now);
         }
         // Two processes with one name cannot be told apart by their health responses.
         let owner = self.by_address.get(&address);
@@ -136,7 +141,7 @@
         let Some(unconfirmed) = self.unconfirmed.remove(process) else {
             return HeartbeatOutcome::Outdated;
         };
-        self.register(unconfirmed.heartbeat, now)
+        self.register(unconfirmed.heartbeat, unconfirmed.received, now)
     }
 
     /// The process named `instance` has left.
@@ -165,6 +170,13 @@
 
 /// Queries.
 impl Registrations {
+    /// What a registered process last stated about its cold start, with its announcement.
+    pub fn cold_start(&self, process: &Instance) -> Option<(&Announcement, ColdStart)> {
+        let mut all = self.by_address.values();
+        let found = all.find(|registered| registered.process == *process)?;
+        Some((&found.announcement, found.cold_start))
+    }
+
     /// The announcement of a process that must be [confirmed](Self::confirm); `None` once it
     /// is registered or has left, or when its last heartbeat is
     /// [`MAX_HEARTBEAT_DELAY`] old.
@@ -221,7 +233,13 @@
         HeartbeatOutcome::Unconfirmed
     }
 
-    fn register(&mut self, heartbeat: ServerHeartbeat, now: Time) -> HeartbeatOutcome {
+    /// Registers the sender of a heartbeat that was received at `received`.
+    fn register(
+        &mut self,
+        heartbeat: ServerHeartbeat,
+        received: Time,
+        now: Time,
+    ) -> HeartbeatOutcome {
         let process = heartbeat.process();
         self.unconfirmed.remove(&process);
         let announcement = heartbeat.announcement;
@@ -230,6 +248,7 @@
             sequence: heartbeat.sequence,
             announcement: announcement.clone(),
             since: now,
+            cold_start: ColdStart::stated(heartbeat.cold_left, received),
         };
         self.by_address.insert(announcement.address, registered);
         HeartbeatOutcome::Changed(announcement)
@@ -238,11 +257,12 @@
 
 impl Registered {
     /// Handles a heartbeat of the same process.
-    fn receive(&mut self, heartbeat: ServerHeartbeat) -> HeartbeatOutcome {
+    fn receive(&mut self, heartbeat: ServerHeartbeat, now: Time) -> HeartbeatOutcome {
         if heartbeat.sequence <= self.sequence {
             return HeartbeatOutcome::Outdated;
         }
         self.sequence = heartbeat.sequence;
+        self.cold_start = ColdStart::stated(heartbeat.cold_left, now);
         let mut next = heartbeat.announcement;
         // Draining is final: the process does not become ready again.
         if self.announcement.state == ServerState::Draining {
--- a/crates/host/tests/choice.rs
+++ b/crates/host/tests/choice.rs
@@ -9,6 +9,7 @@
 };
 use knapweed_host::{NotRun, ServerChoice};
 use knapweed_world::organisation::Homes;
+use knapweed_world::snapshot::Builder;
 use knapweed_world::{Flow, LoadReport, Rank, Snapshot, Time};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -442,3 +443,38 @@
     excluded.add(chosen.server, Scope::Server);
     assert_eq!(choose(&excluded), Err(NotRun::NoServer));
 }
+
+/// Guards against requests to the backend servers of an evacuated zone, also as a probe or as
+/// the last resort.
+#[test]
+fn an_evacuated_zone_gets_no_request() {
+    let config = common::config(&[("v1", 100)]);
+    let mesh = |evacuated: &[&str]| {
+        let hosts = [
+            common::host("a1-v1", "labasa-a", "labasa", "v1"),
+            common::host("b1-v1", "labasa-b", "labasa", "v1"),
+            common::host("s1-v1", "savusavu-a", "savusavu", "v1"),
+        ];
+        let builder = Builder::new(common::name("a1-v1"), &config).hosts(hosts);
+        let zones = evacuated.iter().map(|zone| common::name(zone));
+        builder.evacuated(zones.collect()).build().expect("a mesh")
+    };
+    let excluded = Exclusions::default();
+    let mut text = String::new();
+    for evacuated in [&["labasa-a"][..], &["labasa-a", "labasa-b"]] {
+        let snapshot = mesh(evacuated);
+        let choices = choices(&snapshot, Options::default(), &excluded);
+        text += &format!("{evacuated:?}\n{}", shares(&snapshot, &choices));
+    }
+    insta::assert_snapshot!(text);
+    let snapshot = mesh(&["labasa-a", "labasa-b", "savusavu-a"]);
+    let choice = ExpectedTime::default().choose(&snapshot, &query(&snapshot, &excluded));
+    assert_eq!(choice, Err(NotRun::NoServer));
+
+    // An ingress that does not know of the evacuation is told by a refusal.
+    let snapshot = mesh_of(&[("v1", 100)], |_| {});
+    let mut excluded = Exclusions::default();
+    excluded.add(server(&snapshot, "a1-v1"), Scope::Zone);
+    assert!(excluded.contains(&snapshot, server(&snapshot, "a2-v1")));
+    assert!(!excluded.contains(&snapshot, server(&snapshot, "b1-v1")));
+}
--- a/crates/host/tests/registration.rs
+++ b/crates/host/tests/registration.rs
@@ -43,6 +43,7 @@
             }),
             is_cold: false,
         },
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/node/src/announcer.rs
+++ b/crates/node/src/announcer.rs
@@ -5,6 +5,7 @@
 use crate::health;
 use crate::registrar::LocalServers;
 use futures_util::future::BoxFuture;
+use knapweed_host::admission::ColdStart;
 use knapweed_observe::part;
 use knapweed_timer::TimerService;
 use knapweed_world::backend_server::Announcement;
@@ -59,6 +60,10 @@
         Box::pin(Self::announce(self, announcement))
     }
 
+    fn state_cold_start(&self, server: &Announcement, cold_start: ColdStart) {
+        self.egress.state_cold_start(server, cold_start);
+    }
+
     fn is_leaving<'a>(&'a self, server: &'a Announcement) -> BoxFuture<'a, Option<bool>> {
         Box::pin(self.query_leaving(server))
     }
@@ -71,7 +76,13 @@
     async fn query_leaving(&self, server: &Announcement) -> Option<bool> {
         let path = self.health_path(&server.service).await?;
         match health::probe(server.address, &path).await {
-            Ok(response) => self.egress.protocol().is_leaving(server, &response),
+            Ok(response) => {
+                if let Some(left) = self.egress.protocol().cold_left(server, &response) {
+                    let cold_start = ColdStart::stated(left, self.timer.now());
+                    self.egress.state_cold_start(server, cold_start);
+                }
+                self.egress.protocol().is_leaving(server, &response)
+            }
             Err(err) => {
                 log::info!(
                     target: part::EGRESS,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,6 +4,7 @@
 pub mod config;
 mod crashes;
 pub mod deltas;
+mod evacuations;
 pub mod event;
 mod floor;
 pub mod loads;
@@ -25,11 +26,13 @@
 
 use crate::currency::RouteCurrency;
 use crate::egress::Egress;
+use crate::evacuations::EvacuationSource;
 use crate::orders::RolloutOrders;
 use crate::source::{ConfigSource, StoredConfig};
 use crate::trial::Trials;
 use arc_swap::ArcSwap;
 use config::ConfigStore;
+use evacuations::EvacuationControl;
 pub use event::ControlHandle;
 pub(crate) use event::Event;
 use knapweed_host::RetryPolicy;
@@ -75,6 +78,8 @@
     pub configs: Arc<dyn ConfigSource>,
     /// Source of rollout orders; `None` when the configuration contains the rollouts.
     pub orders: Option<Arc<dyn RolloutOrders>>,
+    /// Source of evacuations; `None` in a deployment without them.
+    pub evacuations: Option<Arc<dyn EvacuationSource>>,
     /// Request counts of services whose traffic is being moved.
     pub trials: Arc<Trials>,
     /// Retry policy, whose burst is divided among all nodes.
@@ -112,6 +117,9 @@
     crash_peers: Epidemic,
     /// Receivers of rollout states.
     rollout_peers: Epidemic,
+    evacuations: EvacuationControl,
+    /// Receivers of the list of evacuated zones.
+    evacuation_peers: Epidemic,
     verdicts: VerdictCalls,
     /// Recent tickets that are known to have a final result.
     finished_tickets: BTreeSet<TicketNumber>,
@@ -180,6 +188,8 @@
             verdicts: VerdictCalls::default(),
             crash_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             rollout_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
+            evacuations: EvacuationControl::default(),
+            evacuation_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             finished_tickets: BTreeSet::new(),
             restores: Restores::default(),
             is_stopped: false,
@@ -247,6 +257,7 @@
         self.restore_tick(now);
         self.registry_tick(now);
         self.order_tick();
+        self.evacuation_tick(now);
         self.rollout_tick(now);
         self.result_tick(now);
         self.spread_crashes(now);
@@ -281,6 +292,7 @@
             }
             Event::SourceUnusable => self.record_store_reachable(now, true),
             Event::Rollout { service, event } => self.rollout_event(now, &service, *event),
+            Event::EvacuationsRead(list) => self.evacuations_read(now, &list),
             Event::Ordered(orders) => self.orders_received(now, orders),
             Event::Reported { service, ticket } => self.order_reported(now, &service, ticket),
             Event::FinalResultWritten(ticket) => self.final_result_written(now, ticket),
@@ -335,6 +347,11 @@
     }
 
     fn install_snapshot(&mut self, snapshot: knapweed_world::Snapshot) {
+        let limited = snapshot.services().filter_map(|(_, service)| {
+            let rate = service.cold_limit?;
+            Some((service.name.clone(), rate))
+        });
+        self.dependencies.egress.set_cold_limits(limited.collect());
         let version = snapshot.version();
         let before = self.dependencies.snapshots.load().version();
         self.dependencies
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -12,6 +12,7 @@
 use knapweed_world::backend_server::Announcement;
 use knapweed_world::{Name, TicketNumber, Time};
 use knapweed_zone::directory::SharedRecord;
+use knapweed_zone::evacuation::EvacuationList;
 use knapweed_zone::floor;
 use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
@@ -93,6 +94,8 @@
     Registered(Vec<(Name, Entry)>),
     /// New or changed rollout orders, with the stored rollout states of their services.
     Ordered(Vec<(Order, Option<RolloutState>)>),
+    /// The evacuations were read from their source.
+    EvacuationsRead(EvacuationList),
     /// The end of an order was reported to its source.
     Reported {
         /// Name of the service.
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -44,7 +44,10 @@
                 self.publish_view();
                 log::info!(target: part::DUTY, "this node has the duties {role:?}");
             }
-            Action::WatchHead(on) => self.watch_head(on),
+            Action::WatchHead(on) => {
+                self.watch_head(on);
+                self.watch_evacuations(on);
+            }
             Action::FetchConfig { from } => self.fetch_config(from),
             Action::FetchMembers { from } => {
                 drop(self.fetch_members(from));
@@ -120,6 +123,7 @@
         let previous = self.dependencies.snapshots.load();
         let builder = Builder::new(self.dependencies.host.clone(), &config);
         let builder = builder.hosts(hosts).previous(&previous);
+        let builder = builder.evacuated(self.evacuations.in_force().clone());
         let shares = self.shares().into_iter();
         let builder = shares.fold(builder, |b, (service, shares)| b.shares(service, shares));
         builder.build()
--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -185,7 +185,11 @@
             .known_incarnations
             .insert(record.host.clone(), new_incarnation);
         let has_duty = self.membership.role() != Role::default();
-        if known == Some(new_incarnation) || !has_duty || self.rollouts.known.states().is_empty() {
+        if known == Some(new_incarnation) || !has_duty {
+            return;
+        }
+        self.send_evacuations_to_new_process(record);
+        if self.rollouts.known.states().is_empty() {
             return;
         }
         let head = StreamHead::Rollouts {
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -34,6 +34,7 @@
             StreamHead::Floor { host } => self.reply_with_floor(&host, incoming),
             StreamHead::Crashes(records) => self.dependencies.egress.merge_crashes(records),
             StreamHead::CompareCrashes(digest) => self.reply_with_crashes(incoming, digest),
+            StreamHead::Evacuations(list) => self.evacuations_received(now, incoming.from, &list),
             // Passed to the egress before they reach the control thread.
             StreamHead::Request(_) | StreamHead::Inquire { .. } => {}
         }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -1,5 +1,6 @@
 //! The egress: runs requests on the backend servers of its host.
 
+mod cold_limits;
 mod crashes;
 mod dispatcher;
 mod exchange;
@@ -18,6 +19,7 @@
 use dispatcher::Dispatcher;
 use exchanges::Exchanges;
 use futures_util::future::BoxFuture;
+use knapweed_host::admission::{ColdAllowance, ColdStart};
 use knapweed_host::crash::{CrashCounts, CrashDigest, CrashRecord};
 use knapweed_host::{ByteBudget, NotRun, Outcome};
 use knapweed_link::{Backlog, LinkRate};
@@ -25,10 +27,12 @@
 use knapweed_timer::TimerService;
 use knapweed_wire::RequestHead;
 use knapweed_world::backend_server::{Announcement, ServerState};
+use knapweed_world::{Name, RequestRate};
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Dispatchers by the address of their backend server.
@@ -63,6 +67,8 @@
                 leaving: Arc::default(),
                 uplink: None,
                 buffered: Arc::new(ByteBudget::new(MAX_BUFFERED_RESPONSES_LEN)),
+                cold_limits: Arc::default(),
+                is_evacuated: Arc::default(),
                 rejections: LabeledCounter::new("reason", Mismatch::ALL.map(Mismatch::label)),
                 timer,
             },
@@ -119,6 +125,49 @@
     }
 }
 
+/// Backend servers that are cold, or in an evacuated availability zone.
+impl Egress {
+    /// Sets the limits of cold backend servers by their service; services without one are
+    /// left out.
+    pub fn set_cold_limits(&self, rates: HashMap<Name, RequestRate>) {
+        if self.shared.cold_limits.set_rates(rates) {
+            self.for_each_dispatcher(Dispatcher::cold_limits_changed);
+        }
+    }
+
+    /// Sets what cold backend servers may get beyond their limits.
+    pub fn allow_cold(&self, allowance: ColdAllowance) {
+        self.shared.cold_limits.set_allowance(allowance);
+        self.for_each_dispatcher(Dispatcher::cold_limits_changed);
+    }
+
+    /// Applies what the backend server of an announcement states about its cold start.
+    pub fn state_cold_start(&self, server: &Announcement, cold_start: ColdStart) {
+        let known = self.dispatchers.load().get(&server.address).cloned();
+        if let Some(dispatcher) = known.filter(|d| d.is_same_server(server)) {
+            dispatcher.state_cold_start(cold_start);
+        }
+    }
+
+    /// Sets whether the availability zone of this host is evacuated: its backend servers then
+    /// get no requests. They may have become cold meanwhile, so afterwards they count as cold
+    /// until they say otherwise.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        let was_evacuated = self.shared.is_evacuated.load(Ordering::SeqCst);
+        if was_evacuated && !is_evacuated {
+            self.for_each_dispatcher(Dispatcher::doubt_warmth);
+        }
+        self.shared
+            .is_evacuated
+            .store(is_evacuated, Ordering::SeqCst);
+    }
+
+    fn for_each_dispatcher(&self, apply: impl Fn(&Dispatcher)) {
+        let dispatchers = self.dispatchers.load();
+        dispatchers.values().for_each(|d| apply(d));
+    }
+}
+
 /// Backend servers that are shutting down.
 impl Egress {
     /// Takes the announcements of backend servers that said in an answer that they are
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -1,10 +1,12 @@
 //! Dispatch of requests to one backend server: its slots, queue and connections.
 
+mod cold;
 mod failure;
 mod notices;
 mod queue;
 mod trial_run;
 
+use super::cold_limits::ColdLimits;
 use super::crashes::CrashTracker;
 use super::lost::LostRequests;
 use super::pool::Pool;
@@ -55,6 +57,8 @@
     leaving: Arc<Mutex<Vec<Announcement>>>,
     uplink: Option<Arc<Backlog>>,
     buffered: Arc<ByteBudget>,
+    cold_limits: Arc<ColdLimits>,
+    is_evacuated: Arc<AtomicBool>,
     rejections: LabeledCounter,
     timer: TimerService,
 }
@@ -71,6 +75,9 @@
     pub(super) uplink: Option<Arc<Backlog>>,
     /// Limits the response bodies that are kept until their callers have read them.
     pub(super) buffered: Arc<ByteBudget>,
+    pub(super) cold_limits: Arc<ColdLimits>,
+    /// Whether the availability zone of the host is evacuated.
+    pub(super) is_evacuated: Arc<AtomicBool>,
     /// Counts the responses that do not answer their request, by reason.
     pub(super) rejections: LabeledCounter,
     pub(super) timer: TimerService,
@@ -99,7 +106,7 @@
         let pool = Pool::new(announcement.address, announcement.max_connections);
         let is_cold = AtomicBool::new(announcement.is_cold);
         let queue = Queue::new(announcement.slots);
-        Self {
+        let dispatcher = Self {
             announcement,
             is_cold,
             ready_since: shared.timer.now(),
@@ -115,9 +122,13 @@
             leaving: shared.leaving,
             uplink: shared.uplink,
             buffered: shared.buffered,
+            cold_limits: shared.cold_limits,
+            is_evacuated: shared.is_evacuated,
             rejections: shared.rejections,
             timer: shared.timer,
-        }
+        };
+        dispatcher.announce_cold_start(dispatcher.announcement.is_cold);
+        dispatcher
     }
 
     /// Whether `announcement` comes from the same process with the same capacity.
@@ -134,6 +145,7 @@
     /// cold start.
     pub(super) fn update(&self, announcement: &Announcement) {
         self.is_cold.store(announcement.is_cold, Ordering::Relaxed);
+        self.announce_cold_start(announcement.is_cold);
     }
 
     /// Whether the backend server is past its cold start. A backend server that
@@ -208,6 +220,9 @@
         body: Body,
         started: &OnceLock<Start>,
     ) -> (bool, Result<Response, Failure>) {
+        if self.is_evacuated.load(Ordering::SeqCst) {
+            return (false, Err(NotRun::Evacuated.into()));
+        }
         let now = self.timer.now();
         let deadline = now.after(time_left(&head));
         let mut crash_check = match self.crashes.examine(&head, deadline) {
@@ -227,6 +242,10 @@
             Ok(slot) => slot,
             Err(refusal) => return (false, Err(refusal.into())),
         };
+        // The request may have been queued when the evacuation began.
+        if self.is_evacuated.load(Ordering::SeqCst) {
+            return (false, Err(NotRun::Evacuated.into()));
+        }
         if let Err(reason) = crash_check.start(&self.lost, slot.start.at) {
             return (false, Err(reason.into()));
         }
--- a/crates/node/src/egress/dispatcher/notices.rs
+++ b/crates/node/src/egress/dispatcher/notices.rs
@@ -58,19 +58,18 @@
 
     fn apply_limit(&self, queue: &mut Queue, change: Option<LimitChange>, now: Time) {
         let Some(change) = change else { return };
-        let is_limited = matches!(change, LimitChange::Limited(_));
-        self.has_limit.store(is_limited, Ordering::Relaxed);
-        let released = queue.admission.limit_rate(change, now);
-        queue.notify(released);
+        self.has_limit
+            .store(change.rate().is_some(), Ordering::Relaxed);
+        self.limit_rate(queue, now);
         let server = self.announcement.address;
-        match change {
-            LimitChange::Limited(rate) => log::info!(
+        match change.rate() {
+            Some(rate) => log::info!(
                 target: part::EGRESS,
                 server:% = server,
                 limit_per_s = rate.as_f64();
                 "the backend server limits its requests"
             ),
-            LimitChange::Unlimited => log::info!(
+            None => log::info!(
                 target: part::EGRESS,
                 server:% = server;
                 "the backend server limits its requests no longer"
--- a/crates/node/src/egress/dispatcher/queue.rs
+++ b/crates/node/src/egress/dispatcher/queue.rs
@@ -2,7 +2,7 @@
 
 use super::Dispatcher;
 use knapweed_host::admission::{
-    Arrival, NamedLimit, ObjectiveQueue, Options, Refusal, Released, Verdict, WaiterKey,
+    Arrival, ColdStart, NamedLimit, ObjectiveQueue, Options, Refusal, Released, Verdict, WaiterKey,
 };
 use knapweed_host::{Admission, NotRun};
 use knapweed_world::{Flow, Time};
@@ -17,6 +17,9 @@
     pub(super) admission: Box<dyn Admission>,
     waiting: SecondaryMap<WaiterKey, oneshot::Sender<Result<(), Refusal>>>,
     pub(super) limit: NamedLimit,
+    pub(super) cold_start: ColdStart,
+    /// Whether the limit of the cold start is in force.
+    pub(super) is_cold_limited: bool,
 }
 
 /// Admission of requests.
@@ -52,8 +55,12 @@
     }
 
     fn arrive(self: &Arc<Self>, arrival: Arrival) -> Decision {
+        let now = self.timer.now();
         let mut queue = self.queue.lock();
-        match queue.admission.arrive(arrival, self.timer.now()) {
+        if let Err(refusal) = self.check_cold_limit(&mut queue, arrival.flow, now) {
+            return Decision::Shed(refusal);
+        }
+        match queue.admission.arrive(arrival, now) {
             Verdict::Admit => Decision::Admitted {
                 in_use: queue.admission.running(),
             },
@@ -105,6 +112,8 @@
             admission: Box::new(ObjectiveQueue::new(Options::new(slots))),
             waiting: SecondaryMap::new(),
             limit: NamedLimit::default(),
+            cold_start: ColdStart::WARM,
+            is_cold_limited: false,
         }
     }
 
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -244,10 +244,11 @@
 }
 
 /// What the next attempt excludes after this outcome: the backend server, or all
-/// backend servers of its version.
+/// backend servers of its version or its availability zone.
 fn exclusion_scope(outcome: Outcome) -> Scope {
     match outcome {
         Outcome::NotRun(NotRun::Guarded) => Scope::Version,
+        Outcome::NotRun(NotRun::Evacuated) => Scope::Zone,
         _ => Scope::Server,
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod currency;
 pub mod egress;
+pub mod evacuations;
 pub mod guarded;
 pub mod headers;
 pub mod health;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 use crate::control::{Controller, View};
 use crate::currency::RouteCurrency;
 use crate::egress::{Egress, serve};
+use crate::evacuations::EvacuationSource;
 use crate::history::{self, HistoryKeeper};
 use crate::ingress::handler::CallerHandler;
 use crate::ingress::metrics::IngressMetrics;
@@ -22,6 +23,7 @@
 use anyhow::Context;
 use arc_swap::ArcSwap;
 use knapweed_host::WaitEstimator;
+use knapweed_host::admission::ColdAllowance;
 use knapweed_host::choice::ExpectedTime;
 use knapweed_host::drain::{self, Drain, Next, StopAction};
 use knapweed_host::retry::{self, RetryPolicy};
@@ -82,6 +84,8 @@
     pub configs: Arc<dyn ConfigSource>,
     /// Source of rollout orders; `None` when the configuration contains the rollouts.
     pub orders: Option<Arc<dyn RolloutOrders>>,
+    /// Source of evacuations; `None` in a deployment without them.
+    pub evacuations: Option<Arc<dyn EvacuationSource>>,
     /// Reads and writes the headers of requests and responses of callers.
     pub callers: Box<dyn CallerProtocol>,
     /// Reads and writes the headers of requests to backend servers and their responses.
@@ -99,6 +103,7 @@
     drain: drain::Options,
     retries: retry::Options,
     in_force_within: Duration,
+    cold_allowance: ColdAllowance,
 }
 
 impl Builder {
@@ -135,6 +140,13 @@
         self
     }
 
+    /// Sets what cold backend servers may get beyond the limits of the configuration; no more
+    /// than one request at once by default.
+    pub fn allow_cold(mut self, allowance: ColdAllowance) -> Self {
+        self.cold_allowance = allowance;
+        self
+    }
+
     /// Starts the node.
     ///
     /// # Errors
@@ -175,6 +187,7 @@
             drain: drain::Options::default(),
             retries: retry::Options::default(),
             in_force_within: CONFIRMED_FOR,
+            cold_allowance: ColdAllowance::default(),
         }
     }
 
@@ -194,6 +207,7 @@
         if let Some(rate) = settings.link_rate {
             egress = egress.with_uplink(rate);
         }
+        egress.allow_cold(settings.cold_allowance);
         let egress = Arc::new(egress);
         let drain = Arc::new(Drain::new(settings.drain));
         let retries = Arc::new(RetryPolicy::new(settings.retries));
@@ -210,6 +224,7 @@
             store: Arc::clone(&adapters.store),
             configs: adapters.configs,
             orders: adapters.orders,
+            evacuations: adapters.evacuations,
             trials,
             retries: Arc::clone(&retries),
             ready: Arc::clone(&ready),
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -139,6 +139,12 @@
     /// path of its service; `None` when the response does not state it.
     fn is_leaving(&self, server: &Announcement, response: &response::Parts) -> Option<bool>;
 
+    /// Time that is left of the cold start of `server`, according to its response at the
+    /// health path; `None` when the response does not state it.
+    fn cold_left(&self, _server: &Announcement, _response: &response::Parts) -> Option<Duration> {
+        None
+    }
+
     /// What the backend server states about itself in a response to a request. A value
     /// that cannot be read states nothing.
     fn notice(&self, response: &response::Parts) -> ServerNotice;
--- a/crates/node/src/registrar.rs
+++ b/crates/node/src/registrar.rs
@@ -2,6 +2,7 @@
 //! those that may have left already that they are not leaving.
 
 use futures_util::future::BoxFuture;
+use knapweed_host::admission::ColdStart;
 use knapweed_host::registration::{HeartbeatOutcome, Registrations, ServerHeartbeat};
 use knapweed_observe::part;
 use knapweed_timer::TimerService;
@@ -26,6 +27,9 @@
     /// no new request from this node.
     fn announce(&self, announcement: Announcement) -> BoxFuture<'_, ()>;
 
+    /// Applies what a backend server that was announced states about its cold start.
+    fn state_cold_start(&self, server: &Announcement, cold_start: ColdStart);
+
     /// Asks a backend server whether it is leaving; `None` when it gives no usable
     /// response.
     fn is_leaving<'a>(&'a self, server: &'a Announcement) -> BoxFuture<'a, Option<bool>>;
@@ -73,6 +77,7 @@
             let mut registrations = self.registrations.lock().await;
             let outcome = registrations.receive(heartbeat, self.timer.now());
             self.apply(&process, evidence, &outcome).await;
+            self.state_cold_start(&registrations, &process, &outcome);
             outcome
         };
         let is_unconfirmed = outcome == HeartbeatOutcome::Unconfirmed;
@@ -112,6 +117,7 @@
                 let mut registrations = self.registrations.lock().await;
                 let outcome = registrations.confirm(&process, self.timer.now());
                 self.apply(&process, Evidence::Health, &outcome).await;
+                self.state_cold_start(&registrations, &process, &outcome);
                 break;
             }
             log::info!(
@@ -132,6 +138,22 @@
             .cloned()
     }
 
+    /// Passes on what an accepted heartbeat states about the cold start of its sender.
+    fn state_cold_start(
+        &self,
+        registrations: &Registrations,
+        process: &Instance,
+        outcome: &HeartbeatOutcome,
+    ) {
+        let is_accepted = matches!(
+            outcome,
+            HeartbeatOutcome::Changed(_) | HeartbeatOutcome::Unchanged
+        );
+        if is_accepted && let Some((server, cold_start)) = registrations.cold_start(process) {
+            self.servers.state_cold_start(server, cold_start);
+        }
+    }
+
     /// Announces a changed state and logs the outcome of a heartbeat or a health query.
     ///
     /// The caller holds the lock on the registrations, so that announcements keep their
--- a/crates/node/tests/nodes/common/mesh.rs
+++ b/crates/node/tests/nodes/common/mesh.rs
@@ -1,6 +1,7 @@
 //! Whole nodes in the test process, with an object store in memory that can lose data.
 
 use super::{identity, name};
+use crate::evacuations::TestEvacuations;
 use futures_util::future::BoxFuture;
 use knapweed_contract::head::Accepted;
 use knapweed_contract::{Head, PartCache, parts};
@@ -332,6 +333,7 @@
             store: Arc::clone(&self.store) as _,
             configs: Arc::new(FixedConfig::new(&self.services, self.ticket)),
             orders: Some(Arc::clone(&self.orders) as _),
+            evacuations: Some(Arc::new(TestEvacuations(Arc::clone(&self.store)))),
             callers: Box::new(NativeHeaders),
             servers: Arc::new(NativeHeaders),
             identity: identity(&self.authority),
--- a/crates/node/tests/nodes/late_answers.rs
+++ b/crates/node/tests/nodes/late_answers.rs
@@ -133,6 +133,7 @@
             state: Arc::clone(state),
         }),
         orders: None,
+        evacuations: None,
         callers: Box::new(NativeHeaders),
         servers: Arc::new(NativeHeaders),
         identity: identity(&Authority::new().expect("an authority")),
--- a/crates/node/tests/nodes/limits.rs
+++ b/crates/node/tests/nodes/limits.rs
@@ -3,6 +3,7 @@
 use crate::common::backend::Backend;
 use crate::common::{egress, head, name};
 use futures_util::future::join_all;
+use knapweed_host::admission::{ColdAllowance, ColdStart};
 use knapweed_host::{Answer, NotRun, Outcome};
 use knapweed_node::body;
 use knapweed_node::egress::Egress;
@@ -117,3 +118,61 @@
     });
     assert_eq!(send(&egress, &backend, "/calendar", None).await.0, ANSWERED);
 }
+
+/// Guards against requests to a cold backend server beyond its limit, against a queue in front
+/// of it, and against a limit that stays after the cold start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cold_server_refuses_what_it_cannot_take_at_once() {
+    let timer = TimerService::start();
+    let backend = Backend::start(Duration::ZERO).await;
+    let egress = egress::with_backend(&timer, Arc::default(), backend.address());
+    let allowance = ColdAllowance {
+        percent: 0,
+        slack: 8,
+    };
+    egress.allow_cold(allowance);
+    let cold = Announcement {
+        instance: Some(Instance {
+            name: name("calendar-1"),
+            started_ms: 1,
+        }),
+        is_cold: true,
+        ..egress::announcement(backend.address())
+    };
+    egress.announce(&cold);
+    // Without a limit in the configuration, a cold server is treated as any other.
+    assert_eq!(
+        send(&egress, &backend, "/calendar", None).await,
+        (ANSWERED, None)
+    );
+    egress.set_cold_limits([(name("calendar"), LIMIT)].into());
+
+    let refused = Outcome::NotRun(NotRun::ColdServer);
+    let many = (0..40).map(|_| send(&egress, &backend, "/calendar", None));
+    let outcomes = join_all(many).await;
+    assert!(outcomes.iter().all(|sent| *sent == (refused, Some(LIMIT))));
+    tokio::time::sleep(Duration::from_millis(450)).await;
+    let many = (0..40).map(|_| send(&egress, &backend, "/calendar", None));
+    let outcomes = join_all(many).await;
+    let answered = outcomes.iter().filter(|(o, _)| *o == ANSWERED).count();
+    assert!((1..=4).contains(&answered), "{answered} answered");
+
+    // The statement of another run changes nothing.
+    let other = Announcement {
+        instance: None,
+        ..cold.clone()
+    };
+    egress.state_cold_start(&other, ColdStart::WARM);
+    let many = (0..4).map(|_| send(&egress, &backend, "/calendar", None));
+    assert!(join_all(many).await.contains(&(refused, Some(LIMIT))));
+    let ends = timer.now().after(Duration::from_millis(300));
+    egress.state_cold_start(&cold, ColdStart::Until(ends));
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    let many = (0..12).map(|_| send(&egress, &backend, "/calendar", None));
+    assert!(
+        join_all(many)
+            .await
+            .iter()
+            .all(|sent| *sent == (ANSWERED, None))
+    );
+}
--- a/crates/node/tests/nodes/loads.rs
+++ b/crates/node/tests/nodes/loads.rs
@@ -77,6 +77,7 @@
         store: TestStore::new(),
         configs: Arc::clone(source) as _,
         orders: None,
+        evacuations: None,
         callers: Box::new(NativeHeaders),
         servers: Arc::new(NativeHeaders),
         identity: identity(&authority),
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -5,6 +5,7 @@
 mod cut_answers;
 mod deltas;
 mod endless;
+mod evacuations;
 mod foreign_answers;
 mod late_answers;
 mod limits;
--- a/crates/node/tests/nodes/outdated_store.rs
+++ b/crates/node/tests/nodes/outdated_store.rs
@@ -76,6 +76,7 @@
         store: Arc::clone(store) as _,
         configs,
         orders: None,
+        evacuations: None,
         callers: Box::new(NativeHeaders),
         servers: Arc::new(NativeHeaders),
         identity: identity(authority),
--- a/crates/node/tests/registrar.rs
+++ b/crates/node/tests/registrar.rs
@@ -1,6 +1,7 @@
 //! A registrar queries the health of backend servers that may have left.
 
 use futures_util::future::BoxFuture;
+use knapweed_host::admission::ColdStart;
 use knapweed_host::registration::ServerHeartbeat;
 use knapweed_node::registrar::{LocalServers, Registrar};
 use knapweed_timer::TimerService;
@@ -28,6 +29,8 @@
         Box::pin(async {})
     }
 
+    fn state_cold_start(&self, _server: &Announcement, _cold_start: ColdStart) {}
+
     fn is_leaving<'a>(&'a self, _server: &'a Announcement) -> BoxFuture<'a, Option<bool>> {
         let mut responses = self.responses.lock();
         let response = responses.pop_front().expect("a response");
@@ -75,6 +78,7 @@
             started_ms: 1,
             sequence,
             announcement,
+            cold_left: Duration::ZERO,
         };
         self.registrar.heartbeat(heartbeat).await;
     }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -7,6 +7,7 @@
 use knapweed_rollout::{Holder, HostReport, RolloutState};
 use knapweed_world::{ConfigVersion, Name};
 use knapweed_zone::directory::Digest;
+use knapweed_zone::evacuation::EvacuationList;
 use serde::{Deserialize, Serialize};
 
 /// First message on a stream. It selects the protocol of the rest of the stream.
@@ -61,6 +62,9 @@
         /// Upper bound of the time since the send, in microseconds.
         age_us: u64,
     },
+    /// Distributes the evacuated availability zones. A receiver that knows a later list sends
+    /// it back; otherwise there is no reply.
+    Evacuations(EvacuationList),
 }
 
 /// First message of the reply to [`StreamHead::FetchConfig`].
--- a/crates/world/src/snapshot.rs
+++ b/crates/world/src/snapshot.rs
@@ -182,8 +182,13 @@
 
     /// The region of a backend server.
     pub fn region_of(&self, server: BackendServerKey) -> RegionKey {
+        self.arenas.zones[self.zone_of(server)].region
+    }
+
+    /// The availability zone of a backend server.
+    pub fn zone_of(&self, server: BackendServerKey) -> ZoneKey {
         let host = self.arenas.backend_servers[server].host;
-        self.arenas.zones[self.arenas.hosts[host].zone].region
+        self.arenas.hosts[host].zone
     }
 
     /// Network distance from the local host to `host`.
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -14,7 +14,7 @@
 };
 use bytes::Bytes;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,6 +36,7 @@
     shares: BTreeMap<Name, Vec<VersionShare>>,
     loads: HashMap<ServerId, Arc<ServerLoad>>,
     retained: HashMap<Name, RetainedStats>,
+    evacuated: BTreeSet<Name>,
 }
 
 /// Statistics of a service that carry over from one snapshot to the next.
@@ -56,6 +57,7 @@
             shares: BTreeMap::new(),
             loads: HashMap::new(),
             retained: HashMap::new(),
+            evacuated: BTreeSet::new(),
         }
     }
 
@@ -72,6 +74,12 @@
         self
     }
 
+    /// Sets the availability zones whose backend servers get no requests.
+    pub fn evacuated(mut self, zones: BTreeSet<Name>) -> Self {
+        self.evacuated = zones;
+        self
+    }
+
     /// Carries over the statistics of backend servers and services that exist in
     /// `previous` as well.
     pub fn previous(mut self, previous: &Snapshot) -> Self {
@@ -99,7 +107,8 @@
         draft.add_links(local);
         draft.add_services(&self);
         for entry in &self.hosts {
-            draft.add_backend_servers(entry, local, &self.loads);
+            let is_in_use = !self.evacuated.contains(&entry.zone);
+            draft.add_backend_servers(entry, local, &self.loads, is_in_use);
         }
         draft.retain_notices(self.loads);
         draft.add_routes(self.config)?;
@@ -193,11 +202,13 @@
         }
     }
 
+    /// Adds the backend servers of a host. Those of an evacuated zone are not candidates.
     fn add_backend_servers(
         &mut self,
         entry: &HostEntry,
         local: HostKey,
         loads: &HashMap<ServerId, Arc<ServerLoad>>,
+        is_in_use: bool,
     ) {
         let host = self.host_names[&entry.name];
         let here = self.arenas.hosts[local].zone;
@@ -212,7 +223,7 @@
             let server = backend_server(announcement, service, host, load);
             let key = self.arenas.backend_servers.insert(server);
             self.arenas.hosts[host].backend_servers.push(key);
-            if announcement.state == ServerState::Ready {
+            if is_in_use && announcement.state == ServerState::Ready {
                 self.add_ready_server(service, &announcement.version, distance, key);
             }
         }
--- a/crates/zone/src/lib.rs
+++ b/crates/zone/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dissemination;
 pub mod duty;
 pub mod epidemic;
+pub mod evacuation;
 pub mod floor;
 pub mod freshness;
 pub mod membership;
