--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -75,6 +75,10 @@
     UnknownCredential,
     /// The credential of the request is not found, and the node may not know all of them.
     UnverifiedCredential,
+    /// The backend server is cold and has got as many requests as it takes.
+    ColdServer,
+    /// The availability zone of the backend server is evacuated.
+    Evacuated,
 }
 
 /// Why it is not known whether a send ran.
@@ -131,7 +135,7 @@
 
 impl NotRun {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 24] = [
         Self::NoRoute,
         Self::OutdatedConfig,
         Self::InvalidHeader,
@@ -154,6 +158,8 @@
         Self::TooLongToForward,
         Self::UnknownCredential,
         Self::UnverifiedCredential,
+        Self::ColdServer,
+        Self::Evacuated,
     ];
 
     /// HTTP status of the response.
@@ -182,12 +188,17 @@
                 | Self::NotServing
                 | Self::ConnectFailed
                 | Self::NeverRan
+                | Self::ColdServer
+                | Self::Evacuated
         )
     }
 
     /// Whether the reason is a lack of capacity, which retries would make worse.
     pub const fn is_overload(self) -> bool {
-        matches!(self, Self::Overloaded | Self::ShedByServer)
+        matches!(
+            self,
+            Self::Overloaded | Self::ShedByServer | Self::ColdServer
+        )
     }
 
     /// The reason as a value of a metric's label: the name of the variant in kebab case.
@@ -215,6 +226,8 @@
             Self::TooLongToForward => "too-long-to-forward",
             Self::UnknownCredential => "unknown-credential",
             Self::UnverifiedCredential => "unverified-credential",
+            Self::ColdServer => "cold-server",
+            Self::Evacuated => "evacuated",
         }
     }
 
@@ -246,6 +259,8 @@
             Self::UnverifiedCredential => {
                 "the credential is not found, but the node may not know all of them"
             }
+            Self::ColdServer => "the backend server is cold and takes no further request now",
+            Self::Evacuated => "the availability zone of the backend server is evacuated",
             Self::BodyLost => "the connection of the caller ended before the request body",
         }
     }
--- a/crates/host/tests/choice.rs
+++ b/crates/host/tests/choice.rs
@@ -4,8 +4,12 @@
 mod common;
 
 use common::{calendar, calendar_route, mesh, mesh_of, server};
-use knapweed_host::choice::{Choice, Exclusions, ExpectedTime, Options, Query, Reason, Scope};
+use knapweed_host::choice::{
+    Choice, Exclusions, ExpectedTime, HomeRegions, Options, Query, Reason, Scope,
+};
 use knapweed_host::{NotRun, ServerChoice};
+use knapweed_world::organisation::Homes;
+use knapweed_world::snapshot::Builder;
 use knapweed_world::{Flow, LoadReport, Rank, Snapshot, Time};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -21,6 +25,7 @@
     Query {
         route: calendar_route(snapshot),
         service: calendar(snapshot),
+        homes: HomeRegions::default(),
         rank: Rank(1),
         objective: Some(OBJECTIVE),
         now: NOW,
@@ -346,3 +351,130 @@
     let choice = ExpectedTime::default().choose(&snapshot, &query(&snapshot, &excluded));
     assert_eq!(choice, Err(NotRun::NoServer));
 }
+
+/// The shares of the choices for requests whose route has these homes, and whose
+/// organisation has `organisation`.
+fn shares_at_home(route_homes: &[&str], organisation: Option<&[&str]>) -> String {
+    let homes = |names: &[&str]| names.iter().map(|n| common::name(n)).collect();
+    let snapshot = mesh_of(&[("v1", 100)], |route| {
+        route.home_regions = homes(route_homes)
+    });
+    let region = |name: &&str| {
+        let servers = snapshot.backend_servers();
+        let mut regions = servers.map(|(key, _)| snapshot.region_of(key));
+        regions.find(|r| snapshot.region(*r).name == common::name(name))
+    };
+    let organisation = organisation.map(|names| Homes(names.iter().filter_map(region).collect()));
+    let choice = ExpectedTime::new(Options::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let excluded = Exclusions::default();
+    let mut choices = Vec::new();
+    for _ in 0..DRAWS {
+        let plain = query(&snapshot, &excluded);
+        let query = Query {
+            server_draw: rng.random(),
+            homes: HomeRegions {
+                route: snapshot.route(plain.route).homes.as_ref(),
+                organisation: organisation.as_ref(),
+            },
+            ..plain
+        };
+        match choice.choose(&snapshot, &query) {
+            Ok(choice) => choices.push(choice),
+            Err(reason) => return format!("{reason:?}\n"),
+        }
+    }
+    shares(&snapshot, &choices)
+}
+
+/// Guards against a request, or its body, in a region that is no home of its route or of its
+/// organisation: by the usual choice, a probe, or the last resort.
+#[test]
+fn requests_stay_in_their_home_regions() {
+    let both: &[&str] = &["labasa", "savusavu"];
+    let text = [
+        ("route: savusavu", shares_at_home(&["savusavu"], None)),
+        ("route: labasa", shares_at_home(&["labasa"], None)),
+        (
+            "organisation: savusavu",
+            shares_at_home(&[], Some(&["savusavu"])),
+        ),
+        (
+            "both, shared: savusavu",
+            shares_at_home(both, Some(&["savusavu"])),
+        ),
+        (
+            "both, none shared",
+            shares_at_home(&["labasa"], Some(&["savusavu"])),
+        ),
+        ("a region without hosts", shares_at_home(&["rabi"], None)),
+    ];
+    let text = text.map(|(case, shares)| format!("{case}\n{shares}"));
+    insta::assert_snapshot!(text.join("--\n"));
+}
+
+/// Guards against a request that leaves its home regions when the backend servers there have
+/// all failed.
+#[test]
+fn the_last_resort_stays_in_the_home_regions() {
+    let snapshot = mesh_of(&[("v1", 100)], |route| {
+        route.home_regions = vec![common::name("savusavu")];
+    });
+    snapshot
+        .backend_server(server(&snapshot, "s1-v1"))
+        .load
+        .record_unreachable(NOW);
+    let mut excluded = Exclusions::default();
+    let homes = HomeRegions {
+        route: snapshot.route(calendar_route(&snapshot)).homes.as_ref(),
+        organisation: None,
+    };
+    let choice = ExpectedTime::new(without_probes());
+    let choose = |excluded: &Exclusions| {
+        let query = Query {
+            homes,
+            ..query(&snapshot, excluded)
+        };
+        choice.choose(&snapshot, &query)
+    };
+    let chosen = choose(&excluded).expect("the server of the home region");
+    assert_eq!(chosen.server, server(&snapshot, "s1-v1"));
+    assert_eq!(chosen.reason, Reason::LastResort);
+    excluded.add(chosen.server, Scope::Server);
+    assert_eq!(choose(&excluded), Err(NotRun::NoServer));
+}
+
+/// Guards against requests to the backend servers of an evacuated zone, also as a probe or as
+/// the last resort.
+#[test]
+fn an_evacuated_zone_gets_no_request() {
+    let config = common::config(&[("v1", 100)]);
+    let mesh = |evacuated: &[&str]| {
+        let hosts = [
+            common::host("a1-v1", "labasa-a", "labasa", "v1"),
+            common::host("b1-v1", "labasa-b", "labasa", "v1"),
+            common::host("s1-v1", "savusavu-a", "savusavu", "v1"),
+        ];
+        let builder = Builder::new(common::name("a1-v1"), &config).hosts(hosts);
+        let zones = evacuated.iter().map(|zone| common::name(zone));
+        builder.evacuated(zones.collect()).build().expect("a mesh")
+    };
+    let excluded = Exclusions::default();
+    let mut text = String::new();
+    for evacuated in [&["labasa-a"][..], &["labasa-a", "labasa-b"]] {
+        let snapshot = mesh(evacuated);
+        let choices = choices(&snapshot, Options::default(), &excluded);
+        text += &format!("{evacuated:?}\n{}", shares(&snapshot, &choices));
+    }
+    insta::assert_snapshot!(text);
+    let snapshot = mesh(&["labasa-a", "labasa-b", "savusavu-a"]);
+    let choice = ExpectedTime::default().choose(&snapshot, &query(&snapshot, &excluded));
+    assert_eq!(choice, Err(NotRun::NoServer));
+
+    // An ingress that does not know of the evacuation is told by a refusal.
+    let snapshot = mesh_of(&[("v1", 100)], |_| {});
+    let mut excluded = Exclusions::default();
+    excluded.add(server(&snapshot, "a1-v1"), Scope::Zone);
+    assert!(excluded.contains(&snapshot, server(&snapshot, "a2-v1")));
+    assert!(!excluded.contains(&snapshot, server(&snapshot, "b1-v1")));
+}
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -7,7 +7,7 @@
 use crate::protocol::SERVER_ERROR;
 use crate::request_log::{FailedAttempt, IngressLog, LoadAtSend};
 use bytes::Bytes;
-use knapweed_host::choice::{Exclusions, Query, Scope};
+use knapweed_host::choice::{Exclusions, HomeRegions, Query, Scope};
 use knapweed_host::crash::{CrashId, CrashSubjects, MAX_CRASHES, Suspicion};
 use knapweed_host::request::Request;
 use knapweed_host::retry::{Body, Decision, Failure, Stop, may_have_arrived};
@@ -57,6 +57,7 @@
             let query = Query {
                 route: self.request.route,
                 service: self.request.service,
+                homes: self.homes(),
                 rank: self.request.rank,
                 objective: self.request.objective,
                 now: self.ingress.dependencies.timer.now(),
@@ -125,6 +126,17 @@
         Err(Outcome::NotRun(NotRun::NoServer))
     }
 
+    /// Regions in which the request may run. The body is sent only to the node beside the
+    /// chosen backend server, so it stays in these regions too.
+    fn homes(&self) -> HomeRegions<'_> {
+        let organisation = self.request.organisation;
+        let organisation = organisation.map(|key| self.snapshot.organisation(key));
+        HomeRegions {
+            route: self.snapshot.route(self.request.route).homes.as_ref(),
+            organisation: organisation.and_then(|o| o.homes.as_ref()),
+        }
+    }
+
     fn failure(&self, outcome: Outcome, tries: u8, sends: u8, body: &RequestBody) -> Failure {
         Failure {
             depth: self.request.depth,
@@ -236,10 +248,11 @@
 }
 
 /// What the next attempt excludes after this outcome: the backend server, or all
-/// backend servers of its version.
+/// backend servers of its version or its availability zone.
 fn exclusion_scope(outcome: Outcome) -> Scope {
     match outcome {
         Outcome::NotRun(NotRun::Guarded) => Scope::Version,
+        Outcome::NotRun(NotRun::Evacuated) => Scope::Zone,
         _ => Scope::Server,
     }
 }
--- a/crates/world/src/snapshot.rs
+++ b/crates/world/src/snapshot.rs
@@ -212,6 +212,17 @@
         self.arenas.backend_servers.iter()
     }
 
+    /// The region of a backend server.
+    pub fn region_of(&self, server: BackendServerKey) -> RegionKey {
+        self.arenas.zones[self.zone_of(server)].region
+    }
+
+    /// The availability zone of a backend server.
+    pub fn zone_of(&self, server: BackendServerKey) -> ZoneKey {
+        let host = self.arenas.backend_servers[server].host;
+        self.arenas.hosts[host].zone
+    }
+
     /// Network distance from the local host to `host`.
     pub fn distance(&self, host: HostKey) -> Distance {
         if host == self.local {
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -39,6 +39,7 @@
     loads: HashMap<ServerId, Arc<ServerLoad>>,
     retained: HashMap<Name, RetainedStats>,
     route_set: Option<Arc<RouteSet>>,
+    evacuated: BTreeSet<Name>,
 }
 
 /// Statistics of a service that carry over from one snapshot to the next.
@@ -60,6 +61,7 @@
             loads: HashMap::new(),
             retained: HashMap::new(),
             route_set: None,
+            evacuated: BTreeSet::new(),
         }
     }
 
@@ -76,6 +78,12 @@
         self
     }
 
+    /// Sets the availability zones whose backend servers get no requests.
+    pub fn evacuated(mut self, zones: BTreeSet<Name>) -> Self {
+        self.evacuated = zones;
+        self
+    }
+
     /// Carries over the statistics of backend servers and services that exist in
     /// `previous` as well, and its routes if it has the same configuration version.
     pub fn previous(mut self, previous: &Snapshot) -> Self {
@@ -105,7 +113,8 @@
         draft.add_links(local);
         draft.add_services(&self);
         for entry in &self.hosts {
-            draft.add_backend_servers(entry, local, &self.loads);
+            let is_in_use = !self.evacuated.contains(&entry.zone);
+            draft.add_backend_servers(entry, local, &self.loads, is_in_use);
         }
         draft.retain_notices(self.loads);
         let route_set = draft.route_set(self.config, self.route_set)?;
@@ -199,11 +208,13 @@
         }
     }
 
+    /// Adds the backend servers of a host. Those of an evacuated zone are not candidates.
     fn add_backend_servers(
         &mut self,
         entry: &HostEntry,
         local: HostKey,
         loads: &HashMap<ServerId, Arc<ServerLoad>>,
+        is_in_use: bool,
     ) {
         let host = self.host_names[&entry.name];
         let here = self.arenas.hosts[local].zone;
@@ -218,7 +229,7 @@
             let server = backend_server(announcement, service, host, load);
             let key = self.arenas.backend_servers.insert(server);
             self.arenas.hosts[host].backend_servers.push(key);
-            if announcement.state == ServerState::Ready {
+            if is_in_use && announcement.state == ServerState::Ready {
                 self.add_ready_server(service, &announcement.version, distance, key);
             }
         }
