--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -417,8 +417,8 @@
     currency.set_until(timer.now());
     assert_eq!(run("old-key").await, unverified);
     let heads = recorder.0.lock().expect("no panic");
-    let organisations: Vec<_> = heads.iter().map(|h| h.organisation.as_deref()).collect();
-    assert_eq!(organisations, [Some("tea-growers"); 2]);
+    let organisations: Vec<_> = heads.iter().map(|h| h.organisation.clone()).collect();
+    assert_eq!(organisations, vec![Some(name("tea-growers")); 2]);
     assert!(heads.iter().all(|h| h.headers.is_empty()), "{heads:?}");
 }
 
