feat(host): share the slots of a server fairly between the organisations

Cause: fair queueing counted one round per request of a route, so an organisation that sent many times its usual on a route took the room of all others there, and one with long requests got more of the slots than one with short requests.

Change: the unit of fair queueing is one route of one organisation, by start-time fair queueing. A request costs the usual service time of its route over that of all requests, divided by the quota rate of its organisation over the average rate. Requests that are refused or cancelled in the queue are not charged. Arrival has the field organisation, which is None until requests name theirs.

--- a/crates/host/examples/measure.rs
+++ b/crates/host/examples/measure.rs
@@ -194,6 +194,7 @@
         let flow = Flow(u64::from(n % 8));
         let arrival = Arrival {
             flow,
+            organisation: None,
             rank: Rank(1),
             objective: None,
             deadline: Time::from_millis(1_000_000),
--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -7,9 +7,11 @@
 pub mod objective_queue;
 mod queue_position;
 pub mod rate_limit;
+mod shares;
 
 pub use objective_queue::{ObjectiveQueue, Options};
 pub use rate_limit::{LimitChange, NamedLimit};
+pub use shares::OrganisationShare;
 
 use crate::NotRun;
 use knapweed_world::{Flow, LoadReport, Rank, Time};
@@ -24,8 +26,11 @@
 /// A request that arrives at the egress.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
-    /// Unit of fair queueing that the request belongs to.
+    /// Route of the request, whose service times are similar.
     pub flow: Flow,
+    /// Organisation that the request belongs to; `None` without organisations, or where the
+    /// route requires none. Slots are shared fairly between the routes of each organisation.
+    pub organisation: Option<OrganisationShare>,
     /// Its precedence: lower ranks run first.
     pub rank: Rank,
     /// Until when a response has its full value; `None` without an objective.
--- a/crates/host/src/admission/flows.rs
+++ b/crates/host/src/admission/flows.rs
@@ -18,8 +18,6 @@
 struct FlowState {
     running: u32,
     queued: u32,
-    /// Round in which its last queued request is scheduled.
-    round: u64,
     /// Average service time; 0 before the first measurement.
     service_us: u64,
     /// Average absolute deviation from it.
@@ -63,21 +61,14 @@
         }
     }
 
-    pub(super) fn enqueue(&mut self, flow: Flow, round: u64) {
-        let state = self.state(flow);
-        state.queued += 1;
-        state.round = round.max(state.round);
+    pub(super) fn enqueue(&mut self, flow: Flow) {
+        self.state(flow).queued += 1;
     }
 
     pub(super) fn dequeue(&mut self, flow: Flow) {
         self.state(flow).queued -= 1;
     }
 
-    /// The round in which another request of the flow would be scheduled.
-    pub(super) fn next_round(&mut self, flow: Flow, current: u64) -> u64 {
-        current.max(self.state(flow).round + 1)
-    }
-
     fn state(&mut self, flow: Flow) -> &mut FlowState {
         if self.states.len() >= MAX_FLOWS && !self.states.contains_key(&flow) {
             self.states.retain(|_, s| s.running > 0 || s.queued > 0);
@@ -93,6 +84,11 @@
         self.service_us
     }
 
+    /// Average service time of a flow, in microseconds; 0 while it has no measurement.
+    pub(super) fn usual_us(&self, flow: Flow) -> u64 {
+        self.states.get(&flow).map_or(0, |state| state.service_us)
+    }
+
     /// High estimate of the service time of a flow, in microseconds; the average of all
     /// requests while the flow has no measurement.
     pub(super) fn high_estimate_us(&self, flow: Flow) -> u64 {
--- a/crates/host/src/admission/objective_queue.rs
+++ b/crates/host/src/admission/objective_queue.rs
@@ -9,9 +9,9 @@
 //!   queue until every request is late.
 //! - Nested calls of backend servers: they run first, since the requests that wait
 //!   for them hold slots elsewhere; after them, requests run by priority.
-//! - One route with far more requests than the others of its rank: routes are
-//!   scheduled round-robin, so a route that demands less than its fair share gets
-//!   all it demands.
+//! - One route, or one organisation, with far more requests than the others of its rank:
+//!   slots are shared fairly between the routes of each organisation, so one that demands
+//!   less than its fair share gets all it demands.
 //! - Slots that would stay free: they go to requests that are late already.
 //! - A backend server that limits its requests per second: a request waits for its turn
 //!   like for a slot, and ingresses learn of the longer wait.
@@ -19,6 +19,7 @@
 use super::flows::Flows;
 use super::queue_position::{Class, FIRST_LATE, QueuePosition};
 use super::rate_limit::TokenBucket;
+use super::shares::{Shares, Turn, UnitKey};
 use super::{Admission, Arrival, LimitChange, Refusal, Released, Shed, Verdict, WaiterKey};
 use crate::NotRun;
 use knapweed_world::load::RANKS;
@@ -77,6 +78,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
     flow: Flow,
+    unit: UnitKey,
+    turn: Turn,
     rank: Rank,
     objective: Time,
     deadline: Time,
@@ -101,9 +104,8 @@
     order: BTreeMap<QueuePosition, WaiterKey>,
     expiries: BTreeSet<(Time, WaiterKey)>,
     flows: Flows,
+    shares: Shares,
     arrivals: u64,
-    /// By rank, the highest round of a queued request that has got a slot.
-    rounds: [u64; RANKS],
     /// By rank, the earliest time at which the next refused caller is told to retry.
     retry_times: [Time; RANKS],
     /// Limits the rate of the requests; `None` without a limit.
@@ -122,8 +124,8 @@
             order: BTreeMap::new(),
             expiries: BTreeSet::new(),
             flows: Flows::default(),
+            shares: Shares::default(),
             arrivals: 0,
-            rounds: [0; RANKS],
             retry_times: [Time(0); RANKS],
             bucket: None,
         }
@@ -155,7 +157,7 @@
     }
 
     fn cancel(&mut self, waiter: WaiterKey, now: Time) -> Option<Released> {
-        self.remove(waiter)?;
+        self.remove_unrun(waiter)?;
         Some(self.expire(now))
     }
 
@@ -331,10 +333,14 @@
         };
         let objective = objective.min(arrival.deadline);
         self.arrivals += 1;
-        let current = self.rounds[arrival.rank.index()];
-        let round = self.flows.next_round(arrival.flow, current);
+        let unit = UnitKey::new(arrival.organisation, arrival.flow);
+        let quota_rate = arrival.organisation.and_then(|share| share.quota_rate());
+        let work = (self.flows.usual_us(arrival.flow), self.flows.mean_us());
+        let turn = self.shares.next_turn(unit, quota_rate, arrival.rank, work);
         Waiter {
             flow: arrival.flow,
+            unit,
+            turn,
             rank: arrival.rank,
             objective,
             deadline: arrival.deadline,
@@ -342,7 +348,7 @@
             position: QueuePosition {
                 class: Class::OnTime,
                 rank: arrival.rank,
-                round,
+                turn: turn.start,
                 objective,
                 arrival: self.arrivals,
             },
@@ -351,7 +357,8 @@
     }
 
     fn insert(&mut self, waiter: Waiter) -> WaiterKey {
-        self.flows.enqueue(waiter.flow, waiter.position.round);
+        self.flows.enqueue(waiter.flow);
+        self.shares.enqueue(waiter.unit, waiter.turn);
         let key = self.waiters.insert(waiter);
         self.order.insert(waiter.position, key);
         self.expiries.insert((waiter.latest_start, key));
@@ -366,6 +373,14 @@
         self.order.remove(&removed.position);
         self.expiries.remove(&(removed.latest_start, key));
         self.flows.dequeue(removed.flow);
+        self.shares.dequeue(removed.unit);
+        Some(removed)
+    }
+
+    /// Removes a queued request that does not run.
+    fn remove_unrun(&mut self, key: WaiterKey) -> Option<Waiter> {
+        let removed = self.remove(key)?;
+        self.shares.refund(removed.unit, removed.turn);
         Some(removed)
     }
 
@@ -405,7 +420,7 @@
             self.requeue_late(key, late);
             return None;
         }
-        self.remove(key);
+        self.remove_unrun(key);
         let refusal = self.refuse(&waiter, now);
         Some(Shed {
             waiter: key,
@@ -487,8 +502,7 @@
         let (_, key) = self.order.first_key_value()?;
         let key = *key;
         let waiter = self.remove(key)?;
-        let round = &mut self.rounds[waiter.rank.index()];
-        *round = waiter.position.round.max(*round);
+        self.shares.start(waiter.rank, waiter.turn);
         self.start(waiter.flow);
         Some(key)
     }
@@ -508,6 +522,7 @@
         let waiter = self.waiter(&arrival, now);
         let waiter = self.insert(Waiter {
             has_objective: false,
+            turn: Turn::default(),
             position: QueuePosition {
                 class: Class::OnTime,
                 arrival: self.arrivals,
--- a/crates/host/src/admission/queue_position.rs
+++ b/crates/host/src/admission/queue_position.rs
@@ -16,8 +16,8 @@
 pub(super) struct QueuePosition {
     pub(super) class: Class,
     pub(super) rank: Rank,
-    /// Round of the fair queueing, in which each flow gets one slot.
-    pub(super) round: u64,
+    /// Virtual start time of the fair queueing.
+    pub(super) turn: u64,
     pub(super) objective: Time,
     pub(super) arrival: u64,
 }
@@ -26,7 +26,7 @@
 pub(super) const FIRST_LATE: QueuePosition = QueuePosition {
     class: Class::Late,
     rank: Rank(0),
-    round: 0,
+    turn: 0,
     objective: Time(0),
     arrival: 0,
 };
--- a/crates/host/tests/admission.rs
+++ b/crates/host/tests/admission.rs
@@ -28,6 +28,7 @@
 fn arrival(flow: Flow, deadline: Time) -> Arrival {
     Arrival {
         flow,
+        organisation: None,
         rank: Rank(1),
         objective: None,
         deadline,
--- a/crates/host/tests/overload/sim.rs
+++ b/crates/host/tests/overload/sim.rs
@@ -179,6 +179,7 @@
         }));
         let arrival = Arrival {
             flow: FLOW,
+            organisation: None,
             rank: Rank::of(0, level > 0),
             objective: None,
             deadline,
--- a/crates/host/tests/rate_limit.rs
+++ b/crates/host/tests/rate_limit.rs
@@ -83,6 +83,7 @@
         next_arrival = at + gap_ms;
         let arrival = Arrival {
             flow: Flow(1),
+            organisation: None,
             rank: Rank(1),
             objective: Some(ms(at + 800)),
             deadline: ms(at + 3_000),
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -383,6 +383,7 @@
         let route = self.snapshots[egress].find_route(b"", path(&attempt.kind).as_bytes());
         let arrival = Arrival {
             flow: self.snapshots[egress].route(route.expect("a route")).flow,
+            organisation: None,
             rank: attempt.rank,
             objective: Some(attempt.objective),
             deadline: attempt.deadline,
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -218,6 +218,7 @@
         let objective = head.objective_left_us.map(Duration::from_micros);
         let arrival = Arrival {
             flow: Flow::named(&head.route),
+            organisation: None,
             rank: head.rank,
             objective: objective.map(|left| now.after(left)),
             deadline,
