fix(node): one bound for all that callers make a host hold

Cause: a node bounded buffered bodies by three budgets, but neither read buffers, heads, growing copies, bodies that pass through nor connections, and the longest body of the configuration was never enforced. A caller that stopped within a body kept its memory and the slot of its backend server until the deadline.

When it is reached, connections that wait for their caller are closed, those first that have stood still longest. Reads are kept below the size at which hyper grows its buffer. An announced body over the limit gets 413 unread, an unannounced one ends with its connection, and a caller that stops within a body is closed after the idle timeout.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,5 +1,6 @@
 //! Schema of the node's settings file, and its checked options.
 
+use knapweed_host::HostResources;
 use knapweed_observe::settings as log_settings;
 use knapweed_settings::{Errors, Key, Schema, Settings};
 use knapweed_transport::tls::Files;
@@ -9,6 +10,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Bytes of a megabyte of memory.
+const BYTES_PER_MB: usize = 1 << 20;
+
 const NODE: &str = "node";
 const LISTEN: &str = "listen";
 const TLS: &str = "tls";
@@ -58,6 +62,15 @@
         .unit("bytes/s")
         .doc("Bytes of calls that this node may send to another region.");
 
+const MEMORY: Key<u64> = Key::integer(LIMITS, "memory_mb", 16, 1_048_576)
+    .default("256")
+    .unit("MB")
+    .doc("Memory of the host for this program; callers may make it hold 40% of that.");
+const DESCRIPTORS: Key<u64> = Key::integer(LIMITS, "descriptors", 300, 1_048_576)
+    .default("4096")
+    .unit("descriptors")
+    .doc("Descriptors of this program; callers may use three quarters of those beyond 200.");
+
 /// Returns the schema of the settings file.
 pub fn schema() -> Schema {
     let node = [HOST.spec, ZONE.spec, REGION.spec, SEEDS.spec, THREADS.spec];
@@ -73,7 +86,11 @@
             "Defaults of tickets.",
             &[CAUTION.spec, DEADLINE.spec],
         )
-        .section(LIMITS, "Limits.", &[REGION_BYTES.spec]);
+        .section(
+            LIMITS,
+            "Limits.",
+            &[REGION_BYTES.spec, MEMORY.spec, DESCRIPTORS.spec],
+        );
     log_settings::add_section(schema)
 }
 
@@ -109,6 +126,8 @@
     pub deadline: Duration,
     /// Bytes of calls that the node may send to another region, per second.
     pub region_bytes_per_s: u64,
+    /// Memory and descriptors of the host for this program.
+    pub resources: HostResources,
     /// All settings of the file, from which logging is configured.
     pub settings: Settings,
 }
@@ -144,6 +163,10 @@
         },
         deadline: settings.get(&DEADLINE),
         region_bytes_per_s: settings.get(&REGION_BYTES),
+        resources: HostResources {
+            memory: settings.get(&MEMORY) as usize * BYTES_PER_MB,
+            descriptors: settings.get(&DESCRIPTORS) as usize,
+        },
         settings,
     })
 }
--- a/crates/host/src/byte_budget.rs
+++ b/crates/host/src/byte_budget.rs
@@ -1,12 +1,27 @@
-//! Limit of the memory of a host for bodies that are buffered.
+//! Limit of the memory of a host for bytes that are buffered.
 
+use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-/// A number of bytes that all buffered bodies of one kind share.
-#[derive(Debug)]
+/// Frees bytes of an exhausted budget.
+pub trait Reclaim: Send + Sync {
+    /// Asks holders of at least `len` bytes, as far as there are any, to give them back. They do
+    /// so after this returns.
+    fn reclaim(&self, len: usize);
+}
+
+/// Frees nothing: the holders give their bytes back by themselves.
+struct NoReclaim;
+
+impl Reclaim for NoReclaim {
+    fn reclaim(&self, _: usize) {}
+}
+
+/// A number of bytes that all buffered bodies share.
 pub struct ByteBudget {
     limit: usize,
+    holders: Arc<dyn Reclaim>,
     used: AtomicUsize,
     /// Whether the last reservation failed.
     is_exhausted: AtomicBool,
@@ -15,13 +30,24 @@
 impl ByteBudget {
     /// A budget of `limit` bytes.
     pub fn new(limit: usize) -> Self {
+        Self::reclaimed_from(limit, Arc::new(NoReclaim))
+    }
+
+    /// A budget of `limit` bytes, which asks `holders` for bytes when it has none left.
+    pub fn reclaimed_from(limit: usize, holders: Arc<dyn Reclaim>) -> Self {
         Self {
             limit,
+            holders,
             used: AtomicUsize::new(0),
             is_exhausted: AtomicBool::new(false),
         }
     }
 
+    /// Asks the holders for `len` bytes, which arrive later, if at all.
+    pub fn reclaim(&self, len: usize) {
+        self.holders.reclaim(len);
+    }
+
     /// Number of reserved bytes.
     pub fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
@@ -44,6 +70,14 @@
     }
 }
 
+impl fmt::Debug for ByteBudget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = f.debug_struct("ByteBudget");
+        debug.field("limit", &self.limit).field("used", &self.used);
+        debug.finish_non_exhaustive()
+    }
+}
+
 /// Why a reservation cannot grow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("{used} of {limit} bytes for buffered bodies are in use")]
@@ -88,8 +122,16 @@
     }
 }
 
+impl Reservation {
+    /// Returns all bytes to the budget.
+    pub fn clear(&mut self) {
+        self.budget.used.fetch_sub(self.len, Ordering::Relaxed);
+        self.len = 0;
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.len, Ordering::Relaxed);
+        self.clear();
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod byte_budget;
+pub mod caller_bounds;
 pub mod choice;
 pub mod connections;
 pub mod crash;
@@ -21,6 +22,7 @@
 
 pub use admission::Admission;
 pub use byte_budget::ByteBudget;
+pub use caller_bounds::{CallerBounds, HostResources};
 pub use choice::{Choice, ServerChoice};
 pub use connections::Connections;
 pub use crash::CrashMemory;
--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -71,6 +71,10 @@
     /// The head of the request, which the configuration allows, does not fit the connection
     /// between nodes.
     TooLongToForward,
+    /// The request body is longer than the configuration allows.
+    BodyTooLong,
+    /// The host has no memory left for the request body.
+    NoMemory,
 }
 
 /// Why it is not known whether a send ran.
@@ -127,7 +131,7 @@
 
 impl NotRun {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 22] = [
         Self::NoRoute,
         Self::OutdatedConfig,
         Self::InvalidHeader,
@@ -148,6 +152,8 @@
         Self::BodyLost,
         Self::HeadersTooLong,
         Self::TooLongToForward,
+        Self::BodyTooLong,
+        Self::NoMemory,
     ];
 
     /// HTTP status of the response.
@@ -159,6 +165,7 @@
             Self::InvalidHeader | Self::InvalidBody => 400,
             Self::NoRoute => 404,
             Self::HeadersTooLong => 431,
+            Self::BodyTooLong => 413,
             _ => 503,
         }
     }
@@ -206,6 +213,8 @@
             Self::BodyLost => "body-lost",
             Self::HeadersTooLong => "headers-too-long",
             Self::TooLongToForward => "too-long-to-forward",
+            Self::BodyTooLong => "body-too-long",
+            Self::NoMemory => "no-memory",
         }
     }
 
@@ -233,6 +242,8 @@
             Self::InvalidBody => "the framing of the request body is malformed",
             Self::HeadersTooLong => "the header fields are longer than the configuration allows",
             Self::TooLongToForward => "the head is too long for the connection between nodes",
+            Self::BodyTooLong => "the body is longer than the configuration allows",
+            Self::NoMemory => "the host has no memory left for the body",
             Self::BodyLost => "the connection of the caller ended before the request body",
         }
     }
--- a/crates/host/src/request.rs
+++ b/crates/host/src/request.rs
@@ -66,6 +66,14 @@
         /// The limit of the configuration, in bytes.
         limit: u32,
     },
+    /// The body, by its announced length, is longer than the configuration allows.
+    #[error("the body has {len} bytes, {limit} are allowed")]
+    BodyTooLong {
+        /// Length of the body, in bytes.
+        len: u64,
+        /// The limit of the configuration, in bytes.
+        limit: u64,
+    },
     /// The call is deeper than [`MAX_DEPTH`]; holds its depth.
     #[error("calls are at most {MAX_DEPTH} deep, this one has depth {0}")]
     TooDeep(u8),
@@ -90,6 +98,7 @@
     pub fn reason(&self) -> NotRun {
         match self {
             Self::HeadersTooLong { .. } => NotRun::HeadersTooLong,
+            Self::BodyTooLong { .. } => NotRun::BodyTooLong,
             Self::TooDeep(_) => NotRun::TooDeep,
             Self::NoRoute => NotRun::NoRoute,
             Self::NoService => NotRun::NoServer,
--- a/crates/host/tests/outcome.rs
+++ b/crates/host/tests/outcome.rs
@@ -31,6 +31,8 @@
         N(NotRun::BodyLost),
         N(NotRun::HeadersTooLong),
         N(NotRun::TooLongToForward),
+        N(NotRun::BodyTooLong),
+        N(NotRun::NoMemory),
         U(Unknown::DeadlinePassed),
         U(Unknown::ConnectionLost),
         U(Unknown::ServerCrashed),
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -1,6 +1,7 @@
 //! Request and response bodies: the common body type, limited buffering, and
 //! streaming between nodes.
 
+use crate::guarded::{CompletionGuard, GuardedBody};
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, stream};
 use http_body::{Body as _, Frame};
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 /// The body type that the gotham handlers and the hyper clients of the node share.
 pub type Body = http_body_util::combinators::UnsyncBoxBody<Bytes, io::Error>;
@@ -24,17 +26,23 @@
 /// KB fit.
 pub const MAX_BUFFERED_LEN: usize = 512 * 1024;
 
-/// Longest sum of the request bodies of this host that are buffered, in bytes.
-pub const MAX_BUFFERED_REQUESTS_LEN: usize = 24 * 1024 * 1024;
-/// Longest sum of the response bodies of the backend servers of this host that are
-/// buffered, in bytes. They stay until their callers or other nodes have received them.
-pub const MAX_BUFFERED_RESPONSES_LEN: usize = 24 * 1024 * 1024;
-/// Longest sum of the response bodies of other nodes that are buffered, in bytes. They stay
-/// until their callers have read them.
-pub const MAX_BUFFERED_REMOTE_LEN: usize = 16 * 1024 * 1024;
 /// Longest response of another node, in bytes, that is buffered when it has arrived.
 pub const MAX_ARRIVED_LEN: usize = 64 * 1024;
 
+/// Longest request body, in bytes, that is counted with its connection.
+pub const CONNECTION_BODY_LEN: usize = 4 * 1024;
+/// Bytes of a streamed request body that are on their way through this host: in the buffers of
+/// the connection to the backend server, or in the window of a stream to another node.
+const STREAM_LEN: usize = 256 * 1024;
+/// Interval at which a request that waits for reclaimed memory looks for it.
+const RECLAIM_CHECK: Duration = Duration::from_millis(10);
+/// How often it does so: holders that can be closed are gone within a few milliseconds.
+const RECLAIM_CHECKS: usize = 20;
+
+impl CompletionGuard for Reservation {
+    fn complete(&mut self) {}
+}
+
 /// Creates a body without content.
 pub fn empty() -> Body {
     full(Bytes::new())
@@ -115,9 +123,49 @@
 ///
 /// Reading the body failed before its end.
 pub async fn read_up_to(
+    body: Body,
+    limit: usize,
+    budget: &Arc<ByteBudget>,
+) -> io::Result<LimitedRead> {
+    read(body, limit, budget, Purpose::Response).await
+}
+
+/// Buffers a request body like [`read_up_to`], after a wait for bytes of `budget` that are
+/// being reclaimed. A body of at most [`CONNECTION_BODY_LEN`] bytes needs none of them.
+///
+/// # Errors
+///
+/// As [`read_up_to`].
+pub async fn read_request(
+    body: Body,
+    limit: usize,
+    budget: &Arc<ByteBudget>,
+) -> io::Result<LimitedRead> {
+    read(body, limit, budget, Purpose::Request).await
+}
+
+/// Reserves the bytes of a request body that are on their way while it passes through; `None`
+/// when `budget` has none left.
+pub async fn reserve_stream(body: Body, budget: &Arc<ByteBudget>) -> Option<Body> {
+    let mut reservation = budget.reservation();
+    match reserve_reclaimed(&mut reservation, budget, STREAM_LEN).await {
+        true => Some(GuardedBody::new(body, reservation).boxed()),
+        false => None,
+    }
+}
+
+/// What a body is read for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Purpose {
+    Request,
+    Response,
+}
+
+async fn read(
     mut body: Body,
     limit: usize,
     budget: &Arc<ByteBudget>,
+    purpose: Purpose,
 ) -> io::Result<LimitedRead> {
     let mut reservation = budget.reservation();
     let mut read = BytesMut::new();
@@ -125,7 +173,13 @@
         let Ok(chunk) = frame?.into_data() else {
             continue;
         };
-        let is_reserved = reserve(&mut reservation, chunk.len());
+        let len = chunk.len();
+        let is_reserved = match purpose {
+            Purpose::Request if read.len() + len <= CONNECTION_BODY_LEN => true,
+            // A growing buffer has room for as much again.
+            Purpose::Request => reserve_reclaimed(&mut reservation, budget, 2 * len).await,
+            Purpose::Response => reserve(&mut reservation, len),
+        };
         // A body of a single chunk is returned without a copy.
         if read.is_empty() && body.is_end_stream() && chunk.len() <= limit && is_reserved {
             return Ok(LimitedRead::Whole(Reserved::bytes(chunk, reservation)));
@@ -206,6 +260,18 @@
     Arrived::Partial(prepend(Reserved::bytes(read.freeze(), reservation), body))
 }
 
+/// Reserves `len` bytes, after a wait while `budget` reclaims them.
+async fn reserve_reclaimed(reservation: &mut Reservation, budget: &ByteBudget, len: usize) -> bool {
+    for _ in 0..RECLAIM_CHECKS {
+        if reservation.grow(len).is_ok() {
+            return true;
+        }
+        budget.reclaim(len);
+        tokio::time::sleep(RECLAIM_CHECK).await;
+    }
+    reserve(reservation, len)
+}
+
 fn reserve(reservation: &mut Reservation, len: usize) -> bool {
     let grown = reservation.grow(len);
     if let Err(err) = grown
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -4,16 +4,25 @@
 //! gotham handlers on connections that it tracks: idle connections are closed
 //! after the configured timeout, and all connections when the node stops.
 
+mod metered;
+mod open;
+
+pub use open::OpenConnections;
+
 use crate::request_log;
 use gotham::handler::NewHandler;
 use gotham::service::call_handler;
 use gotham::state::State;
+use http_body_util::BodyExt;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use knapweed_host::{ByteBudget, CallerBounds};
 use knapweed_observe::metrics::LabeledCounter;
 use knapweed_observe::{Metrics, part};
 use knapweed_timer::TimerService;
 use knapweed_world::{SnapshotCell, Time};
+use metered::{DownloadBody, MeteredStream, UploadBody};
+use open::{Entry, OpenConnection, Phase};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, UnwindSafe};
@@ -53,8 +62,33 @@
     /// connection is accepted.
     fn max_header_bytes(&self) -> usize;
 
-    /// Time after which an idle connection is closed.
+    /// Time after which an idle connection is closed, or one whose caller has stopped within a
+    /// request body.
     fn idle_timeout(&self) -> Duration;
+
+    /// Longest request body, in bytes; `None` without a limit.
+    fn max_body_bytes(&self) -> Option<u64>;
+}
+
+/// What all connections of callers may hold, on all listeners of a host.
+#[derive(Clone)]
+pub struct CallerMemory {
+    /// The open connections.
+    pub connections: Arc<OpenConnections>,
+    /// Bytes of heads, bodies and responses.
+    pub budget: Arc<ByteBudget>,
+}
+
+impl CallerMemory {
+    /// Memory with the limits `bounds`.
+    pub fn new(bounds: CallerBounds, timer: TimerService) -> Self {
+        let connections = Arc::new(OpenConnections::new(bounds.connections, timer));
+        let holders = Arc::clone(&connections);
+        Self {
+            connections,
+            budget: Arc::new(ByteBudget::reclaimed_from(bounds.memory, holders)),
+        }
+    }
 }
 
 /// Connection limits of the configuration in force.
@@ -78,6 +112,10 @@
         let limit = self.0.load().limits().idle_timeout_ms;
         limit.map_or(DEFAULT_IDLE_TIMEOUT, |ms| Duration::from_millis(ms.into()))
     }
+
+    fn max_body_bytes(&self) -> Option<u64> {
+        self.0.load().limits().max_body_bytes
+    }
 }
 
 /// Counters of the connections of callers; clones share them.
@@ -128,6 +166,8 @@
     pub limits: Arc<dyn ConnectionLimits>,
     /// Counters of the connections.
     pub metrics: ConnectionMetrics,
+    /// What the connections may hold.
+    pub memory: CallerMemory,
     /// Clock for idle times.
     pub timer: TimerService,
 }
@@ -180,8 +220,13 @@
         };
         match accepted {
             Ok((stream, from)) => {
+                // Without an entry all other callers are being served; the connection is closed.
+                let Some(entry) = dependencies.memory.connections.open() else {
+                    continue;
+                };
                 let connection = Connection {
                     from,
+                    entry,
                     dependencies: dependencies.clone(),
                     stop: stop.clone(),
                 };
@@ -204,12 +249,30 @@
 /// One connection of a caller.
 struct Connection {
     from: SocketAddr,
+    entry: Entry,
     dependencies: Dependencies,
     stop: watch::Receiver<bool>,
 }
 
 impl Connection {
+    /// Serves the connection until it ends or has to make room for others.
     async fn run<H>(mut self, stream: TcpStream, handler: H)
+    where
+        H: Clone + NewHandler + Send + UnwindSafe + 'static,
+    {
+        let open = Arc::clone(&self.entry.connection);
+        let (limits, timer) = (
+            Arc::clone(&self.dependencies.limits),
+            self.dependencies.timer.clone(),
+        );
+        tokio::select! {
+            () = self.serve(stream, handler) => {}
+            () = open.closed() => {}
+            () = wait_until_still(&open, &*limits, &timer) => {}
+        }
+    }
+
+    async fn serve<H>(&mut self, stream: TcpStream, handler: H)
     where
         H: Clone + NewHandler + Send + UnwindSafe + 'static,
     {
@@ -229,6 +292,12 @@
             .timer(TokioTimer::new())
             .max_headers(MAX_HEADER_LINES)
             .max_buf_size(buffer_len(self.dependencies.limits.max_header_bytes()));
+        let stream = MeteredStream::new(
+            stream,
+            Arc::clone(&self.entry.connection),
+            self.dependencies.timer.clone(),
+            Arc::clone(&self.dependencies.memory.budget),
+        );
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
         let ended = tokio::select! {
@@ -269,8 +338,12 @@
         H: Clone + NewHandler + Send + UnwindSafe + 'static,
     {
         let (from, timer) = (self.from, self.dependencies.timer.clone());
-        hyper::service::service_fn(move |request| {
+        let limits = Arc::clone(&self.dependencies.limits);
+        let open = Arc::clone(&self.entry.connection);
+        hyper::service::service_fn(move |request: http::Request<hyper::body::Incoming>| {
             let active_request = ActiveRequest::start(Arc::clone(&activity), timer.clone());
+            let (open, limit) = (Arc::clone(&open), limits.max_body_bytes());
+            let request = request.map(|body| UploadBody::new(body, Arc::clone(&open), limit));
             let state = AssertUnwindSafe(State::from_request(request, from));
             let handler = handler.clone();
             async move {
@@ -282,7 +355,7 @@
                     response
                 });
                 drop(active_request);
-                Ok(response)
+                Ok(response.map(|body| DownloadBody::new(body, open).boxed_unsync()))
             }
         })
     }
@@ -306,3 +379,20 @@
         }
     }
 }
+
+/// Waits until the caller has stopped within a request body for the idle timeout.
+async fn wait_until_still(
+    open: &OpenConnection,
+    limits: &dyn ConnectionLimits,
+    timer: &TimerService,
+) {
+    loop {
+        let limit = limits.idle_timeout();
+        let left = limit.saturating_sub(open.still_for(timer.now()));
+        match (open.is_in(Phase::Body), left.is_zero()) {
+            (true, true) => return,
+            (true, false) => timer.sleep(left).await,
+            (false, _) => timer.sleep(limit).await,
+        }
+    }
+}
--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -3,11 +3,11 @@
 mod inquiry;
 mod link_monitor;
 
-use crate::body::{self, Arrived, Body, MAX_ARRIVED_LEN, MAX_BUFFERED_REMOTE_LEN, RequestBody};
+use crate::body::{self, Arrived, Body, MAX_ARRIVED_LEN, RequestBody};
 use crate::egress::Egress;
 use crate::streamed::{Deadline, StreamedBody};
 use futures_util::future::BoxFuture;
-use knapweed_host::{ByteBudget, NotRun, Outcome, Unknown};
+use knapweed_host::{ByteBudget, CallerBounds, NotRun, Outcome, Unknown};
 use knapweed_observe::part;
 use knapweed_timer::TimerService;
 use knapweed_transport::stream::Error;
@@ -98,11 +98,17 @@
         Self {
             monitor: LinkMonitor::start(Arc::clone(&peers), timer.clone()),
             peers,
-            buffered: Arc::new(ByteBudget::new(MAX_BUFFERED_REMOTE_LEN)),
+            buffered: Arc::new(ByteBudget::new(CallerBounds::default().memory)),
             timer,
         }
     }
 
+    /// Reserves the responses that it keeps from `budget`.
+    pub fn with_budget(mut self, budget: Arc<ByteBudget>) -> Self {
+        self.buffered = budget;
+        self
+    }
+
     /// Sends a request and waits for the head of its response. Sets `sent` when any of it may
     /// have been sent.
     async fn exchange(
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -8,7 +8,7 @@
 mod pool;
 pub mod serve;
 
-use crate::body::{Body, MAX_BUFFERED_RESPONSES_LEN};
+use crate::body::Body;
 use crate::carrier::Response;
 use crate::protocol::{Mismatch, ServerProtocol};
 use crate::request_log::EgressLog;
@@ -19,7 +19,7 @@
 use exchanges::Exchanges;
 use futures_util::future::BoxFuture;
 use knapweed_host::crash::{CrashCounts, CrashDigest, CrashRecord};
-use knapweed_host::{ByteBudget, NotRun, Outcome};
+use knapweed_host::{ByteBudget, CallerBounds, NotRun, Outcome};
 use knapweed_link::{Backlog, LinkRate};
 use knapweed_observe::metrics::LabeledCounter;
 use knapweed_timer::TimerService;
@@ -62,7 +62,7 @@
                 crashes: Arc::new(CrashTracker::new(timer.clone())),
                 leaving: Arc::default(),
                 uplink: None,
-                buffered: Arc::new(ByteBudget::new(MAX_BUFFERED_RESPONSES_LEN)),
+                buffered: Arc::new(ByteBudget::new(CallerBounds::default().memory)),
                 rejections: LabeledCounter::new("reason", Mismatch::ALL.map(Mismatch::label)),
                 timer,
             },
@@ -75,6 +75,12 @@
         self
     }
 
+    /// Reserves the responses that it buffers from `budget`.
+    pub fn with_budget(mut self, budget: Arc<ByteBudget>) -> Self {
+        self.shared.buffered = budget;
+        self
+    }
+
     /// What this host knows of requests that crash backend servers.
     pub fn crashes(&self) -> &Arc<CrashTracker> {
         &self.shared.crashes
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -5,9 +5,7 @@
 pub mod metrics;
 pub mod service_metrics;
 
-use crate::body::{
-    self, Body, LimitedRead, MAX_BUFFERED_LEN, MAX_BUFFERED_REQUESTS_LEN, RequestBody,
-};
+use crate::body::{self, Body, LimitedRead, MAX_BUFFERED_LEN, RequestBody};
 use crate::carrier::{Carrier, Response};
 use crate::currency::RouteCurrency;
 use crate::egress::CrashRecorder;
@@ -19,7 +17,9 @@
 use http::{HeaderMap, Method, Uri};
 use knapweed_host::crash::{CrashSubjects, Subject};
 use knapweed_host::request::{Error, IncomingRequest, Request};
-use knapweed_host::{ByteBudget, Drain, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator};
+use knapweed_host::{
+    ByteBudget, CallerBounds, Drain, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator,
+};
 use knapweed_link::LinkBudget;
 use knapweed_timer::TimerService;
 use knapweed_world::route::DRAWS;
@@ -82,7 +82,7 @@
 /// The ingress of a node, shared by all its threads.
 pub struct Ingress {
     dependencies: Dependencies,
-    /// Limits the request bodies that are kept for retries.
+    /// Limits the request bodies that are kept for retries or pass through.
     buffered: Arc<ByteBudget>,
 }
 
@@ -91,10 +91,16 @@
     pub fn new(dependencies: Dependencies) -> Self {
         Self {
             dependencies,
-            buffered: Arc::new(ByteBudget::new(MAX_BUFFERED_REQUESTS_LEN)),
+            buffered: Arc::new(ByteBudget::new(CallerBounds::default().memory)),
         }
     }
 
+    /// Reserves what it holds for callers from `budget`.
+    pub fn with_budget(mut self, budget: Arc<ByteBudget>) -> Self {
+        self.buffered = budget;
+        self
+    }
+
     /// The lifecycle of the node.
     pub fn drain(&self) -> &Arc<Drain> {
         &self.dependencies.drain
@@ -179,7 +185,7 @@
         request: CallerRequest,
         log: &mut IngressLog<'_>,
     ) -> Result<Response, Outcome> {
-        let body = body::read_up_to(request.body, MAX_BUFFERED_LEN, &self.buffered);
+        let body = body::read_request(request.body, MAX_BUFFERED_LEN, &self.buffered);
         let left = parsed.deadline.since(self.dependencies.timer.now());
         let body = tokio::time::timeout(left, body)
             .await
@@ -191,7 +197,11 @@
         })?;
         let (prefix, body) = match body {
             LimitedRead::Whole(bytes) => (bytes.clone(), RequestBody::Buffered(bytes)),
-            LimitedRead::Longer { prefix, body } => (prefix, RequestBody::Streaming(body)),
+            LimitedRead::Longer { prefix, body } => {
+                let body = body::reserve_stream(body, &self.buffered).await;
+                let body = body.ok_or(Outcome::NotRun(NotRun::NoMemory))?;
+                (prefix, RequestBody::Streaming(body))
+            }
         };
         let method = Bytes::copy_from_slice(request.method.as_str().as_bytes());
         let path = path_and_query(&request.uri);
@@ -201,6 +211,7 @@
             identity: Subject::identity(parsed.identity),
             content: Subject::content(host.unwrap_or_default(), &method, &path, &prefix),
         };
+        drop(prefix);
         let is_forwarded = |name: &_| self.dependencies.protocol.is_forwarded(name);
         let attempts = Attempts {
             ingress: self,
@@ -223,6 +234,7 @@
         now: Time,
     ) -> Result<(Request, CallerFields), Error> {
         check_len(&request.headers, snapshot.limits().max_header_bytes)?;
+        check_body_len(&request.body, snapshot.limits().max_body_bytes)?;
         let fields = self.dependencies.protocol.read(&request.headers)?;
         let host = request.headers.get(http::header::HOST);
         let incoming = IncomingRequest {
@@ -249,7 +261,9 @@
 /// there is no route, or that a limit holds.
 fn refusal(err: &Error, is_current: bool) -> NotRun {
     match err.reason() {
-        NotRun::NoRoute | NotRun::HeadersTooLong if !is_current => NotRun::OutdatedConfig,
+        NotRun::NoRoute | NotRun::HeadersTooLong | NotRun::BodyTooLong if !is_current => {
+            NotRun::OutdatedConfig
+        }
         reason => reason,
     }
 }
@@ -269,6 +283,16 @@
     }
 }
 
+/// Checks the announced length of a body. One that is longer than it announces, or announces
+/// none, ends with its connection.
+fn check_body_len(body: &Body, limit: Option<u64>) -> Result<(), Error> {
+    let len = http_body::Body::size_hint(body).lower();
+    match limit {
+        Some(limit) if len > limit => Err(Error::BodyTooLong { len, limit }),
+        _ => Ok(()),
+    }
+}
+
 /// The reason that is reported for a request whose body cannot be read to its end.
 fn unreadable_body(err: &io::Error) -> NotRun {
     match body::is_malformed(err) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,7 +1,7 @@
 //! Construction, signal handling and graceful stop of a node.
 
 use crate::announcer::Announcer;
-use crate::callers::{self, ConfiguredLimits, ConnectionMetrics};
+use crate::callers::{self, CallerMemory, ConfiguredLimits, ConnectionMetrics};
 use crate::carrier::{LinkCarrier, LocalCarrier};
 use crate::control::event::{ControlHandle, Event};
 use crate::control::{Controller, View};
@@ -21,10 +21,11 @@
 use crate::trial::Trials;
 use anyhow::Context;
 use arc_swap::ArcSwap;
-use knapweed_host::WaitEstimator;
+use knapweed_host::caller_bounds::MIN_MEMORY;
 use knapweed_host::choice::ExpectedTime;
 use knapweed_host::drain::{self, Drain, Next, StopAction};
 use knapweed_host::retry::{self, RetryPolicy};
+use knapweed_host::{ByteBudget, CallerBounds, HostResources, WaitEstimator};
 use knapweed_link::{LinkBudget, LinkRate};
 use knapweed_observe::{Metrics, part};
 use knapweed_store::ObjectStore;
@@ -99,9 +100,17 @@
     drain: drain::Options,
     retries: retry::Options,
     in_force_within: Duration,
+    resources: HostResources,
 }
 
 impl Builder {
+    /// Sets the memory and the descriptors of the host, from which the bounds follow for what
+    /// callers make it hold; 256 MB and 4,096 by default.
+    pub fn resources(mut self, resources: HostResources) -> Self {
+        self.resources = resources;
+        self
+    }
+
     /// Sets how many bytes of requests the node may send to another region per
     /// second; 50,000 by default.
     pub fn region_bytes_per_s(mut self, bytes: u64) -> Self {
@@ -160,6 +169,8 @@
     retries: Arc<RetryPolicy>,
     history: Arc<HistoryKeeper>,
     metrics: Metrics,
+    connection_metrics: ConnectionMetrics,
+    memory: CallerMemory,
     store: Arc<dyn ObjectStore>,
     stop_callers: watch::Sender<bool>,
 }
@@ -175,6 +186,7 @@
             drain: drain::Options::default(),
             retries: retry::Options::default(),
             in_force_within: CONFIRMED_FOR,
+            resources: HostResources::default(),
         }
     }
 
@@ -190,7 +202,9 @@
         let listener = listen(node_identity.callers).await?;
         let snapshots = Arc::new(SnapshotCell::new(initial_snapshot(&node_identity)?));
         let trials = Arc::new(Trials::default());
-        let mut egress = Egress::new(timer.clone(), Arc::clone(&trials), adapters.servers);
+        let memory = caller_memory(settings.resources, &timer);
+        let egress = Egress::new(timer.clone(), Arc::clone(&trials), adapters.servers);
+        let mut egress = egress.with_budget(Arc::clone(&memory.budget));
         if let Some(rate) = settings.link_rate {
             egress = egress.with_uplink(rate);
         }
@@ -239,7 +253,9 @@
             zone: node_identity.zone.clone(),
         };
         let history = HistoryKeeper::start(history_owner, Arc::clone(&snapshots), &timer);
-        let ingress = Arc::new(Ingress::new(ingress::Dependencies {
+        let link = LinkCarrier::new(endpoint.peers(), timer.clone());
+        let link = link.with_budget(Arc::clone(&memory.budget));
+        let ingress = Ingress::new(ingress::Dependencies {
             snapshots: Arc::clone(&snapshots),
             protocol: adapters.callers,
             origin: node_identity.service.clone(),
@@ -247,7 +263,7 @@
             crashes: Arc::clone(egress.crashes()) as _,
             local: Box::new(LocalCarrier::new(Arc::clone(&egress))),
             region_budget: LinkBudget::new(settings.region_bytes_per_s),
-            link: Box::new(LinkCarrier::new(endpoint.peers(), timer.clone())),
+            link: Box::new(link),
             drain: Arc::clone(&drain),
             ready: Arc::clone(&ready),
             currency,
@@ -255,14 +271,17 @@
             retries: Arc::clone(&retries),
             wait_estimator: WaitEstimator::default(),
             metrics: IngressMetrics::register(&metrics),
-        }));
+        });
+        let ingress = Arc::new(ingress.with_budget(Arc::clone(&memory.budget)));
+        let connection_metrics = ConnectionMetrics::register(&metrics);
         let (stop_callers, stopping) = watch::channel(false);
         tokio::spawn(callers::serve(
             listener,
             CallerHandler::new(ingress),
             callers::Dependencies {
                 limits: Arc::new(ConfiguredLimits::new(Arc::clone(&snapshots))),
-                metrics: ConnectionMetrics::register(&metrics),
+                metrics: connection_metrics.clone(),
+                memory: memory.clone(),
                 timer: timer.clone(),
             },
             stopping,
@@ -284,6 +303,8 @@
             retries,
             history,
             metrics,
+            connection_metrics,
+            memory,
             store: adapters.store,
             stop_callers,
         })
@@ -312,6 +333,24 @@
         &self.metrics
     }
 
+    /// What serves further listeners of the host within the bounds of its callers.
+    pub fn listener_dependencies(
+        &self,
+        limits: Arc<dyn callers::ConnectionLimits>,
+    ) -> callers::Dependencies {
+        callers::Dependencies {
+            limits,
+            metrics: self.connection_metrics.clone(),
+            memory: self.memory.clone(),
+            timer: self.timer.clone(),
+        }
+    }
+
+    /// Bytes that callers may make the host hold.
+    pub fn caller_budget(&self) -> Arc<ByteBudget> {
+        Arc::clone(&self.memory.budget)
+    }
+
     /// A handle that accepts announcements of backend servers.
     pub fn announcer(&self) -> Announcer {
         Announcer::new(
@@ -459,6 +498,22 @@
         .with_context(|| format!("could not listen on {address}"))
 }
 
+fn caller_memory(resources: HostResources, timer: &TimerService) -> CallerMemory {
+    let bounds = CallerBounds::of(resources);
+    if resources.is_too_small() {
+        log::warn!(
+            target: part::PROGRAM,
+            "the host has {} MB of memory, less than the {} MB that a node is planned for",
+            resources.memory >> 20, MIN_MEMORY >> 20
+        );
+    }
+    log::info!(
+        target: part::PROGRAM,
+        "callers may hold {} MB and {} connections", bounds.memory >> 20, bounds.connections
+    );
+    CallerMemory::new(bounds, timer.clone())
+}
+
 fn host_entry(node_identity: &NodeIdentity) -> HostEntry {
     HostEntry {
         name: node_identity.host.clone(),
