--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod access;
 pub mod admission;
 pub mod byte_budget;
+pub mod caller_bounds;
 pub mod choice;
 pub mod connections;
 pub mod crash;
@@ -22,6 +23,7 @@
 
 pub use admission::Admission;
 pub use byte_budget::ByteBudget;
+pub use caller_bounds::{CallerBounds, HostResources};
 pub use choice::{Choice, ServerChoice};
 pub use connections::Connections;
 pub use crash::CrashMemory;
--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -79,6 +79,10 @@
     ColdServer,
     /// The availability zone of the backend server is evacuated.
     Evacuated,
+    /// The request body is longer than the configuration allows.
+    BodyTooLong,
+    /// The host has no memory left for the request body.
+    NoMemory,
 }
 
 /// Why it is not known whether a send ran.
@@ -135,7 +139,7 @@
 
 impl NotRun {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 26] = [
         Self::NoRoute,
         Self::OutdatedConfig,
         Self::InvalidHeader,
@@ -160,6 +164,8 @@
         Self::UnverifiedCredential,
         Self::ColdServer,
         Self::Evacuated,
+        Self::BodyTooLong,
+        Self::NoMemory,
     ];
 
     /// HTTP status of the response.
@@ -172,6 +178,7 @@
             Self::UnknownCredential => 401,
             Self::NoRoute => 404,
             Self::HeadersTooLong => 431,
+            Self::BodyTooLong => 413,
             _ => 503,
         }
     }
@@ -228,6 +235,8 @@
             Self::UnverifiedCredential => "unverified-credential",
             Self::ColdServer => "cold-server",
             Self::Evacuated => "evacuated",
+            Self::BodyTooLong => "body-too-long",
+            Self::NoMemory => "no-memory",
         }
     }
 
@@ -261,6 +270,8 @@
             }
             Self::ColdServer => "the backend server is cold and takes no further request now",
             Self::Evacuated => "the availability zone of the backend server is evacuated",
+            Self::BodyTooLong => "the body is longer than the configuration allows",
+            Self::NoMemory => "the host has no memory left for the body",
             Self::BodyLost => "the connection of the caller ended before the request body",
         }
     }
--- a/crates/host/tests/cold_limit.rs
+++ b/crates/host/tests/cold_limit.rs
@@ -47,6 +47,7 @@
         }
         let arrival = Arrival {
             flow: Flow(1),
+            organisation: None,
             rank: Rank(1),
             objective: Some(ms(at + 800)),
             deadline: ms(at + 3_000),
--- a/crates/host/tests/outcome.rs
+++ b/crates/host/tests/outcome.rs
@@ -33,6 +33,8 @@
         N(NotRun::TooLongToForward),
         N(NotRun::ColdServer),
         N(NotRun::Evacuated),
+        N(NotRun::BodyTooLong),
+        N(NotRun::NoMemory),
         U(Unknown::DeadlinePassed),
         U(Unknown::ConnectionLost),
         U(Unknown::ServerCrashed),
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -18,7 +18,7 @@
 use crate::trial::Trials;
 use failure::Failure;
 use http_body_util::BodyExt;
-use knapweed_host::admission::Arrival;
+use knapweed_host::admission::{Arrival, OrganisationShare};
 use knapweed_host::{ByteBudget, NotRun};
 use knapweed_link::Backlog;
 use knapweed_observe::metrics::LabeledCounter;
@@ -233,7 +233,7 @@
         let objective = head.objective_left_us.map(Duration::from_micros);
         let arrival = Arrival {
             flow: Flow::named(&head.route),
-            organisation: None,
+            organisation: organisation_share(&head),
             rank: head.rank,
             objective: objective.map(|left| now.after(left)),
             deadline,
@@ -301,3 +301,9 @@
         )
     }
 }
+
+/// The unit of fair queueing that the organisation of a request makes.
+fn organisation_share(head: &RequestHead) -> Option<OrganisationShare> {
+    let organisation = head.organisation.as_ref();
+    organisation.map(|name| OrganisationShare::new(name, head.organisation_rate))
+}
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -14,7 +14,7 @@
 use knapweed_host::{Answer, NotRun, Outcome, SendId, SendOutcomes, Unknown};
 use knapweed_wire::{Header, RequestHead, ResponseHead};
 use knapweed_world::link::Distance;
-use knapweed_world::{BackendServer, BackendServerKey, Flow, Share, Snapshot, Time};
+use knapweed_world::{BackendServer, BackendServerKey, Flow, Organisation, Share, Snapshot, Time};
 
 /// One request, with the data that all its attempts share.
 pub(super) struct Attempts<'a> {
@@ -126,11 +126,15 @@
         Err(Outcome::NotRun(NotRun::NoServer))
     }
 
+    fn organisation(&self) -> Option<&Organisation> {
+        let key = self.request.organisation;
+        key.map(|key| self.snapshot.organisation(key))
+    }
+
     /// Regions in which the request may run. The body is sent only to the node beside the
     /// chosen backend server, so it stays in these regions too.
     fn homes(&self) -> HomeRegions<'_> {
-        let organisation = self.request.organisation;
-        let organisation = organisation.map(|key| self.snapshot.organisation(key));
+        let organisation = self.organisation();
         HomeRegions {
             route: self.snapshot.route(self.request.route).homes.as_ref(),
             organisation: organisation.and_then(|o| o.homes.as_ref()),
@@ -212,7 +216,7 @@
         let now = self.ingress.dependencies.timer.now();
         let route = self.snapshot.route(self.request.route);
         let objective = self.request.objective.map(|time| time.since(now));
-        let organisation = self.request.organisation;
+        let organisation = self.organisation();
         RequestHead {
             id: SendId {
                 request: self.request.identity,
@@ -230,7 +234,8 @@
             rank: self.request.rank,
             caller_id: self.caller_id.clone(),
             origin: self.ingress.dependencies.origin.clone(),
-            organisation: organisation.map(|key| self.snapshot.organisation(key).name.clone()),
+            organisation: organisation.map(|o| o.name.clone()),
+            organisation_rate: organisation.and_then(|o| o.quota).map(|quota| quota.rate),
             depth: self.request.depth,
             content: self.subjects.content,
             rate_limit: server.load.rate_limit(),
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -50,6 +50,8 @@
     pub origin: Option<Name>,
     /// Organisation of the caller; `None` when it needs none and has none.
     pub organisation: Option<Name>,
+    /// Rate of its quota, by which the egress weights its share of the slots; `None` without one.
+    pub organisation_rate: Option<RequestRate>,
     /// Nesting depth of the request: 1 for a request of a caller, one more for each
     /// request that a backend server makes to handle another one.
     pub depth: u8,
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -37,6 +37,7 @@
         caller_id: None,
         origin: Some(name("calendar")),
         organisation: Some(name("tea-growers")),
+        organisation_rate: None,
         depth: 1,
         content: Subject([5; 16]),
         rate_limit: None,
