feat(world): a load report tells eight ranks apart

Two priorities of organisations and three of routes give six ranks besides that of nested calls; a report told four apart, so that most organisations shared the wait of the last one. The ranks themselves do not change; a route with a priority above 2 now has a wait of its own.

--- a/crates/host/tests/choice.rs
+++ b/crates/host/tests/choice.rs
@@ -6,6 +6,7 @@
 use common::{calendar, calendar_route, mesh, mesh_of, server};
 use knapweed_host::choice::{Choice, Exclusions, ExpectedTime, Options, Query, Reason, Scope};
 use knapweed_host::{NotRun, ServerChoice};
+use knapweed_world::load::RANKS;
 use knapweed_world::{Flow, LoadReport, Rank, Snapshot, Time};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -50,7 +51,7 @@
     let key = server(snapshot, host);
     let route = snapshot.route(calendar_route(snapshot));
     let report = LoadReport {
-        wait_us: [wait_ms * 1_000; 4],
+        wait_us: [wait_ms * 1_000; RANKS],
         slot_us: service_ms * 1_000 / 12,
         service_us: service_ms * 1_000,
         free,
--- a/crates/world/src/load.rs
+++ b/crates/world/src/load.rs
@@ -13,8 +13,9 @@
 )]
 pub struct Rank(pub u8);
 
-/// Number of ranks that a [`LoadReport`] distinguishes; higher ranks share the last entry.
-pub const RANKS: usize = 4;
+/// Number of ranks that a [`LoadReport`] distinguishes; higher ranks share the last entry. Enough
+/// for nested calls and two priorities of organisations with three of routes.
+pub const RANKS: usize = 8;
 
 impl Rank {
     /// The rank of a request on a route with this priority. A nested request, which
--- a/crates/world/tests/rank.rs
+++ b/crates/world/tests/rank.rs
@@ -2,6 +2,7 @@
 
 use knapweed_world::Rank;
 use knapweed_world::rank::RankTable;
+use std::collections::BTreeSet;
 use std::fmt::Write;
 
 /// Guards against ranks that change in a mesh without organisations.
@@ -31,3 +32,15 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against organisations of different priorities that share one expected wait in a report
+/// of load.
+#[test]
+fn a_report_tells_two_priorities_of_organisations_and_three_of_routes_apart() {
+    let table = RankTable::new([0, 1], [0, 1, 2]);
+    let calls = [Rank::of(0, true).index()];
+    let pairs = (0..2).flat_map(|organisation| (0..3).map(move |route| (organisation, route)));
+    let indices = pairs.map(|(organisation, route)| table.rank(organisation, route).index());
+    let all: BTreeSet<_> = calls.into_iter().chain(indices).collect();
+    assert_eq!(all.len(), 7);
+}
