--- a/crates/host/tests/choice.rs
+++ b/crates/host/tests/choice.rs
@@ -8,6 +8,7 @@
     Choice, Exclusions, ExpectedTime, HomeRegions, Options, Query, Reason, Scope,
 };
 use knapweed_host::{NotRun, ServerChoice};
+use knapweed_world::load::RANKS;
 use knapweed_world::organisation::Homes;
 use knapweed_world::snapshot::Builder;
 use knapweed_world::{Flow, LoadReport, Rank, Snapshot, Time};
@@ -55,7 +56,7 @@
     let key = server(snapshot, host);
     let route = snapshot.route(calendar_route(snapshot));
     let report = LoadReport {
-        wait_us: [wait_ms * 1_000; 4],
+        wait_us: [wait_ms * 1_000; RANKS],
         slot_us: service_ms * 1_000 / 12,
         service_us: service_ms * 1_000,
         free,
