fix(egress): no answer from an unfinished upload or an invalid status

Cause: an answer without a length ends with its connection. A backend server that gave up such an answer by closing its side while the upload was still being written delivered a whole one. Statuses from 600 to 999, which the HTTP library accepts, reached callers as answers.

Change: the end of a connection is an error while a write on it is unfinished or has failed, and the end of a body without a length is one while the request is not sent to its end. A status outside of 200 to 599 rejects the answer, as one of another request does, with its own reason in the metric.

Closes and resets, and 000, 099, 1000 and statuses without digits, were errors before as well.

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -44,6 +44,7 @@
     let allowance = Arc::new(ReadAllowance::new(stream.peer_addr()?));
     let stream = LimitedStream {
         inner: stream,
+        is_writing: false,
         allowance: Arc::clone(&allowance),
     };
     let mut builder = Builder::new();
@@ -112,6 +113,17 @@
 pub(crate) struct LimitedStream {
     inner: TcpStream,
     allowance: Arc<ReadAllowance>,
+    /// Whether the last write is unfinished or has failed. The operating system reports a reset
+    /// once: after a write has failed with it, reads end without an error.
+    is_writing: bool,
+}
+
+impl LimitedStream {
+    /// Records the result of a write of `len` bytes.
+    fn wrote(&mut self, written: Poll<io::Result<usize>>, len: usize) -> Poll<io::Result<usize>> {
+        self.is_writing = !matches!(written, Poll::Ready(Ok(written)) if written == len);
+        written
+    }
 }
 
 impl AsyncRead for LimitedStream {
@@ -122,7 +134,11 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
-        Poll::Ready(self.allowance.spend(buf.filled().len() - before))
+        let len = buf.filled().len() - before;
+        if len == 0 && self.is_writing {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        Poll::Ready(self.allowance.spend(len))
     }
 }
 
@@ -132,7 +148,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let written = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.wrote(written, buf.len())
     }
 
     fn poll_write_vectored(
@@ -140,7 +157,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.wrote(written, bufs.iter().map(|buf| buf.len()).sum())
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -7,6 +7,7 @@
 mod lost;
 mod pool;
 pub mod serve;
+mod unsized_body;
 
 use crate::body::Body;
 use crate::carrier::Response;
--- a/crates/node/src/egress/exchange.rs
+++ b/crates/node/src/egress/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::dispatcher::Slot;
 use super::pool::{Pool, PooledConnection};
+use super::unsized_body::{self, UnsizedBody};
 use crate::body::{self, Body, LimitedRead, ReadToEnd, TrackedBody};
 use crate::carrier::Response;
 use crate::guarded::CompletionGuard;
@@ -20,6 +21,7 @@
 use knapweed_world::Time;
 use knapweed_world::backend_server::Announcement;
 use std::io;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +33,8 @@
 /// Longest response, in bytes, that is buffered before any of it is forwarded.
 /// A buffered response that turns out to be truncated can still be replaced.
 const MAX_BUFFERED_RESPONSE_LEN: usize = 256 * 1024;
+/// Statuses of a final response (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Attempts to find a connection that the backend server has not closed before
 /// anything was sent on it.
 const MAX_STALE_CONNECTIONS: usize = 3;
@@ -143,6 +147,10 @@
         running: RunningExchange,
     ) -> Result<Response, Outcome> {
         let (parts, incoming) = response.into_parts();
+        if !FINAL_STATUSES.contains(&parts.status.as_u16()) {
+            return Err(self.reject(Mismatch::InvalidStatus, parts.status));
+        }
+        let is_unsized = unsized_body::ends_with_connection(&parts.headers, &incoming);
         match self.protocol.interpret(&self.head, &parts) {
             ServerAnswer::Answered => (self.observe)(self.protocol.notice(&parts)),
             ServerAnswer::Refused(reason) => {
@@ -169,7 +177,7 @@
             retry_after_us: None,
             load: None,
         };
-        let body = self.response_body(incoming, running).await?;
+        let body = self.response_body(incoming, is_unsized, running).await?;
         Ok(Response { head, body })
     }
 }
@@ -179,13 +187,17 @@
     async fn response_body(
         &self,
         incoming: Incoming,
+        is_unsized: bool,
         mut running: RunningExchange,
     ) -> Result<Body, Outcome> {
         if hyper::body::Body::is_end_stream(&incoming) {
             running.complete();
             return Ok(body::empty());
         }
-        let incoming = incoming.map_err(io::Error::other).boxed_unsync();
+        let mut incoming = incoming.map_err(io::Error::other).boxed_unsync();
+        if is_unsized {
+            incoming = UnsizedBody::new(incoming, running.request_end.clone()).boxed();
+        }
         let incoming = match &running.pooled {
             Some(pooled) => {
                 let allowance = pooled.allowance();
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -82,15 +82,18 @@
     ReservedStatus,
     /// It is a refusal that names no request, and not the first response on its connection.
     UnnamedRefusal,
+    /// Its status is not one of a final response.
+    InvalidStatus,
 }
 
 impl Mismatch {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::OtherRequest,
         Self::Unsigned,
         Self::ReservedStatus,
         Self::UnnamedRefusal,
+        Self::InvalidStatus,
     ];
 
     /// The reason as a value of a metric's label.
@@ -100,6 +103,7 @@
             Self::Unsigned => "unsigned",
             Self::ReservedStatus => "reserved-status",
             Self::UnnamedRefusal => "unnamed-refusal",
+            Self::InvalidStatus => "invalid-status",
         }
     }
 
@@ -110,6 +114,7 @@
             Self::Unsigned => "it has no signature",
             Self::ReservedStatus => "its status is that of a refusal, which it does not name",
             Self::UnnamedRefusal => "it may repeat an earlier refusal on the connection",
+            Self::InvalidStatus => "its status is not one of a final response",
         }
     }
 }
