feat(host): refuse early what cannot run in time, and say when to return

Callers whose request a server itself refused were told to return after 150 to 450 ms, whatever they had left.

Change: the expected wait of a rank includes the work of preceding ranks (Cobham). A late request is queued only if its turn is due within its wait. Only the first try of a request probes. A refusal without an estimate names a quarter of the time to the objective, at most 300 ms, with jitter.

--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -5,6 +5,7 @@
 
 mod flows;
 pub mod objective_queue;
+mod preceding;
 mod queue_position;
 pub mod rate_limit;
 mod shares;
--- a/crates/host/src/admission/objective_queue.rs
+++ b/crates/host/src/admission/objective_queue.rs
@@ -7,6 +7,8 @@
 //! - Sustained overload: a request that cannot meet its objective is refused as
 //!   soon as that is known, with a time to retry after, instead of staying in the
 //!   queue until every request is late.
+//! - Steady requests of a higher rank beside many of a lower one: the expected wait of the
+//!   lower rank includes the requests that will arrive ahead of it.
 //! - Nested calls of backend servers: they run first, since the requests that wait
 //!   for them hold slots elsewhere; after them, requests run by priority.
 //! - One route, or one organisation, with far more requests than the others of its rank:
@@ -17,6 +19,7 @@
 //!   like for a slot, and ingresses learn of the longer wait.
 
 use super::flows::Flows;
+use super::preceding::PrecedingWork;
 use super::queue_position::{Class, FIRST_LATE, QueuePosition};
 use super::rate_limit::TokenBucket;
 use super::shares::{Shares, Turn, UnitKey};
@@ -105,6 +108,7 @@
     expiries: BTreeSet<(Time, WaiterKey)>,
     flows: Flows,
     shares: Shares,
+    preceding: PrecedingWork,
     arrivals: u64,
     /// By rank, the earliest time at which the next refused caller is told to retry.
     retry_times: [Time; RANKS],
@@ -125,6 +129,7 @@
             expiries: BTreeSet::new(),
             flows: Flows::default(),
             shares: Shares::default(),
+            preceding: PrecedingWork::default(),
             arrivals: 0,
             retry_times: [Time(0); RANKS],
             bucket: None,
@@ -216,7 +221,7 @@
             .saturating_sub(self.running)
             .min(self.available_tokens());
         if free == 0 {
-            let mut ahead = [1; RANKS];
+            let mut ahead = [0; RANKS];
             for waiter in self.waiters.values() {
                 let first = match waiter.position.class {
                     Class::OnTime => waiter.rank.index(),
@@ -225,7 +230,10 @@
                 };
                 ahead.iter_mut().skip(first).for_each(|n| *n += 1);
             }
-            wait_us = ahead.map(|n| self.slot_time_us().saturating_mul(n) as u32);
+            for (index, wait) in wait_us.iter_mut().enumerate() {
+                let rank = Rank(index as u8);
+                *wait = self.expected_wait(ahead[index], rank).as_micros() as u32;
+            }
         }
         LoadReport {
             wait_us,
@@ -295,9 +303,10 @@
         slot_us.max(token_us)
     }
 
-    /// Expected wait of a request with `ahead` others before it.
-    fn expected_wait(&self, ahead: usize) -> Duration {
-        Duration::from_micros(self.slot_time_us() * (ahead as u64 + 1))
+    /// Expected wait of a request of `rank` with `ahead` others before it.
+    fn expected_wait(&self, ahead: usize, rank: Rank) -> Duration {
+        let wait = Duration::from_micros(self.slot_time_us() * (ahead as u64 + 1));
+        self.preceding.stretch(wait, rank)
     }
 }
 
@@ -306,7 +315,8 @@
     fn enqueue(&mut self, arrival: Arrival, now: Time) -> Verdict {
         let waiter = self.waiter(&arrival, now);
         let ahead = self.order.range(..waiter.position).count();
-        let expected = now.after(self.expected_wait(ahead) + self.flows.high_estimate(waiter.flow));
+        let expected = now
+            .after(self.expected_wait(ahead, waiter.rank) + self.flows.high_estimate(waiter.flow));
         let is_full = ahead >= self.options.max_queued;
         if expected <= waiter.objective && !is_full {
             let key = self.insert(waiter);
@@ -405,7 +415,8 @@
         };
         let key = *key;
         let waiter = self.waiters[key];
-        let expected = now.after(self.expected_wait(ahead) + self.flows.high_estimate(waiter.flow));
+        let expected = now
+            .after(self.expected_wait(ahead, waiter.rank) + self.flows.high_estimate(waiter.flow));
         let is_too_long = self.waiters.len() > self.options.max_queued;
         match expected > waiter.objective || is_too_long {
             true => self.demote_or_shed(key, now).into_iter().collect(),
@@ -432,17 +443,24 @@
     fn to_late(&self, waiter: Waiter, now: Time) -> Option<Waiter> {
         let late = self.order.range(FIRST_LATE..).count();
         let end = now.after(self.flows.high_estimate(waiter.flow));
+        let position = QueuePosition {
+            class: Class::Late,
+            ..waiter.position
+        };
+        let longest = waiter.deadline.since(end) / LATE_WAIT_DIVISOR;
+        let others = self.order.range(..position);
+        let ahead = others.filter(|(at, _)| **at != waiter.position).count();
         let may_wait = waiter.has_objective
             && waiter.position.class == Class::OnTime
             && self.waiters.len() <= self.options.max_queued
             && late < LATE_PER_SLOT * usize::from(self.options.slots)
-            && end < waiter.deadline;
+            && end < waiter.deadline
+            // It would be refused at the end of its wait, when its caller has less time
+            // left for another attempt.
+            && self.expected_wait(ahead, waiter.rank) <= longest;
         may_wait.then(|| Waiter {
-            position: QueuePosition {
-                class: Class::Late,
-                ..waiter.position
-            },
-            latest_start: now.after(waiter.deadline.since(end) / LATE_WAIT_DIVISOR),
+            position,
+            latest_start: now.after(longest),
             ..waiter
         })
     }
@@ -455,7 +473,7 @@
             return NotRun::DeadlinePassed.into();
         }
         let ahead = self.order.range(..waiter.position).count();
-        if self.expected_wait(ahead) < self.flows.high_estimate(waiter.flow) {
+        if self.expected_wait(ahead, waiter.rank) < self.flows.high_estimate(waiter.flow) {
             // Its own service time makes it late rather than the queue.
             self.flows.decay(waiter.flow);
         }
@@ -473,7 +491,7 @@
         let service = self.flows.high_estimate(waiter.flow);
         let ahead = self.order.range(..waiter.position).count();
         let left = waiter.objective.since(now);
-        let delay = (self.expected_wait(ahead) + service).saturating_sub(left);
+        let delay = (self.expected_wait(ahead, waiter.rank) + service).saturating_sub(left);
         let rank = waiter.rank.index();
         let first = now.after(delay.max(service / 2));
         let retry_times = self.retry_times.iter().take(rank + 1).copied();
@@ -503,6 +521,8 @@
         let key = *key;
         let waiter = self.remove(key)?;
         self.shares.start(waiter.rank, waiter.turn);
+        let work_us = self.flows.usual_us(waiter.flow);
+        self.preceding.record_start(waiter.rank, work_us);
         self.start(waiter.flow);
         Some(key)
     }
--- a/crates/host/src/choice.rs
+++ b/crates/host/src/choice.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Whether this is the first try of the request.
+    pub fn is_empty(&self) -> bool {
+        self.entries.iter().all(Option::is_none)
+    }
+
     /// Whether `server` is excluded, by itself or with its version.
     pub fn contains(&self, snapshot: &Snapshot, server: BackendServerKey) -> bool {
         self.entries
--- a/crates/host/src/choice/expected_time.rs
+++ b/crates/host/src/choice/expected_time.rs
@@ -13,6 +13,7 @@
 //!   passes: they get fewer requests, and more again as the failures age.
 //! - A host that does not answer: its backend servers get no requests for a
 //!   period, which doubles each time, and then a single probe.
+//! - Many backend servers that are down at once: a request probes at most one of them.
 //! - A backend server that has said in an answer that it is shutting down gets no more
 //!   requests from the hosts that passed on the answer, whatever its host announces.
 //! - Large responses that fill the link of a host: the wait for that link is part of the
@@ -306,7 +307,13 @@
 
     /// A backend server to probe: one whose block has ended, or, at random, one whose
     /// last load report is outdated.
+    ///
+    /// Only the first try of a request probes. While several servers are down, each further
+    /// try could otherwise meet another of them, until the request has no tries left.
     fn probe(&mut self, version: &ServedVersion) -> Option<Choice> {
+        if !self.query.excluded.is_empty() {
+            return None;
+        }
         let near = &version.servers[..=OTHER_ZONE];
         let mut blocked = near.iter().flatten().filter(|key| {
             let load = &self.snapshot.backend_server(**key).load;
--- a/crates/host/src/request.rs
+++ b/crates/host/src/request.rs
@@ -167,6 +167,12 @@
 }
 
 impl Request {
+    /// Time until the objective, or until the deadline once the objective has passed.
+    pub fn time_left(&self, now: Time) -> Duration {
+        let objective = self.objective.filter(|objective| *objective > now);
+        objective.unwrap_or(self.deadline).since(now)
+    }
+
     /// Determines route, service, identity, deadline, objective and depth.
     ///
     /// # Errors
--- a/crates/host/src/retry.rs
+++ b/crates/host/src/retry.rs
@@ -226,6 +226,27 @@
     }
 }
 
+/// Maximum mean time to retry after, where no estimate of the capacity exists.
+const MAX_RETURN_WAIT: Duration = Duration::from_millis(300);
+/// A caller is told to return after 1 in this many parts of the time that it has left, so
+/// that most of the time remains for its next attempt.
+const RETURN_WAIT_DIVISOR: u32 = 4;
+
+/// Time after which a caller whose request was refused is told to return, where nobody has
+/// estimated when there is capacity.
+///
+/// Load pattern: backend servers refuse part of their requests by themselves. A caller
+/// that returns within its objective can still get a response of full value. `left` is the
+/// time until the objective, or until the deadline once the objective has passed; `None`
+/// for a request that was not parsed. `jitter`, from 0 to 1, spreads the callers over half
+/// to one and a half times the mean.
+pub fn return_wait(left: Option<Duration>, jitter: f64) -> Duration {
+    let mean = left.map_or(MAX_RETURN_WAIT, |left| {
+        (left / RETURN_WAIT_DIVISOR).min(MAX_RETURN_WAIT)
+    });
+    mean.mul_f64(0.5 + jitter)
+}
+
 fn may_run_again(failure: &Failure) -> bool {
     match failure.outcome {
         Outcome::Answered(Answer::Complete) => false,
--- a/crates/host/tests/admission.rs
+++ b/crates/host/tests/admission.rs
@@ -379,3 +379,52 @@
         model.arrive(slow, Time(model.now.0 + 100_000));
     }
 }
+
+/// Guards against requests that wait for nothing: a late request whose turn is not due
+/// within its wait must be refused on arrival, so that its caller can still go elsewhere
+/// (load pattern: a load above the capacity for seconds).
+#[test]
+fn a_late_request_is_queued_only_if_its_turn_is_due() {
+    let mut queue = busy_queue();
+    // A slot becomes free each 100 ms; a late request with this deadline waits up to 225 ms.
+    let late = Arrival {
+        deadline: ms(1_200),
+        ..with_objective(Rank(1), ms(50))
+    };
+    for _ in 0..2 {
+        queued(queue.arrive(with_objective(Rank(1), ms(900)), ms(0)));
+    }
+    assert!(matches!(queue.arrive(late, ms(0)), Verdict::Shed(_)));
+}
+
+/// Guards against requests of a low rank that are queued although arrivals of higher ranks
+/// will pass them (load pattern: half of the work is of a higher rank, all the time).
+#[test]
+fn the_wait_includes_arrivals_of_higher_ranks() {
+    let mut queue = busy_queue();
+    let wait_before = queue.load(Flow(1)).wait_us;
+    let (mut now, took) = (ms(0), Some(Duration::from_millis(100)));
+    for _ in 0..100 {
+        for rank in [Rank(1), Rank(2)] {
+            let objective = now.after(Duration::from_secs(2));
+            queue.arrive(
+                Arrival {
+                    deadline: objective,
+                    ..with_objective(rank, objective)
+                },
+                now,
+            );
+        }
+        for _ in 0..2 {
+            now = now.after(Duration::from_millis(100));
+            queue.finish(Flow(1), took, now);
+        }
+    }
+    let wait = queue.load(Flow(1)).wait_us;
+    assert_eq!(wait[1], wait_before[1]);
+    let ratio = f64::from(wait[2]) / f64::from(wait_before[2]);
+    assert!(
+        (1.7..=2.3).contains(&ratio),
+        "{wait:?} after {wait_before:?}"
+    );
+}
--- a/crates/host/tests/choice.rs
+++ b/crates/host/tests/choice.rs
@@ -346,3 +346,27 @@
     let choice = ExpectedTime::default().choose(&snapshot, &query(&snapshot, &excluded));
     assert_eq!(choice, Err(NotRun::NoServer));
 }
+
+/// Guards against a request that spends all its tries on backend servers that are down:
+/// when several of them are due for a probe at once, it may meet one only (load pattern: a
+/// tenth of the backend servers crash).
+#[test]
+fn a_request_probes_at_most_one_dead_server() {
+    let snapshot = free_mesh();
+    let long_ago = NOW.before(std::time::Duration::from_secs(1));
+    let dead = ["a1-v1", "a2-v1"].map(|host| server(&snapshot, host));
+    for key in dead {
+        snapshot
+            .backend_server(key)
+            .load
+            .record_unreachable(long_ago);
+    }
+    let choice = ExpectedTime::new(without_probes());
+    let mut excluded = Exclusions::default();
+    let first = choice.choose(&snapshot, &query(&snapshot, &excluded));
+    let first = first.expect("a backend server");
+    assert_eq!(first.reason, Reason::Probe);
+    excluded.add(first.server, Scope::Server);
+    let second = choice.choose(&snapshot, &query(&snapshot, &excluded));
+    assert!(!dead.contains(&second.expect("a backend server").server));
+}
--- a/crates/host/tests/retry.rs
+++ b/crates/host/tests/retry.rs
@@ -1,12 +1,13 @@
 //! Which failures are retried, and how many times.
 
-use knapweed_host::retry::{Body, Decision, Failure, Options, RetryPolicy, Stop};
+use knapweed_host::retry::{Body, Decision, Failure, Options, RetryPolicy, Stop, return_wait};
 use knapweed_host::{Answer, NotRun, Outcome, Unknown};
 use knapweed_world::Time;
 use knapweed_world::service::RetryTokens;
 use std::fmt::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 fn failure(outcome: Outcome) -> Failure {
     Failure {
@@ -178,3 +179,15 @@
     let shed = failure(Outcome::NotRun(NotRun::ShedByServer));
     assert_eq!(policy.decide(&shed, &tokens, Time(0)), Decision::Retry);
 }
+
+/// Guards against callers that are told to return only after their objective, and
+/// against callers that return all at once (load pattern: backend servers refuse half of
+/// their requests by themselves).
+#[test]
+fn callers_return_within_their_objective() {
+    let left = Duration::from_millis(400);
+    assert_eq!(return_wait(Some(left), 0.0), Duration::from_millis(50));
+    assert_eq!(return_wait(Some(left), 1.0), Duration::from_millis(150));
+    let long = Duration::from_secs(60);
+    assert_eq!(return_wait(Some(long), 0.5), return_wait(None, 0.5));
+}
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -19,6 +19,7 @@
 use http::{HeaderMap, Method, Uri};
 use knapweed_host::crash::{CrashSubjects, Subject};
 use knapweed_host::request::{Error, IncomingRequest, Request};
+use knapweed_host::retry::return_wait;
 use knapweed_host::{ByteBudget, Drain, NotRun, Outcome, RetryPolicy, ServerChoice, WaitEstimator};
 use knapweed_link::LinkBudget;
 use knapweed_timer::TimerService;
@@ -120,7 +121,7 @@
         let mut log = IngressLog::new(&snapshot, &self.dependencies.timer);
         log.set_caller_id(self.dependencies.protocol.id(&request.headers));
         let parsed = self.parse(&snapshot, &request, start);
-        let service = parsed.as_ref().ok().map(|(parsed, _)| parsed.service);
+        let accepted = parsed.as_ref().ok().map(|(parsed, _)| parsed.clone());
         let result = match parsed {
             Ok((parsed, fields)) => {
                 log.set_request(&parsed);
@@ -139,12 +140,15 @@
             }
         };
         let mut response = result.unwrap_or_else(Response::without_answer);
-        set_default_retry_after(&mut response);
+        let left = accepted
+            .as_ref()
+            .map(|request| request.time_left(self.dependencies.timer.now()));
+        set_default_retry_after(&mut response, left);
         log.record_outcome(&response.head);
         let latency = self.dependencies.timer.now().since(start);
         self.dependencies.metrics.count(&response.head, latency);
-        if let Some(service) = service {
-            let service = snapshot.service(service);
+        if let Some(accepted) = accepted {
+            let service = snapshot.service(accepted.service);
             metrics::count_service(&service.counters, &response.head, latency);
         }
         response
@@ -162,7 +166,7 @@
     /// Refuses a request before it is matched to a route.
     pub(crate) fn refuse(&self, request: &CallerRequest, reason: NotRun) -> Response {
         let mut response = Response::without_answer(Outcome::NotRun(reason));
-        set_default_retry_after(&mut response);
+        set_default_retry_after(&mut response, None);
         let snapshot = self.dependencies.snapshots.load();
         let mut log = IngressLog::new(&snapshot, &self.dependencies.timer);
         log.set_caller_id(self.dependencies.protocol.id(&request.headers));
@@ -277,21 +281,15 @@
     }
 }
 
-/// Default time after which a refused request may be sent again, when no backend
-/// server sent one. By then other hosts and backend servers have replaced one that
-/// has shut down.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// HTTP status of a refusal after which the caller may send the same request again.
 const UNAVAILABLE: u16 = 503;
 
 /// Sets the retry time of a refused request that may succeed later, if it has none.
-/// The default has a jitter of half its value, so that callers who were refused
-/// together do not retry together.
-fn set_default_retry_after(response: &mut Response) {
+/// `left` is the time that its caller has left; `None` for a request that was not parsed.
+fn set_default_retry_after(response: &mut Response, left: Option<Duration>) {
     let head = &mut response.head;
     if matches!(head.outcome, Outcome::NotRun(reason) if reason.status() == UNAVAILABLE) {
-        let wait = RETRY_AFTER.mul_f64(rand::random_range(0.5..1.5));
+        let wait = return_wait(left, rand::random());
         head.retry_after_us.get_or_insert(wait.as_micros() as u64);
     }
 }
