--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -6,6 +6,7 @@
 pub mod cold_limit;
 mod flows;
 pub mod objective_queue;
+mod preceding;
 mod queue_position;
 pub mod rate_limit;
 mod shares;
--- a/crates/host/src/choice.rs
+++ b/crates/host/src/choice.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Whether this is the first try of the request.
+    pub fn is_empty(&self) -> bool {
+        self.entries.iter().all(Option::is_none)
+    }
+
     /// Whether `server` is excluded, by itself, with its version or with its zone.
     pub fn contains(&self, snapshot: &Snapshot, server: BackendServerKey) -> bool {
         self.entries
