feat(host): quotas of organisations over all hosts

Cause: callers of one organisation are on a few of many hosts, and move. A fixed share for each host refuses most of what is inside the quota, and a holder that decides needs a message for each request.

Change: hosts mint tokens that are conserved and expire, and exchange them through a pool on one host. A host may overdraw by up to three requests while the supply is known to be ample. The bound on admitted requests holds for lost, repeated and late messages, several holders, restarts and hosts that stand still.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod inquiry;
 pub mod outcome;
 pub mod peer_health;
+pub mod quota;
 pub mod registration;
 pub mod request;
 pub mod retry;
--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -75,6 +75,8 @@
     UnknownCredential,
     /// The credential of the request is not found, and the node may not know all of them.
     UnverifiedCredential,
+    /// The organisation has used up its quota.
+    QuotaExceeded,
 }
 
 /// Why it is not known whether a send ran.
@@ -131,7 +133,7 @@
 
 impl NotRun {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::NoRoute,
         Self::OutdatedConfig,
         Self::InvalidHeader,
@@ -154,6 +156,7 @@
         Self::TooLongToForward,
         Self::UnknownCredential,
         Self::UnverifiedCredential,
+        Self::QuotaExceeded,
     ];
 
     /// HTTP status of the response.
@@ -165,6 +168,7 @@
             Self::InvalidHeader | Self::InvalidBody => 400,
             Self::UnknownCredential => 401,
             Self::NoRoute => 404,
+            Self::QuotaExceeded => 429,
             Self::HeadersTooLong => 431,
             _ => 503,
         }
@@ -215,6 +219,7 @@
             Self::TooLongToForward => "too-long-to-forward",
             Self::UnknownCredential => "unknown-credential",
             Self::UnverifiedCredential => "unverified-credential",
+            Self::QuotaExceeded => "quota-exceeded",
         }
     }
 
@@ -246,6 +251,7 @@
             Self::UnverifiedCredential => {
                 "the credential is not found, but the node may not know all of them"
             }
+            Self::QuotaExceeded => "the organisation has used up its quota",
             Self::BodyLost => "the connection of the caller ended before the request body",
         }
     }
--- /dev/null
+++ b/crates/host/tests/quota/main.rs
@@ -0,0 +1,5 @@
+//! Quotas over all hosts: the limit holds, and what is inside it is not refused.
+
+mod properties;
+mod replays;
+mod sim;
--- a/crates/world/src/organisation.rs
+++ b/crates/world/src/organisation.rs
@@ -1,10 +1,11 @@
 //! Organisations: the customers whose callers share the mesh, with their credentials
 //! and quotas.
 
-use crate::{Name, RegionKey, RequestRate};
+use crate::{Name, QuotaTokens, RegionKey, RequestRate};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use std::fmt;
 use std::str::FromStr;
+use std::sync::Arc;
 
 /// Length of a [`CredentialDigest`], in bytes.
 const DIGEST_LEN: usize = 16;
@@ -122,6 +123,8 @@
     pub priority: u8,
     /// Limit on its requests; `None` without one.
     pub quota: Option<Quota>,
+    /// Tokens of its quota on the local host, shared between snapshots.
+    pub tokens: Arc<QuotaTokens>,
     /// Regions in which its requests may run; `None` for all.
     pub homes: Option<Homes>,
 }
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -10,8 +10,8 @@
 use crate::service::{RetryTokens, ServedVersion};
 use crate::{
     BackendServer, BackendServerKey, Config, CredentialDigest, Flow, Host, HostKey, Link, Name,
-    Organisation, OrganisationKey, Region, RegionKey, Route, ServerLoad, ServerState, Service,
-    ServiceCounters, ServiceKey, Zone, ZoneKey,
+    Organisation, OrganisationKey, QuotaTokens, Region, RegionKey, Route, ServerLoad, ServerState,
+    Service, ServiceCounters, ServiceKey, Zone, ZoneKey,
 };
 use bytes::Bytes;
 
@@ -37,6 +37,7 @@
     shares: BTreeMap<Name, Vec<VersionShare>>,
     loads: HashMap<ServerId, Arc<ServerLoad>>,
     retained: HashMap<Name, RetainedStats>,
+    quota_tokens: HashMap<Name, Arc<QuotaTokens>>,
 }
 
 /// Statistics of a service that carry over from one snapshot to the next.
@@ -57,6 +58,7 @@
             shares: BTreeMap::new(),
             loads: HashMap::new(),
             retained: HashMap::new(),
+            quota_tokens: HashMap::new(),
         }
     }
 
@@ -73,8 +75,8 @@
         self
     }
 
-    /// Carries over the statistics of backend servers and services that exist in
-    /// `previous` as well.
+    /// Carries over the statistics of backend servers and services, and the tokens of
+    /// organisations, that exist in `previous` as well.
     pub fn previous(mut self, previous: &Snapshot) -> Self {
         self.loads.clone_from(&previous.loads);
         let services = previous.arenas.services.values();
@@ -83,6 +85,10 @@
             retry_tokens: Arc::clone(&s.retry_tokens),
         };
         self.retained = services.map(|s| (s.name.clone(), retained(s))).collect();
+        let organisations = previous.arenas.organisations.values();
+        self.quota_tokens = organisations
+            .map(|o| (o.name.clone(), Arc::clone(&o.tokens)))
+            .collect();
         self
     }
 
@@ -104,7 +110,7 @@
         }
         draft.retain_notices(self.loads);
         draft.add_routes(self.config)?;
-        draft.add_organisations(self.config);
+        draft.add_organisations(self.config, &self.quota_tokens);
         Ok(draft.finish(self.config, local))
     }
 }
@@ -266,12 +272,13 @@
 
     /// Adds the organisations. A credential that two of them hold belongs to the first by
     /// name, on all nodes alike.
-    fn add_organisations(&mut self, config: &Config) {
+    fn add_organisations(&mut self, config: &Config, tokens: &HashMap<Name, Arc<QuotaTokens>>) {
         for (name, organisation) in &config.organisations {
             let key = self.arenas.organisations.insert(Organisation {
                 name: name.clone(),
                 priority: organisation.priority,
                 quota: organisation.quota,
+                tokens: tokens.get(name).cloned().unwrap_or_default(),
                 homes: self.homes(&organisation.home_regions),
             });
             for credential in &organisation.credentials {
