feat(node): exchange quota tokens between nodes and refuse beyond the quota with 429

Cause: the decisions on quotas need messages, settings and a place on the path of a request.

Change: a stream message Quotas and the duty quotas; the control thread mints, exchanges and logs; the ingress admits through the trait QuotaGate after the access decision, gives tokens of requests that have not run back, and takes another one for a retry whose last send may have run. The tolerance comes from the platform's bounds and from three settings of the native node.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -39,6 +39,7 @@
     let listener = listen(options.operators).await?;
     let node = Node::builder(node_identity(&options))
         .region_bytes_per_s(options.region_bytes_per_s)
+        .quota_tolerance(options.quota_tolerance)
         .start(adapters)
         .await?;
     let policy = Policy {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,5 +1,6 @@
 //! Schema of the node's settings file, and its checked options.
 
+use knapweed_host::quota::Tolerance;
 use knapweed_observe::settings as log_settings;
 use knapweed_settings::{Errors, Key, Schema, Settings};
 use knapweed_transport::tls::Files;
@@ -58,6 +59,18 @@
         .unit("bytes/s")
         .doc("Bytes of calls that this node may send to another region.");
 
+const QUOTA_WINDOW: Key<Duration> = Key::milliseconds(LIMITS, "quota_window_ms", 1_000, 60_000)
+    .default("5000")
+    .doc("Window in which the requests of an organisation are compared with its quota.");
+const QUOTA_EXCESS: Key<u64> = Key::integer(LIMITS, "quota_excess_percent", 0, 100)
+    .default("10")
+    .unit("%")
+    .doc("Share of its quota by which an organisation may exceed it in a window.");
+const QUOTA_REQUESTS: Key<u64> = Key::integer(LIMITS, "quota_excess_requests", 0, 1_000_000)
+    .default("20")
+    .unit("requests")
+    .doc("Requests of an organisation beyond that in a window, over all nodes.");
+
 /// Returns the schema of the settings file.
 pub fn schema() -> Schema {
     let node = [HOST.spec, ZONE.spec, REGION.spec, SEEDS.spec, THREADS.spec];
@@ -73,7 +86,16 @@
             "Defaults of tickets.",
             &[CAUTION.spec, DEADLINE.spec],
         )
-        .section(LIMITS, "Limits.", &[REGION_BYTES.spec]);
+        .section(
+            LIMITS,
+            "Limits.",
+            &[
+                REGION_BYTES.spec,
+                QUOTA_WINDOW.spec,
+                QUOTA_EXCESS.spec,
+                QUOTA_REQUESTS.spec,
+            ],
+        );
     log_settings::add_section(schema)
 }
 
@@ -109,6 +131,8 @@
     pub deadline: Duration,
     /// Bytes of calls that the node may send to another region, per second.
     pub region_bytes_per_s: u64,
+    /// How far the requests of an organisation may exceed its quota.
+    pub quota_tolerance: Tolerance,
     /// All settings of the file, from which logging is configured.
     pub settings: Settings,
 }
@@ -144,6 +168,11 @@
         },
         deadline: settings.get(&DEADLINE),
         region_bytes_per_s: settings.get(&REGION_BYTES),
+        quota_tolerance: Tolerance {
+            window: settings.get(&QUOTA_WINDOW),
+            share: settings.get(&QUOTA_EXCESS) as f64 / 100.0,
+            requests: settings.get(&QUOTA_REQUESTS) as u32,
+        },
         settings,
     })
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -12,6 +12,7 @@
 mod orders;
 pub mod part_history;
 pub mod query;
+mod quotas;
 pub mod registry;
 pub mod reports;
 pub mod restored;
@@ -33,6 +34,7 @@
 pub use event::ControlHandle;
 pub(crate) use event::Event;
 use knapweed_host::RetryPolicy;
+use knapweed_host::quota::Tolerance;
 use knapweed_observe::part;
 use knapweed_store::ObjectStore;
 use knapweed_timer::TimerService;
@@ -43,6 +45,7 @@
 use knapweed_zone::{Epidemic, Membership, membership};
 use loads::{LoadWaiter, Loads};
 use orders::OrderWatch;
+use quotas::Quotas;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use registry::Registry;
@@ -79,6 +82,8 @@
     pub trials: Arc<Trials>,
     /// Retry policy, whose burst is divided among all nodes.
     pub retries: Arc<RetryPolicy>,
+    /// How far requests may exceed the quota of an organisation.
+    pub quota_tolerance: Tolerance,
     /// Clock and timers of the node.
     pub timer: TimerService,
     /// Set once the node has reached its version floor and may serve callers.
@@ -113,6 +118,7 @@
     /// Receivers of rollout states.
     rollout_peers: Epidemic,
     verdicts: VerdictCalls,
+    quotas: Quotas,
     /// Recent tickets that are known to have a final result.
     finished_tickets: BTreeSet<TicketNumber>,
     /// Eras of the object store.
@@ -178,6 +184,7 @@
             orders: OrderWatch::default(),
             results: PendingResults::default(),
             verdicts: VerdictCalls::default(),
+            quotas: Quotas::default(),
             crash_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             rollout_peers: Epidemic::new(now, SmallRng::seed_from_u64(rand::random())),
             finished_tickets: BTreeSet::new(),
@@ -251,6 +258,7 @@
         self.result_tick(now);
         self.spread_crashes(now);
         self.verdict_tick(now);
+        self.quota_tick(now);
         for announcement in self.dependencies.egress.take_leaving() {
             self.announcement_received(now, announcement);
         }
@@ -284,6 +292,7 @@
             Event::Ordered(orders) => self.orders_received(now, orders),
             Event::Reported { service, ticket } => self.order_reported(now, &service, ticket),
             Event::FinalResultWritten(ticket) => self.final_result_written(now, ticket),
+            Event::QuotaReply(reply) => self.tokens_received(now, &reply),
             Event::Query(query) => self.answer_query(query),
             Event::Floor(event) => self.floor_event(now, event),
             Event::Registered(entries) => self.registry_read(entries),
@@ -347,6 +356,7 @@
         if version > before {
             log::info!(target: part::CONFIG, "version {version} is in force on this node");
             let now = self.now();
+            self.apply_quotas(now);
             self.member_event(now, membership::Event::ConfigApplied(version));
             self.floor_event(now, floor_decision::Event::Fetched(version));
         }
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -5,6 +5,7 @@
 use crate::orders::Order;
 use crate::source::{Error, LoadedConfig, SourceUpdate};
 use bytes::Bytes;
+use knapweed_host::quota::ExchangeReply;
 use knapweed_link::Delta;
 use knapweed_rollout::RolloutState;
 use knapweed_transport::IncomingStream;
@@ -102,6 +103,8 @@
     },
     /// The final result of a ticket has been written.
     FinalResultWritten(TicketNumber),
+    /// The holder of the token pool has replied.
+    QuotaReply(Box<ExchangeReply>),
     /// A query from another thread.
     Query(Query),
     /// The node starts its graceful stop.
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -34,6 +34,9 @@
             StreamHead::Floor { host } => self.reply_with_floor(&host, incoming),
             StreamHead::Crashes(records) => self.dependencies.egress.merge_crashes(records),
             StreamHead::CompareCrashes(digest) => self.reply_with_crashes(incoming, digest),
+            StreamHead::Quotas { host, request } => {
+                self.reply_with_tokens(now, &host, &request, incoming);
+            }
             // Passed to the egress before they reach the control thread.
             StreamHead::Request(_) | StreamHead::Inquire { .. } => {}
         }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -3,6 +3,8 @@
 mod attempt;
 pub mod handler;
 pub mod metrics;
+pub mod quota;
+pub mod quota_metrics;
 pub mod service_metrics;
 
 use crate::body::{
@@ -26,6 +28,7 @@
 use knapweed_world::route::DRAWS;
 use knapweed_world::{Name, OrganisationKey, Snapshot, SnapshotCell, Time};
 use metrics::IngressMetrics;
+use quota::{Permit, QuotaGate};
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -55,6 +58,8 @@
     pub origin: Option<Name>,
     /// Chooses a backend server for each attempt.
     pub choice: Box<dyn ServerChoice>,
+    /// Decides whether a request is inside the quota of its organisation.
+    pub quotas: Box<dyn QuotaGate>,
     /// Knows which requests crash backend servers.
     pub crashes: Arc<dyn CrashRecorder>,
     /// Sends requests to the backend servers of this host.
@@ -130,7 +135,7 @@
                 let checked = organisation.and_then(|_| self.check_deadline(start, &parsed));
                 match checked {
                     Ok(()) => {
-                        self.try_run(&snapshot, parsed, fields, request, &mut log)
+                        self.run_in_quota(&snapshot, parsed, fields, request, &mut log)
                             .await
                     }
                     Err(reason) => Err(Outcome::NotRun(reason)),
@@ -175,6 +180,43 @@
         response
     }
 
+    /// Runs a request if it is inside the quota of its organisation. One that has not run
+    /// does not count.
+    async fn run_in_quota(
+        &self,
+        snapshot: &Snapshot,
+        parsed: Request,
+        fields: CallerFields,
+        request: CallerRequest,
+        log: &mut IngressLog<'_>,
+    ) -> Result<Response, Outcome> {
+        let permit = match self.admit(snapshot, &parsed) {
+            Ok(permit) => permit,
+            Err(wait) => return Ok(beyond_quota(wait)),
+        };
+        let result = self.try_run(snapshot, parsed, fields, request, log).await;
+        let outcome = match &result {
+            Ok(response) => response.head.outcome,
+            Err(outcome) => *outcome,
+        };
+        if matches!(outcome, Outcome::NotRun(_)) {
+            permit.give_back();
+        }
+        result
+    }
+
+    /// Takes a token for a request of a caller. Nested requests belong to one that has taken
+    /// a token.
+    fn admit(&self, snapshot: &Snapshot, request: &Request) -> Result<Permit, Duration> {
+        match request.organisation {
+            Some(organisation) if !request.is_nested => {
+                let now = self.dependencies.timer.now();
+                self.dependencies.quotas.admit(snapshot, organisation, now)
+            }
+            _ => Ok(Permit::default()),
+        }
+    }
+
     async fn try_run(
         &self,
         snapshot: &Snapshot,
@@ -259,6 +301,13 @@
     organisation.map_err(access::Error::reason)
 }
 
+/// The response to a request beyond the quota, with the time after which to come back.
+fn beyond_quota(wait: Duration) -> Response {
+    let mut response = Response::without_answer(Outcome::NotRun(NotRun::QuotaExceeded));
+    response.head.retry_after_us = Some(wait.as_micros() as u64);
+    response
+}
+
 /// The reason that is reported for a request that cannot be accepted.
 ///
 /// A node that does not know whether its configuration is the newest does not claim that
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -113,7 +113,7 @@
                 response: &response.head,
                 decision,
             });
-            if decision != Decision::Retry {
+            if decision != Decision::Retry || !self.is_retry_in_quota(outcome) {
                 let response = match outcomes.reported() {
                     Some(reported) if reported != outcome => Response::without_answer(reported),
                     _ => response,
@@ -125,6 +125,12 @@
         Err(Outcome::NotRun(NotRun::NoServer))
     }
 
+    /// Takes another token for a retry when the last send may have run: it counts as well.
+    fn is_retry_in_quota(&self, last: Outcome) -> bool {
+        let is_counted = may_have_arrived(last);
+        !is_counted || self.ingress.admit(self.snapshot, &self.request).is_ok()
+    }
+
     fn failure(&self, outcome: Outcome, tries: u8, sends: u8, body: &RequestBody) -> Failure {
         Failure {
             depth: self.request.depth,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,8 @@
 use crate::history::{self, HistoryKeeper};
 use crate::ingress::handler::CallerHandler;
 use crate::ingress::metrics::IngressMetrics;
+use crate::ingress::quota::TokenGate;
+use crate::ingress::quota_metrics::QuotaMetrics;
 use crate::ingress::service_metrics::ServiceMetrics;
 use crate::ingress::{self, Ingress};
 use crate::operators::node_metrics::NodeMetrics;
@@ -24,6 +26,7 @@
 use knapweed_host::WaitEstimator;
 use knapweed_host::choice::ExpectedTime;
 use knapweed_host::drain::{self, Drain, Next, StopAction};
+use knapweed_host::quota::Tolerance;
 use knapweed_host::retry::{self, RetryPolicy};
 use knapweed_link::{LinkBudget, LinkRate};
 use knapweed_observe::{Metrics, part};
@@ -99,6 +102,7 @@
     drain: drain::Options,
     retries: retry::Options,
     in_force_within: Duration,
+    quota_tolerance: Tolerance,
 }
 
 impl Builder {
@@ -135,6 +139,13 @@
         self
     }
 
+    /// Sets how far the requests of an organisation may exceed its quota, counted over all
+    /// hosts.
+    pub fn quota_tolerance(mut self, tolerance: Tolerance) -> Self {
+        self.quota_tolerance = tolerance;
+        self
+    }
+
     /// Starts the node.
     ///
     /// # Errors
@@ -175,6 +186,7 @@
             drain: drain::Options::default(),
             retries: retry::Options::default(),
             in_force_within: CONFIRMED_FOR,
+            quota_tolerance: Tolerance::default(),
         }
     }
 
@@ -212,6 +224,7 @@
             orders: adapters.orders,
             trials,
             retries: Arc::clone(&retries),
+            quota_tolerance: settings.quota_tolerance,
             ready: Arc::clone(&ready),
             currency: Arc::clone(&currency),
             timer: timer.clone(),
@@ -225,6 +238,7 @@
         tokio::spawn(receive(inbound, control.clone(), Arc::clone(&egress)));
 
         metrics.register_collector(ServiceMetrics::new(Arc::clone(&snapshots)));
+        metrics.register_collector(QuotaMetrics::new(Arc::clone(&snapshots)));
         metrics.register_collector(NodeMetrics {
             snapshots: Arc::clone(&snapshots),
             view: Arc::clone(&view),
@@ -244,6 +258,7 @@
             protocol: adapters.callers,
             origin: node_identity.service.clone(),
             choice: Box::new(ExpectedTime::default()),
+            quotas: Box::new(TokenGate),
             crashes: Arc::clone(egress.crashes()) as _,
             local: Box::new(LocalCarrier::new(Arc::clone(&egress))),
             region_budget: LinkBudget::new(settings.region_bytes_per_s),
--- a/crates/node/tests/ingress.rs
+++ b/crates/node/tests/ingress.rs
@@ -15,6 +15,7 @@
 use knapweed_node::carrier::{Carrier, Response};
 use knapweed_node::egress::CrashTracker;
 use knapweed_node::ingress::metrics::IngressMetrics;
+use knapweed_node::ingress::quota::TokenGate;
 use knapweed_node::ingress::{CallerRequest, Dependencies, Ingress};
 use knapweed_node::protocol::native::NativeHeaders;
 use knapweed_node::protocol::{CallerFields, CallerProtocol};
@@ -151,6 +152,7 @@
 
 fn dependencies(snapshots: Arc<SnapshotCell>, metrics: &Metrics, drain: Drain) -> Dependencies {
     Dependencies {
+        quotas: Box::new(TokenGate),
         snapshots,
         protocol: Box::new(NativeHeaders),
         origin: None,
--- a/crates/node/tests/nodes/retries.rs
+++ b/crates/node/tests/nodes/retries.rs
@@ -15,6 +15,7 @@
 use knapweed_node::carrier::{Carrier, Response};
 use knapweed_node::egress::CrashTracker;
 use knapweed_node::ingress::metrics::IngressMetrics;
+use knapweed_node::ingress::quota::TokenGate;
 use knapweed_node::ingress::{CallerRequest, Dependencies, Ingress};
 use knapweed_node::protocol::native::NativeHeaders;
 use knapweed_observe::Metrics;
@@ -137,6 +138,7 @@
     let snapshot = Builder::new(name("a1"), config).hosts((1..=4).map(host));
     let snapshot = snapshot.build().expect("a valid mesh");
     Ingress::new(Dependencies {
+        quotas: Box::new(TokenGate),
         snapshots: Arc::new(SnapshotCell::new(snapshot)),
         protocol: Box::new(NativeHeaders),
         origin: None,
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -3,6 +3,7 @@
 use crate::RequestHead;
 use knapweed_host::SendId;
 use knapweed_host::crash::{CrashDigest, CrashRecord};
+use knapweed_host::quota::ExchangeRequest;
 use knapweed_link::PartTag;
 use knapweed_rollout::{Holder, HostReport, RolloutState};
 use knapweed_world::{ConfigVersion, Name};
@@ -61,6 +62,14 @@
         /// Upper bound of the time since the send, in microseconds.
         age_us: u64,
     },
+    /// Exchanges tokens of organisations with quotas with the holder of the pool. The reply
+    /// is an optional [`knapweed_host::quota::ExchangeReply`].
+    Quotas {
+        /// Host that sends the request.
+        host: Name,
+        /// What the host gives and needs.
+        request: Box<ExchangeRequest>,
+    },
 }
 
 /// First message of the reply to [`StreamHead::FetchConfig`].
--- a/crates/zone/src/duty.rs
+++ b/crates/zone/src/duty.rs
@@ -30,6 +30,8 @@
     Rollout,
     /// Maintains the objects of tickets and hosts in the store.
     Tickets,
+    /// Holds the pool of tokens of organisations with quotas.
+    Quotas,
 }
 
 impl Duty {
@@ -38,7 +40,7 @@
         match self {
             Self::Relay { zone } => record.zone == *zone,
             Self::Gateway { region } => record.region == *region,
-            Self::Rollout | Self::Tickets => true,
+            Self::Rollout | Self::Tickets | Self::Quotas => true,
         }
     }
 
@@ -46,7 +48,7 @@
     pub fn holder_count(&self) -> usize {
         match self {
             Self::Relay { .. } | Self::Gateway { .. } => 2,
-            Self::Rollout | Self::Tickets => 1,
+            Self::Rollout | Self::Tickets | Self::Quotas => 1,
         }
     }
 }
@@ -59,6 +61,7 @@
             Self::Gateway { region } => write!(f, "gateway/{region}"),
             Self::Rollout => f.write_str("rollout"),
             Self::Tickets => f.write_str("tickets"),
+            Self::Quotas => f.write_str("quotas"),
         }
     }
 }
