--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -41,6 +41,7 @@
     let node = Node::builder(node_identity(&options))
         .region_bytes_per_s(options.region_bytes_per_s)
         .resources(options.resources)
+        .quota_tolerance(options.quota_tolerance)
         .start(adapters)
         .await?;
     let policy = Policy {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,6 +1,7 @@
 //! Schema of the node's settings file, and its checked options.
 
 use knapweed_host::HostResources;
+use knapweed_host::quota::Tolerance;
 use knapweed_observe::settings as log_settings;
 use knapweed_settings::{Errors, Key, Schema, Settings};
 use knapweed_transport::tls::Files;
@@ -70,6 +71,17 @@
     .default("4096")
     .unit("descriptors")
     .doc("Descriptors of this program; callers may use three quarters of those beyond 200.");
+const QUOTA_WINDOW: Key<Duration> = Key::milliseconds(LIMITS, "quota_window_ms", 1_000, 60_000)
+    .default("5000")
+    .doc("Window in which the requests of an organisation are compared with its quota.");
+const QUOTA_EXCESS: Key<u64> = Key::integer(LIMITS, "quota_excess_percent", 0, 100)
+    .default("10")
+    .unit("%")
+    .doc("Share of its quota by which an organisation may exceed it in a window.");
+const QUOTA_REQUESTS: Key<u64> = Key::integer(LIMITS, "quota_excess_requests", 0, 1_000_000)
+    .default("20")
+    .unit("requests")
+    .doc("Requests of an organisation beyond that in a window, over all nodes.");
 
 /// Returns the schema of the settings file.
 pub fn schema() -> Schema {
@@ -89,7 +101,14 @@
         .section(
             LIMITS,
             "Limits.",
-            &[REGION_BYTES.spec, MEMORY.spec, DESCRIPTORS.spec],
+            &[
+                REGION_BYTES.spec,
+                MEMORY.spec,
+                DESCRIPTORS.spec,
+                QUOTA_WINDOW.spec,
+                QUOTA_EXCESS.spec,
+                QUOTA_REQUESTS.spec,
+            ],
         );
     log_settings::add_section(schema)
 }
@@ -128,6 +147,8 @@
     pub region_bytes_per_s: u64,
     /// Memory and descriptors of the host for this program.
     pub resources: HostResources,
+    /// How far the requests of an organisation may exceed its quota.
+    pub quota_tolerance: Tolerance,
     /// All settings of the file, from which logging is configured.
     pub settings: Settings,
 }
@@ -167,6 +188,11 @@
             memory: settings.get(&MEMORY) as usize * BYTES_PER_MB,
             descriptors: settings.get(&DESCRIPTORS) as usize,
         },
+        quota_tolerance: Tolerance {
+            window: settings.get(&QUOTA_WINDOW),
+            share: settings.get(&QUOTA_EXCESS) as f64 / 100.0,
+            requests: settings.get(&QUOTA_REQUESTS) as u32,
+        },
         settings,
     })
 }
--- a/crates/host/src/outcome.rs
+++ b/crates/host/src/outcome.rs
@@ -83,6 +83,8 @@
     BodyTooLong,
     /// The host has no memory left for the request body.
     NoMemory,
+    /// The organisation has used up its quota.
+    QuotaExceeded,
 }
 
 /// Why it is not known whether a send ran.
@@ -139,7 +141,7 @@
 
 impl NotRun {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::NoRoute,
         Self::OutdatedConfig,
         Self::InvalidHeader,
@@ -166,6 +168,7 @@
         Self::Evacuated,
         Self::BodyTooLong,
         Self::NoMemory,
+        Self::QuotaExceeded,
     ];
 
     /// HTTP status of the response.
@@ -177,6 +180,7 @@
             Self::InvalidHeader | Self::InvalidBody => 400,
             Self::UnknownCredential => 401,
             Self::NoRoute => 404,
+            Self::QuotaExceeded => 429,
             Self::HeadersTooLong => 431,
             Self::BodyTooLong => 413,
             _ => 503,
@@ -237,6 +241,7 @@
             Self::Evacuated => "evacuated",
             Self::BodyTooLong => "body-too-long",
             Self::NoMemory => "no-memory",
+            Self::QuotaExceeded => "quota-exceeded",
         }
     }
 
@@ -272,6 +277,7 @@
             Self::Evacuated => "the availability zone of the backend server is evacuated",
             Self::BodyTooLong => "the body is longer than the configuration allows",
             Self::NoMemory => "the host has no memory left for the body",
+            Self::QuotaExceeded => "the organisation has used up its quota",
             Self::BodyLost => "the connection of the caller ended before the request body",
         }
     }
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -35,6 +35,9 @@
             StreamHead::Crashes(records) => self.dependencies.egress.merge_crashes(records),
             StreamHead::CompareCrashes(digest) => self.reply_with_crashes(incoming, digest),
             StreamHead::Evacuations(list) => self.evacuations_received(now, incoming.from, &list),
+            StreamHead::Quotas { host, request } => {
+                self.reply_with_tokens(now, &host, &request, incoming);
+            }
             // Passed to the egress before they reach the control thread.
             StreamHead::Request(_) | StreamHead::Inquire { .. } => {}
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,6 +11,8 @@
 use crate::history::{self, HistoryKeeper};
 use crate::ingress::handler::CallerHandler;
 use crate::ingress::metrics::IngressMetrics;
+use crate::ingress::quota::TokenGate;
+use crate::ingress::quota_metrics::QuotaMetrics;
 use crate::ingress::service_metrics::ServiceMetrics;
 use crate::ingress::{self, Ingress};
 use crate::operators::node_metrics::NodeMetrics;
@@ -26,6 +28,7 @@
 use knapweed_host::caller_bounds::MIN_MEMORY;
 use knapweed_host::choice::ExpectedTime;
 use knapweed_host::drain::{self, Drain, Next, StopAction};
+use knapweed_host::quota::Tolerance;
 use knapweed_host::retry::{self, RetryPolicy};
 use knapweed_host::{ByteBudget, CallerBounds, HostResources, WaitEstimator};
 use knapweed_link::{LinkBudget, LinkRate};
@@ -106,6 +109,7 @@
     in_force_within: Duration,
     cold_allowance: ColdAllowance,
     resources: HostResources,
+    quota_tolerance: Tolerance,
 }
 
 impl Builder {
@@ -156,6 +160,13 @@
         self
     }
 
+    /// Sets how far the requests of an organisation may exceed its quota, counted over all
+    /// hosts.
+    pub fn quota_tolerance(mut self, tolerance: Tolerance) -> Self {
+        self.quota_tolerance = tolerance;
+        self
+    }
+
     /// Starts the node.
     ///
     /// # Errors
@@ -200,6 +211,7 @@
             in_force_within: CONFIRMED_FOR,
             cold_allowance: ColdAllowance::default(),
             resources: HostResources::default(),
+            quota_tolerance: Tolerance::default(),
         }
     }
 
@@ -241,6 +253,7 @@
             evacuations: adapters.evacuations,
             trials,
             retries: Arc::clone(&retries),
+            quota_tolerance: settings.quota_tolerance,
             ready: Arc::clone(&ready),
             currency: Arc::clone(&currency),
             timer: timer.clone(),
@@ -254,6 +267,7 @@
         tokio::spawn(receive(inbound, control.clone(), Arc::clone(&egress)));
 
         metrics.register_collector(ServiceMetrics::new(Arc::clone(&snapshots)));
+        metrics.register_collector(QuotaMetrics::new(Arc::clone(&snapshots)));
         metrics.register_collector(NodeMetrics {
             snapshots: Arc::clone(&snapshots),
             view: Arc::clone(&view),
@@ -275,6 +289,7 @@
             protocol: adapters.callers,
             origin: node_identity.service.clone(),
             choice: Box::new(ExpectedTime::default()),
+            quotas: Box::new(TokenGate),
             crashes: Arc::clone(egress.crashes()) as _,
             local: Box::new(LocalCarrier::new(Arc::clone(&egress))),
             region_budget: LinkBudget::new(settings.region_bytes_per_s),
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -3,6 +3,7 @@
 use crate::RequestHead;
 use knapweed_host::SendId;
 use knapweed_host::crash::{CrashDigest, CrashRecord};
+use knapweed_host::quota::ExchangeRequest;
 use knapweed_link::PartTag;
 use knapweed_rollout::{Holder, HostReport, RolloutState};
 use knapweed_world::{ConfigVersion, Name};
@@ -65,6 +66,14 @@
     /// Distributes the evacuated availability zones. A receiver that knows a later list sends
     /// it back; otherwise there is no reply.
     Evacuations(EvacuationList),
+    /// Exchanges tokens of organisations with quotas with the holder of the pool. The reply
+    /// is an optional [`knapweed_host::quota::ExchangeReply`].
+    Quotas {
+        /// Host that sends the request.
+        host: Name,
+        /// What the host gives and needs.
+        request: Box<ExchangeRequest>,
+    },
 }
 
 /// First message of the reply to [`StreamHead::FetchConfig`].
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -10,8 +10,8 @@
 use crate::service::{RetryTokens, ServedVersion};
 use crate::{
     BackendServer, BackendServerKey, Config, CredentialDigest, Flow, Host, HostKey, Link, Name,
-    Organisation, OrganisationKey, Region, RegionKey, Route, RouteKey, ServerLoad, ServerState,
-    Service, ServiceCounters, ServiceKey, Zone, ZoneKey,
+    Organisation, OrganisationKey, QuotaTokens, Region, RegionKey, Route, RouteKey, ServerLoad,
+    ServerState, Service, ServiceCounters, ServiceKey, Zone, ZoneKey,
 };
 use bytes::Bytes;
 use slotmap::SlotMap;
@@ -40,6 +40,7 @@
     retained: HashMap<Name, RetainedStats>,
     route_set: Option<Arc<RouteSet>>,
     evacuated: BTreeSet<Name>,
+    quota_tokens: HashMap<Name, Arc<QuotaTokens>>,
 }
 
 /// Statistics of a service that carry over from one snapshot to the next.
@@ -62,6 +63,7 @@
             retained: HashMap::new(),
             route_set: None,
             evacuated: BTreeSet::new(),
+            quota_tokens: HashMap::new(),
         }
     }
 
@@ -84,8 +86,9 @@
         self
     }
 
-    /// Carries over the statistics of backend servers and services that exist in
-    /// `previous` as well, and its routes if it has the same configuration version.
+    /// Carries over the statistics of backend servers and services, and the tokens of
+    /// organisations, that exist in `previous` as well, and its routes if it has the same
+    /// configuration version.
     pub fn previous(mut self, previous: &Snapshot) -> Self {
         self.loads.clone_from(&previous.loads);
         self.route_set = Some(Arc::clone(&previous.route_set));
@@ -95,6 +98,10 @@
             retry_tokens: Arc::clone(&s.retry_tokens),
         };
         self.retained = services.map(|s| (s.name.clone(), retained(s))).collect();
+        let organisations = previous.arenas.organisations.values();
+        self.quota_tokens = organisations
+            .map(|o| (o.name.clone(), Arc::clone(&o.tokens)))
+            .collect();
         self
     }
 
@@ -118,7 +125,7 @@
         }
         draft.retain_notices(self.loads);
         let route_set = draft.route_set(self.config, self.route_set)?;
-        draft.add_organisations(self.config);
+        draft.add_organisations(self.config, &self.quota_tokens);
         Ok(draft.finish(self.config, local, route_set))
     }
 }
@@ -304,12 +311,13 @@
 
     /// Adds the organisations. A credential that two of them hold belongs to the first by
     /// name, on all nodes alike.
-    fn add_organisations(&mut self, config: &Config) {
+    fn add_organisations(&mut self, config: &Config, tokens: &HashMap<Name, Arc<QuotaTokens>>) {
         for (name, organisation) in &config.organisations {
             let key = self.arenas.organisations.insert(Organisation {
                 name: name.clone(),
                 priority: organisation.priority,
                 quota: organisation.quota,
+                tokens: tokens.get(name).cloned().unwrap_or_default(),
                 homes: self.homes(&organisation.home_regions),
             });
             for credential in &organisation.credentials {
