fix(host): tokens of quotas expire before a grant, and small quotas mint faster

Cause (review): a grant extended the use of all tokens in hand, expired ones included; the pool held back tokens past half of their life while they were scarce; an organisation that gets a quota on a running host was refused until the first reply; tokens of a quota with a small burst expired on their way. Change: tokens expire before a grant; two thirds of the life count while tokens are scarce; the overdraft is published at once; the lifetime is between 1.25 and 2 s unless the burst needs more, with the rate that keeps the same limit.

--- a/crates/host/src/quota/account.rs
+++ b/crates/host/src/quota/account.rs
@@ -62,7 +62,7 @@
         tokens.cap(Tokens::ZERO);
         let _ = tokens.take_returned();
         let counts = tokens.counts();
-        Self {
+        let mut account = Self {
             tokens,
             terms,
             purse: Purse::default(),
@@ -77,7 +77,10 @@
             deposited_at: Time::default(),
             supply: Supply::default(),
             total_demand_milli: 0,
-        }
+        };
+        // Without it, every request is refused until the first reply.
+        account.set_supply(Supply::default(), 0);
+        account
     }
 
     /// The tokens as the request path sees them.
@@ -317,6 +320,8 @@
 
     /// Adds granted tokens, which were at most `transit` under way.
     pub fn credit(&mut self, now: Time, parcels: &[Parcel], transit: Duration) {
+        // A new batch extends the time for which all tokens in hand may be used.
+        self.expire(now);
         for parcel in parcels {
             if let Some(batch) = parcel.unpack(now, transit) {
                 self.add(now, batch);
--- a/crates/host/src/quota/pool.rs
+++ b/crates/host/src/quota/pool.rs
@@ -28,6 +28,8 @@
 const CALM_RESERVE: f64 = 0.3;
 /// Share of the lifetime below which tokens are granted to be kept in hand.
 const STOCK_SHARE: u32 = 2;
+/// That share while tokens are scarce, as a fraction: who lacks tokens then uses them at once.
+const SCARCE_STOCK_SHARE: (u32, u32) = (2, 3);
 /// Time before its expiry from which a token is not granted: it would expire on its way.
 const TRANSIT_TIME: Duration = Duration::from_millis(300);
 /// That time as a share of the lifetime at most.
@@ -275,7 +277,11 @@
             false if self.is_scarce => whole(part).max(Tokens::ONE).min(whole(free.as_f64())),
             false => Tokens::from_f64(part),
         };
-        let since = now.before(self.terms.lifetime / STOCK_SHARE);
+        let (num, den) = match self.is_scarce {
+            true => SCARCE_STOCK_SHARE,
+            false => (1, STOCK_SHARE),
+        };
+        let since = now.before(self.terms.lifetime * num / den);
         let stock = self.purse.take_since(since, shortage.min(limit));
         let mut parcels = Parcel::pack_all(payment, now);
         parcels.extend(Parcel::pack_all(stock, now));
--- a/crates/host/src/quota/terms.rs
+++ b/crates/host/src/quota/terms.rs
@@ -9,8 +9,17 @@
 const EXCESS_SHARE: f64 = 0.5;
 /// Smallest capacity. With less, a token would expire before it is whole.
 const MIN_CAPACITY: f64 = 1.0;
+/// Shortest lifetime of a token, unless it would mint less than [`MIN_CAPACITY`] in it. Tokens
+/// with a shorter one expire on their way through the pool.
+const MIN_LIFETIME: Duration = Duration::from_millis(1_250);
+/// Lifetime beyond which tokens are minted faster instead, unless the burst needs a longer one.
+const USUAL_LIFETIME: Duration = Duration::from_secs(2);
+/// Error of a rate in thousandths that comes from its conversion.
+const RATE_EPSILON: f64 = 1e-6;
 /// Longest lifetime of a token.
 const MAX_LIFETIME: Duration = Duration::from_secs(600);
+/// Share of the capacity that a pool keeps at most for hosts that have overdrawn.
+const MAX_RESERVE_SHARE: f64 = 0.25;
 
 /// How far the requests of an organisation may exceed its quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -53,6 +62,17 @@
     f64::from(quota.rate.0.max(1)) / 1_000.0
 }
 
+/// Lifetime with which tokens are minted at the rate of the quota.
+fn plain_lifetime(quota: &Quota, excess: f64) -> Duration {
+    let capacity = (f64::from(quota.burst) + excess).max(MIN_CAPACITY);
+    seconds(capacity / rate(quota)).min(MAX_LIFETIME)
+}
+
+/// A duration in seconds; the longest lifetime when it cannot be represented.
+fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(MAX_LIFETIME)
+}
+
 /// The terms of the tokens of one organisation.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Terms {
@@ -69,17 +89,39 @@
 impl Terms {
     /// The terms of a quota.
     ///
-    /// The capacity is the burst and a share of the tolerated excess, so that tokens alone
-    /// stay below the limit by the rest of the excess.
+    /// In a window no more tokens are used than are minted in the window and one lifetime
+    /// before it. Rate and lifetime are such that these are what the quota allows and a share
+    /// of the tolerated excess: tokens alone stay below the limit by the rest of the excess.
     pub fn new(quota: &Quota, tolerance: &Tolerance) -> Self {
         let excess = EXCESS_SHARE * tolerance.excess(quota);
-        let capacity = (f64::from(quota.burst) + excess).max(MIN_CAPACITY);
-        let lifetime = Duration::from_secs_f64(capacity / rate(quota)).min(MAX_LIFETIME);
+        let plain = Self::with(rate(quota), plain_lifetime(quota, excess), excess);
+        let burst_time = seconds(f64::from(quota.burst) / rate(quota));
+        let lifetime = plain
+            .lifetime
+            .min(burst_time.max(USUAL_LIFETIME))
+            .max(MIN_LIFETIME);
+        if lifetime == plain.lifetime {
+            return plain;
+        }
+        let tokens = tolerance.allowed(quota) + excess;
+        let rate = tokens / (tolerance.window + lifetime).as_secs_f64();
+        let terms = Self::with(rate, lifetime, excess);
+        // Without tolerance, the limit may be too low for a whole token in a short time.
+        match terms.capacity < Tokens::from_f64(MIN_CAPACITY) {
+            true => plain,
+            false => terms,
+        }
+    }
+
+    fn with(rate: f64, lifetime: Duration, excess: f64) -> Self {
+        // Rounded down, so that the tokens stay below the limit. The conversion saturates.
+        let rate_milli = ((rate * 1_000.0 + RATE_EPSILON) as u32).max(1);
+        let capacity = f64::from(rate_milli) / 1_000.0 * lifetime.as_secs_f64();
         Self {
-            rate_milli: quota.rate.0.max(1),
+            rate_milli,
             lifetime,
-            capacity: Tokens::from_f64(rate(quota) * lifetime.as_secs_f64()),
-            reserve: Tokens::from_f64(excess / 2.0),
+            capacity: Tokens::from_f64(capacity),
+            reserve: Tokens::from_f64((excess / 2.0).min(capacity * MAX_RESERVE_SHARE)),
         }
     }
 
--- a/crates/host/tests/quota/properties.rs
+++ b/crates/host/tests/quota/properties.rs
@@ -2,9 +2,10 @@
 
 use crate::sim::{Correct, Holder, Mesh, Network, STEP_US, quota};
 use knapweed_host::quota::{ExchangeReply, ExchangeRequest, Pool, Terms, Tolerance};
-use knapweed_world::{Name, Quota, Time};
+use knapweed_world::{Name, Quota, RequestRate, Time, Tokens};
 use proptest::prelude::*;
 use rand::Rng;
+use std::time::Duration;
 
 /// Length of a run, in steps: 24 s.
 const STEPS: u64 = 1_200;
@@ -112,6 +113,27 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(256))]
 
+    /// Guards against terms whose tokens alone use more than half of the tolerated excess. The
+    /// limit is computed here from the quota alone.
+    #[test]
+    fn tokens_leave_half_of_the_excess(
+        rate_milli in prop_oneof![10_u32..20_000, 10..=u32::MAX],
+        burst in prop_oneof![0_u32..200, any::<u32>()],
+        share in 0.0..1.0,
+        requests in 4_u32..200,
+        window_s in 1_u64..60,
+    ) {
+        let quota = Quota { rate: RequestRate(rate_milli), burst };
+        let window = Duration::from_secs(window_s);
+        let terms = Terms::new(&quota, &Tolerance { window, share, requests });
+        let rate = f64::from(rate_milli) / 1_000.0;
+        let allowed = rate * window_s as f64 + f64::from(burst);
+        let excess = share * allowed + f64::from(requests);
+        let tokens = terms.rate() * (window + terms.lifetime).as_secs_f64();
+        prop_assert!(tokens <= (allowed + excess / 2.0) * (1.0 + 1e-6), "{terms:?}");
+        prop_assert!(terms.capacity >= Tokens::ONE, "{terms:?}");
+    }
+
     /// Guards against any way in which a token is used twice or lives too long.
     #[test]
     fn tokens_are_conserved_and_expire(faults in faults()) {
