fix(node): heads of kept connections return their reservation, and evictions cut nothing

Cause (review): the reservation of heads was returned only by a read within a request, so kept connections with requests without bodies collected it until the host refused; evictions closed idle connections that hold no bytes, could close one whose request had just been passed on, and uploads that a server was reading; readiness checks and heartbeats shared the limits of callers. Change: the reservation ends between requests; only connections that hold bytes are closed, by an atomic change of their phase; uploads that move stay; the interfaces of the host have bounds of their own; an idle timeout of 0 counts as unset.

--- a/crates/host/src/caller_bounds.rs
+++ b/crates/host/src/caller_bounds.rs
@@ -17,6 +17,10 @@
 const FILE_DESCRIPTORS: usize = 200;
 /// Share of the other descriptors that is left for the sockets of the node itself, in percent.
 const OWN_SHARE_PERCENT: usize = 25;
+/// Connections for the platform and the backend server of the host, which need a few each.
+const HOST_CONNECTIONS: usize = 32;
+/// Memory for what they send, in bytes. Heartbeats are far shorter.
+const HOST_MEMORY: usize = 1 << 20;
 /// Fewest connections that a host accepts, however small it is.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -67,6 +71,18 @@
             connections: connections.max(MIN_CONNECTIONS),
         }
     }
+
+    /// Splits off the bounds for the platform and the backend server of the host: a host that is
+    /// full of callers still answers health checks and heartbeats.
+    pub fn split_off_host(&mut self) -> Self {
+        let host = Self {
+            memory: HOST_MEMORY.min(self.memory / 8),
+            connections: HOST_CONNECTIONS.min(self.connections / 4),
+        };
+        self.memory -= host.memory;
+        self.connections -= host.connections;
+        host
+    }
 }
 
 impl Default for CallerBounds {
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -110,6 +110,7 @@
 
     fn idle_timeout(&self) -> Duration {
         let limit = self.0.load().limits().idle_timeout_ms;
+        let limit = limit.filter(|ms| *ms > 0);
         limit.map_or(DEFAULT_IDLE_TIMEOUT, |ms| Duration::from_millis(ms.into()))
     }
 
@@ -265,9 +266,12 @@
             Arc::clone(&self.dependencies.limits),
             self.dependencies.timer.clone(),
         );
+        // In this order: no request starts on a connection that is being closed, and what has
+        // arrived is read before its caller counts as still.
         tokio::select! {
-            () = self.serve(stream, handler) => {}
+            biased;
             () = open.closed() => {}
+            () = self.serve(stream, handler) => {}
             () = wait_until_still(&open, &*limits, &timer) => {}
         }
     }
@@ -343,10 +347,15 @@
         hyper::service::service_fn(move |request: http::Request<hyper::body::Incoming>| {
             let active_request = ActiveRequest::start(Arc::clone(&activity), timer.clone());
             let (open, limit) = (Arc::clone(&open), limits.max_body_bytes());
+            let is_open = open.set_phase(Phase::Answer);
             let request = request.map(|body| UploadBody::new(body, Arc::clone(&open), limit));
             let state = AssertUnwindSafe(State::from_request(request, from));
             let handler = handler.clone();
             async move {
+                if !is_open {
+                    // The task ends; nothing of the request has run.
+                    std::future::pending::<()>().await;
+                }
                 let response = call_handler(handler, state).await;
                 let response = response.unwrap_or_else(|err| {
                     log::error!(target: part::INGRESS, "failed to create a handler: {err}");
--- a/crates/node/src/callers/metered.rs
+++ b/crates/node/src/callers/metered.rs
@@ -50,22 +50,33 @@
 
     /// Reserves `len` bytes of a head, or gives them back after it.
     fn count_head(&mut self, len: usize) -> io::Result<()> {
-        if !self.connection.is_in(Phase::Head) {
-            if self.head_len > 0 {
-                self.head_len = 0;
-                self.head.clear();
-            }
+        let is_head = self.connection.is_in(Phase::Head);
+        // After a request without a body, the next read is that of the next head.
+        if self.head_len > 0 && (!is_head || self.connection.is_between_requests()) {
+            self.head_len = 0;
+            self.head.clear();
+            self.connection.set_head_len(0);
+        }
+        if !is_head {
             return Ok(());
         }
         self.head_len += len;
         self.connection.add_request_len(len);
-        // A growing buffer has room for as much again.
-        if self.head_len > CONNECTION_HEAD_LEN && self.head.grow(2 * len).is_err() {
-            self.budget.reclaim(2 * len);
-            return self.head.grow(2 * len).map_err(io::Error::other);
+        if self.head_len > CONNECTION_HEAD_LEN {
+            // A growing buffer has room for as much again.
+            self.reserve_head(2 * len)?;
         }
         Ok(())
     }
+
+    fn reserve_head(&mut self, len: usize) -> io::Result<()> {
+        if self.head.grow(len).is_err() {
+            self.budget.reclaim(len);
+            self.head.grow(len).map_err(io::Error::other)?;
+        }
+        self.connection.set_head_len(2 * self.head_len);
+        Ok(())
+    }
 }
 
 impl AsyncRead for MeteredStream {
@@ -136,7 +147,6 @@
 
 impl<B: http_body::Body> UploadBody<B> {
     pub(super) fn new(inner: B, connection: Arc<OpenConnection>, limit: Option<u64>) -> Self {
-        connection.set_phase(Phase::Answer);
         Self {
             inner,
             connection,
@@ -162,7 +172,10 @@
             Poll::Pending => Phase::Body,
             Poll::Ready(_) => Phase::Answer,
         };
-        self.connection.set_phase(phase);
+        if !self.connection.set_phase(phase) {
+            // The connection is being closed, and its request ends with it.
+            return Poll::Pending;
+        }
         let frame = ready!(polled);
         let data = frame.as_ref().and_then(|f| f.as_ref().ok()?.data_ref());
         let len = data.map_or(0, Bytes::len);
--- a/crates/node/src/callers/open.rs
+++ b/crates/node/src/callers/open.rs
@@ -1,5 +1,6 @@
 //! Open connections of callers, and which of them are closed when the host is full.
 
+use crate::body::{CONNECTION_BODY_LEN, MAX_BUFFERED_LEN};
 use knapweed_host::byte_budget::Reclaim;
 use knapweed_observe::part;
 use knapweed_timer::TimerService;
@@ -11,6 +12,12 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
+/// Most bytes of a buffered response that its caller does not read.
+const UNREAD_LEN: usize = 256 * 1024;
+
+/// Time without progress after which an upload that passes through may be closed to make room.
+const STALLED_AFTER: Duration = Duration::from_secs(1);
+
 new_key_type! {
     /// Key of an open connection.
     struct ConnectionKey;
@@ -26,6 +33,8 @@
     Body,
     /// For the node, another node or a backend server.
     Answer,
+    /// For nothing: its task ends, and no request starts or goes on.
+    Closing,
 }
 
 /// State of a connection, shared by its task and [`OpenConnections`].
@@ -37,7 +46,8 @@
     is_unread: AtomicBool,
     /// Bytes that were read for the current request.
     request_len: AtomicUsize,
-    is_closing: AtomicBool,
+    /// Bytes that are reserved for heads.
+    head_len: AtomicUsize,
     closing: Notify,
 }
 
@@ -48,7 +58,7 @@
             phase: AtomicU8::new(Phase::Head as u8),
             is_unread: AtomicBool::new(false),
             request_len: AtomicUsize::new(0),
-            is_closing: AtomicBool::new(false),
+            head_len: AtomicUsize::new(0),
             closing: Notify::new(),
         }
     }
@@ -58,12 +68,18 @@
         self.moved_at.store(now.0, Ordering::Relaxed);
     }
 
-    pub(super) fn set_phase(&self, phase: Phase) {
-        self.phase.store(phase as u8, Ordering::Relaxed);
+    /// Records what the connection waits for; `false` when it is being closed, so that its
+    /// request must not go on.
+    pub(super) fn set_phase(&self, phase: Phase) -> bool {
+        let change = |old: u8| (old != Phase::Closing as u8).then_some(phase as u8);
+        let changed = self
+            .phase
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, change);
+        changed.is_ok()
     }
 
     pub(super) fn is_in(&self, phase: Phase) -> bool {
-        self.phase.load(Ordering::Relaxed) == phase as u8
+        self.phase.load(Ordering::Acquire) == phase as u8
     }
 
     pub(super) fn set_unread(&self, is_unread: bool) {
@@ -75,6 +91,30 @@
         self.request_len.fetch_add(len, Ordering::Relaxed);
     }
 
+    /// Whether nothing was read since the end of the last request.
+    pub(super) fn is_between_requests(&self) -> bool {
+        self.request_len.load(Ordering::Relaxed) == 0
+    }
+
+    /// Records the bytes that are reserved for heads.
+    pub(super) fn set_head_len(&self, len: usize) {
+        self.head_len.store(len, Ordering::Relaxed);
+    }
+
+    /// Bytes of the bound that come back when the connection is closed, as far as it knows them.
+    fn held_len(&self) -> usize {
+        let request_len = self.request_len.load(Ordering::Relaxed);
+        let body_len = match request_len > CONNECTION_BODY_LEN {
+            true => request_len,
+            false => 0,
+        };
+        let unread_len = match self.is_unread.load(Ordering::Relaxed) {
+            true => UNREAD_LEN,
+            false => 0,
+        };
+        self.head_len.load(Ordering::Relaxed) + body_len + unread_len
+    }
+
     /// Starts to count the bytes of the next request.
     pub(super) fn end_request(&self) {
         self.request_len.store(0, Ordering::Relaxed);
@@ -86,14 +126,46 @@
         now.since(Time(self.moved_at.load(Ordering::Relaxed)))
     }
 
-    /// Whether the connection waits for its caller.
-    fn awaits_caller(&self) -> bool {
-        !self.is_in(Phase::Answer) || self.is_unread.load(Ordering::Relaxed)
+    /// Whether the connection sends a request body that a backend server may have begun to read.
+    fn is_uploading(&self, now: Time) -> bool {
+        let len = self.request_len.load(Ordering::Relaxed);
+        self.is_in(Phase::Body) && len > MAX_BUFFERED_LEN && self.still_for(now) < STALLED_AFTER
+    }
+
+    fn is_closing(&self) -> bool {
+        self.is_in(Phase::Closing)
+    }
+
+    /// What the connection waits for, if that is its caller.
+    fn awaited_of_caller(&self) -> Option<u8> {
+        let phase = self.phase.load(Ordering::Acquire);
+        let awaits = match phase {
+            p if p == Phase::Closing as u8 => false,
+            p if p == Phase::Answer as u8 => self.is_unread.load(Ordering::Relaxed),
+            _ => true,
+        };
+        awaits.then_some(phase)
+    }
+
+    /// Makes the task of the connection end if it still waits for its caller: a request that has
+    /// arrived meanwhile goes on.
+    fn close_waiting(&self) -> bool {
+        let Some(phase) = self.awaited_of_caller() else {
+            return false;
+        };
+        let closing = Phase::Closing as u8;
+        let closed =
+            self.phase
+                .compare_exchange(phase, closing, Ordering::AcqRel, Ordering::Acquire);
+        if closed.is_ok() {
+            self.closing.notify_one();
+        }
+        closed.is_ok()
     }
 
     /// Makes the task of the connection end.
     pub(super) fn close(&self) {
-        self.is_closing.store(true, Ordering::Relaxed);
+        self.phase.store(Phase::Closing as u8, Ordering::Release);
         self.closing.notify_one();
     }
 
@@ -133,14 +205,10 @@
     pub(super) fn open(self: &Arc<Self>) -> Option<Entry> {
         let now = self.timer.now();
         let mut table = self.table.lock();
-        let open = table
-            .values()
-            .filter(|c| !c.is_closing.load(Ordering::Relaxed));
+        let open = table.values().filter(|c| !c.is_closing());
         if table.len() >= self.limit && open.count() >= self.limit {
-            self.evict(&table, now, |evicted, _| evicted == 0);
-            let open = table
-                .values()
-                .filter(|c| !c.is_closing.load(Ordering::Relaxed));
+            self.evict(&table, now, |_| true, |evicted, _| evicted == 0);
+            let open = table.values().filter(|c| !c.is_closing());
             if open.count() >= self.limit {
                 return None;
             }
@@ -154,27 +222,30 @@
         })
     }
 
-    /// Closes connections that wait for their callers, in the order in which they have stood
-    /// still, while `needs_more` of the number and the bytes of those that were closed.
+    /// Closes connections that wait for their callers and that `helps` accepts, in the order in
+    /// which they have stood still, while `needs_more` of the number and the bytes of those that
+    /// were closed.
     fn evict(
         &self,
         table: &SlotMap<ConnectionKey, Arc<OpenConnection>>,
         now: Time,
+        helps: impl Fn(&OpenConnection) -> bool,
         needs_more: impl Fn(usize, usize) -> bool,
     ) {
-        let waiting = table.values().filter(|connection| {
-            connection.awaits_caller() && !connection.is_closing.load(Ordering::Relaxed)
-        });
-        let mut waiting: Vec<_> = waiting.collect();
-        waiting.sort_unstable_by_key(|connection| std::cmp::Reverse(connection.still_for(now)));
+        let waiting = table
+            .values()
+            .filter(|c| c.awaited_of_caller().is_some() && !c.is_uploading(now) && helps(c));
+        let mut waiting: Vec<_> = waiting.map(|c| (c.still_for(now), c)).collect();
+        waiting.sort_unstable_by_key(|(still, _)| std::cmp::Reverse(*still));
         let (mut count, mut len) = (0, 0);
-        for connection in waiting {
+        for (_, connection) in waiting {
             if !needs_more(count, len) {
                 break;
             }
-            count += 1;
-            len += connection.request_len.load(Ordering::Relaxed);
-            connection.close();
+            if connection.close_waiting() {
+                count += 1;
+                len += connection.held_len();
+            }
         }
         let before = self.evicted.fetch_add(count as u64, Ordering::Relaxed);
         if before == 0 && count > 0 {
@@ -191,13 +262,13 @@
         let now = self.timer.now();
         let table = self.table.lock();
         // Those that are closing already give back what they hold.
-        let closing = table
-            .values()
-            .filter(|c| c.is_closing.load(Ordering::Relaxed));
-        let closing = closing.map(|c| c.request_len.load(Ordering::Relaxed));
+        let closing = table.values().filter(|c| c.is_closing());
+        let closing = closing.map(|c| c.held_len());
         let missing = len.saturating_sub(closing.sum());
         if missing > 0 {
-            self.evict(&table, now, |_, freed| freed < missing);
+            // An idle connection holds nothing of the bound, so that its end helps nobody.
+            let helps = |c: &OpenConnection| c.held_len() > 0;
+            self.evict(&table, now, helps, |_, freed| freed < missing);
         }
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -193,7 +193,8 @@
     history: Arc<HistoryKeeper>,
     metrics: Metrics,
     connection_metrics: ConnectionMetrics,
-    memory: CallerMemory,
+    /// What the platform and the backend server of the host may hold.
+    host_memory: CallerMemory,
     store: Arc<dyn ObjectStore>,
     stop_callers: watch::Sender<bool>,
 }
@@ -227,7 +228,7 @@
         let listener = listen(node_identity.callers).await?;
         let snapshots = Arc::new(SnapshotCell::new(initial_snapshot(&node_identity)?));
         let trials = Arc::new(Trials::default());
-        let memory = caller_memory(settings.resources, &timer);
+        let (memory, host_memory) = caller_memory(settings.resources, &timer);
         let egress = Egress::new(timer.clone(), Arc::clone(&trials), adapters.servers);
         let mut egress = egress.with_budget(Arc::clone(&memory.budget));
         if let Some(rate) = settings.link_rate {
@@ -311,7 +312,7 @@
             callers::Dependencies {
                 limits: Arc::new(ConfiguredLimits::new(Arc::clone(&snapshots))),
                 metrics: connection_metrics.clone(),
-                memory: memory.clone(),
+                memory,
                 timer: timer.clone(),
             },
             stopping,
@@ -334,7 +335,7 @@
             history,
             metrics,
             connection_metrics,
-            memory,
+            host_memory,
             store: adapters.store,
             stop_callers,
         })
@@ -363,7 +364,8 @@
         &self.metrics
     }
 
-    /// What serves further listeners of the host within the bounds of its callers.
+    /// What serves the listeners for the platform and the backend server of the host, within
+    /// bounds that callers cannot exhaust.
     pub fn listener_dependencies(
         &self,
         limits: Arc<dyn callers::ConnectionLimits>,
@@ -371,14 +373,14 @@
         callers::Dependencies {
             limits,
             metrics: self.connection_metrics.clone(),
-            memory: self.memory.clone(),
+            memory: self.host_memory.clone(),
             timer: self.timer.clone(),
         }
     }
 
-    /// Bytes that callers may make the host hold.
-    pub fn caller_budget(&self) -> Arc<ByteBudget> {
-        Arc::clone(&self.memory.budget)
+    /// Bytes that the platform and the backend server of the host may make it hold.
+    pub fn host_budget(&self) -> Arc<ByteBudget> {
+        Arc::clone(&self.host_memory.budget)
     }
 
     /// A handle that accepts announcements of backend servers.
@@ -528,8 +530,9 @@
         .with_context(|| format!("could not listen on {address}"))
 }
 
-fn caller_memory(resources: HostResources, timer: &TimerService) -> CallerMemory {
-    let bounds = CallerBounds::of(resources);
+/// The memory for callers, and that for the platform and the backend server of the host.
+fn caller_memory(resources: HostResources, timer: &TimerService) -> (CallerMemory, CallerMemory) {
+    let mut bounds = CallerBounds::of(resources);
     if resources.is_too_small() {
         log::warn!(
             target: part::PROGRAM,
@@ -537,11 +540,13 @@
             resources.memory >> 20, MIN_MEMORY >> 20
         );
     }
+    let host_bounds = bounds.split_off_host();
     log::info!(
         target: part::PROGRAM,
         "callers may hold {} MB and {} connections", bounds.memory >> 20, bounds.connections
     );
-    CallerMemory::new(bounds, timer.clone())
+    let memory = |bounds| CallerMemory::new(bounds, timer.clone());
+    (memory(bounds), memory(host_bounds))
 }
 
 fn host_entry(node_identity: &NodeIdentity) -> HostEntry {
