fix: evacuations at equal revisions, ends of cold limits, and claims to be nested

Cause (review): two lists of one revision made two nodes answer each other without end; a list read from a partial watch kept out the complete one; a new process could take an old list for the newest; a removed cold limit stayed in force; a request could wait for a connection past the start of an evacuation; a caller with a dot in its request id left its quota and went first. Change: equal revisions end the exchange; a partial watch publishes nothing; empty lists go to new processes; cold limits are applied from what was in force; the evacuation is checked directly before the send; a request with a known credential is not nested.

--- a/crates/host/src/request.rs
+++ b/crates/host/src/request.rs
@@ -241,6 +241,9 @@
     /// Sets the organisation of the caller, and the rank that follows from it.
     pub fn set_organisation(&mut self, snapshot: &Snapshot, organisation: Option<OrganisationKey>) {
         self.organisation = organisation;
+        // Nested calls have no credential. Any caller could claim to be nested, and so precede
+        // the others and leave the quota of its organisation.
+        self.is_nested &= organisation.is_none();
         self.rank = snapshot.rank(self.route, organisation, self.is_nested);
     }
 }
--- a/crates/node/src/control/evacuations.rs
+++ b/crates/node/src/control/evacuations.rs
@@ -7,8 +7,8 @@
 use super::{Controller, Event, Staleness};
 use crate::evacuations::{EvacuatedZones, EvacuationSource};
 use knapweed_observe::part;
-use knapweed_store::Error;
 use knapweed_store::cursor::{NextCall, Retry, WatchCursor};
+use knapweed_store::{Error, Revision};
 use knapweed_wire::StreamHead;
 use knapweed_world::{Name, Time};
 use knapweed_zone::MemberRecord;
@@ -92,7 +92,8 @@
     /// Sends the list to a node whose process is new: it must send nothing to an evacuated
     /// zone.
     pub(super) fn send_evacuations_to_new_process(&self, record: &MemberRecord) {
-        if !self.evacuations.known.list().zones.is_empty() {
+        // An empty list too: it keeps out an earlier one of a node that was cut off.
+        if self.evacuations.known.list().revision() > Revision::ABSENT {
             self.send_one_way(record.address, &self.evacuation_message());
         }
     }
@@ -159,10 +160,11 @@
     let mut known = EvacuatedZones::default();
     loop {
         match read(&*source, &mut cursor, &mut known).await {
-            Ok(()) => {
+            Ok(list) => {
                 limit = INITIAL_BACKOFF;
-                let list = EvacuationList::new(known.revision, known.zones.clone());
-                handle.send(Event::EvacuationsRead(list)).await;
+                if let Some(list) = list {
+                    handle.send(Event::EvacuationsRead(list)).await;
+                }
             }
             Err(err) => {
                 if cursor.failed(&err) == Retry::AtOnce {
@@ -178,11 +180,13 @@
     }
 }
 
+/// Reads the list of the store; `None` if it may lack changes. Such a list would keep out the
+/// complete one of the same revision.
 async fn read(
     source: &dyn EvacuationSource,
     cursor: &mut WatchCursor,
     known: &mut EvacuatedZones,
-) -> Result<(), Error> {
+) -> Result<Option<EvacuationList>, Error> {
     match cursor.next_call() {
         NextCall::Load => {
             *known = source.load().await?;
@@ -190,12 +194,16 @@
         }
         NextCall::Watch(revision) => {
             let changes = source.watch(revision, WATCH_WAIT).await?;
-            known.apply(&changes);
-            match changes.is_partial {
-                true => cursor.advanced_partially(changes.revision),
-                false => cursor.advanced(changes.revision),
+            if changes.is_partial {
+                cursor.advanced_partially(changes.revision);
+                return Ok(None);
             }
+            known.apply(&changes);
+            cursor.advanced(changes.revision);
         }
     }
-    Ok(())
+    Ok(Some(EvacuationList::new(
+        known.revision,
+        known.zones.clone(),
+    )))
 }
--- a/crates/node/src/egress/dispatcher.rs
+++ b/crates/node/src/egress/dispatcher.rs
@@ -243,10 +243,6 @@
             Ok(slot) => slot,
             Err(refusal) => return (false, Err(refusal.into())),
         };
-        // The request may have been queued when the evacuation began.
-        if self.is_evacuated.load(Ordering::SeqCst) {
-            return (false, Err(NotRun::Evacuated.into()));
-        }
         if let Err(reason) = crash_check.start(&self.lost, slot.start.at) {
             return (false, Err(reason.into()));
         }
@@ -261,6 +257,7 @@
             protocol: &*self.protocol,
             buffered: &self.buffered,
             rejections: &self.rejections,
+            is_evacuated: &self.is_evacuated,
             timer,
             head,
             deadline,
--- a/crates/node/src/egress/dispatcher/cold.rs
+++ b/crates/node/src/egress/dispatcher/cold.rs
@@ -35,9 +35,12 @@
     /// The limits of the configuration or the settings have changed.
     pub(in crate::egress) fn cold_limits_changed(&self) {
         let mut queue = self.queue.lock();
-        // Applied again, since the rate may have changed.
-        queue.is_cold_limited = false;
-        self.apply_cold_limit(&mut queue, self.timer.now());
+        let now = self.timer.now();
+        self.apply_cold_limit(&mut queue, now);
+        // Applied again, since the rate or the allowance may have changed.
+        if queue.is_cold_limited {
+            self.limit_rate(&mut queue, now);
+        }
     }
 
     /// Refuses a request that the cold backend server cannot take at once: other backend
--- a/crates/node/src/egress/exchange.rs
+++ b/crates/node/src/egress/exchange.rs
@@ -23,6 +23,7 @@
 use std::io;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Longest body of a refusal, in bytes, that is read so that the connection can be
@@ -50,6 +51,8 @@
     pub(super) buffered: &'a Arc<ByteBudget>,
     /// Counts the responses that do not answer the request, by [`Mismatch`].
     pub(super) rejections: &'a LabeledCounter,
+    /// Whether the availability zone of the backend server is evacuated.
+    pub(super) is_evacuated: &'a AtomicBool,
     pub(super) timer: TimerService,
     pub(super) head: RequestHead,
     pub(super) deadline: Time,
@@ -96,6 +99,10 @@
             if pooled.sender().ready().await.is_err() {
                 continue;
             }
+            // The request may have waited for a connection when the evacuation began.
+            if self.is_evacuated.load(Ordering::SeqCst) {
+                return Err(Outcome::NotRun(NotRun::Evacuated));
+            }
             *sent = true;
             pooled.allowance().renew();
             match pooled.sender().try_send_request(request).await {
--- a/crates/world/src/snapshot/build.rs
+++ b/crates/world/src/snapshot/build.rs
@@ -24,7 +24,6 @@
 /// and two retries.
 const DEFAULT_MAX_ATTEMPTS: u8 = 3;
 
-/// Maximum number of backend servers, present and absent ones, whose statistics are kept
 /// Maximum number of absent backend servers whose statements are kept. Each snapshot copies
 /// them, and more servers than this are not absent for the restart of a node.
 const MAX_ABSENT: usize = 256;
--- a/crates/zone/src/evacuation.rs
+++ b/crates/zone/src/evacuation.rs
@@ -67,7 +67,10 @@
     pub fn learn(&mut self, now: Time, list: &EvacuationList) -> Learned {
         let is_same = list.zones == self.list.zones;
         if list.revision() <= self.list.revision() {
-            return match is_same {
+            // Readers may have left out different entries at one revision. Neither list is
+            // later, so a reply would be answered without end.
+            let is_equal = list.revision() == self.list.revision();
+            return match is_same || is_equal {
                 true => Learned::Unchanged,
                 false => Learned::Outdated,
             };
