--- a/crates/node/src/ingress/quota_metrics.rs
+++ b/crates/node/src/ingress/quota_metrics.rs
@@ -35,7 +35,7 @@
 /// Label with the name of the organisation.
 const LABEL: &str = "organisation";
 const TOKENS_NAME: &str = "knapweed_quota_tokens";
-const TOKENS_HELP: &str = "Tokens of an organisation on this node, negative while overdrawn";
+const TOKENS_HELP: &str = "Tokens of an organisation on the node, negative while overdrawn";
 
 /// Collector that exports the tokens of all organisations with quotas.
 #[derive(Debug)]
@@ -58,9 +58,6 @@
             .map(|(_, organisation)| organisation);
         let limited = organisations.filter(|organisation| organisation.quota.is_some());
         let limited: Vec<&Organisation> = limited.take(MAX_ORGANISATIONS).collect();
-        if limited.is_empty() {
-            return Ok(());
-        }
         for counter in &COUNTERS {
             let mut metric =
                 encoder.encode_descriptor(counter.name, counter.help, None, MetricType::Counter)?;
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -6,6 +6,7 @@
 use knapweed_node::control::View;
 use knapweed_node::egress::Egress;
 use knapweed_node::ingress::metrics::IngressMetrics;
+use knapweed_node::ingress::quota_metrics::QuotaMetrics;
 use knapweed_node::ingress::service_metrics::ServiceMetrics;
 use knapweed_node::operators::node_metrics::NodeMetrics;
 use knapweed_node::protocol::native::NativeHeaders;
@@ -82,6 +83,7 @@
     ConnectionMetrics::register(&metrics);
     let snapshots = snapshots(1);
     metrics.register_collector(ServiceMetrics::new(Arc::clone(&snapshots)));
+    metrics.register_collector(QuotaMetrics::new(Arc::clone(&snapshots)));
     metrics.register_collector(NodeMetrics {
         snapshots,
         view: Arc::new(ArcSwap::from_pointee(View::default())),
