--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,7 +5,9 @@
 //! broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod http;
+mod contradicted;
 mod mesh;
+mod unordered;
 mod withdrawn;
 
 use mesh::{CHILDREN, Record};
@@ -51,6 +53,8 @@
     };
     let result = match case.as_str() {
         "withdrawn" => withdrawn::run(&root, &record, is_troubled),
+        "contradicted" => contradicted::run(&root, &record, is_troubled),
+        "unordered" => unordered::run(&root, &record, is_troubled),
         _ => {
             eprintln!("no case {case}");
             return ExitCode::from(2);
--- a/review/standin-2/src/mesh.rs
+++ b/review/standin-2/src/mesh.rs
@@ -49,7 +49,6 @@
     pub id: String,
     pub service: String,
     pub version: String,
-    pub machine: String,
     pub status: u16,
 }
 
@@ -84,6 +83,8 @@
     pub work: Duration,
     /// One in so many requests fails; 0 for none.
     pub fails_one_in: u64,
+    /// From when, in milliseconds since the start of the record.
+    pub fails_from_ms: Arc<AtomicU64>,
     pub answer_len: usize,
 }
 
@@ -92,6 +93,7 @@
         Self {
             work: Duration::from_millis(40),
             fails_one_in: 0,
+            fails_from_ms: Arc::default(),
             answer_len: 1_500,
         }
     }
@@ -172,7 +174,9 @@
         }
         let _ = self.store_process.kill();
         let _ = self.store_process.wait();
-        let _ = fs::remove_dir_all(&self.folder);
+        if std::env::var_os("RIG_KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
@@ -336,12 +340,6 @@
         result
     }
 
-    /// Whether the process of a node has ended by itself.
-    pub fn has_ended(&mut self, index: usize) -> bool {
-        let child = self.machines[index].child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
     /// Starts the server of a machine and its heartbeats.
     pub fn start_server(&mut self, index: usize, behaviour: Behaviour) -> io::Result<()> {
         let machine = &self.machines[index];
@@ -391,10 +389,11 @@
         let headers = [("Content-Type", "application/json")];
         let wait = Duration::from_secs(2);
         let answer = http::call(self.store, method, &path, &headers, doc.as_bytes(), wait)?;
-        self.record.note(&format!(
-            "the operator wrote {kind}/{name}: {} {spec}",
-            answer.status()
-        ));
+        let text = format!("the operator wrote {kind}/{name}: {}", answer.status());
+        match kind {
+            "config" => self.record.note(&text),
+            _ => self.record.note(&format!("{text} {spec}")),
+        }
         match answer.status() {
             200 | 201 => Ok(()),
             status => Err(io::Error::other(format!("the store answered {status}"))),
@@ -413,25 +412,34 @@
 
     /// Writes the first configuration: a route for each service.
     pub fn configure(&self) -> io::Result<()> {
+        self.write_config(4, &[])
+    }
+
+    /// Writes a configuration with further routes, each a path prefix and a service.
+    pub fn write_config(&self, version: u32, further: &[(&str, &str)]) -> io::Result<()> {
         let path = |name: &str, prefix: &str, kind: &str, service: &str, ms: u32| {
             format!(
                 r#"{{"Name": "{name}", "PathPrefix": "{prefix}", "Kind": "{kind}", "TimeoutMs": {ms}, "TargetLatencyMs": 800, "MaxAttempts": 2, "Priority": 1, "Service": "{service}"}}"#
             )
         };
-        let paths = [
+        let mut paths = vec![
             path("r-read", "/read/", "safe", "calendar", 5_000),
             path("r-order", "/order/", "unsafe", "switching", 5_000),
             path("r-survey", "/survey/", "upload", "surveys", 5_000),
             path("r-check", "/check/", "safe", "switching", 5_000),
         ];
+        for (prefix, service) in further {
+            let name = format!("r-more-{service}");
+            paths.push(path(&name, prefix, "safe", service, 5_000));
+        }
         let services = SERVICES
             .map(|name| format!(r#"{{"Name": "{name}", "MaxConns": 110, "HealthPath": "/health"}}"#));
         let spec = format!(
-            r#"{{"Version": 4, "VirtualHosts": [{{"Host": "{HOST}", "Paths": [{}]}}], "Services": [{}], "Limits": {{"MaxHeaderBytes": 32768, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 10000}}}}"#,
+            r#"{{"Version": {version}, "VirtualHosts": [{{"Host": "{HOST}", "Paths": [{}]}}], "Services": [{}], "Limits": {{"MaxHeaderBytes": 32768, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 10000}}}}"#,
             paths.join(", "),
             services.join(", ")
         );
-        self.write("config", "main", &spec, false)
+        self.write("config", "main", &spec, version > 4)
     }
 
     /// Starts a machine for each service in each zone, with servers of version `v1`.
@@ -584,15 +592,15 @@
         }
         let number = self.count.fetch_add(1, Ordering::Relaxed);
         let fails_one_in = self.behaviour.fails_one_in;
-        let fails = fails_one_in > 0 && number % fails_one_in == 0;
-        let status = if fails { 500 } else { 200 };
         let at = self.record.now();
+        let is_bad = at.as_millis() as u64 >= self.behaviour.fails_from_ms.load(Ordering::Relaxed);
+        let fails = is_bad && fails_one_in > 0 && number % fails_one_in == 0;
+        let status = if fails { 500 } else { 200 };
         let run = Run {
             at,
             id: id.to_owned(),
             service: self.service.clone(),
             version: self.version.clone(),
-            machine: self.name.clone(),
             status,
         };
         self.record.line(&format!(
--- a/review/standin-2/src/withdrawn.rs
+++ b/review/standin-2/src/withdrawn.rs
@@ -11,13 +11,14 @@
 
 /// `DurationS` of the orders.
 const ORDER_S: u64 = 16;
-const STABLE: Duration = Duration::from_millis(4_000);
 const EXPOSE_SHARE: f64 = 0.1;
 const EXPOSE_SLACK: f64 = 50.0;
 
 pub fn run(root: &Path, record: &Arc<Record>, is_troubled: bool) -> io::Result<Verdict> {
     let mut mesh = Mesh::start(root, Arc::clone(record))?;
     mesh.start_machines(&Behaviour::default())?;
+    // All nodes have met all servers before the next version starts.
+    sleep(Duration::from_secs(6));
     let clients_at: Vec<_> = mesh.machines.iter().map(|m| m.outbound()).enumerate().collect();
     // The new version starts beside the old one, a server in each zone.
     for zone in 0..4 {
@@ -83,7 +84,6 @@
     record.note(&format!(
         "EXPOSURE, roll-back: 50th bad answer at {fiftieth:?}, requests sent over 5 s later: {late}"
     ));
-    let _ = STABLE;
     Ok(match bad.len() as f64 > allowed || late > 0 {
         true => Verdict::Broken,
         false => Verdict::Held,
