--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,6 +5,7 @@
 //! broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod http;
+mod late_heartbeat;
 mod contradicted;
 mod mesh;
 mod unordered;
@@ -54,6 +55,7 @@
     let result = match case.as_str() {
         "withdrawn" => withdrawn::run(&root, &record, is_troubled),
         "contradicted" => contradicted::run(&root, &record, is_troubled),
+        "late-heartbeat" => late_heartbeat::run(&root, &record, is_troubled),
         "unordered" => unordered::run(&root, &record, is_troubled),
         _ => {
             eprintln!("no case {case}");
--- a/review/standin-2/src/mesh.rs
+++ b/review/standin-2/src/mesh.rs
@@ -49,6 +49,7 @@
     pub id: String,
     pub service: String,
     pub version: String,
+    pub machine: String,
     pub status: u16,
 }
 
@@ -115,6 +116,12 @@
     log: PathBuf,
     /// Whether the server and its heartbeats run.
     is_on: Arc<AtomicBool>,
+    /// Whether the server has left: it sends no heartbeats and fails its health check.
+    has_left: Arc<AtomicBool>,
+    /// Start of the server, in Unix milliseconds.
+    pub born: Arc<AtomicU64>,
+    /// Number of its last heartbeat.
+    pub sequence: Arc<AtomicU64>,
 }
 
 impl Machine {
@@ -268,6 +275,9 @@
             child: None,
             settings,
             is_on: Arc::default(),
+            has_left: Arc::default(),
+            born: Arc::default(),
+            sequence: Arc::default(),
         };
         fs::write(&machine.settings, self.settings(&machine))?;
         self.start_process(&mut machine)?;
@@ -353,6 +363,7 @@
             behaviour,
             count: AtomicU64::new(0),
             is_on: Arc::clone(&machine.is_on),
+            has_left: Arc::clone(&machine.has_left),
         };
         let listener = TcpListener::bind(machine.address(APP))?;
         let server = Arc::new(server);
@@ -366,11 +377,45 @@
             service: machine.service,
             version: machine.version,
             is_on: Arc::clone(&machine.is_on),
+            has_left: Arc::clone(&machine.has_left),
+            born: Arc::clone(&machine.born),
+            last: Arc::clone(&machine.sequence),
         };
         thread::spawn(move || beat.run());
         Ok(())
     }
 
+    /// The server of a machine says that it leaves, and goes on serving. Returns the status of
+    /// the acknowledgement.
+    pub fn leave(&self, index: usize) -> io::Result<u16> {
+        let machine = &self.machines[index];
+        machine.has_left.store(true, Ordering::Relaxed);
+        let path = format!("/instances/{}", machine.id);
+        let wait = Duration::from_secs(1);
+        let answer = http::call(machine.control(), "DELETE", &path, &[], &[], wait)?;
+        self.record.note(&format!("DELETE {path}: {}", answer.status()));
+        Ok(answer.status())
+    }
+
+    /// A heartbeat that the server of a machine sent before arrives only now.
+    pub fn late_heartbeat(&self, index: usize, sequence: u64) -> io::Result<()> {
+        let machine = &self.machines[index];
+        let Machine {
+            zone,
+            service,
+            version,
+            ..
+        } = machine;
+        let born = machine.born.load(Ordering::Relaxed);
+        let doc = heartbeat(machine.address(APP), service, version, zone, sequence, born);
+        let path = format!("/instances/{}", machine.id);
+        let headers = [("Content-Type", "application/json")];
+        let wait = Duration::from_secs(1);
+        let answer = http::call(machine.control(), "PUT", &path, &headers, doc.as_bytes(), wait)?;
+        self.record.note(&format!("heartbeat {sequence} of {} arrives late: {}", machine.id, answer.status()));
+        Ok(())
+    }
+
     /// Ends the server of a machine, which sends no more heartbeats.
     pub fn stop_server(&mut self, index: usize) {
         let machine = &self.machines[index];
@@ -505,21 +550,23 @@
     service: &'static str,
     version: &'static str,
     is_on: Arc<AtomicBool>,
+    has_left: Arc<AtomicBool>,
+    born: Arc<AtomicU64>,
+    last: Arc<AtomicU64>,
 }
 
 impl Heartbeats {
     fn run(self) {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let born = born.as_millis();
+        let born = born.as_millis() as u64;
+        self.born.store(born, Ordering::Relaxed);
         let mut acknowledged = false;
         for sequence in 1u64.. {
-            if !self.is_on.load(Ordering::Relaxed) {
+            if !self.is_on.load(Ordering::Relaxed) || self.has_left.load(Ordering::Relaxed) {
                 return;
             }
-            let doc = format!(
-                r#"{{"Address": "{}", "Info": {{"Service": "{}", "Version": "{}", "Zone": "{}", "Slots": 12}}, "Status": {{"State": "ready", "Seq": {sequence}, "ColdLeftMs": 0}}, "born": {born}}}"#,
-                self.app, self.service, self.version, self.zone
-            );
+            self.last.store(sequence, Ordering::Relaxed);
+            let doc = heartbeat(self.app, self.service, self.version, self.zone, sequence, born);
             let path = format!("/instances/{}", self.id);
             let headers = [("Content-Type", "application/json")];
             let wait = Duration::from_secs(1);
@@ -541,6 +588,20 @@
     }
 }
 
+/// A heartbeat of a server that is ready.
+fn heartbeat(
+    app: SocketAddr,
+    service: &str,
+    version: &str,
+    zone: &str,
+    sequence: u64,
+    born: u64,
+) -> String {
+    format!(
+        r#"{{"Address": "{app}", "Info": {{"Service": "{service}", "Version": "{version}", "Zone": "{zone}", "Slots": 12}}, "Status": {{"State": "ready", "Seq": {sequence}, "ColdLeftMs": 0}}, "born": {born}}}"#
+    )
+}
+
 struct Server {
     record: Arc<Record>,
     name: String,
@@ -550,6 +611,7 @@
     behaviour: Behaviour,
     count: AtomicU64,
     is_on: Arc<AtomicBool>,
+    has_left: Arc<AtomicBool>,
 }
 
 fn serve(listener: &TcpListener, server: &Arc<Server>) {
@@ -581,6 +643,10 @@
     }
 
     fn answer(&self, request: &Message) -> Vec<u8> {
+        if request.path() == "/health" && self.has_left.load(Ordering::Relaxed) {
+            let headers = [("X-Instance-Id", self.id.as_str())];
+            return http::response("503 Service Unavailable", &headers, &[]);
+        }
         if request.path() == "/health" {
             return http::response("200 OK", &[("X-Instance-Id", &self.id)], &[]);
         }
@@ -601,6 +667,7 @@
             id: id.to_owned(),
             service: self.service.clone(),
             version: self.version.clone(),
+            machine: self.name.clone(),
             status,
         };
         self.record.line(&format!(
