--- a/review/standin-2/src/contradicted.rs
+++ b/review/standin-2/src/contradicted.rs
@@ -14,13 +14,22 @@
 /// Services that get a new version, and when it turns bad after its order.
 const MOVED: [(usize, u64); 2] = [(0, 14_360), (2, 14_460)];
 const FIRST: &[(&str, &str)] = &[("GET", "/read/"), ("POST", "/order/"), ("POST", "/survey/")];
-const ADDED: [&[(&str, &str)]; 3] = [&[("GET", "/more-0/")], &[("GET", "/more-1/")], &[("GET", "/more-2/")]];
+const ADDED: [&[(&str, &str)]; 3] = [
+    &[("GET", "/more-0/")],
+    &[("GET", "/more-1/")],
+    &[("GET", "/more-2/")],
+];
 
 pub fn run(root: &Path, record: &Arc<Record>, is_troubled: bool) -> io::Result<Verdict> {
     let mut mesh = Mesh::start(root, Arc::clone(record))?;
     mesh.start_machines(&Behaviour::default())?;
     let old = mesh.machines.len();
-    let clients_at: Vec<_> = mesh.machines.iter().map(|m| m.outbound()).enumerate().collect();
+    let clients_at: Vec<_> = mesh
+        .machines
+        .iter()
+        .map(|m| m.outbound())
+        .enumerate()
+        .collect();
     let clients = Clients::start(record, clients_at, FIRST, 90, Duration::from_secs(60));
     sleep(Duration::from_secs(5));
     let ordered = record.now();
@@ -58,7 +67,9 @@
             let object = mesh.read(&format!("/objects/rollouts/{service}"));
             if object.contains("\"State\":\"completed\"") && !completed[number] {
                 completed[number] = true;
-                record.note(&format!("{service} is reported completed; its old servers stop"));
+                record.note(&format!(
+                    "{service} is reported completed; its old servers stop"
+                ));
                 for index in (0..old).filter(|i| i % 3 == number) {
                     mesh.stop_server(index);
                     mesh.signal(index, "TERM");
@@ -76,9 +87,16 @@
     // Only clients on machines that stay go on.
     let stays = |i: &usize| *i >= old || !completed[i % 3];
     let staying: Vec<_> = (0..mesh.machines.len()).filter(stays).collect();
-    let staying: Vec<_> = staying.into_iter().map(|i| (i, mesh.machines[i].outbound())).collect();
+    let staying: Vec<_> = staying
+        .into_iter()
+        .map(|i| (i, mesh.machines[i].outbound()))
+        .collect();
     sleep(Duration::from_secs(2));
-    let further = [("/more-0/", SERVICES[0]), ("/more-1/", SERVICES[1]), ("/more-2/", SERVICES[2])];
+    let further = [
+        ("/more-0/", SERVICES[0]),
+        ("/more-1/", SERVICES[1]),
+        ("/more-2/", SERVICES[2]),
+    ];
     mesh.write_config(9, &further)?;
     // Longer than ConfigApplyMs and StableWindowMs.
     sleep(Duration::from_secs(5));
@@ -94,14 +112,18 @@
         sent.iter().filter(|s| s.status == 200).count() as f64 / sent.len().max(1) as f64
     };
     let of_first = share(&first);
-    record.note(&format!("first routes: {} served {of_first:.2}", statuses(&first)));
+    record.note(&format!(
+        "first routes: {} served {of_first:.2}",
+        statuses(&first)
+    ));
     let mut is_broken = false;
     for (clients, service) in added.into_iter().zip(SERVICES) {
         let sent = clients.finish();
         let of_added = share(&sent);
         is_broken |= sent.len() >= 20 && of_added < of_first / 4.0;
         record.note(&format!(
-            "CONFIG: the added route to {service}: {} served {of_added:.2}", statuses(&sent)
+            "CONFIG: the added route to {service}: {} served {of_added:.2}",
+            statuses(&sent)
         ));
     }
     Ok(match is_broken {
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -82,11 +82,7 @@
     Ok(Some(message))
 }
 
-fn read_chunks(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-    body: &mut Vec<u8>,
-) -> io::Result<bool> {
+fn read_chunks(stream: &mut TcpStream, buf: &mut Vec<u8>, body: &mut Vec<u8>) -> io::Result<bool> {
     loop {
         let end = loop {
             if let Some(at) = find(buf, b"\r\n") {
@@ -148,7 +144,10 @@
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
-    if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
+    if !headers
+        .iter()
+        .any(|(name, _)| name.eq_ignore_ascii_case("host"))
+    {
         text.push_str("Host: platform.example\r\n");
     }
     if !body.is_empty() || method != "GET" {
--- a/review/standin-2/src/late_heartbeat.rs
+++ b/review/standin-2/src/late_heartbeat.rs
@@ -19,7 +19,12 @@
 pub fn run(root: &Path, record: &Arc<Record>, is_troubled: bool) -> io::Result<Verdict> {
     let mut mesh = Mesh::start(root, Arc::clone(record))?;
     mesh.start_machines(&Behaviour::default())?;
-    let clients_at: Vec<_> = mesh.machines.iter().map(|m| m.outbound()).enumerate().collect();
+    let clients_at: Vec<_> = mesh
+        .machines
+        .iter()
+        .map(|m| m.outbound())
+        .enumerate()
+        .collect();
     // Longer than StableWindowMs.
     sleep(Duration::from_secs(6));
     let limit = Duration::from_secs(60);
@@ -27,7 +32,9 @@
     sleep(Duration::from_secs(3));
     let leaving = 0;
     let name = mesh.machines[leaving].name.clone();
-    let sequence = mesh.machines[leaving].sequence.load(std::sync::atomic::Ordering::Relaxed);
+    let sequence = mesh.machines[leaving]
+        .sequence
+        .load(std::sync::atomic::Ordering::Relaxed);
     if mesh.leave(leaving)? != 200 {
         return Err(io::Error::other("the leaving was not acknowledged"));
     }
@@ -50,7 +57,9 @@
     record.note(&format!("answers: {}", statuses(&sent)));
     let from = in_touch.max(left + DRAIN);
     let runs = record.runs.lock().unwrap().clone();
-    let late = runs.iter().filter(|run| run.machine == name && run.at > from);
+    let late = runs
+        .iter()
+        .filter(|run| run.machine == name && run.at > from);
     let late = late.count();
     record.note(&format!(
         "DRAIN: requests at the server later than DrainMs after the acknowledgement: {late}"
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,9 +4,9 @@
 //! `review-rig CASE FOLDER` writes `record.txt` to the folder. It exits with 1 if the rule was
 //! broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
+mod contradicted;
 mod http;
 mod late_heartbeat;
-mod contradicted;
 mod mesh;
 mod unordered;
 mod withdrawn;
@@ -35,12 +35,17 @@
         eprintln!("usage: review-rig CASE FOLDER");
         return ExitCode::from(2);
     };
-    let is_troubled = env::var("TROUBLE").is_ok_and(|value| value == "0").eq(&false);
+    let is_troubled = env::var("TROUBLE")
+        .is_ok_and(|value| value == "0")
+        .eq(&false);
     thread::spawn(|| {
         thread::sleep(LIMIT);
         eprintln!("the case took too long");
         for pid in CHILDREN.lock().unwrap().iter() {
-            let _ = Command::new("sh").arg("-c").arg(format!("kill -KILL {pid}")).status();
+            let _ = Command::new("sh")
+                .arg("-c")
+                .arg(format!("kill -KILL {pid}"))
+                .status();
         }
         std::process::exit(2);
     });
--- a/review/standin-2/src/mesh.rs
+++ b/review/standin-2/src/mesh.rs
@@ -258,7 +258,12 @@
     ) -> io::Result<usize> {
         let number = self.next_ip;
         self.next_ip += 1;
-        let ip = Ipv4Addr::new(127, self.net.0, self.net.1.wrapping_add((number >> 8) as u8), number as u8);
+        let ip = Ipv4Addr::new(
+            127,
+            self.net.0,
+            self.net.1.wrapping_add((number >> 8) as u8),
+            number as u8,
+        );
         let (zone, region) = ZONES[zone];
         let name = format!("sidecar-{zone}-{number}");
         let settings = self.folder.join(format!("{name}.json"));
@@ -309,7 +314,10 @@
     }
 
     fn start_process(&self, machine: &mut Machine) -> io::Result<()> {
-        let log = File::options().append(true).create(true).open(&machine.log)?;
+        let log = File::options()
+            .append(true)
+            .create(true)
+            .open(&machine.log)?;
         let child = Command::new(self.root.join("target/release/knapweed-sidecar"))
             .current_dir(&self.root)
             .env_clear()
@@ -330,22 +338,28 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        self.record.note(&format!("killed the node of {}", machine.name));
+        self.record
+            .note(&format!("killed the node of {}", machine.name));
     }
 
     /// Sends a signal to a node.
     pub fn signal(&self, index: usize, signal: &str) {
         let machine = &self.machines[index];
         let pid = machine.pid();
-        let _ = Command::new("sh").arg("-c").arg(format!("kill -{signal} {pid}")).status();
-        self.record.note(&format!("sent {signal} to the node of {}", machine.name));
+        let _ = Command::new("sh")
+            .arg("-c")
+            .arg(format!("kill -{signal} {pid}"))
+            .status();
+        self.record
+            .note(&format!("sent {signal} to the node of {}", machine.name));
     }
 
     /// Starts a node again, with the settings that it had.
     pub fn start_again(&mut self, index: usize) -> io::Result<()> {
         let mut machine = self.machines.remove(index);
         let result = self.start_process(&mut machine);
-        self.record.note(&format!("started the node of {} again", machine.name));
+        self.record
+            .note(&format!("started the node of {} again", machine.name));
         self.machines.insert(index, machine);
         result
     }
@@ -393,7 +407,8 @@
         let path = format!("/instances/{}", machine.id);
         let wait = Duration::from_secs(1);
         let answer = http::call(machine.control(), "DELETE", &path, &[], &[], wait)?;
-        self.record.note(&format!("DELETE {path}: {}", answer.status()));
+        self.record
+            .note(&format!("DELETE {path}: {}", answer.status()));
         Ok(answer.status())
     }
 
@@ -411,8 +426,19 @@
         let path = format!("/instances/{}", machine.id);
         let headers = [("Content-Type", "application/json")];
         let wait = Duration::from_secs(1);
-        let answer = http::call(machine.control(), "PUT", &path, &headers, doc.as_bytes(), wait)?;
-        self.record.note(&format!("heartbeat {sequence} of {} arrives late: {}", machine.id, answer.status()));
+        let answer = http::call(
+            machine.control(),
+            "PUT",
+            &path,
+            &headers,
+            doc.as_bytes(),
+            wait,
+        )?;
+        self.record.note(&format!(
+            "heartbeat {sequence} of {} arrives late: {}",
+            machine.id,
+            answer.status()
+        ));
         Ok(())
     }
 
@@ -477,8 +503,9 @@
             let name = format!("r-more-{service}");
             paths.push(path(&name, prefix, "safe", service, 5_000));
         }
-        let services = SERVICES
-            .map(|name| format!(r#"{{"Name": "{name}", "MaxConns": 110, "HealthPath": "/health"}}"#));
+        let services = SERVICES.map(|name| {
+            format!(r#"{{"Name": "{name}", "MaxConns": 110, "HealthPath": "/health"}}"#)
+        });
         let spec = format!(
             r#"{{"Version": {version}, "VirtualHosts": [{{"Host": "{HOST}", "Paths": [{}]}}], "Services": [{}], "Limits": {{"MaxHeaderBytes": 32768, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 10000}}}}"#,
             paths.join(", "),
@@ -510,8 +537,14 @@
         let mut newest: Option<(String, usize)> = None;
         for (index, machine) in self.machines.iter().enumerate() {
             let log = machine.log();
-            let took = log.lines().filter(|l| l.contains("this node controls rollouts")).last();
-            let left = log.lines().filter(|l| l.contains("no longer controls rollouts")).last();
+            let took = log
+                .lines()
+                .filter(|l| l.contains("this node controls rollouts"))
+                .last();
+            let left = log
+                .lines()
+                .filter(|l| l.contains("no longer controls rollouts"))
+                .last();
             let at = |line: &str| line.split("\"time\":\"").nth(1).map(|t| t[..23].to_owned());
             let (Some(took), left) = (took.and_then(at), left.and_then(at)) else {
                 continue;
@@ -557,7 +590,9 @@
 
 impl Heartbeats {
     fn run(self) {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let born = born.as_millis() as u64;
         self.born.store(born, Ordering::Relaxed);
         let mut acknowledged = false;
@@ -566,7 +601,14 @@
                 return;
             }
             self.last.store(sequence, Ordering::Relaxed);
-            let doc = heartbeat(self.app, self.service, self.version, self.zone, sequence, born);
+            let doc = heartbeat(
+                self.app,
+                self.service,
+                self.version,
+                self.zone,
+                sequence,
+                born,
+            );
             let path = format!("/instances/{}", self.id);
             let headers = [("Content-Type", "application/json")];
             let wait = Duration::from_secs(1);
@@ -574,7 +616,12 @@
             let status = answer.map_or(0, |answer| answer.status());
             if (status == 200) != acknowledged {
                 acknowledged = status == 200;
-                let Self { id, service, version, .. } = &self;
+                let Self {
+                    id,
+                    service,
+                    version,
+                    ..
+                } = &self;
                 self.record.line(&format!(
                     "heartbeat {sequence} of {id} ({service} {version}): {status}"
                 ));
@@ -672,7 +719,11 @@
         };
         self.record.line(&format!(
             "run {id} {} {} by {} {} at {}: {status}",
-            request.method(), request.path(), self.service, self.version, self.name
+            request.method(),
+            request.path(),
+            self.service,
+            self.version,
+            self.name
         ));
         self.record.runs.lock().unwrap().push(run);
         thread::sleep(self.behaviour.work);
@@ -681,7 +732,11 @@
             ("X-Instance-Id", &self.id),
             ("X-Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"),
         ];
-        let first = if fails { "500 Internal Server Error" } else { "200 OK" };
+        let first = if fails {
+            "500 Internal Server Error"
+        } else {
+            "200 OK"
+        };
         http::response(first, &headers, &vec![b'a'; self.behaviour.answer_len])
     }
 }
@@ -726,7 +781,9 @@
                 let (machine, to) = targets[number as usize % targets.len()];
                 let (method, prefix) = requests[number as usize / targets.len() % requests.len()];
                 let (record, list) = (Arc::clone(&record), Arc::clone(&list));
-                thread::spawn(move || send_one(&record, &list, machine, to, method, prefix, number));
+                thread::spawn(move || {
+                    send_one(&record, &list, machine, to, method, prefix, number)
+                });
             }
         });
         Self {
@@ -767,8 +824,16 @@
     let wait = Duration::from_millis(2_500);
     let answer = http::call(to, method, &path, &headers, &[], wait);
     let status = answer.as_ref().map_or(0, Message::status);
-    record.line(&format!("sent {id} {method} {path} to {to} at {:.3}: {status}", at.as_secs_f64()));
-    list.lock().unwrap().push(Sent { id, at, machine, status });
+    record.line(&format!(
+        "sent {id} {method} {path} to {to} at {:.3}: {status}",
+        at.as_secs_f64()
+    ));
+    list.lock().unwrap().push(Sent {
+        id,
+        at,
+        machine,
+        status,
+    });
 }
 
 /// Counts of statuses.
@@ -779,6 +844,8 @@
     }
     let mut counts: Vec<_> = counts.into_iter().collect();
     counts.sort_unstable();
-    let counts = counts.into_iter().map(|(status, count)| format!("{status}: {count}"));
+    let counts = counts
+        .into_iter()
+        .map(|(status, count)| format!("{status}: {count}"));
     counts.collect::<Vec<_>>().join(", ")
 }
--- a/review/standin-2/src/unordered.rs
+++ b/review/standin-2/src/unordered.rs
@@ -16,16 +16,35 @@
     mesh.start_machines(&Behaviour::default())?;
     // All nodes have met all servers before the next version starts.
     sleep(Duration::from_secs(6));
-    let clients_at: Vec<_> = mesh.machines.iter().map(|m| m.outbound()).enumerate().collect();
+    let clients_at: Vec<_> = mesh
+        .machines
+        .iter()
+        .map(|m| m.outbound())
+        .enumerate()
+        .collect();
     // Servers of the next version start beside the old ones; nobody has ordered it yet.
     for zone in 0..4 {
         let machine = mesh.add(zone, "calendar", "v2")?;
         mesh.start_server(machine, Behaviour::default())?;
     }
     mesh.until_ready(Duration::from_secs(10))?;
-    let clients = Clients::start(record, clients_at, &[("GET", "/read/")], 40, Duration::from_secs(60));
+    let clients = Clients::start(
+        record,
+        clients_at,
+        &[("GET", "/read/")],
+        40,
+        Duration::from_secs(60),
+    );
     sleep(Duration::from_secs(6));
-    let runs_of_v2 = || record.runs.lock().unwrap().iter().filter(|r| r.version == "v2").count();
+    let runs_of_v2 = || {
+        record
+            .runs
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|r| r.version == "v2")
+            .count()
+    };
     record.note(&format!("runs of v2 so far: {}", runs_of_v2()));
     if is_troubled {
         let node = 1;
--- a/review/standin-2/src/withdrawn.rs
+++ b/review/standin-2/src/withdrawn.rs
@@ -19,7 +19,12 @@
     mesh.start_machines(&Behaviour::default())?;
     // All nodes have met all servers before the next version starts.
     sleep(Duration::from_secs(6));
-    let clients_at: Vec<_> = mesh.machines.iter().map(|m| m.outbound()).enumerate().collect();
+    let clients_at: Vec<_> = mesh
+        .machines
+        .iter()
+        .map(|m| m.outbound())
+        .enumerate()
+        .collect();
     // The new version starts beside the old one, a server in each zone.
     for zone in 0..4 {
         let machine = mesh.add(zone, "calendar", "v2")?;
@@ -30,18 +35,34 @@
         mesh.start_server(machine, bad)?;
     }
     mesh.until_ready(Duration::from_secs(10))?;
-    let clients = Clients::start(record, clients_at, &[("GET", "/read/")], 40, Duration::from_secs(60));
+    let clients = Clients::start(
+        record,
+        clients_at,
+        &[("GET", "/read/")],
+        40,
+        Duration::from_secs(60),
+    );
     sleep(Duration::from_secs(6));
-    let before = record.runs.lock().unwrap().iter().filter(|r| r.version == "v2").count();
+    let before = record
+        .runs
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|r| r.version == "v2")
+        .count();
     record.note(&format!("runs of v2 before any order: {before}"));
-    let holder = mesh.rollout_holder().ok_or_else(|| io::Error::other("no holder"))?;
+    let holder = mesh
+        .rollout_holder()
+        .ok_or_else(|| io::Error::other("no holder"))?;
     record.note(&format!("{} controls rollouts", mesh.machines[holder].name));
     if is_troubled {
         mesh.kill(holder);
     }
     sleep(Duration::from_millis(150));
     let order = |version: &str| {
-        format!(r#"{{"Service": "calendar", "TargetVersion": "{version}", "DurationS": {ORDER_S}}}"#)
+        format!(
+            r#"{{"Service": "calendar", "TargetVersion": "{version}", "DurationS": {ORDER_S}}}"#
+        )
     };
     mesh.write("rollouts", "calendar", &order("v2"), false)?;
     let ordered = record.now();
@@ -55,11 +76,17 @@
     while record.now() < deadline {
         sleep(Duration::from_millis(500));
     }
-    record.note(&format!("rollouts/calendar: {}", mesh.read("/objects/rollouts/calendar")));
+    record.note(&format!(
+        "rollouts/calendar: {}",
+        mesh.read("/objects/rollouts/calendar")
+    ));
     let sent = clients.finish();
     record.note(&format!("answers: {}", statuses(&sent)));
     // Requests that began at the machine that was killed don't count.
-    let origin: HashMap<_, _> = sent.iter().map(|s| (s.id.clone(), (s.machine, s.at))).collect();
+    let origin: HashMap<_, _> = sent
+        .iter()
+        .map(|s| (s.id.clone(), (s.machine, s.at)))
+        .collect();
     let runs = record.runs.lock().unwrap().clone();
     let counted = runs.iter().filter(|run| {
         let from = origin.get(&run.id);
@@ -75,7 +102,11 @@
         bad.len(),
         counted.len()
     ));
-    let fiftieth = bad.iter().filter(|run| run.status == 500).nth(49).map(|run| run.at);
+    let fiftieth = bad
+        .iter()
+        .filter(|run| run.status == 500)
+        .nth(49)
+        .map(|run| run.at);
     let late = fiftieth.map_or(0, |at| {
         let sent_at = |id: &str| origin.get(id).map_or(Duration::ZERO, |(_, at)| *at);
         let from = at + Duration::from_millis(5_000);
